Take loopback ports below the kernel's ephemeral range

Cause: one run of the test suite failed with a daemon that never got ready; a port found free was taken by a connecting socket before the daemon listened. Ruled out: slow start (the others took 1 s). Change: drivers hand out ports from a counter below the ephemeral range.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -1,5 +1,6 @@
 """Start and end the processes of a small fleet on loopback."""
 
+import itertools
 import json
 import os
 import signal
@@ -7,7 +8,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from pathlib import Path
 from types import TracebackType
 from typing import Any
@@ -17,6 +18,9 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 LOOPBACK = "127.0.0.1"
+FIRST_PORT = 10_000
+PORTS = 22_000
+PORTS_A_PROCESS = 200
 WAIT_S = 20.0
 PAUSE_S = 0.05
 STOP_S = 15.0
@@ -24,15 +28,31 @@
 
 
 def free_addresses(count: int) -> list[str]:
-    """Return addresses on loopback that nobody listens at."""
-    socks = [socket.socket() for _ in range(count)]
-    try:
-        for sock in socks:
-            sock.bind((LOOPBACK, 0))
-        return [f"{LOOPBACK}:{sock.getsockname()[1]}" for sock in socks]
-    finally:
-        for sock in socks:
-            sock.close()
+    """Return addresses on loopback that nobody listens at.
+
+    Ports lie below the range that the kernel gives to connecting sockets, so that none is
+    taken between this call and the listen.
+    """
+    return list(itertools.islice(filter(_is_free, _candidates), count))
+
+
+def _is_free(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((host, int(port)))
+        except OSError:
+            return False
+    return True
+
+
+def _endless(first: int) -> Iterator[str]:
+    for number in itertools.count(first):
+        yield f"{LOOPBACK}:{FIRST_PORT + number % PORTS}"
+
+
+_candidates = _endless(os.getpid() * PORTS_A_PROCESS)
 
 
 class Cluster:
