--- a/gypsumplank/coordination/control.py
+++ b/gypsumplank/coordination/control.py
@@ -17,9 +17,9 @@
     Status,
 )
 from gypsumplank.protocol.record import Record
-from gypsumplank.state.config import Change, ConfigStore
+from gypsumplank.state.config import Change, ChangeEntry, ConfigStore, apply_entries
 from gypsumplank.state.session import Session
-from gypsumplank.state.validation import check_change
+from gypsumplank.state.validation import check_records
 from gypsumplank.state.view import View, ViewHolder
 
 logger = logging.getLogger(__name__)
@@ -50,8 +50,6 @@
 
     def change(self, order: ChangeOrder, actor: str) -> ChangeReceipt:
         """Accept a change whole or raise GypsumplankError."""
-        view = self._store.refresh(self._holder.current)
-        check_change(view, order.puts, order.deletes)
         change = Change(order.operation, order.puts, order.deletes, actor, order.if_revision)
         revision = self._store.accept(change)
         event(logger, Event.CONFIG_ACCEPTED, revision=revision, actor=actor)
@@ -60,7 +58,9 @@
 
     def validate(self, order: ChangeOrder) -> None:
         """Raise RecordsError where a change would not be accepted."""
-        check_change(self._holder.current, order.puts, order.deletes)
+        view = self._holder.current
+        entry = ChangeEntry(view.revision, order.operation, "", 0.0, order.puts, order.deletes)
+        check_records(view, apply_entries(view, (entry,)))
 
     def records(self, kind: str = "") -> RecordList:
         """Return the records in force, of one kind or of all."""
--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -26,6 +26,7 @@
 from gypsumplank.state.clock import SystemClock
 from gypsumplank.state.config import ConfigStore
 from gypsumplank.state.session import Session, SessionStore
+from gypsumplank.state.validation import check_records
 from gypsumplank.state.view import ViewHolder
 from gypsumplank.transport.caller import CallerApp
 from gypsumplank.transport.endpoint import HttpEndpointClient
@@ -62,46 +63,55 @@
     def __init__(self, cfg: Settings) -> None:
         self._cfg = cfg
         self._stop = threading.Event()
-        clock = SystemClock()
+        self._clock = SystemClock()
+        self._gate = Gate()
+        self._holder = ViewHolder()
+        self._supervisor = Supervisor(self._clock)
+        self._slots = Slots(random.Random())
+        self._metrics = self._make_metrics()
+        self._make_state()
+        self._callers = self._make_callers()
+        self._operators = self._make_operators()
+        self._supervise()
+
+    def _make_state(self) -> None:
+        cfg = self._cfg
         self._platform = PlatformClient(cfg.platform, cfg.platform_timeout_s)
         table = HttpTable(self._platform)
-        self._holder = ViewHolder()
-        store = ConfigStore(table, clock)
-        self._follower = Follower(store, self._holder)
+        self._store = ConfigStore(table, self._clock, (check_records,))
+        self._follower = Follower(self._store, self._holder)
         self._heartbeat = Heartbeat(
             SessionStore(table),
-            clock,
+            self._clock,
             Session(cfg.id, 0, cfg.zone, cfg.callers, cfg.operators, cfg.peers, 0, 0.0),
             cfg.lease_s,
             lambda: self._holder.current.revision,
         )
+
+    def _make_callers(self) -> Listener:
+        cfg = self._cfg
         self._endpoints = HttpEndpointClient(ENDPOINT_CONNECTIONS, cfg.connect_timeout_s)
-        slots = Slots(random.Random())
-        dispatcher = Dispatcher(lambda: self._holder.current, self._endpoints, slots, clock)
-        self._gate = Gate()
-        self._metrics = self._make_metrics()
-        control = Control(store, self._holder, self._follower, self._heartbeat, slots, self._ready)
-        self._callers = Listener(
-            CallerApp(
-                GatedCarrier(self._gate, dispatcher),
-                lambda: self._holder.current.services,
-                self._metrics.request,
-            ),
-            cfg.callers,
-            cfg.threads,
-            cfg.max_body_bytes,
-            "callers",
+        dispatcher = Dispatcher(
+            lambda: self._holder.current, self._endpoints, self._slots, self._clock
         )
-        self._operators = Listener(
-            OperatorApp(control, self._metrics.render, cfg.tokens),
-            cfg.operators,
-            OPERATOR_THREADS,
-            cfg.max_body_bytes,
-            "operators",
+        app = CallerApp(
+            GatedCarrier(self._gate, dispatcher),
+            lambda: self._holder.current.services,
+            self._metrics.request,
         )
-        self._supervisor = Supervisor(clock)
-        self._supervisor.add("follower", self._follower, cfg.poll_s)
-        self._supervisor.add("heartbeat", self._heartbeat, cfg.heartbeat_s)
+        return Listener(app, cfg.callers, cfg.threads, cfg.max_body_bytes, "callers")
+
+    def _make_operators(self) -> Listener:
+        cfg = self._cfg
+        control = Control(
+            self._store, self._holder, self._follower, self._heartbeat, self._slots, self._ready
+        )
+        app = OperatorApp(control, self._metrics.render, cfg.tokens)
+        return Listener(app, cfg.operators, OPERATOR_THREADS, cfg.max_body_bytes, "operators")
+
+    def _supervise(self) -> None:
+        self._supervisor.add("follower", self._follower, self._cfg.poll_s)
+        self._supervisor.add("heartbeat", self._heartbeat, self._cfg.heartbeat_s)
 
     def stop(self) -> None:
         """Ask the daemon to stop gracefully."""
--- a/gypsumplank/protocol/spec.py
+++ b/gypsumplank/protocol/spec.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from enum import StrEnum
 from typing import Any
 
 import msgspec
@@ -68,12 +69,69 @@
     accelerators: int = 0
 
 
-Spec = PoolSpec | ServiceSpec | HostSpec
+class AssignmentState(StrEnum):
+    """Tell what a host does for its pool."""
+
+    SERVING = "serving"
+    DRAINING = "draining"
+    OUT = "out"
+
+
+@dataclass(frozen=True)
+class AssignmentSpec:
+    """Tell which one pool a host is in now, written by the system only.
+
+    `epoch` rises with every change; `since` is in seconds since the epoch of the wall clock.
+    """
+
+    pool: str
+    state: AssignmentState = AssignmentState.SERVING
+    reason: str = ""
+    target_pool: str = ""
+    epoch: int = 1
+    since: float = 0.0
+
+
+@dataclass(frozen=True)
+class WaveSpec:
+    """Describe maintenance of the hosts of pools, one after another within their budgets."""
+
+    pools: tuple[str, ...] = ()
+    hosts: tuple[str, ...] = ()
+    parallelism: int = 1
+    grace_s: float = 60.0
+    maintenance_s: float = 60.0
+    cross_domains: bool = False
+
+
+@dataclass(frozen=True)
+class TeamSpec:
+    """Describe a team of callers: its share of a service's slots and its task quota."""
+
+    share: float = 0.0
+    cores: int = 0
+    memory_gb: int = 0
+    accelerators: int = 0
+
+
+@dataclass(frozen=True)
+class PolicySpec:
+    """Weigh what a deployment cares for; weights are relative."""
+
+    flood_protection: float = 1.0
+    roll_out: float = 1.0
+    buffer: float = 1.0
+    moves: float = 1.0
+
 
 SPEC_TYPES: Mapping[Kind, type] = {
     Kind.POOL: PoolSpec,
     Kind.SERVICE: ServiceSpec,
     Kind.HOST: HostSpec,
+    Kind.WAVE: WaveSpec,
+    Kind.TEAM: TeamSpec,
+    Kind.POLICY: PolicySpec,
+    Kind.ASSIGNMENT: AssignmentSpec,
 }
 
 
@@ -102,8 +160,5 @@
         spec = UPGRADES.get(record.kind, _unchanged)(spec)
     try:
         return msgspec.convert(spec, SPEC_TYPES[record.kind])
-    except KeyError as exc:
-        fault = Fault("kind-unsupported", "kind", "kind is not served yet", record.key)
-        raise RecordsError((fault,)) from exc
     except msgspec.ValidationError as exc:
         raise RecordsError((Fault("spec-malformed", "spec", str(exc), record.key),)) from exc
--- a/gypsumplank/state/config.py
+++ b/gypsumplank/state/config.py
@@ -1,6 +1,6 @@
 """Accept changes of configuration into the table service and read them back."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 import msgspec
@@ -22,6 +22,8 @@
 KEY_HEAD = "head"
 COMMIT_TRIES = 8
 
+Guard = Callable[[View, View], None]
+
 
 @dataclass(frozen=True)
 class Head:
@@ -32,13 +34,14 @@
 
 @dataclass(frozen=True)
 class Change:
-    """Hold what an operator wants changed; `operation` makes a repeat harmless."""
+    """Hold what is to change; `operation` makes a repeat harmless, `fences` must hold."""
 
     operation: str
     puts: tuple[Record, ...] = ()
     deletes: tuple[str, ...] = ()
     actor: str = ""
     if_revision: int | None = None
+    fences: tuple[Check, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -71,11 +74,17 @@
 
 
 class ConfigStore:
-    """Accept changes one after another, each with the next revision."""
+    """Accept changes one after another, each with the next revision.
+
+    Every change is decided on the newest view in the transaction that commits it: each guard
+    sees the view before and after, and raises GypsumplankError where the change must not be.
+    """
 
-    def __init__(self, table: Table, clock: Clock) -> None:
+    def __init__(self, table: Table, clock: Clock, guards: Sequence[Guard] = ()) -> None:
         self._table = table
         self._clock = clock
+        self._guards = tuple(guards)
+        self._newest = View()
 
     def head(self) -> tuple[Head, int]:
         """Return the newest revision and the version of its row."""
@@ -99,16 +108,20 @@
     def accept(self, change: Change) -> int:
         """Commit a change and return its revision.
 
-        Raises RevisionConflictError, StateUnavailableError, and StateUnknownError where
-        it could not be settled whether the change was accepted.
+        Raises what the guards raise, RevisionConflictError, StateUnavailableError, and
+        StateUnknownError where it could not be settled whether the change was accepted.
         """
+        return self.propose(change.operation, lambda _view: change)
+
+    def propose(self, operation: str, propose: Callable[[View], Change]) -> int:
+        """Commit what `propose` makes of the newest view, made anew after every conflict."""
         unknown: StateUnknownError | None = None
         for _ in range(COMMIT_TRIES):
-            accepted = self._accepted(change)
+            accepted = self._accepted(operation)
             if accepted is not None:
                 return accepted
             try:
-                return self._commit(change)
+                return self._commit(propose)
             except StateConflictError:
                 continue
             except StateUnknownError as exc:
@@ -117,13 +130,15 @@
             raise unknown
         raise RevisionConflictError("too many other changes at the same time")
 
-    def _accepted(self, change: Change) -> int | None:
-        row = self._table.get(TABLE_OPERATIONS, change.operation)
+    def _accepted(self, operation: str) -> int | None:
+        row = self._table.get(TABLE_OPERATIONS, operation)
         return None if row is None else msgspec.json.decode(row.value, type=int)
 
-    def _commit(self, change: Change) -> int:
+    def _commit(self, propose: Callable[[View], Change]) -> int:
         head, version = self.head()
-        if change.if_revision is not None and change.if_revision != head.revision:
+        before = self._view_at(head.revision)
+        change = propose(before)
+        if change.if_revision not in (None, head.revision):
             detail = f"configuration is at revision {head.revision}, not {change.if_revision}"
             raise RevisionConflictError(detail)
         entry = ChangeEntry(
@@ -134,13 +149,27 @@
             change.puts,
             change.deletes,
         )
+        after = apply_entries(before, (entry,))
+        for guard in self._guards:
+            guard(before, after)
         checks = (
             Check(TABLE_CONFIG, KEY_HEAD, version),
             Check(TABLE_OPERATIONS, change.operation, ABSENT),
+            *change.fences,
         )
         self._table.commit(Txn(checks, _writes(entry)))
         return entry.revision
 
+    def _view_at(self, revision: int) -> View:
+        """Return the view at the head's revision; raise StateConflictError if it has moved."""
+        view = self._newest
+        if view.revision < revision:
+            view = apply_entries(view, self.entries(view.revision))
+            self._newest = view
+        if view.revision != revision:
+            raise StateConflictError("the head has moved")
+        return view
+
 
 def _writes(entry: ChangeEntry) -> tuple[Write, ...]:
     encode = msgspec.json.encode
--- a/gypsumplank/state/validation.py
+++ b/gypsumplank/state/validation.py
@@ -16,16 +16,9 @@
     return (*alone, *_unknown_pools(view), *_large_budgets(view))
 
 
-def check_change(view: View, puts: Iterable[Record], deletes: Iterable[str]) -> None:
-    """Raise RecordsError where the view would be at fault after a change."""
-    held: dict[str, Record] = dict(view.records)
-    held.update((record.key, record) for record in puts)
-    missing = [
-        Fault("record-missing", key, "no such record to delete")
-        for key in deletes
-        if held.pop(key, None) is None
-    ]
-    faults = (*missing, *find_faults(held.values()))
+def check_records(_before: View, after: View) -> None:
+    """Raise RecordsError where the records after a change are at fault."""
+    faults = find_faults(after.records.values())
     if faults:
         raise RecordsError(faults)
 
--- a/gypsumplank/state/view.py
+++ b/gypsumplank/state/view.py
@@ -3,75 +3,132 @@
 import threading
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
+from functools import cached_property
 from itertools import groupby
-from types import MappingProxyType
+from operator import itemgetter
+from typing import Any
 
 from gypsumplank.errors import RecordsError, RevisionReversedError
 from gypsumplank.protocol.record import Kind, Record
-from gypsumplank.protocol.spec import SPEC_TYPES, HostSpec, PoolSpec, ServiceSpec, decode_spec
+from gypsumplank.protocol.spec import (
+    SPEC_TYPES,
+    AssignmentSpec,
+    AssignmentState,
+    HostSpec,
+    PolicySpec,
+    PoolSpec,
+    ServiceSpec,
+    TeamSpec,
+    WaveSpec,
+    decode_spec,
+)
 
 NO_REVISION = 0
 
+Specs = Mapping[Kind, Mapping[str, Any]]
+
+
+def _no_specs() -> Specs:
+    return {kind: {} for kind in SPEC_TYPES}
+
 
 @dataclass(frozen=True)
 class View:
-    """Hold every record at one revision, typed; `unreadable` names those left out."""
+    """Hold every record at one revision, typed; `unreadable` names those of unknown form."""
 
     revision: int = NO_REVISION
     records: Mapping[str, Record] = field(default_factory=dict)
-    pools: Mapping[str, PoolSpec] = field(default_factory=dict)
-    services: Mapping[str, ServiceSpec] = field(default_factory=dict)
-    hosts: Mapping[str, HostSpec] = field(default_factory=dict)
-    members: Mapping[str, tuple[str, ...]] = field(default_factory=dict)
+    specs: Specs = field(default_factory=_no_specs)
     unreadable: tuple[str, ...] = ()
 
+    @property
+    def pools(self) -> Mapping[str, PoolSpec]:
+        """Return the pools by name."""
+        return self.specs[Kind.POOL]
+
+    @property
+    def services(self) -> Mapping[str, ServiceSpec]:
+        """Return the services by name."""
+        return self.specs[Kind.SERVICE]
+
+    @property
+    def hosts(self) -> Mapping[str, HostSpec]:
+        """Return the hosts by name."""
+        return self.specs[Kind.HOST]
+
+    @property
+    def waves(self) -> Mapping[str, WaveSpec]:
+        """Return the waves by name."""
+        return self.specs[Kind.WAVE]
+
+    @property
+    def teams(self) -> Mapping[str, TeamSpec]:
+        """Return the teams by name."""
+        return self.specs[Kind.TEAM]
+
+    @property
+    def policies(self) -> Mapping[str, PolicySpec]:
+        """Return the policies by name."""
+        return self.specs[Kind.POLICY]
+
+    @property
+    def assignments(self) -> Mapping[str, AssignmentSpec]:
+        """Return the assignments by host; a host without one serves the pool of its record."""
+        return self.specs[Kind.ASSIGNMENT]
+
+    def assignment(self, host: str) -> AssignmentSpec:
+        """Return what a known host does now."""
+        return self.assignments.get(host) or AssignmentSpec(self.hosts[host].pool, epoch=0)
+
     def hosts_of(self, pool: str) -> tuple[str, ...]:
-        """Return the names of the pool's hosts."""
-        return self.members.get(pool, ())
+        """Return the names of the pool's hosts, in any state."""
+        return self._members.get(pool, ())
+
+    def serving_hosts(self, pool: str) -> tuple[str, ...]:
+        """Return the names of the pool's hosts that take new work."""
+        return self._serving.get(pool, ())
+
+    @cached_property
+    def _members(self) -> dict[str, tuple[str, ...]]:
+        return _group((self.assignment(name).pool, name) for name in self.hosts)
+
+    @cached_property
+    def _serving(self) -> dict[str, tuple[str, ...]]:
+        held = ((self.assignment(name), name) for name in self.hosts)
+        serving = AssignmentState.SERVING
+        return _group((found.pool, name) for found, name in held if found.state is serving)
+
+
+def _group(pairs: Iterable[tuple[str, str]]) -> dict[str, tuple[str, ...]]:
+    return {
+        pool: tuple(name for _, name in group)
+        for pool, group in groupby(sorted(pairs), itemgetter(0))
+    }
 
 
 def build_view(revision: int, records: Iterable[Record], last: View | None = None) -> View:
     """Return the view of these records; one that cannot be read keeps its last known form."""
     held = {record.key: record for record in records}
-    specs: dict[Kind, dict[str, object]] = {kind: {} for kind in SPEC_TYPES}
+    specs: dict[Kind, dict[str, Any]] = {kind: {} for kind in SPEC_TYPES}
     unreadable = []
     for record in held.values():
-        try:
-            specs[record.kind][record.name] = decode_spec(record)
-        except RecordsError:
-            unreadable.append(record.key)
-            _keep_last(specs, record, last)
-    hosts = {str(name): spec for name, spec in specs[Kind.HOST].items()}
-    return View(
-        revision,
-        MappingProxyType(held),
-        MappingProxyType(specs[Kind.POOL]),  # type: ignore[arg-type]
-        MappingProxyType(specs[Kind.SERVICE]),  # type: ignore[arg-type]
-        MappingProxyType(hosts),  # type: ignore[arg-type]
-        MappingProxyType(_members(hosts)),  # type: ignore[arg-type]
-        tuple(sorted(unreadable)),
-    )
-
-
-def _keep_last(specs: dict[Kind, dict[str, object]], record: Record, last: View | None) -> None:
-    known = last.records.get(record.key) if last else None
-    if last is None or known is None:
-        return
-    typed: Mapping[Kind, Mapping[str, object]] = {
-        Kind.POOL: last.pools,
-        Kind.SERVICE: last.services,
-        Kind.HOST: last.hosts,
-    }
-    spec = typed.get(record.kind, {}).get(record.name)
-    if spec is not None:
-        specs[record.kind][record.name] = spec
-
-
-def _members(hosts: Mapping[str, HostSpec]) -> dict[str, tuple[str, ...]]:
-    by_pool = sorted((spec.pool, name) for name, spec in hosts.items())
-    return {
-        pool: tuple(name for _, name in group) for pool, group in groupby(by_pool, lambda p: p[0])
-    }
+        spec = _known_spec(record, last)
+        if spec is None:
+            try:
+                spec = decode_spec(record)
+            except RecordsError:
+                unreadable.append(record.key)
+                spec = last.specs[record.kind].get(record.name) if last else None
+        if spec is not None:
+            specs[record.kind][record.name] = spec
+    return View(revision, held, specs, tuple(sorted(unreadable)))
+
+
+def _known_spec(record: Record, last: View | None) -> Any:
+    """Return the spec that the last view decoded from this same record."""
+    if last is None or last.records.get(record.key) is not record:
+        return None
+    return None if record.key in last.unreadable else last.specs[record.kind].get(record.name)
 
 
 class ViewHolder:
