Place, follow and fence tasks that run long

Cause: renders and bulk requests outlive a request and need leases, quotas and room. Change: task rows and queue in the table service with group commit; placement by size, spread, quota, fair share and urgency (throttle, then checkpoint, then stop); sizes learned from usage; quarantine within the budget; agents' port with tokens and leases. Tests that failed first: an idle worker's lease was not renewed in time, a failed task went back to the same worker, and a finished attempt could be started again by a late message of its own token.

--- /dev/null
+++ b/gypsumplank/coordination/task.py
@@ -0,0 +1,126 @@
+"""Drive the tasks of the pools that this daemon controls."""
+
+import logging
+from collections.abc import Callable
+from concurrent.futures import Executor
+from dataclasses import replace
+from functools import partial
+
+from gypsumplank.coordination.agent import Agents
+from gypsumplank.coordination.placement import (
+    Placer,
+    Plan,
+    Room,
+    impossible_reason,
+    quota_of,
+    room_of,
+)
+from gypsumplank.coordination.taskpool import TaskPool
+from gypsumplank.errors import StateError
+from gypsumplank.log import Event, event
+from gypsumplank.protocol.task import Task, TaskState
+from gypsumplank.state.clock import Clock
+from gypsumplank.state.table import Check
+from gypsumplank.state.task import TaskStore
+from gypsumplank.state.view import View
+
+logger = logging.getLogger(__name__)
+
+Fence = Callable[[str], Check | None]
+
+
+class TaskController:
+    """Place and follow tasks in every pool whose lease this daemon holds."""
+
+    def __init__(
+        self,
+        view: Callable[[], View],
+        store: TaskStore,
+        agents: Agents,
+        fence: Fence,
+        clock: Clock,
+        executor: Executor,
+        drain_grace_s: float,
+    ) -> None:
+        self._view = view
+        self._store = store
+        self._agents = agents
+        self._fence = fence
+        self._clock = clock
+        self._executor = executor
+        self._drain_grace_s = drain_grace_s
+        self.pools: dict[str, TaskPool] = {}
+
+    def tick(self) -> None:
+        """Do one round in every pool that is held."""
+        view = self._view()
+        for pool in view.pools:
+            fence = self._fence(pool)
+            if fence is None:
+                self.pools.pop(pool, None)
+                continue
+            if pool not in self.pools:
+                self.pools[pool] = TaskPool(pool, self._store, self._agents, self._clock)
+            try:
+                self._round(view, pool, self.pools[pool], fence)
+            except StateError as exc:
+                event(logger, Event.STATE_UNAVAILABLE, logging.WARNING, code=exc.code, step="task")
+
+    def _round(self, view: View, pool: str, held: TaskPool, fence: Check) -> None:
+        held.read()
+        if not held.save(held.contact(view, self._executor), fence):
+            return
+        if not held.save(self._impossible(view, pool, held), fence):
+            return
+        plan = self._plan(view, pool, held)
+        started = [
+            replace(cand.task, state=TaskState.RUNNING, host=host, token=cand.task.token + 1)
+            for cand, host in plan.starts
+        ]
+        if held.save(started, fence):
+            list(self._executor.map(partial(held.start, view), started))
+        overdue = held.overdue_evictions() if held.urgent_waits() else []
+        leaving = held.drain_evictions(view, self._drain_grace_s)
+        for eviction in (*plan.evictions, *overdue, *leaving):
+            held.evict(view, eviction)
+
+    def _plan(self, view: View, pool: str, held: TaskPool) -> Plan:
+        rooms = self._rooms(view, pool, held)
+        quotas = {
+            name: quota
+            for name, spec in view.teams.items()
+            if (quota := quota_of(spec)) is not None
+        }
+        placer = Placer(rooms, held.running(view.hosts_of(pool)), quotas)
+        return placer.plan(held.candidates())
+
+    def _rooms(self, view: View, pool: str, held: TaskPool) -> list[Room]:
+        serving = view.serving_hosts(pool)
+        budget = view.pools[pool].budget
+        least = max(budget.min_in_service, budget.min_share * len(view.hosts_of(pool)))
+        most_out = max(0, int(len(serving) - least))
+        selection = held.quarantine.select(serving, self._clock.monotonic(), most_out)
+        idle_probes = [host for host in selection.probing if not held.running_on(host)]
+        silent = held.silent_hosts()
+        return [
+            room_of(name, view.hosts[name])
+            for name in (*selection.usable, *idle_probes)
+            if name not in silent
+        ]
+
+    def _impossible(self, view: View, pool: str, held: TaskPool) -> list[Task]:
+        rooms = [room_of(name, view.hosts[name]) for name in view.hosts_of(pool)]
+        if not rooms:
+            return []
+        reasons = (
+            (
+                cand.task,
+                impossible_reason(cand.size, rooms, quota_of(view.teams.get(cand.task.order.team))),
+            )
+            for cand in held.candidates()
+        )
+        return [
+            replace(task, state=TaskState.IMPOSSIBLE, reason=reason)
+            for task, reason in reasons
+            if reason
+        ]
--- a/gypsumplank/errors.py
+++ b/gypsumplank/errors.py
@@ -86,6 +86,12 @@
     status = 413
 
 
+class StateOverloadError(StateError):
+    """Too much waits for the platform already; nothing was written."""
+
+    code = "state-overload"
+
+
 class RevisionConflictError(GypsumplankError):
     """The configuration is at another revision than the operator named."""
 
@@ -174,3 +180,31 @@
     """The endpoint's answer is short, malformed or belongs to another request."""
 
     code = "endpoint-answer"
+
+
+class TaskMissingError(GypsumplankError):
+    """No task of this id is known."""
+
+    code = "task-missing"
+    status = 404
+
+
+class TaskImpossibleError(GypsumplankError):
+    """The task can never run; the detail tells why."""
+
+    code = "task-impossible"
+    status = 422
+
+
+class AgentError(GypsumplankError):
+    """A worker's agent did not do what was asked, or its answer was lost."""
+
+    code = "agent"
+    status = 502
+
+
+class AgentFencedError(AgentError):
+    """The worker knows a newer token of this task; nothing was done."""
+
+    code = "agent-fenced"
+    status = 409
--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -27,6 +27,8 @@
     REQUEST_FAILED = "request-failed"
     ACTOR_RESTARTED = "actor-restarted"
     ACTOR_FAILED = "actor-failed"
+    AGENT_FAILED = "agent-failed"
+    TASK_EVICTED = "task-evicted"
 
 
 class LogfmtFormatter(JsonFormatter):
