Exchange authenticated messages between daemons over pynng

Change: PynngPeers pushes to each daemon over a socket of its own and pulls from all over one, so that a paused daemon holds up nobody else. A bounded queue and a sender thread keep callers from waiting; every drop is counted by reason. A message is a msgspec tagged union sealed with HMAC-SHA256, opened once (boot, sequence), for its recipient only, up to 4 MiB. Live sessions say where to send; Hello makes a daemon known that has no session yet, and peers.seeds names addresses to try while the platform is out.

security.peer_key is now required, with at least 16 characters: an empty key was accepted before and would have left peers open. The tests of settings count that one more missing key.

--- a/gypsumplank/coordination/peer.py
+++ b/gypsumplank/coordination/peer.py
@@ -14,14 +14,18 @@
     def broadcast(self, message: PeerMessage) -> None:
         """Send to all; never blocks and never raises."""
 
+    def send(self, to: str, message: PeerMessage) -> None:
+        """Send to the daemon of this name; never blocks and never raises."""
+
     def subscribe(self, kind: type[PeerMessage], receive: Receive) -> None:
-        """Call `receive` with each message of this kind."""
+        """Call `receive`, which must be quick, with each message of this kind."""
 
 
 class MemoryPeers:
     """Join daemons within one process."""
 
-    def __init__(self) -> None:
+    def __init__(self, name: str = "") -> None:
+        self.name = name
         self._joined: list[MemoryPeers] = [self]
         self._receivers: list[tuple[type[PeerMessage], Receive]] = []
         self.cut_off = False
@@ -40,8 +44,16 @@
             if other is not self and not other.cut_off:
                 other.deliver(message)
 
+    def send(self, to: str, message: PeerMessage) -> None:
+        """Send to the daemon of this name unless either is cut off."""
+        if self.cut_off:
+            return
+        for other in self._joined:
+            if other.name == to and other is not self and not other.cut_off:
+                other.deliver(message)
+
     def subscribe(self, kind: type[PeerMessage], receive: Receive) -> None:
-        """Call `receive` with each message of this kind."""
+        """Call `receive`, which must be quick, with each message of this kind."""
         self._receivers.append((kind, receive))
 
     def deliver(self, message: PeerMessage) -> None:
--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -17,11 +17,13 @@
 from gypsumplank.coordination.gate import Gate
 from gypsumplank.coordination.heartbeat import Heartbeat
 from gypsumplank.coordination.slot import Slots
-from gypsumplank.coordination.supervisor import Supervisor
+from gypsumplank.coordination.supervisor import Supervisor, make_step
 from gypsumplank.errors import SettingsError
 from gypsumplank.log import Event, event, set_up
 from gypsumplank.metrics import Metrics
+from gypsumplank.protocol.envelope import Opener, Sealer
 from gypsumplank.protocol.exchange import Reply, Request
+from gypsumplank.protocol.peer import Hello
 from gypsumplank.settings import Settings, load_settings
 from gypsumplank.state.clock import SystemClock
 from gypsumplank.state.config import ConfigStore
@@ -32,6 +34,7 @@
 from gypsumplank.transport.endpoint import HttpEndpointClient
 from gypsumplank.transport.listener import Listener
 from gypsumplank.transport.operator import OperatorApp
+from gypsumplank.transport.peer import PynngPeers
 from gypsumplank.transport.platform import HttpTable, PlatformClient
 
 EXIT_OK = 0
@@ -40,6 +43,7 @@
 OPERATOR_THREADS = 4
 OPERATOR_GRACE_S = 2.0
 ENDPOINT_CONNECTIONS = 64
+MICROSECONDS = 1_000_000
 
 logger = logging.getLogger("gypsumplank.daemon")
 
@@ -70,6 +74,7 @@
         self._slots = Slots(random.Random())
         self._metrics = self._make_metrics()
         self._make_state()
+        self._peers = self._make_peers()
         self._callers = self._make_callers()
         self._operators = self._make_operators()
         self._supervise()
@@ -88,6 +93,25 @@
             lambda: self._holder.current.revision,
         )
 
+    def _make_peers(self) -> PynngPeers:
+        cfg = self._cfg
+        count = self._metrics.count("gypsumplank.peer.drops", "Peer messages dropped, by reason")
+        monotonic = self._clock.monotonic
+        return PynngPeers(
+            cfg.id,
+            cfg.peers,
+            Sealer(cfg.peer_key, int(self._clock.wall() * MICROSECONDS)),
+            Opener(cfg.peer_key, cfg.id, monotonic),
+            lambda reason: count(1, {"reason": reason}),
+            monotonic,
+        )
+
+    def _join_peers(self) -> None:
+        sessions = {session.id: session.peers for session in self._heartbeat.live}
+        self._peers.connect(sessions, self._cfg.peer_seeds)
+        epoch = self._heartbeat.session.epoch
+        self._peers.broadcast(Hello(self._cfg.id, epoch, self._cfg.peers))
+
     def _make_callers(self) -> Listener:
         cfg = self._cfg
         self._endpoints = HttpEndpointClient(ENDPOINT_CONNECTIONS, cfg.connect_timeout_s)
@@ -112,6 +136,7 @@
     def _supervise(self) -> None:
         self._supervisor.add("follower", self._follower, self._cfg.poll_s)
         self._supervisor.add("heartbeat", self._heartbeat, self._cfg.heartbeat_s)
+        self._supervisor.add("peers", make_step(self._join_peers), self._cfg.heartbeat_s)
 
     def stop(self) -> None:
         """Ask the daemon to stop gracefully."""
@@ -120,6 +145,7 @@
     def run(self) -> int:
         """Serve until asked to stop; return the exit code."""
         self._operators.start()
+        self._peers.start()
         self._supervisor.start()
         self._callers.start()
         event(logger, Event.STARTED, daemon=self._cfg.id, callers=self._cfg.callers)
@@ -133,6 +159,7 @@
         idle = self._callers.close(self._cfg.grace_s)
         self._supervisor.stop()
         self._heartbeat.close()
+        self._peers.close()
         self._operators.close(OPERATOR_GRACE_S)
         self._endpoints.close()
         self._platform.close()
--- a/gypsumplank/errors.py
+++ b/gypsumplank/errors.py
@@ -174,3 +174,39 @@
     """The endpoint's answer is short, malformed or belongs to another request."""
 
     code = "endpoint-answer"
+
+
+class PeerError(GypsumplankError):
+    """A message between daemons is not acceptable and was dropped."""
+
+    code = "peer"
+
+
+class PeerMalformedError(PeerError):
+    """The bytes are no message that this version knows."""
+
+    code = "peer-malformed"
+
+
+class PeerForgedError(PeerError):
+    """The keyed hash of the message does not match."""
+
+    code = "peer-forged"
+
+
+class PeerReplayedError(PeerError):
+    """The message is no newer than the last one from its sender."""
+
+    code = "peer-replayed"
+
+
+class PeerMisdirectedError(PeerError):
+    """The message is for another daemon, or comes from this one."""
+
+    code = "peer-misdirected"
+
+
+class PeerTooLargeError(PeerError):
+    """The message exceeds the size limit."""
+
+    code = "peer-too-large"
--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -24,6 +24,8 @@
     CONFIG_ACCEPTED = "config-accepted"
     CONFIG_UNREADABLE = "config-unreadable"
     STATE_UNAVAILABLE = "state-unavailable"
+    PEER_DROPPED = "peer-dropped"
+    PEER_FAILED = "peer-failed"
     REQUEST_FAILED = "request-failed"
     ACTOR_RESTARTED = "actor-restarted"
     ACTOR_FAILED = "actor-failed"
--- a/gypsumplank/protocol/peer.py
+++ b/gypsumplank/protocol/peer.py
@@ -10,6 +10,12 @@
     epoch: int
 
 
+class Hello(PeerMessage, frozen=True, tag=True):
+    """Tell where the sender listens for other daemons."""
+
+    address: str
+
+
 class Hint(PeerMessage, frozen=True, tag=True):
     """Tell that a revision was accepted."""
 
--- a/gypsumplank/settings.py
+++ b/gypsumplank/settings.py
@@ -16,6 +16,7 @@
 LOG_LEVELS = ("debug", "info", "warning", "error")
 ROLES = ("viewer", "operator")
 SHA256_HEX_LENGTH = 64
+MIN_SECRET_LENGTH = 16
 
 Check = Callable[[Any], str | None]
 
@@ -36,6 +37,17 @@
     return None if 0 < port <= MAX_PORT else f"port {port} is not 1 to {MAX_PORT}"
 
 
+def check_addresses(values: tuple[str, ...]) -> str | None:
+    """Return what is wrong with the first wrong address of a list, or None."""
+    return next(filter(None, map(check_address, values)), None)
+
+
+def check_secret(value: str) -> str | None:
+    """Return what is wrong with a shared secret, or None."""
+    long_enough = len(value) >= MIN_SECRET_LENGTH
+    return None if long_enough else f"must have at least {MIN_SECRET_LENGTH} characters"
+
+
 def check_positive(value: float) -> str | None:
     """Return what is wrong with a number that must exceed 0, or None."""
     return None if value > 0 else f"{value} is not above 0"
@@ -92,7 +104,12 @@
         "platform.timeout_s", "longest wait for one platform call, seconds", 2.0, check_positive
     )
     peer_key: str = key(
-        "security.peer_key", "secret shared by all daemons, authenticates peers", "", None
+        "security.peer_key",
+        "secret shared by all daemons, authenticates peers, at least 16 characters",
+        check=check_secret,
+    )
+    peer_seeds: tuple[str, ...] = key(
+        "peers.seeds", "peer addresses to try while the platform is out", (), check_addresses
     )
     tokens: tuple[Token, ...] = key(
         "security.tokens", "operators' bearer tokens; none lets every operator in", (), check_tokens
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -12,6 +12,7 @@
         "peers": "127.0.0.1:8082",
     },
     "platform": {"address": "127.0.0.1:7000"},
+    "security": {"peer_key": "sixteen-letters!"},
 }
 
 
@@ -37,6 +38,9 @@
         ("listen.callers", "127.0.0.1:70000", "value-invalid"),
         ("log.format", "xml", "value-invalid"),
         ("daemon.id", "", "value-invalid"),
+        ("security.peer_key", "", "value-invalid"),
+        ("security.peer_key", "fifteen-letters", "value-invalid"),
+        ("peers.seeds", ["127.0.0.1:1", "127.0.0.1"], "value-invalid"),
         ("security.tokens", [{"name": "a", "role": "root", "sha256": "0" * 64}], "value-invalid"),
     ],
 )
@@ -50,7 +54,7 @@
     with pytest.raises(SettingsError) as caught:
         parse_settings({})
     assert {fault.code for fault in caught.value.faults} == {"key-missing"}
-    assert len(caught.value.faults) == 6
+    assert len(caught.value.faults) == 7
 
 
 def test_comments_allowed(tmp_path):
@@ -58,7 +62,7 @@
     path.write_text(
         '{// one\n"daemon": {"id": "a", "zone": "z"}, /* two */ "listen": '
         '{"callers": "127.0.0.1:1", "operators": "127.0.0.1:2", "peers": "127.0.0.1:3"},'
-        '"platform": {"address": "127.0.0.1:4"}}'
+        '"platform": {"address": "127.0.0.1:4"}, "security": {"peer_key": "sixteen-letters!"}}'
     )
     assert load_settings(path).zone == "z"
 
@@ -69,4 +73,4 @@
     assert daemon.main(["--check", "--settings", str(path)]) == daemon.EXIT_SETTINGS
     lines = capsys.readouterr().err.splitlines()
     assert any("daemon.id" in line and "value-invalid" in line for line in lines)
-    assert len(lines) == 6
+    assert len(lines) == 7
