--- a/gypsumplank/cli.py
+++ b/gypsumplank/cli.py
@@ -1,18 +1,15 @@
 """Parse the operators' command line and print what the porcelain returns."""
 
 import argparse
-import os
 import sys
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from dataclasses import asdict
 from pathlib import Path
 from typing import Any
 
-import msgspec
-
-from gypsumplank import porcelain
+from gypsumplank import cli_config, porcelain
+from gypsumplank.cli_show import ENV_SERVER, ENV_TOKEN, find_server, show
 from gypsumplank.errors import FaultsError, GypsumplankError, ServerError, ServerUnreachableError
-from gypsumplank.settings import read_json
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -20,24 +17,25 @@
 EXIT_UNREACHABLE = 3
 EXIT_CONFLICT = 4
 EXIT_INVALID = 5
+EXIT_NOT_IN_FORCE = 6
 EXIT_CODES = {
     "revision-conflict": EXIT_CONFLICT,
     "records-invalid": EXIT_INVALID,
+    "not-in-force": EXIT_NOT_IN_FORCE,
     "server-unreachable": EXIT_UNREACHABLE,
 }
-ENV_SERVER = "GYPSUMPLANK_SERVER"
-ENV_TOKEN = "GYPSUMPLANK_TOKEN"
-DEFAULT_SERVER = "127.0.0.1:8081"
-CLIENT_SETTINGS = Path("~/.config/gypsumplank/client.json")
 EXAMPLES = """examples:
   gypsumplank validate examples/cartofold
-  gypsumplank --server 10.0.0.1:8081 apply examples/cartofold
+  gypsumplank --server 10.0.0.1:8081 apply --wait 19 examples/cartofold
+  gypsumplank diff examples/cartofold
+  gypsumplank rollback 41 --if-revision 42
   gypsumplank --output json get host
   gypsumplank describe pool counter-desk
   gypsumplank status
 
 exit codes: 0 done, 1 failed, 2 wrong usage, 3 no daemon reached,
-  4 another revision is in force, 5 records are invalid
+  4 another revision is in force, 5 records are invalid,
+  6 accepted but not yet in force everywhere
 """
 
 
@@ -53,12 +51,13 @@
     parser.add_argument("--token", help=f"bearer token (or {ENV_TOKEN})")
     parser.add_argument("--output", choices=("table", "json"), default="table")
     commands = parser.add_subparsers(dest="command", required=True)
-    _add_files(commands, "apply", "put records in force, all or none", run_apply).add_argument(
-        "--if-revision", type=int, help="refuse unless this revision is the newest"
-    )
+    apply = _add_files(commands, "apply", "put records in force, all or none", run_apply)
+    apply.add_argument("--if-revision", type=int, help="refuse unless this revision is the newest")
+    cli_config.add_wait(apply)
     _add_files(commands, "validate", "check records without a daemon", run_validate)
     get = commands.add_parser("get", help="list records in force")
     get.add_argument("kind", nargs="?", default="")
+    get.add_argument("--schema", type=int, help="schema version to show records in")
     get.set_defaults(run=run_get)
     for name, text, run in (
         ("describe", "show one record", run_describe),
@@ -68,6 +67,7 @@
         command.add_argument("kind")
         command.add_argument("name")
         command.set_defaults(run=run)
+    cli_config.add_commands(commands)
     commands.add_parser("status", help="show the fleet").set_defaults(run=run_status)
     return parser
 
@@ -81,36 +81,25 @@
     return command
 
 
-def find_server(args: argparse.Namespace) -> porcelain.Server:
-    """Return the server from the options, the environment or the client settings."""
-    path = CLIENT_SETTINGS.expanduser()
-    saved = read_json(path) if path.exists() else {}
-    address = args.server or os.environ.get(ENV_SERVER) or saved.get("server", DEFAULT_SERVER)
-    token = args.token or os.environ.get(ENV_TOKEN) or saved.get("token", "")
-    return porcelain.Server(address, token)
-
-
-def show(args: argparse.Namespace, value: Any, rows: Sequence[dict[str, Any]]) -> None:
-    """Print a value as JSON, or rows as a table."""
-    text = msgspec.json.encode(value).decode() if args.output == "json" else porcelain.table(rows)
-    sys.stdout.write(f"{text}\n")
-
-
 def run_apply(args: argparse.Namespace) -> None:
     """Put records in force."""
-    receipt = porcelain.apply(find_server(args), args.files, args.if_revision)
+    server = find_server(args)
+    receipt = porcelain.apply(server, args.files, args.if_revision)
     show(args, receipt, [asdict(receipt)])
+    cli_config.wait(server, receipt.revision, args.wait)
 
 
 def run_validate(args: argparse.Namespace) -> None:
     """Check records."""
     records = porcelain.validate(args.files)
+    for warning in porcelain.warnings(args.files):
+        sys.stderr.write(f"gypsumplank: warning: {warning}\n")
     show(args, {"valid": len(records)}, [{"valid": len(records)}])
 
 
 def run_get(args: argparse.Namespace) -> None:
     """List records."""
-    found = porcelain.get(find_server(args), args.kind)
+    found = porcelain.get(find_server(args), args.kind, args.schema)
     rows = [
         {"kind": rec.kind.value, "name": rec.name, "schema": rec.schema, "origin": rec.origin}
         for rec in found.records
--- a/gypsumplank/coordination/control.py
+++ b/gypsumplank/coordination/control.py
@@ -1,25 +1,30 @@
 """Answer operators: accept changes, list records and tell the status."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from gypsumplank.coordination.follower import Follower
 from gypsumplank.coordination.heartbeat import Heartbeat
+from gypsumplank.coordination.rollout import Rollout
 from gypsumplank.coordination.slot import Slots
-from gypsumplank.errors import RecordMissingError
+from gypsumplank.errors import RecordMissingError, RecordsError
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.operator import (
     ChangeOrder,
     ChangeReceipt,
     DaemonStatus,
+    HistoryEntry,
     PoolStatus,
     RecordList,
+    RollbackOrder,
+    RolloutStatus,
     Status,
 )
-from gypsumplank.protocol.record import Record
+from gypsumplank.protocol.record import NEWEST_SCHEMA, Kind, Record
+from gypsumplank.protocol.schema import downgrade, merge
 from gypsumplank.state.config import Change, ChangeEntry, ConfigStore, apply_entries
 from gypsumplank.state.session import Session
-from gypsumplank.state.validation import check_records
+from gypsumplank.state.validation import check_order, check_records
 from gypsumplank.state.view import View, ViewHolder
 
 logger = logging.getLogger(__name__)
@@ -36,6 +41,7 @@
         heartbeat: Heartbeat,
         slots: Slots,
         ready: Callable[[], bool],
+        rollout: Rollout,
     ) -> None:
         self._store = store
         self._holder = holder
@@ -43,6 +49,7 @@
         self._heartbeat = heartbeat
         self._slots = slots
         self._ready = ready
+        self._rollout = rollout
 
     def ready(self) -> bool:
         """Tell whether callers may be sent here."""
@@ -50,50 +57,126 @@
 
     def change(self, order: ChangeOrder, actor: str) -> ChangeReceipt:
         """Accept a change whole or raise GypsumplankError."""
-        change = Change(order.operation, order.puts, order.deletes, actor, order.if_revision)
-        revision = self._store.accept(change)
+        revision = self._store.propose(order.operation, lambda view: change_of(view, order, actor))
+        return self._accepted(revision, actor)
+
+    def rollback(self, order: RollbackOrder, actor: str) -> ChangeReceipt:
+        """Accept a new revision with the operators' records of an older one."""
+        newest = self._store.refresh(self._holder.current)
+        target = self._store.records_at(order.revision, newest)
+        revision = self._store.propose(
+            order.operation, lambda view: restore_of(view, target, order, actor)
+        )
+        return self._accepted(revision, actor)
+
+    def history(self, limit: int) -> tuple[HistoryEntry, ...]:
+        """Return the newest accepted changes, newest first."""
+        after = max(self._holder.current.revision - limit, 0)
+        return tuple(_history_entry(entry) for entry in reversed(self._store.entries(after)))
+
+    def rollout(self, revision: int) -> RolloutStatus:
+        """Tell which live daemons have a revision in force."""
+        held = sorted(self._rollout.revisions().items())
+        return RolloutStatus(
+            revision,
+            tuple(name for name, in_force in held if in_force >= revision),
+            tuple(name for name, in_force in held if in_force < revision),
+        )
+
+    def _accepted(self, revision: int, actor: str) -> ChangeReceipt:
         event(logger, Event.CONFIG_ACCEPTED, revision=revision, actor=actor)
+        self._rollout.hint(revision)
         self._follower.tick()
         return ChangeReceipt(revision)
 
     def validate(self, order: ChangeOrder) -> None:
         """Raise RecordsError where a change would not be accepted."""
         view = self._holder.current
-        entry = ChangeEntry(view.revision, order.operation, "", 0.0, order.puts, order.deletes)
+        change = change_of(view, order, "")
+        entry = ChangeEntry(view.revision, order.operation, "", 0.0, change.puts, change.deletes)
         check_records(view, apply_entries(view, (entry,)))
 
-    def records(self, kind: str = "") -> RecordList:
-        """Return the records in force, of one kind or of all."""
+    def records(self, kind: str = "", schema: int = NEWEST_SCHEMA) -> RecordList:
+        """Return the records in force, of one kind or of all, as tools of this schema see them."""
         view = self._holder.current
-        found = tuple(rec for key, rec in sorted(view.records.items()) if kind in ("", rec.kind))
-        return RecordList(view.revision, found)
+        found = (rec for key, rec in sorted(view.records.items()) if kind in ("", rec.kind))
+        return RecordList(view.revision, tuple(_as_seen(rec, schema) for rec in found))
 
-    def record(self, key: str) -> Record:
+    def record(self, key: str, schema: int = NEWEST_SCHEMA) -> Record:
         """Return one record in force; raise RecordMissingError."""
         try:
-            return self._holder.current.records[key]
+            return _as_seen(self._holder.current.records[key], schema)
         except KeyError as exc:
             raise RecordMissingError(f"no record {key!r}") from exc
 
     def status(self) -> Status:
         """Tell what this daemon knows of the fleet."""
         view = self._holder.current
+        revisions = self._rollout.revisions()
         return Status(
             self._heartbeat.session.id,
             self._ready(),
             view.revision,
-            tuple(_daemon_status(session) for session in self._heartbeat.live),
+            tuple(
+                _daemon_status(session, revisions.get(session.id, session.revision))
+                for session in self._heartbeat.live
+            ),
             _pool_statuses(view, self._slots.in_flight()),
             view.unreadable,
         )
 
 
-def _daemon_status(session: Session) -> DaemonStatus:
+def _as_seen(record: Record, schema: int) -> Record:
+    return downgrade(record) if schema == 1 else record
+
+
+def change_of(view: View, order: ChangeOrder, actor: str) -> Change:
+    """Return the change that an order makes of a view; raise RecordsError, RecordMissingError."""
+    missing = [key for key in order.deletes if key not in view.records]
+    if missing:
+        raise RecordMissingError(f"no record {', '.join(map(repr, missing))}")
+    faults = check_order(order.puts, order.deletes)
+    if faults:
+        raise RecordsError(faults)
+    merged = (merge(view.records.get(rec.key), rec) for rec in order.puts)
+    puts = tuple(rec for rec in merged if view.records.get(rec.key) != rec)
+    return Change(order.operation, puts, order.deletes, actor, order.if_revision)
+
+
+def restore_of(
+    view: View, target: Mapping[str, Record], order: RollbackOrder, actor: str
+) -> Change:
+    """Return the change back to the target; what the system writes stays as it is."""
+    puts = tuple(
+        record
+        for key, record in sorted(target.items())
+        if record.kind is not Kind.ASSIGNMENT and view.records.get(key) != record
+    )
+    deletes = tuple(
+        key
+        for key, record in sorted(view.records.items())
+        if record.kind is not Kind.ASSIGNMENT and key not in target
+    )
+    return Change(order.operation, puts, deletes, actor, order.if_revision)
+
+
+def _history_entry(entry: ChangeEntry) -> HistoryEntry:
+    return HistoryEntry(
+        entry.revision,
+        entry.actor,
+        entry.accepted_at,
+        entry.operation,
+        tuple(record.key for record in entry.puts),
+        entry.deletes,
+    )
+
+
+def _daemon_status(session: Session, revision: int) -> DaemonStatus:
     return DaemonStatus(
         session.id,
         session.zone,
         session.epoch,
-        session.revision,
+        revision,
         session.callers,
         session.operators,
     )
--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -16,14 +16,15 @@
 from gypsumplank.coordination.follower import Follower
 from gypsumplank.coordination.gate import Gate
 from gypsumplank.coordination.heartbeat import Heartbeat
+from gypsumplank.coordination.rollout import Own, Rollout
 from gypsumplank.coordination.slot import Slots
+from gypsumplank.coordination.snapshot import Snapshots
 from gypsumplank.coordination.supervisor import Supervisor, make_step
 from gypsumplank.errors import SettingsError
 from gypsumplank.log import Event, event, set_up
 from gypsumplank.metrics import Metrics
 from gypsumplank.protocol.envelope import Opener, Sealer
 from gypsumplank.protocol.exchange import Reply, Request
-from gypsumplank.protocol.peer import Hello
 from gypsumplank.settings import Settings, load_settings
 from gypsumplank.state.clock import SystemClock
 from gypsumplank.state.config import ConfigStore
@@ -75,6 +76,7 @@
         self._metrics = self._make_metrics()
         self._make_state()
         self._peers = self._make_peers()
+        self._make_distribution()
         self._callers = self._make_callers()
         self._operators = self._make_operators()
         self._supervise()
@@ -84,7 +86,6 @@
         self._platform = PlatformClient(cfg.platform, cfg.platform_timeout_s)
         table = HttpTable(self._platform)
         self._store = ConfigStore(table, self._clock, (check_records,))
-        self._follower = Follower(self._store, self._holder)
         self._heartbeat = Heartbeat(
             SessionStore(table),
             self._clock,
@@ -106,11 +107,37 @@
             monotonic,
         )
 
+    def _make_distribution(self) -> None:
+        def revision() -> int:
+            return self._holder.current.revision
+
+        own = Own(lambda: self._heartbeat.session, revision, lambda: self._follower.caught_up)
+        self._rollout = Rollout(
+            own,
+            self._peers,
+            self._clock,
+            lambda: self._heartbeat.live,
+            lambda: self._supervisor.hurry("follower"),
+        )
+        self._follower = Follower(
+            self._store, self._holder, self._rollout.acknowledge, self._rollout.ahead
+        )
+        self._snapshots = Snapshots(
+            self._peers,
+            self._holder,
+            self._follower,
+            self._rollout,
+            self._clock,
+            lambda: self._heartbeat.session,
+            lambda: self._heartbeat.live,
+            self._cfg.lease_s,
+            random.Random(),
+        )
+
     def _join_peers(self) -> None:
         sessions = {session.id: session.peers for session in self._heartbeat.live}
-        self._peers.connect(sessions, self._cfg.peer_seeds)
-        epoch = self._heartbeat.session.epoch
-        self._peers.broadcast(Hello(self._cfg.id, epoch, self._cfg.peers))
+        self._peers.connect({**self._snapshots.addresses, **sessions}, self._cfg.peer_seeds)
+        self._rollout.tick()
 
     def _make_callers(self) -> Listener:
         cfg = self._cfg
@@ -128,7 +155,13 @@
     def _make_operators(self) -> Listener:
         cfg = self._cfg
         control = Control(
-            self._store, self._holder, self._follower, self._heartbeat, self._slots, self._ready
+            self._store,
+            self._holder,
+            self._follower,
+            self._heartbeat,
+            self._slots,
+            self._ready,
+            self._rollout,
         )
         app = OperatorApp(control, self._metrics.render, cfg.tokens)
         return Listener(app, cfg.operators, OPERATOR_THREADS, cfg.max_body_bytes, "operators")
@@ -137,6 +170,7 @@
         self._supervisor.add("follower", self._follower, self._cfg.poll_s)
         self._supervisor.add("heartbeat", self._heartbeat, self._cfg.heartbeat_s)
         self._supervisor.add("peers", make_step(self._join_peers), self._cfg.heartbeat_s)
+        self._supervisor.add("snapshots", self._snapshots, self._cfg.heartbeat_s)
 
     def stop(self) -> None:
         """Ask the daemon to stop gracefully."""
--- a/gypsumplank/errors.py
+++ b/gypsumplank/errors.py
@@ -93,6 +93,20 @@
     status = 409
 
 
+class SessionLapsedError(GypsumplankError):
+    """This daemon's lease is not in force; it must not act for the fleet."""
+
+    code = "session-lapsed"
+    status = 503
+
+
+class RevisionMissingError(GypsumplankError):
+    """The revision does not exist or is no longer kept."""
+
+    code = "revision-missing"
+    status = 404
+
+
 class RecordMissingError(GypsumplankError):
     """No record of this kind and name is in force."""
 
@@ -120,12 +134,19 @@
 
 
 class UnauthorizedError(GypsumplankError):
-    """The operator's token is missing, unknown or has too small a role."""
+    """The operator's token is missing or unknown."""
 
     code = "unauthorized"
     status = 401
 
 
+class ForbiddenError(GypsumplankError):
+    """The operator's token has too small a role."""
+
+    code = "forbidden"
+    status = 403
+
+
 class ServerError(GypsumplankError):
     """A daemon answered an operator's command with a failure."""
 
@@ -137,6 +158,12 @@
         self.faults = tuple(faults)
 
 
+class NotInForceError(GypsumplankError):
+    """A change was accepted, but some live daemons have not put it in force in time."""
+
+    code = "not-in-force"
+
+
 class ServerUnreachableError(GypsumplankError):
     """No daemon answered at the operators' address."""
 
--- a/gypsumplank/porcelain.py
+++ b/gypsumplank/porcelain.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, TypeVar
+from urllib.parse import urlencode
 
 import msgspec
 import pyjson5
@@ -24,7 +25,7 @@
 )
 from gypsumplank.protocol.problem import Problem
 from gypsumplank.protocol.record import Record, decode_record, record_key
-from gypsumplank.state.validation import find_faults
+from gypsumplank.state.validation import find_faults, find_warnings, with_files
 
 STATUS_OK = 200
 TIMEOUT_S = 30.0
@@ -79,6 +80,12 @@
     return tuple(records)
 
 
+def record_files(paths: Iterable[Path]) -> dict[str, str]:
+    """Return the file of each record by its key."""
+    files = (file for path in paths for file in _files(path))
+    return {record.key: str(file) for file in files for record in _read_file(file)}
+
+
 def _files(path: Path) -> list[Path]:
     if path.is_dir():
         return sorted(file for file in path.rglob("*") if file.suffix in SUFFIXES)
@@ -96,13 +103,20 @@
 
 def validate(paths: Iterable[Path]) -> tuple[Record, ...]:
     """Check files by themselves, without a daemon; raise RecordsError."""
-    records = read_records(paths)
+    held = tuple(paths)
+    records = read_records(held)
     faults = find_faults(records)
     if faults:
-        raise RecordsError(faults)
+        raise RecordsError(with_files(faults, record_files(held)))
     return records
 
 
+def warnings(paths: Iterable[Path]) -> tuple[Fault, ...]:
+    """Return what is odd in files though it would be accepted."""
+    held = tuple(paths)
+    return with_files(find_warnings(read_records(held)), record_files(held))
+
+
 def validate_on(server: Server, paths: Iterable[Path]) -> None:
     """Check files against what is in force."""
     order = ChangeOrder(uuid.uuid4().hex, read_records(paths))
@@ -111,8 +125,13 @@
 
 def apply(server: Server, paths: Iterable[Path], if_revision: int | None = None) -> ChangeReceipt:
     """Put the records in files in force, all or none."""
-    order = ChangeOrder(uuid.uuid4().hex, read_records(paths), (), if_revision)
-    return server.call("POST", PATH_CHANGES, ChangeReceipt, order)
+    held = tuple(paths)
+    order = ChangeOrder(uuid.uuid4().hex, read_records(held), (), if_revision)
+    try:
+        return server.call("POST", PATH_CHANGES, ChangeReceipt, order)
+    except ServerError as exc:
+        faults = with_files(exc.faults, record_files(held))
+        raise ServerError(exc.code, exc.detail, faults) from exc
 
 
 def delete(server: Server, kind: str, name: str) -> ChangeReceipt:
@@ -121,10 +140,11 @@
     return server.call("POST", PATH_CHANGES, ChangeReceipt, order)
 
 
-def get(server: Server, kind: str = "") -> RecordList:
-    """List the records in force."""
-    query = f"?kind={kind}" if kind else ""
-    return server.call("GET", f"{PATH_RECORDS}{query}", RecordList)
+def get(server: Server, kind: str = "", schema: int | None = None) -> RecordList:
+    """List the records in force, as tools of this schema see them."""
+    asked = {"kind": kind, "schema": schema}
+    query = urlencode({name: value for name, value in asked.items() if value})
+    return server.call("GET", f"{PATH_RECORDS}?{query}", RecordList)
 
 
 def describe(server: Server, kind: str, name: str) -> Record:
--- a/gypsumplank/protocol/operator.py
+++ b/gypsumplank/protocol/operator.py
@@ -7,6 +7,9 @@
 PATH_RECORDS = "/v1/records"
 PATH_CHANGES = "/v1/changes"
 PATH_VALIDATE = "/v1/validate"
+PATH_HISTORY = "/v1/history"
+PATH_ROLLBACK = "/v1/rollback"
+PATH_ROLLOUT = "/v1/rollout"
 PATH_STATUS = "/v1/status"
 PATH_HEALTH = "/healthz"
 PATH_READY = "/readyz"
@@ -23,6 +26,15 @@
     if_revision: int | None = None
 
 
+@dataclass(frozen=True)
+class RollbackOrder:
+    """Ask for a new revision with the records of an older one."""
+
+    operation: str
+    revision: int
+    if_revision: int | None = None
+
+
 @dataclass(frozen=True)
 class ChangeReceipt:
     """Tell the revision that a change was accepted with."""
@@ -38,6 +50,27 @@
     records: tuple[Record, ...]
 
 
+@dataclass(frozen=True)
+class HistoryEntry:
+    """Tell of one accepted change; `accepted_at` is in seconds since the epoch."""
+
+    revision: int
+    actor: str
+    accepted_at: float
+    operation: str
+    puts: tuple[str, ...]
+    deletes: tuple[str, ...]
+
+
+@dataclass(frozen=True)
+class RolloutStatus:
+    """Tell which live daemons have a revision in force and which have not."""
+
+    revision: int
+    in_force: tuple[str, ...]
+    behind: tuple[str, ...]
+
+
 @dataclass(frozen=True)
 class DaemonStatus:
     """Tell of one daemon."""
--- a/gypsumplank/protocol/peer.py
+++ b/gypsumplank/protocol/peer.py
@@ -11,9 +11,14 @@
 
 
 class Hello(PeerMessage, frozen=True, tag=True):
-    """Tell where the sender listens for other daemons."""
+    """Tell where the sender listens and what it has in force.
+
+    `caught_up` tells that this is known to be the newest revision, or was when it started.
+    """
 
     address: str
+    revision: int = 0
+    caught_up: bool = False
 
 
 class Hint(PeerMessage, frozen=True, tag=True):
@@ -32,3 +37,17 @@
     """Tell the requests that each service holds and waits for at the sender."""
 
     services: dict[str, int]
+
+
+class SnapshotRequest(PeerMessage, frozen=True, tag=True):
+    """Ask for the records in force at the receiver if they are newer than this revision."""
+
+    revision: int
+
+
+class Snapshot(PeerMessage, frozen=True, tag=True):
+    """Hold all records at a revision, packed, and the peer addresses of the live daemons."""
+
+    revision: int
+    records: bytes
+    daemons: dict[str, str]
--- a/gypsumplank/protocol/record.py
+++ b/gypsumplank/protocol/record.py
@@ -1,5 +1,6 @@
 """Define the versioned record that operators write."""
 
+import zlib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -10,6 +11,7 @@
 from gypsumplank.errors import Fault, RecordsError
 
 NEWEST_SCHEMA = 2
+MAX_UNPACKED_BYTES = 32 << 20
 
 
 class Kind(StrEnum):
@@ -53,14 +55,15 @@
         raise RecordsError((Fault("record-malformed", "$", str(exc), source),)) from exc
 
 
-def encode_records(records: tuple[Record, ...]) -> bytes:
-    """Return the records as JSON."""
-    return msgspec.json.encode(records)
+def pack_records(records: tuple[Record, ...]) -> bytes:
+    """Return the records as compressed JSON."""
+    return zlib.compress(msgspec.json.encode(records))
 
 
-def decode_records(raw: bytes) -> tuple[Record, ...]:
-    """Return records from JSON; raise RecordsError."""
+def unpack_records(packed: bytes) -> tuple[Record, ...]:
+    """Return records from compressed JSON; raise RecordsError."""
     try:
+        raw = zlib.decompressobj().decompress(packed, MAX_UNPACKED_BYTES)
         return msgspec.json.decode(raw, type=tuple[Record, ...])
-    except msgspec.MsgspecError as exc:
+    except (zlib.error, msgspec.MsgspecError) as exc:
         raise RecordsError((Fault("record-malformed", "$", str(exc)),)) from exc
--- a/gypsumplank/protocol/spec.py
+++ b/gypsumplank/protocol/spec.py
@@ -1,28 +1,34 @@
 """Give each kind of record its typed specification, from either schema version."""
 
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Iterator, Mapping
+from dataclasses import MISSING, dataclass, field, fields
 from enum import StrEnum
-from typing import Any
+from typing import Annotated, Any, get_type_hints
 
 import msgspec
 
 from gypsumplank.errors import Fault, RecordsError
 from gypsumplank.protocol.record import NEWEST_SCHEMA, Kind, Record
+from gypsumplank.protocol.schema import upgrade
 
 DEFAULT_TIMEOUT_MS = 10_000
 DEFAULT_SLOTS = 8
 DEFAULT_CONNECTIONS = 64
 
+Count = Annotated[int, msgspec.Meta(ge=0)]
+AtLeastOne = Annotated[int, msgspec.Meta(ge=1)]
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+Amount = Annotated[float, msgspec.Meta(ge=0)]
+
 
 @dataclass(frozen=True)
 class Budget:
     """Promise hosts in service: a count and a share of the pool, the larger holds."""
 
-    min_in_service: int = 0
-    min_share: float = 0.0
-    max_out_per_zone: int | None = None
-    max_out_per_rack: int | None = None
+    min_in_service: Count = 0
+    min_share: Share = 0.0
+    max_out_per_zone: Count | None = None
+    max_out_per_rack: Count | None = None
 
 
 @dataclass(frozen=True)
@@ -38,8 +44,8 @@
 class Objective:
     """Promise the share of requests finished on time over a window."""
 
-    target: float = 0.99
-    window_s: int = 3600
+    target: Share = 0.99
+    window_s: AtLeastOne = 3600
 
 
 @dataclass(frozen=True)
@@ -47,9 +53,9 @@
     """Describe what a pool serves to callers."""
 
     pool: str
-    timeout_ms: int = DEFAULT_TIMEOUT_MS
+    timeout_ms: AtLeastOne = DEFAULT_TIMEOUT_MS
     idempotent: bool = False
-    share: float = 0.0
+    share: Share = 0.0
     overflow: bool = False
     objective: Objective = field(default_factory=Objective)
 
@@ -62,11 +68,11 @@
     pool: str
     zone: str
     rack: str
-    slots: int = DEFAULT_SLOTS
-    connections: int = DEFAULT_CONNECTIONS
-    cores: int = 1
-    memory_gb: int = 1
-    accelerators: int = 0
+    slots: AtLeastOne = DEFAULT_SLOTS
+    connections: AtLeastOne = DEFAULT_CONNECTIONS
+    cores: Count = 1
+    memory_gb: Count = 1
+    accelerators: Count = 0
 
 
 class AssignmentState(StrEnum):
@@ -98,9 +104,9 @@
 
     pools: tuple[str, ...] = ()
     hosts: tuple[str, ...] = ()
-    parallelism: int = 1
-    grace_s: float = 60.0
-    maintenance_s: float = 60.0
+    parallelism: AtLeastOne = 1
+    grace_s: Amount = 60.0
+    maintenance_s: Amount = 60.0
     cross_domains: bool = False
 
 
@@ -108,20 +114,20 @@
 class TeamSpec:
     """Describe a team of callers: its share of a service's slots and its task quota."""
 
-    share: float = 0.0
-    cores: int = 0
-    memory_gb: int = 0
-    accelerators: int = 0
+    share: Share = 0.0
+    cores: Count = 0
+    memory_gb: Count = 0
+    accelerators: Count = 0
 
 
 @dataclass(frozen=True)
 class PolicySpec:
     """Weigh what a deployment cares for; weights are relative."""
 
-    flood_protection: float = 1.0
-    roll_out: float = 1.0
-    buffer: float = 1.0
-    moves: float = 1.0
+    flood_protection: Amount = 1.0
+    roll_out: Amount = 1.0
+    buffer: Amount = 1.0
+    moves: Amount = 1.0
 
 
 SPEC_TYPES: Mapping[Kind, type] = {
@@ -135,30 +141,39 @@
 }
 
 
-def _pool_from_v1(spec: Mapping[str, Any]) -> dict[str, Any]:
-    known = dict(spec)
-    budget = {"min_in_service": known.pop("min_in_service", 0)}
-    return {"budget": budget, **known}
-
-
-def _unchanged(spec: Mapping[str, Any]) -> dict[str, Any]:
-    return dict(spec)
-
-
-UPGRADES: Mapping[Kind, Callable[[Mapping[str, Any]], dict[str, Any]]] = {
-    Kind.POOL: _pool_from_v1,
-}
-
-
 def decode_spec(record: Record) -> Any:
-    """Return the typed specification of a record; raise RecordsError."""
+    """Return the typed specification of a record; raise RecordsError with every fault."""
     if not 1 <= record.schema <= NEWEST_SCHEMA:
         detail = f"schema {record.schema} is not one of 1 to {NEWEST_SCHEMA}"
         raise RecordsError((Fault("schema-unknown", "schema", detail, record.key),))
-    spec: Mapping[str, Any] = record.spec
-    if record.schema == 1:
-        spec = UPGRADES.get(record.kind, _unchanged)(spec)
+    spec = upgrade(record).spec
     try:
         return msgspec.convert(spec, SPEC_TYPES[record.kind])
     except msgspec.ValidationError as exc:
-        raise RecordsError((Fault("spec-malformed", "spec", str(exc), record.key),)) from exc
+        faults = tuple(_field_faults(record, spec))
+        whole = Fault("spec-malformed", "spec", str(exc), record.key)
+        raise RecordsError(faults or (whole,)) from exc
+
+
+def unknown_fields(record: Record) -> tuple[str, ...]:
+    """Return the names of fields that are kept but not known to this version."""
+    if not 1 <= record.schema <= NEWEST_SCHEMA:
+        return ()
+    known = {spec.name for spec in fields(SPEC_TYPES[record.kind])}
+    return tuple(sorted(set(upgrade(record).spec) - known))
+
+
+def _field_faults(record: Record, spec: Mapping[str, Any]) -> Iterator[Fault]:
+    kind = SPEC_TYPES[record.kind]
+    types = get_type_hints(kind, include_extras=True)
+    for held in fields(kind):
+        path = f"spec.{held.name}"
+        if held.name not in spec:
+            if held.default is MISSING and held.default_factory is MISSING:
+                yield Fault("field-missing", path, "must be set", record.key)
+            continue
+        try:
+            msgspec.convert(spec[held.name], types[held.name])
+        except msgspec.ValidationError as exc:
+            detail, _, place = str(exc).partition(" - at `$")
+            yield Fault("field-invalid", f"{path}{place.rstrip('`')}", detail, record.key)
--- a/gypsumplank/state/config.py
+++ b/gypsumplank/state/config.py
@@ -1,109 +1,70 @@
-"""Accept changes of configuration into the table service and read them back."""
+"""Accept changes of configuration into the table service, many to a transaction."""
 
-from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass
-
-import msgspec
+import random
+import threading
+import time
+from collections import deque
+from collections.abc import Callable, Sequence
 
 from gypsumplank.errors import (
+    GypsumplankError,
     RevisionConflictError,
     StateConflictError,
+    StateTooLargeError,
     StateUnknownError,
 )
-from gypsumplank.protocol.record import Record
+from gypsumplank.state.batch import Batch, Pending
+from gypsumplank.state.change import (
+    Change,
+    ChangeEntry,
+    Guard,
+    Head,
+    Propose,
+    Step,
+    apply_entries,
+    make_txn,
+)
 from gypsumplank.state.clock import Clock
-from gypsumplank.state.table import ABSENT, Check, Row, Table, Txn, Write, scan_all
-from gypsumplank.state.view import NO_REVISION, View, build_view
-
-TABLE_CONFIG = "config"
-TABLE_RECORDS = "records"
-TABLE_CHANGES = "changes"
-TABLE_OPERATIONS = "operations"
-KEY_HEAD = "head"
-COMMIT_TRIES = 8
-
-Guard = Callable[[View, View], None]
-
-
-@dataclass(frozen=True)
-class Head:
-    """Hold the newest accepted revision."""
-
-    revision: int
-
-
-@dataclass(frozen=True)
-class Change:
-    """Hold what is to change; `operation` makes a repeat harmless, `fences` must hold."""
-
-    operation: str
-    puts: tuple[Record, ...] = ()
-    deletes: tuple[str, ...] = ()
-    actor: str = ""
-    if_revision: int | None = None
-    fences: tuple[Check, ...] = ()
-
-
-@dataclass(frozen=True)
-class ChangeEntry:
-    """Hold one accepted change; `accepted_at` is in seconds since the epoch."""
+from gypsumplank.state.reader import ConfigReader
+from gypsumplank.state.retry import backoff_s
+from gypsumplank.state.table import MAX_TXN_ROWS, Table
+from gypsumplank.state.view import View
 
-    revision: int
-    operation: str
-    actor: str
-    accepted_at: float
-    puts: tuple[Record, ...] = ()
-    deletes: tuple[str, ...] = ()
+COMMIT_TRIES = 24
+MAX_BATCH = 32
+MAX_BATCH_ROWS = MAX_TXN_ROWS // 2
+ROWS_A_STEP = 4
+KEPT_CHANGES = 10_000
 
+Pause = Callable[[float], None]
 
-def change_key(revision: int) -> str:
-    """Return the key of a change entry, in revision order."""
-    return f"{revision:016d}"
 
-
-def apply_entries(view: View, entries: Iterable[ChangeEntry]) -> View:
-    """Return the view after these changes, which follow it without a gap."""
-    records = dict(view.records)
-    revision = view.revision
-    for entry in entries:
-        records.update((record.key, record) for record in entry.puts)
-        for key in entry.deletes:
-            records.pop(key, None)
-        revision = entry.revision
-    return build_view(revision, records.values(), view)
-
-
-class ConfigStore:
+class ConfigStore(ConfigReader):
     """Accept changes one after another, each with the next revision.
 
     Every change is decided on the newest view in the transaction that commits it: each guard
     sees the view before and after, and raises GypsumplankError where the change must not be.
+    Changes that arrive while a transaction is under way share the next one.
     """
 
-    def __init__(self, table: Table, clock: Clock, guards: Sequence[Guard] = ()) -> None:
-        self._table = table
+    def __init__(
+        self,
+        table: Table,
+        clock: Clock,
+        guards: Sequence[Guard] = (),
+        rng: random.Random | None = None,
+        pause: Pause = time.sleep,
+        kept: int = KEPT_CHANGES,
+    ) -> None:
+        super().__init__(table)
         self._clock = clock
         self._guards = tuple(guards)
+        self._rng = rng or random.Random()
+        self._pause = pause
+        self._kept = kept
         self._newest = View()
-
-    def head(self) -> tuple[Head, int]:
-        """Return the newest revision and the version of its row."""
-        row = self._table.get(TABLE_CONFIG, KEY_HEAD)
-        if row is None:
-            return Head(NO_REVISION), ABSENT
-        return msgspec.json.decode(row.value, type=Head), row.version
-
-    def entries(self, after: int) -> list[ChangeEntry]:
-        """Return the changes accepted after this revision, oldest first."""
-        rows = scan_all(self._table, TABLE_CHANGES, after=change_key(after))
-        return [_decode_entry(row) for row in rows]
-
-    def refresh(self, view: View) -> View:
-        """Return the newest view, given an older one."""
-        head, _ = self.head()
-        if head.revision <= view.revision:
-            return view
-        return apply_entries(view, self.entries(view.revision))
+        self._waiting: deque[Pending] = deque()
+        self._committing = threading.Lock()
 
     def accept(self, change: Change) -> int:
         """Commit a change and return its revision.
@@ -113,36 +74,75 @@
         """
         return self.propose(change.operation, lambda _view: change)
 
-    def propose(self, operation: str, propose: Callable[[View], Change]) -> int:
+    def propose(self, operation: str, propose: Propose) -> int:
         """Commit what `propose` makes of the newest view, made anew after every conflict."""
-        unknown: StateUnknownError | None = None
-        for _ in range(COMMIT_TRIES):
-            accepted = self._accepted(operation)
-            if accepted is not None:
-                return accepted
+        pending = Pending(operation, propose)
+        self._waiting.append(pending)
+        with self._committing:
+            while not pending.future.done():
+                self._commit_next()
+        return pending.future.result()
+
+    def _commit_next(self) -> None:
+        count = min(MAX_BATCH, len(self._waiting))
+        batch = Batch([self._waiting.popleft() for _ in range(count)])
+        try:
+            self._settle(batch)
+        except GypsumplankError as exc:
+            batch.fail(exc)
+        finally:
+            batch.fail(RevisionConflictError("too many other changes at the same time"))
+
+    def _settle(self, batch: Batch) -> None:
+        failures = 0
+        while batch.open and failures < COMMIT_TRIES:
             try:
-                return self._commit(propose)
-            except StateConflictError:
-                continue
-            except StateUnknownError as exc:
-                unknown = exc
-        if unknown is not None:
-            raise unknown
-        raise RevisionConflictError("too many other changes at the same time")
-
-    def _accepted(self, operation: str) -> int | None:
-        row = self._table.get(TABLE_OPERATIONS, operation)
-        return None if row is None else msgspec.json.decode(row.value, type=int)
+                self._try(batch)
+            except (StateConflictError, StateUnknownError, StateTooLargeError):
+                failures += 1
+                self._pause(backoff_s(failures, self._rng))
 
-    def _commit(self, propose: Callable[[View], Change]) -> int:
+    def _try(self, batch: Batch) -> None:
+        """Commit what is open in one transaction; the head is read before anything else."""
         head, version = self.head()
-        before = self._view_at(head.revision)
-        change = propose(before)
-        if change.if_revision not in (None, head.revision):
-            detail = f"configuration is at revision {head.revision}, not {change.if_revision}"
+        before = self._view_at(head)
+        batch.begin(version, self.accepted)
+        steps = self._plan(batch, before)
+        if not steps:
+            return
+        txn = make_txn(head, version, steps.values(), self._expired(head, len(steps)))
+        try:
+            self._table.commit(txn)
+        except (StateUnknownError, StateConflictError, StateTooLargeError) as exc:
+            batch.failed(tuple(steps), exc)
+            raise
+        batch.accepted({pending: step.entry.revision for pending, step in steps.items()})
+        self._newest = [*steps.values()][-1].after
+
+    def _plan(self, batch: Batch, view: View) -> dict[Pending, Step]:
+        """Return the steps that may be committed, each on the view after the last."""
+        steps: dict[Pending, Step] = {}
+        rows = 0
+        for pending in batch.picked:
+            try:
+                step = self._step(pending, view)
+            except GypsumplankError as exc:
+                batch.refuse(pending, exc, self.accepted)
+                continue
+            rows += ROWS_A_STEP + len(step.entry.puts) + len(step.entry.deletes) + len(step.fences)
+            if steps and rows > MAX_BATCH_ROWS:
+                break
+            steps[pending] = step
+            view = step.after
+        return steps
+
+    def _step(self, pending: Pending, before: View) -> Step:
+        change = pending.propose(before)
+        if change.if_revision not in (None, before.revision):
+            detail = f"configuration is at revision {before.revision}, not {change.if_revision}"
             raise RevisionConflictError(detail)
         entry = ChangeEntry(
-            head.revision + 1,
+            before.revision + 1,
             change.operation,
             change.actor,
             self._clock.wall(),
@@ -152,37 +152,16 @@
         after = apply_entries(before, (entry,))
         for guard in self._guards:
             guard(before, after)
-        checks = (
-            Check(TABLE_CONFIG, KEY_HEAD, version),
-            Check(TABLE_OPERATIONS, change.operation, ABSENT),
-            *change.fences,
-        )
-        self._table.commit(Txn(checks, _writes(entry)))
-        return entry.revision
+        return Step(entry, before, after, change.fences)
 
-    def _view_at(self, revision: int) -> View:
+    def _view_at(self, head: Head) -> View:
         """Return the view at the head's revision; raise StateConflictError if it has moved."""
-        view = self._newest
-        if view.revision < revision:
-            view = apply_entries(view, self.entries(view.revision))
-            self._newest = view
-        if view.revision != revision:
+        self._newest = self.catch_up(head, self._newest)
+        if self._newest.revision != head.revision:
             raise StateConflictError("the head has moved")
-        return view
-
-
-def _writes(entry: ChangeEntry) -> tuple[Write, ...]:
-    encode = msgspec.json.encode
-    puts = tuple(Write(TABLE_RECORDS, rec.key, encode(rec)) for rec in entry.puts)
-    deletes = tuple(Write(TABLE_RECORDS, key, None) for key in entry.deletes)
-    return (
-        Write(TABLE_CONFIG, KEY_HEAD, encode(Head(entry.revision))),
-        Write(TABLE_CHANGES, change_key(entry.revision), encode(entry)),
-        Write(TABLE_OPERATIONS, entry.operation, encode(entry.revision)),
-        *puts,
-        *deletes,
-    )
-
+        return self._newest
 
-def _decode_entry(row: Row) -> ChangeEntry:
-    return msgspec.json.decode(row.value, type=ChangeEntry)
+    def _expired(self, head: Head, added: int) -> list[ChangeEntry]:
+        """Return the oldest changes that are no longer kept once so many are added."""
+        excess = head.revision + added - head.floor + 1 - self._kept
+        return self.oldest(head.floor, min(max(excess, 0), 2 * added))
--- a/gypsumplank/state/session.py
+++ b/gypsumplank/state/session.py
@@ -1,12 +1,14 @@
 """Keep one lease row for each live daemon."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 
-from gypsumplank.state.table import Check, Table, Txn, Write, scan_all
+from gypsumplank.state.table import ABSENT, Check, Row, Table, Txn, Write, scan_all
 
 TABLE_SESSIONS = "sessions"
+TABLE_COUNTERS = "counters"
+KEY_EPOCH = "epoch"
 
 
 @dataclass(frozen=True)
@@ -23,31 +25,60 @@
     renewed_at: float
 
 
+@dataclass(frozen=True)
+class SessionRow:
+    """Hold a session and its row's version, which changes with every heartbeat."""
+
+    session: Session
+    version: int
+
+
 class SessionStore:
     """Read and write session rows."""
 
     def __init__(self, table: Table) -> None:
         self._table = table
 
+    def open(self, session: Session) -> SessionRow:
+        """Write the daemon's row with the next epoch of the fleet."""
+        counter = self._table.get(TABLE_COUNTERS, KEY_EPOCH)
+        row = self._table.get(TABLE_SESSIONS, session.id)
+        epoch = 1 + (msgspec.json.decode(counter.value, type=int) if counter else 0)
+        opened = replace(session, epoch=epoch)
+        checks = (
+            Check(TABLE_COUNTERS, KEY_EPOCH, counter.version if counter else ABSENT),
+            Check(TABLE_SESSIONS, session.id, row.version if row else ABSENT),
+        )
+        writes = (
+            Write(TABLE_COUNTERS, KEY_EPOCH, msgspec.json.encode(epoch)),
+            Write(TABLE_SESSIONS, session.id, msgspec.json.encode(opened)),
+        )
+        return SessionRow(opened, self._table.commit(Txn(checks, writes)))
+
     def renew(self, session: Session, version: int) -> int:
         """Write the daemon's row over this version and return the new one."""
         check = Check(TABLE_SESSIONS, session.id, version)
         write = Write(TABLE_SESSIONS, session.id, msgspec.json.encode(session))
         return self._table.commit(Txn((check,), (write,)))
 
-    def find(self, name: str) -> tuple[Session | None, int]:
-        """Return a daemon's session and its row's version."""
+    def find(self, name: str) -> SessionRow | None:
+        """Return a daemon's session."""
         row = self._table.get(TABLE_SESSIONS, name)
-        if row is None:
-            return None, 0
-        return msgspec.json.decode(row.value, type=Session), row.version
+        return None if row is None else _decode(row)
 
     def remove(self, session: Session, version: int) -> None:
         """Delete the daemon's row if it still has this version."""
         check = Check(TABLE_SESSIONS, session.id, version)
         self._table.commit(Txn((check,), (Write(TABLE_SESSIONS, session.id, None),)))
 
-    def all(self) -> list[Session]:
+    def rows(self) -> list[SessionRow]:
         """Return every session row."""
-        rows = scan_all(self._table, TABLE_SESSIONS)
-        return [msgspec.json.decode(row.value, type=Session) for row in rows]
+        return [_decode(row) for row in scan_all(self._table, TABLE_SESSIONS)]
+
+    def all(self) -> list[Session]:
+        """Return every session."""
+        return [row.session for row in self.rows()]
+
+
+def _decode(row: Row) -> SessionRow:
+    return SessionRow(msgspec.json.decode(row.value, type=Session), row.version)
--- a/gypsumplank/transport/operator.py
+++ b/gypsumplank/transport/operator.py
@@ -2,34 +2,43 @@
 
 import hashlib
 import hmac
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
+from urllib.parse import parse_qs
 
 import msgspec
 
 from gypsumplank.errors import (
     Fault,
+    ForbiddenError,
     GypsumplankError,
     RecordMissingError,
     RecordsError,
+    RequestInvalidError,
     UnauthorizedError,
 )
 from gypsumplank.protocol.operator import (
     PATH_CHANGES,
     PATH_HEALTH,
+    PATH_HISTORY,
     PATH_METRICS,
     PATH_READY,
     PATH_RECORDS,
+    PATH_ROLLBACK,
+    PATH_ROLLOUT,
     PATH_STATUS,
     PATH_VALIDATE,
     ChangeOrder,
     ChangeReceipt,
+    HistoryEntry,
     RecordList,
+    RollbackOrder,
+    RolloutStatus,
     Status,
 )
 from gypsumplank.protocol.problem import MEDIA_TYPE, encode_problem, from_error
-from gypsumplank.protocol.record import Record
+from gypsumplank.protocol.record import NEWEST_SCHEMA, Record
 from gypsumplank.settings import Token
 from gypsumplank.transport.caller import PHRASES
 from gypsumplank.transport.listener import StartResponse
@@ -39,6 +48,9 @@
 BEARER = "Bearer "
 ROLE_OPERATOR = "operator"
 ANONYMOUS = "anonymous"
+HISTORY_LIMIT = 20
+
+T = TypeVar("T")
 
 
 class Controller(Protocol):
@@ -53,10 +65,19 @@
     def validate(self, order: ChangeOrder) -> None:
         """Check a change."""
 
-    def records(self, kind: str = "") -> RecordList:
+    def rollback(self, order: RollbackOrder, actor: str) -> ChangeReceipt:
+        """Accept a new revision with the records of an older one."""
+
+    def history(self, limit: int) -> tuple[HistoryEntry, ...]:
+        """Return the newest accepted changes."""
+
+    def rollout(self, revision: int) -> RolloutStatus:
+        """Tell which daemons have a revision in force."""
+
+    def records(self, kind: str = "", schema: int = NEWEST_SCHEMA) -> RecordList:
         """List records."""
 
-    def record(self, key: str) -> Record:
+    def record(self, key: str, schema: int = NEWEST_SCHEMA) -> Record:
         """Return one record."""
 
     def status(self) -> Status:
@@ -114,22 +135,28 @@
         return Page(b"ready\n" if ready else b"not ready\n", 200 if ready else 503, TEXT_TYPE)
 
     def _read(self, path: str, query: str) -> Page:
+        asked = parse_qs(query)
         if path == PATH_STATUS:
-            return Page(msgspec.json.encode(self._controller.status()))
+            return _json(self._controller.status())
+        if path == PATH_HISTORY:
+            return _json(self._controller.history(_number(asked, "limit", HISTORY_LIMIT)))
+        if path == PATH_ROLLOUT:
+            return _json(self._controller.rollout(_number(asked, "revision", 0)))
+        schema = _number(asked, "schema", NEWEST_SCHEMA)
         if path == PATH_RECORDS:
-            kind = query.removeprefix("kind=")
-            return Page(msgspec.json.encode(self._controller.records(kind)))
-        if path.startswith(PATH_RECORDS):
+            return _json(self._controller.records(asked.get("kind", [""])[0], schema))
+        if path.startswith(f"{PATH_RECORDS}/"):
             key = path.removeprefix(f"{PATH_RECORDS}/")
-            return Page(msgspec.json.encode(self._controller.record(key)))
+            return _json(self._controller.record(key, schema))
         raise RecordMissingError(f"nothing at {path}")
 
     def _write(self, path: str, body: bytes, actor: str) -> Page:
-        order = _decode_order(body)
         if path == PATH_CHANGES:
-            return Page(msgspec.json.encode(self._controller.change(order, actor)))
+            return _json(self._controller.change(_decode(body, ChangeOrder), actor))
+        if path == PATH_ROLLBACK:
+            return _json(self._controller.rollback(_decode(body, RollbackOrder), actor))
         if path == PATH_VALIDATE:
-            self._controller.validate(order)
+            self._controller.validate(_decode(body, ChangeOrder))
             return Page(b"{}")
         raise RecordMissingError(f"nothing at {path}")
 
@@ -139,14 +166,27 @@
             return ANONYMOUS
         given = environ.get("HTTP_AUTHORIZATION", "").removeprefix(BEARER)
         digest = hashlib.sha256(given.encode()).hexdigest()
-        found = [tok for tok in self._tokens if hmac.compare_digest(tok.sha256, digest)]
-        if not found or role not in ("", found[0].role):
-            raise UnauthorizedError("a bearer token with a sufficient role is needed")
+        found = [tok for tok in self._tokens if hmac.compare_digest(tok.sha256.lower(), digest)]
+        if not found:
+            raise UnauthorizedError("a bearer token is needed")
+        if role not in ("", found[0].role):
+            raise ForbiddenError(f"this needs a token with the role {role!r}")
         return found[0].name
 
 
-def _decode_order(body: bytes) -> ChangeOrder:
+def _json(value: Any) -> Page:
+    return Page(msgspec.json.encode(value))
+
+
+def _number(asked: Mapping[str, Sequence[str]], name: str, default: int) -> int:
+    try:
+        return int(asked.get(name, [str(default)])[0])
+    except ValueError as exc:
+        raise RequestInvalidError(f"{name} is not a whole number") from exc
+
+
+def _decode(body: bytes, kind: type[T]) -> T:
     try:
-        return msgspec.json.decode(body, type=ChangeOrder)
+        return msgspec.json.decode(body, type=kind)
     except msgspec.MsgspecError as exc:
         raise RecordsError((Fault("change-malformed", "$", str(exc)),)) from exc
--- a/tests/state/test_config.py
+++ b/tests/state/test_config.py
@@ -1,6 +1,13 @@
+from concurrent.futures import ThreadPoolExecutor
+
 import pytest
 
-from gypsumplank.errors import RevisionConflictError, RevisionReversedError, StateUnknownError
+from gypsumplank.errors import (
+    RevisionConflictError,
+    RevisionReversedError,
+    StateUnavailableError,
+    StateUnknownError,
+)
 from gypsumplank.protocol.record import Kind, Record
 from gypsumplank.state.clock import ManualClock
 from gypsumplank.state.config import Change, ConfigStore
@@ -69,3 +76,61 @@
     newer = store.refresh(view)
     assert newer.unreadable == ("pool/quotes",)
     assert newer.pools["quotes"].budget.min_in_service == 2
+
+
+class ScriptedTable(MemoryTable):
+    """Fail calls by a script: each step names a call and what happens to it."""
+
+    def __init__(self, *script):
+        super().__init__()
+        self.script = list(script)
+        self.delayed = []
+
+    def _fault(self, call):
+        return self.script.pop(0)[1] if self.script and self.script[0][0] == call else None
+
+    def get(self, table, key):
+        fault = self._fault("get")
+        if fault is not None:
+            raise fault
+        return super().get(table, key)
+
+    def commit(self, txn):
+        fault = self._fault("commit")
+        if fault == "late":
+            self.delayed.append(txn)
+            raise StateUnknownError
+        if fault is not None:
+            super().commit(txn)
+            raise fault
+        return super().commit(txn)
+
+    def land(self):
+        for txn in self.delayed:
+            super().commit(txn)
+
+
+def test_outage_after_a_lost_answer_is_never_told_as_not_written():
+    table = ScriptedTable(
+        ("commit", StateUnknownError()),
+        *(("get", StateUnavailableError()) for _ in range(200)),
+    )
+    store = ConfigStore(table, ManualClock())
+    with pytest.raises(StateUnknownError):
+        store.accept(Change("op-1", (POOL,)))
+
+
+def test_burst_from_many_threads_loses_none():
+    table = MemoryTable()
+    stores = [ConfigStore(table, ManualClock()) for _ in range(4)]
+    with ThreadPoolExecutor(50) as executor:
+        revisions = list(
+            executor.map(
+                lambda number: stores[number % 4].accept(
+                    Change(f"op-{number}", (Record(Kind.POOL, f"p{number}", 2),))
+                ),
+                range(200),
+            )
+        )
+    assert sorted(revisions) == list(range(1, 201))
+    assert len(stores[0].refresh(View()).pools) == 200
--- /dev/null
+++ b/tests/state/test_reader.py
@@ -0,0 +1,113 @@
+import pytest
+
+from gypsumplank.errors import RevisionMissingError, RevisionReversedError
+from gypsumplank.protocol.record import Kind, Record
+from gypsumplank.state.change import TABLE_CHANGES, TABLE_OPERATIONS, TABLE_UNDO
+from gypsumplank.state.clock import ManualClock
+from gypsumplank.state.config import Change, ConfigStore
+from gypsumplank.state.reader import MIN_LOG_ROWS
+from gypsumplank.state.table import MemoryTable, scan_all
+from gypsumplank.state.view import View
+
+
+class CountingTable(MemoryTable):
+    """Keep which tables and prefixes were scanned."""
+
+    def __init__(self):
+        super().__init__()
+        self.scans = []
+        self.after_scan = lambda: None
+
+    def scan(self, table, prefix="", after="", limit=1000):
+        rows = super().scan(table, prefix, after, limit)
+        self.scans.append((table, prefix))
+        self.after_scan()
+        return rows
+
+
+def pool(number, **spec):
+    return Record(Kind.POOL, f"p{number}", 2, spec)
+
+
+def team(name):
+    return Record(Kind.TEAM, name, 2)
+
+
+def fill(store, count, first=0):
+    for number in range(first, first + count):
+        store.accept(Change(f"op-{number}", (pool(number % 5, spare=bool(number % 2)),)))
+
+
+def test_daemon_far_behind_reads_only_the_kinds_that_changed():
+    table = CountingTable()
+    store = ConfigStore(table, ManualClock())
+    store.accept(Change("teams", (team("a"), team("b"))))
+    held = store.refresh(View())
+    fill(store, MIN_LOG_ROWS + 1)
+    table.scans.clear()
+    newest = store.refresh(held)
+    assert table.scans == [("records", "pool/"), ("changes", "")]
+    assert newest.revision == MIN_LOG_ROWS + 2
+    assert set(newest.pools) == {f"p{number}" for number in range(5)}
+    assert set(newest.teams) == {"a", "b"}
+
+
+def test_daemon_little_behind_reads_the_log():
+    table = CountingTable()
+    store = ConfigStore(table, ManualClock())
+    fill(store, 3)
+    table.scans.clear()
+    assert store.refresh(View()).revision == 3
+    assert table.scans == [("changes", "")]
+
+
+def test_change_between_grouped_reads_is_not_torn():
+    table = CountingTable()
+    store, other = (ConfigStore(table, ManualClock()) for _ in range(2))
+    fill(store, MIN_LOG_ROWS + 1)
+
+    def change_once():
+        table.after_scan = lambda: None
+        deletes = ("pool/p0",)
+        other.accept(Change("late", (pool(9), pool(1, spare=True), team("t")), deletes))
+
+    table.after_scan = change_once
+    view = store.refresh(View())
+    assert view.revision == MIN_LOG_ROWS + 2
+    assert set(view.pools) == {"p1", "p2", "p3", "p4", "p9"}
+    assert view.pools["p1"].spare
+    assert set(view.teams) == {"t"}
+
+
+def test_log_is_bounded_and_old_views_still_catch_up():
+    table = MemoryTable()
+    store = ConfigStore(table, ManualClock(), kept=20)
+    fill(store, 10)
+    old = store.refresh(View())
+    fill(store, 60, 10)
+    for name in (TABLE_CHANGES, TABLE_OPERATIONS, TABLE_UNDO):
+        assert len(scan_all(table, name)) == 20
+    assert store.refresh(old).records == store.refresh(View()).records
+    assert store.refresh(old).revision == 70
+    with pytest.raises(RevisionMissingError):
+        store.records_at(40, store.refresh(View()))
+
+
+def test_records_at_an_older_revision():
+    store = ConfigStore(MemoryTable(), ManualClock())
+    store.accept(Change("a", (pool(1), pool(2))))
+    store.accept(Change("b", (pool(1, spare=True), pool(3)), ("pool/p2",)))
+    newest = store.refresh(View())
+    assert store.records_at(1, newest) == {"pool/p1": pool(1), "pool/p2": pool(2)}
+    assert store.records_at(0, newest) == {}
+    assert store.records_at(2, newest) == newest.records
+    for revision in (-1, 3):
+        with pytest.raises(RevisionMissingError):
+            store.records_at(revision, newest)
+
+
+def test_store_that_went_back_is_noticed():
+    store = ConfigStore(MemoryTable(), ManualClock())
+    fill(store, 2)
+    with pytest.raises(RevisionReversedError):
+        store.refresh(View(3))
