Queue requests by share and deadline before they take a thread

Cause: every request took one of waitress's threads at once, waited in no order, and a flood of one service held the threads of all others. Slots were counted by each daemon for itself, so several daemons overran a host.

Change: a waitress dispatcher hands a request to a thread only once coordination/admission.py has granted it a slot. Grants go by weighted shares of service and team, then urgency, then deadline; long or never measured work leaves half of the others' unused guarantee free; what cannot make its deadline is refused early as not-run. Slots of a host are split by gossiped demand, alike at every daemon. Failing hosts are ejected within the availability budget and come back slowly; leaving hosts get no new work whatever view a retry holds. Overflow goes to the spare pool.

--- a/gypsumplank/coordination/dispatch.py
+++ b/gypsumplank/coordination/dispatch.py
@@ -41,7 +41,7 @@
             left = req.deadline - self._clock.monotonic()
             if left <= 0:
                 return Refusal("deadline-passed", refusal.outcome, 504, refusal.detail)
-            host = self._slots.acquire(view.hosts, view.serving_hosts(service.pool))
+            host = self._slots.acquire(view.hosts, view.serving_hosts(req.pool or service.pool))
             if host is None:
                 return refusal
             try:
--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -7,15 +7,22 @@
 import sys
 import threading
 import time
+from collections.abc import Mapping
 from pathlib import Path
 
 from opentelemetry.metrics import Observation
 
+from gypsumplank.coordination.admission import Admission, Limits
 from gypsumplank.coordination.control import Control
 from gypsumplank.coordination.dispatch import Dispatcher
+from gypsumplank.coordination.ejection import Ejector, JudgedEndpoints
 from gypsumplank.coordination.follower import Follower
 from gypsumplank.coordination.gate import Gate
 from gypsumplank.coordination.heartbeat import Heartbeat
+from gypsumplank.coordination.leaving import LeavingHosts
+from gypsumplank.coordination.part import Parts
+from gypsumplank.coordination.peer import MemoryPeers
+from gypsumplank.coordination.share import DemandTable
 from gypsumplank.coordination.slot import Slots
 from gypsumplank.coordination.supervisor import Supervisor
 from gypsumplank.errors import SettingsError
@@ -27,12 +34,13 @@
 from gypsumplank.state.config import ConfigStore
 from gypsumplank.state.session import Session, SessionStore
 from gypsumplank.state.validation import check_records
-from gypsumplank.state.view import ViewHolder
+from gypsumplank.state.view import View, ViewHolder
 from gypsumplank.transport.caller import CallerApp
 from gypsumplank.transport.endpoint import HttpEndpointClient
-from gypsumplank.transport.listener import Listener
+from gypsumplank.transport.listener import ClosingDispatcher, Listener
 from gypsumplank.transport.operator import OperatorApp
-from gypsumplank.transport.platform import HttpTable, PlatformClient
+from gypsumplank.transport.platform import HttpMembership, HttpTable, PlatformClient
+from gypsumplank.transport.queue import QueueingDispatcher
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
@@ -40,6 +48,9 @@
 OPERATOR_THREADS = 4
 OPERATOR_GRACE_S = 2.0
 ENDPOINT_CONNECTIONS = 64
+MEMBERSHIP_POLL_S = 0.5
+PARTS_PERIOD_S = 0.2
+ADMISSION_PERIOD_S = 0.1
 
 logger = logging.getLogger("gypsumplank.daemon")
 
@@ -67,9 +78,9 @@
         self._gate = Gate()
         self._holder = ViewHolder()
         self._supervisor = Supervisor(self._clock)
-        self._slots = Slots(random.Random())
         self._metrics = self._make_metrics()
         self._make_state()
+        self._make_load()
         self._callers = self._make_callers()
         self._operators = self._make_operators()
         self._supervise()
@@ -88,18 +99,62 @@
             lambda: self._holder.current.revision,
         )
 
+    def _make_load(self) -> None:
+        """Wire what decides when a request starts and at which host."""
+        cfg = self._cfg
+        self._peers = MemoryPeers()
+        self._leaving = LeavingHosts(HttpMembership(self._platform))
+        self._ejector = Ejector(self._view, self._clock)
+        self._demands = DemandTable(
+            cfg.id,
+            self._peers,
+            self._clock,
+            lambda: tuple(session.id for session in self._heartbeat.live),
+            self._demand,
+        )
+        self._parts = Parts(
+            cfg.id,
+            self._view,
+            self._demands,
+            self._ejector,
+            lambda: self._leaving.current,
+            self._clock,
+            cfg.daemons,
+        )
+        limits = Limits(cfg.threads, cfg.waiting)
+        self._admission = Admission(self._view, self._parts, self._clock, limits)
+        self._slots = Slots(random.Random(), cfg.zone, self._parts)
+        self._metrics.gauge(
+            "gypsumplank.requests.waiting",
+            "{request}",
+            "Requests that wait for a slot",
+            lambda: [
+                Observation(count, {"service": name})
+                for name, count in self._admission.waiting().items()
+            ],
+        )
+
+    def _demand(self) -> dict[str, int]:
+        return self._admission.demand()
+
+    def _view(self) -> View:
+        return self._holder.current
+
+    def _host_names(self) -> Mapping[str, str]:
+        return self._view().host_names
+
     def _make_callers(self) -> Listener:
         cfg = self._cfg
         self._endpoints = HttpEndpointClient(ENDPOINT_CONNECTIONS, cfg.connect_timeout_s)
-        dispatcher = Dispatcher(
-            lambda: self._holder.current, self._endpoints, self._slots, self._clock
-        )
+        judged = JudgedEndpoints(self._endpoints, self._ejector, self._host_names)
+        dispatcher = Dispatcher(self._view, judged, self._slots, self._clock)
         app = CallerApp(
             GatedCarrier(self._gate, dispatcher),
             lambda: self._holder.current.services,
             self._metrics.request,
         )
-        return Listener(app, cfg.callers, cfg.threads, cfg.max_body_bytes, "callers")
+        queue = QueueingDispatcher(cfg.threads, self._admission, lambda: self._view().services)
+        return Listener(app, cfg.callers, queue, cfg.max_body_bytes, "callers")
 
     def _make_operators(self) -> Listener:
         cfg = self._cfg
@@ -107,11 +162,15 @@
             self._store, self._holder, self._follower, self._heartbeat, self._slots, self._ready
         )
         app = OperatorApp(control, self._metrics.render, cfg.tokens)
-        return Listener(app, cfg.operators, OPERATOR_THREADS, cfg.max_body_bytes, "operators")
+        threads = ClosingDispatcher(OPERATOR_THREADS)
+        return Listener(app, cfg.operators, threads, cfg.max_body_bytes, "operators")
 
     def _supervise(self) -> None:
         self._supervisor.add("follower", self._follower, self._cfg.poll_s)
         self._supervisor.add("heartbeat", self._heartbeat, self._cfg.heartbeat_s)
+        self._supervisor.add("leaving", self._leaving, MEMBERSHIP_POLL_S)
+        self._supervisor.add("parts", self._parts, PARTS_PERIOD_S)
+        self._supervisor.add("admission", self._admission, ADMISSION_PERIOD_S)
 
     def stop(self) -> None:
         """Ask the daemon to stop gracefully."""
--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -27,6 +27,8 @@
     REQUEST_FAILED = "request-failed"
     ACTOR_RESTARTED = "actor-restarted"
     ACTOR_FAILED = "actor-failed"
+    ENDPOINT_EJECTED = "endpoint-ejected"
+    ENDPOINT_RETURNED = "endpoint-returned"
 
 
 class LogfmtFormatter(JsonFormatter):
--- a/gypsumplank/protocol/exchange.py
+++ b/gypsumplank/protocol/exchange.py
@@ -24,7 +24,10 @@
 
 @dataclass(frozen=True)
 class Request:
-    """Hold one caller's request; `deadline` is in seconds of the monotonic clock."""
+    """Hold one caller's request; `deadline` is in seconds of the monotonic clock.
+
+    `pool` is where it was granted a slot; empty for the pool of its service.
+    """
 
     id: str
     service: str
@@ -36,6 +39,7 @@
     urgency: int = DEFAULT_URGENCY
     idempotency_key: str = ""
     team: str = ""
+    pool: str = ""
 
     @property
     def idempotent(self) -> bool:
--- a/gypsumplank/protocol/peer.py
+++ b/gypsumplank/protocol/peer.py
@@ -23,6 +23,6 @@
 
 
 class Demand(PeerMessage, frozen=True, tag=True):
-    """Tell the requests that each service holds and waits for at the sender."""
+    """Tell the requests that hold slots of each pool, or wait for them, at the sender."""
 
-    services: dict[str, int]
+    pools: dict[str, int]
--- a/gypsumplank/settings.py
+++ b/gypsumplank/settings.py
@@ -106,6 +106,10 @@
     max_body_bytes: int = key(
         "limits.max_body_bytes", "largest request body, bytes", 1 << 20, check_positive
     )
+    waiting: int = key(
+        "limits.waiting", "requests of one service that may wait", 256, check_positive
+    )
+    daemons: int = key("limits.daemons", "daemons that may be live at once", 8, check_positive)
     connect_timeout_s: float = key(
         "limits.connect_timeout_s", "longest wait to connect to an endpoint", 1.0, check_positive
     )
--- a/gypsumplank/state/view.py
+++ b/gypsumplank/state/view.py
@@ -88,6 +88,11 @@
         """Return the names of the pool's hosts that take new work."""
         return self._serving.get(pool, ())
 
+    @cached_property
+    def host_names(self) -> Mapping[str, str]:
+        """Return the name of the host at each address."""
+        return {spec.address: name for name, spec in self.hosts.items()}
+
     @cached_property
     def _members(self) -> dict[str, tuple[str, ...]]:
         return _group((self.assignment(name).pool, name) for name in self.hosts)
--- a/gypsumplank/transport/caller.py
+++ b/gypsumplank/transport/caller.py
@@ -21,7 +21,9 @@
 from gypsumplank.protocol.header import end_to_end, parse_timeout_s, parse_urgency
 from gypsumplank.protocol.problem import MEDIA_TYPE, encode_problem, from_refusal
 from gypsumplank.protocol.spec import DEFAULT_TIMEOUT_MS, ServiceSpec
+from gypsumplank.protocol.ticket import Ticket
 from gypsumplank.transport.listener import StartResponse
+from gypsumplank.transport.queue import ENV_REFUSAL, ENV_TICKET
 
 MAX_ID_LENGTH = 128
 REPLACED = frozenset({"content-length", "x-request-id"})
@@ -48,14 +50,18 @@
 
     def __call__(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
         """Answer one HTTP request."""
-        started = time.monotonic()
+        ticket: Ticket | None = environ.get(ENV_TICKET)
+        started = ticket.arrived if ticket else time.monotonic()
         headers = _headers(environ)
         request_id = headers.get(HEADER_REQUEST_ID) or uuid.uuid4().hex
         service = environ["PATH_INFO"].split("/", 2)[1]
         spec = self._services().get(service)
+        reply: Reply | None = environ.get(ENV_REFUSAL)
         try:
-            req = _request(environ, headers, request_id, service, spec, started)
-            reply = self._carrier.carry(req)
+            if reply is None:
+                pool = ticket.pool if ticket else ""
+                req = _request(environ, headers, request_id, service, spec, started, pool)
+                reply = self._carrier.carry(req)
         except RequestInvalidError as exc:
             reply = Refusal(exc.code, Outcome.NOT_RUN, exc.status, exc.detail)
         outcome = Outcome.FINISHED if isinstance(reply, Answer) else reply.outcome
@@ -84,6 +90,7 @@
     service: str,
     spec: ServiceSpec | None,
     started: float,
+    pool: str,
 ) -> Request:
     if len(request_id) > MAX_ID_LENGTH:
         raise RequestInvalidError(f"{HEADER_REQUEST_ID} exceeds {MAX_ID_LENGTH} characters")
@@ -101,6 +108,7 @@
         urgency=parse_urgency(headers.get(HEADER_PRIORITY, "")),
         idempotency_key=headers.get(HEADER_IDEMPOTENCY_KEY, ""),
         team=headers.get(HEADER_TEAM, ""),
+        pool=pool,
     )
 
 
--- a/gypsumplank/transport/listener.py
+++ b/gypsumplank/transport/listener.py
@@ -22,6 +22,8 @@
 class ClosingDispatcher(ThreadedTaskDispatcher):
     """Run requests in threads; once `closing`, ask each caller to close its connection."""
 
+    channel_class = HTTPChannel
+
     def __init__(self, threads: int) -> None:
         super().__init__()
         self.closing = False
@@ -30,23 +32,32 @@
     def add_task(self, task: HTTPChannel) -> None:
         """Queue the oldest request of a connection."""
         if self.closing:
-            mark_last(task)
-        super().add_task(task)
+            self.mark_last(task)
+        self.run(task)
 
+    def run(self, task: Any) -> None:
+        """Hand a task to the threads."""
+        super().add_task(task)
 
-def mark_last(channel: HTTPChannel) -> None:
-    """Make waitress answer the connection's requests with `Connection: close`."""
-    for request in channel.requests:
-        request.headers["CONNECTION"] = "close"
+    @staticmethod
+    def mark_last(channel: HTTPChannel) -> None:
+        """Make waitress answer the connection's requests with `Connection: close`."""
+        for request in channel.requests:
+            request.headers["CONNECTION"] = "close"
 
 
 class Listener:
     """Listen on one address until closed."""
 
     def __init__(
-        self, app: Application, address: str, threads: int, max_body_bytes: int, name: str
+        self,
+        app: Application,
+        address: str,
+        dispatcher: ClosingDispatcher,
+        max_body_bytes: int,
+        name: str,
     ) -> None:
-        self._dispatcher = ClosingDispatcher(threads)
+        self._dispatcher = dispatcher
         self._server = create_server(
             app,
             listen=address,
@@ -59,6 +70,7 @@
             ident=None,
             clear_untrusted_proxy_headers=True,
         )
+        self._server.channel_class = dispatcher.channel_class
         self._thread = threading.Thread(target=self._server.run, name=name, daemon=True)
 
     def start(self) -> None:
@@ -69,7 +81,7 @@
         """Serve on, and ask callers to close their connections after the next answer."""
         self._dispatcher.closing = True
         for channel in list(self._server.active_channels.values()):
-            mark_last(channel)
+            self._dispatcher.mark_last(channel)
 
     def close(self, grace_s: float) -> bool:
         """Stop to accept, let what is in flight finish, close; return whether all finished."""
--- /dev/null
+++ b/tests/coordination/test_admission.py
@@ -0,0 +1,271 @@
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from gypsumplank.coordination.admission import EXPRESS_THREADS, Admission, Limits
+from gypsumplank.errors import InvariantError
+from gypsumplank.protocol.exchange import Outcome
+from gypsumplank.state.clock import ManualClock
+from tests.coordination.fleet import SPARE, Caller, FixedCapacity, make_view
+
+PROOFS = {"pool": "layout", "share": 0.5}
+RENDERS = {"pool": "layout", "share": 0.25, "timeout_ms": 60_000}
+
+
+def make(services, slots, teams=None, pools=None, limits=None):
+    clock = ManualClock(100.0)
+    view = make_view(services, teams, pools)
+    admission = Admission(lambda: view, FixedCapacity(slots), clock, limits or Limits())
+    return Caller(admission, clock)
+
+
+def learn(caller, service, seconds, team="", urgency=3):
+    """Let the admission measure one piece of work."""
+    ticket = caller.ask(service, team, urgency, within=1000.0)
+    caller.clock.advance(seconds)
+    caller.finish(ticket)
+
+
+def test_no_more_grants_than_slots_and_next_on_finish():
+    caller = make({"proofs": PROOFS}, {"layout": 2})
+    first, second, third = (caller.ask("proofs") for _ in range(3))
+    assert caller.granted == [first, second]
+    caller.finish(first)
+    assert caller.granted == [first, second, third]
+
+
+def test_most_urgent_first_then_earliest_deadline():
+    caller = make({"proofs": PROOFS}, {"layout": 1})
+    running = caller.ask("proofs")
+    late, early = caller.ask("proofs", within=9.0), caller.ask("proofs", within=8.0)
+    urgent = caller.ask("proofs", urgency=0, within=10.0)
+    for expected in (urgent, early, late):
+        caller.finish(running)
+        running = caller.granted[-1]
+        assert running is expected
+
+
+def test_refuses_early_what_cannot_make_its_deadline():
+    caller = make({"proofs": PROOFS}, {"layout": 1})
+    learn(caller, "proofs", 1.0)
+    for _ in range(6):
+        caller.ask("proofs")
+    late = caller.ask("proofs", within=3.0, urgency=4)
+    refusal = caller.refused[late]
+    assert (refusal.code, refusal.outcome) == ("deadline-unreachable", Outcome.NOT_RUN)
+    assert refusal.retry_after_s == 5
+    assert caller.ask("proofs", within=3.0, urgency=0) not in caller.refused
+
+
+def test_slow_estimate_never_locks_a_service_out():
+    caller = make({"proofs": PROOFS}, {"layout": 1})
+    learn(caller, "proofs", 500.0)
+    assert caller.ask("proofs", within=600.0) in caller.granted
+    caller.finish()
+    only = caller.ask("proofs", within=5.0)
+    assert only in caller.granted
+
+
+def test_full_queue_displaces_the_least_urgent_of_the_longest_team():
+    limits = Limits(waiting=3)
+    caller = make({"proofs": PROOFS}, {"layout": 1}, {"desk": 0.5, "press": 0.3}, limits=limits)
+    caller.ask("proofs")
+    flood = [caller.ask("proofs", "press", urgency=7) for _ in range(3)]
+    urgent = caller.ask("proofs", "press", urgency=0)
+    assert list(caller.refused) == [flood[-1]]
+    desk = caller.ask("proofs", "desk", urgency=7)
+    assert list(caller.refused) == [flood[-1], flood[-2]]
+    assert {urgent.state, desk.state} == {"waiting"}
+    assert caller.refused[flood[-1]].code == "queue-full"
+
+
+def test_share_is_lent_and_taken_back():
+    both = {"proofs": PROOFS, "letters": {"pool": "layout", "share": 0.5}}
+    caller = make(both, {"layout": 8})
+    learn(caller, "proofs", 0.1)
+    learn(caller, "letters", 0.1)
+    flood = [caller.ask("letters") for _ in range(30)]
+    assert len(caller.running("letters")) == 8
+    for _ in range(8):
+        caller.ask("proofs")
+    for ticket in flood[:4]:
+        caller.finish(ticket)
+    assert (len(caller.running("proofs")), len(caller.running("letters"))) == (4, 4)
+
+
+def test_team_keeps_its_share_in_a_flood_of_the_most_urgent_work():
+    caller = make({"proofs": PROOFS}, {"layout": 8}, {"desk": 0.5, "press": 0.5})
+    learn(caller, "proofs", 0.1, "press", urgency=0)
+    for _ in range(100):
+        caller.ask("proofs", "press", urgency=0)
+    for _ in range(20):
+        caller.ask("proofs", "desk", urgency=7)
+    for _ in range(3):
+        caller.clock.advance(0.1)
+        caller.finish()
+    teams = [ticket.team for ticket in caller.running()]
+    assert (teams.count("desk"), teams.count("press")) == (4, 4)
+
+
+@pytest.mark.parametrize("measured", [True, False], ids=["measured", "never measured"])
+def test_renders_leave_room_for_proofs(measured):
+    caller = make({"proofs": PROOFS, "renders": RENDERS}, {"layout": 8})
+    learn(caller, "proofs", 0.1)
+    if measured:
+        learn(caller, "renders", 30.0)
+    for _ in range(20):
+        caller.ask("renders", within=600.0)
+    assert len(caller.running("renders")) == 6
+    proofs = [caller.ask("proofs") for _ in range(2)]
+    assert proofs == caller.running("proofs")
+
+
+def test_one_long_piece_of_work_runs_in_the_smallest_pool():
+    shareless = {"pool": "layout", "timeout_ms": 60_000}
+    caller = make({"proofs": PROOFS, "renders": shareless}, {"layout": 1})
+    assert caller.ask("renders") in caller.granted
+
+
+def test_waiting_work_holds_no_thread_of_another_pool():
+    services = {"proofs": PROOFS, "quotes": {"pool": "quotes", "share": 1.0}}
+    caller = make(services, {"layout": 100, "quotes": 100}, limits=Limits(threads=20))
+    for _ in range(100):
+        caller.ask("proofs")
+    assert len(caller.running("proofs")) == 20 - EXPRESS_THREADS - 4
+    for _ in range(10):
+        caller.ask("quotes")
+    assert len(caller.running("quotes")) == 4
+
+
+OVERFLOW = {"pool": "layout", "share": 0.5, "overflow": True}
+BACKOFFICE = {"pool": SPARE, "share": 0.5}
+SPARE_POOLS = {SPARE: {"spare": True}}
+
+
+@pytest.mark.parametrize(
+    ("service", "own", "expected"),
+    [(OVERFLOW, 0, 4), (OVERFLOW, 3, 4), (OVERFLOW, 6, 2), (PROOFS, 0, 0)],
+    ids=["lends the rest", "keeps its guarantee", "has less to lend", "not allowed"],
+)
+def test_overflow(service, own, expected):
+    services = {"proofs": service, SPARE: BACKOFFICE}
+    caller = make(services, {"layout": 2, SPARE: 8}, pools=SPARE_POOLS)
+    for _ in range(own):
+        caller.ask(SPARE)
+    for _ in range(20):
+        caller.ask("proofs")
+    assert len(caller.running("proofs", SPARE)) == expected
+    assert len(caller.running("proofs", "layout")) == 2
+
+
+def test_cancellation_wave_frees_every_place_and_runs_nothing():
+    caller = make({"proofs": PROOFS}, {"layout": 4}, limits=Limits(waiting=5000))
+    running = [caller.ask("proofs") for _ in range(4)]
+    waiting = [caller.ask("proofs") for _ in range(3000)]
+    assert all(caller.admission.withdraw(ticket) for ticket in waiting)
+    assert caller.admission.waiting() == {}
+    caller.finish()
+    assert caller.granted == running
+    assert not caller.admission.withdraw(waiting[0])
+    assert caller.admission.demand() == {}
+
+
+def test_expired_work_is_refused_by_the_tick():
+    caller = make({"proofs": PROOFS}, {"layout": 1})
+    caller.ask("proofs", within=60.0)
+    late = caller.ask("proofs", within=1.0)
+    caller.clock.advance(1.5)
+    caller.admission.tick()
+    assert caller.refused[late].code == "deadline-passed"
+
+
+def test_unknown_service_and_double_finish():
+    caller = make({"proofs": PROOFS}, {"layout": 1})
+    assert caller.refused[caller.ask("nothing")].outcome is Outcome.NOT_RUN
+    done = caller.ask("proofs")
+    caller.finish(done)
+    with pytest.raises(InvariantError):
+        caller.admission.finish(done)
+
+
+def test_removed_service_and_team_are_settled():
+    clock, views = ManualClock(1.0), []
+    both = {"proofs": PROOFS, "renders": RENDERS}
+    views.append(make_view(both, {"desk": 0.5}))
+    admission = Admission(lambda: views[-1], FixedCapacity({"layout": 1}), clock, Limits())
+    caller = Caller(admission, clock)
+    running, proof = caller.ask("proofs", "desk"), caller.ask("proofs", "desk")
+    render = caller.ask("renders")
+    views.append(make_view({"proofs": PROOFS}, revision=2))
+    admission.tick()
+    assert caller.refused[render].code == "service-unknown"
+    caller.finish(running)
+    assert proof in caller.granted
+
+
+class AdmissionMachine(RuleBasedStateMachine):
+    """Ask, hang up, finish and wait at random; nothing may be lost or done twice."""
+
+    def __init__(self):
+        super().__init__()
+        services = {"proofs": OVERFLOW, "renders": RENDERS, SPARE: BACKOFFICE}
+        self.capacity = FixedCapacity({"layout": 3, SPARE: 2})
+        clock = ManualClock(1.0)
+        view = make_view(services, {"desk": 0.4, "press": 0.2}, SPARE_POOLS)
+        admission = Admission(lambda: view, self.capacity, clock, Limits(40, 6))
+        self.caller = Caller(admission, clock)
+        self.asked = []
+        self.gone = []
+
+    @rule(
+        service=st.sampled_from(["proofs", "renders", SPARE]),
+        team=st.sampled_from(["desk", "press", "other"]),
+        urgency=st.integers(0, 7),
+        within=st.floats(0.1, 20.0),
+        count=st.integers(1, 6),
+    )
+    def ask(self, service, team, urgency, within, count):
+        self.asked += [self.caller.ask(service, team, urgency, within) for _ in range(count)]
+
+    @rule(seconds=st.floats(0.01, 5.0))
+    def wait(self, seconds):
+        self.caller.clock.advance(seconds)
+        self.caller.admission.tick()
+
+    @precondition(lambda self: self.caller.running())
+    @rule(data=st.data())
+    def finish(self, data):
+        self.caller.finish(data.draw(st.sampled_from(self.caller.running())))
+
+    @precondition(lambda self: self.asked)
+    @rule(data=st.data())
+    def hang_up(self, data):
+        ticket = data.draw(st.sampled_from(self.asked))
+        if self.caller.admission.withdraw(ticket):
+            self.gone.append(ticket)
+
+    @rule(slots=st.integers(0, 4))
+    def resize(self, slots):
+        self.capacity.slots["layout"] = slots
+
+    @invariant()
+    def each_ticket_has_one_fate(self):
+        granted, refused, gone = map(set, (self.caller.granted, self.caller.refused, self.gone))
+        assert len(granted) == len(self.caller.granted)
+        assert not granted & refused
+        assert not gone & (granted | refused)
+        waiting = {ticket for ticket in self.asked if ticket.state == "waiting"}
+        assert waiting == set(self.asked) - granted - refused - gone
+        assert sum(self.caller.admission.waiting().values()) == len(waiting)
+
+    @invariant()
+    def no_slot_is_idle_while_short_work_waits(self):
+        admission = self.caller.admission
+        admission.tick()
+        if admission.waiting().get(SPARE):
+            assert admission.in_use().get(SPARE, 0) >= 1
+
+
+TestAdmissionMachine = AdmissionMachine.TestCase
+TestAdmissionMachine.settings = settings(max_examples=40, stateful_step_count=40)
--- /dev/null
+++ b/tests/coordination/test_slot.py
@@ -0,0 +1,126 @@
+import random
+from collections import Counter
+
+import pytest
+
+from gypsumplank.coordination.ejection import Ejector
+from gypsumplank.coordination.part import LEAVING_BOUND_S, Parts
+from gypsumplank.coordination.peer import MemoryPeers
+from gypsumplank.coordination.share import DemandTable
+from gypsumplank.coordination.slot import Slots
+from gypsumplank.errors import InvariantError
+from gypsumplank.state.clock import ManualClock
+from tests.coordination.fleet import host, make_view
+
+SERVICES = {"quotes": {"pool": "quotes"}}
+
+
+class Daemon:
+    def __init__(self, hosts, live=("d0",), max_daemons=8, zone="a"):
+        self.hosts = hosts
+        self.clock = ManualClock(100.0)
+        self.view = make_view(SERVICES, hosts=hosts)
+        self.leaving = frozenset()
+        demands = DemandTable("d0", MemoryPeers(), self.clock, lambda: live, dict)
+        self.ejector = Ejector(lambda: self.view, self.clock)
+        self.parts = Parts(
+            "d0",
+            lambda: self.view,
+            demands,
+            self.ejector,
+            lambda: self.leaving,
+            self.clock,
+            max_daemons,
+        )
+        self.slots = Slots(random.Random(7), zone, self.parts)
+        self.parts.tick()
+
+    def acquire(self, view=None):
+        view = view or self.view
+        return self.slots.acquire(view.hosts, view.serving_hosts("quotes"))
+
+    def assign(self, **states):
+        assignments = [(name, {"pool": "quotes", "state": state}) for name, state in states.items()]
+        self.view = make_view(SERVICES, hosts=self.hosts, assignments=assignments, revision=2)
+
+
+def two_zones():
+    return [host("near", "quotes", "a"), host("far", "quotes", "b")]
+
+
+def test_fills_all_slots_and_no_more():
+    daemon = Daemon(two_zones())
+    taken = [daemon.acquire() for _ in range(17)]
+    assert Counter(taken) == {"near": 8, "far": 8, None: 1}
+
+
+def test_prefers_its_own_zone_until_that_is_busier():
+    daemon = Daemon(two_zones())
+    assert [daemon.acquire() for _ in range(3)] == ["near"] * 3
+    assert "far" in [daemon.acquire() for _ in range(2)]
+
+
+def test_connections_of_all_daemons_stay_within_the_limit():
+    daemon = Daemon([host("h", "quotes", connections=20)], live=["d0"], max_daemons=7)
+    assert [daemon.acquire() for _ in range(3)] == ["h", "h", None]
+
+
+def test_more_live_daemons_than_expected_lower_the_cap():
+    live = [f"d{i}" for i in range(20)]
+    daemon = Daemon([host("h", "quotes")], live=live)
+    assert Counter(daemon.acquire() for _ in range(5)) == {"h": 3, None: 2}
+
+
+def test_daemon_without_a_part_may_still_start_one():
+    daemon = Daemon([host("h", "quotes", slots=1)], live=["d0", "d1"])
+    assert daemon.parts.parts(daemon.view.hosts, ("h",)) == {"h": 0}
+    assert daemon.parts.capacity(daemon.view, "quotes") == 1
+    assert daemon.acquire() == "h"
+
+
+def test_fast_failing_host_does_not_attract_work():
+    daemon = Daemon([host(f"h{i}", "quotes", "a") for i in range(4)])
+    daemon.ejector.record("h0", False)
+    daemon.ejector.record("h0", False)
+    held = Counter()
+    for _ in range(400):
+        name = daemon.acquire()
+        held[name] += 1
+        daemon.slots.release(name)
+    assert held["h0"] < 40
+
+
+@pytest.mark.parametrize("by", ["record", "membership"])
+def test_leaving_host_gets_no_new_work_even_by_an_old_view(by):
+    daemon = Daemon(two_zones())
+    old = daemon.view
+    if by == "record":
+        daemon.assign(near="draining")
+    else:
+        daemon.leaving = frozenset({"near"})
+    assert {daemon.acquire(old) for _ in range(9)} == {"far", None}
+
+
+def test_work_for_a_host_long_marked_is_an_invariant_error():
+    daemon = Daemon(two_zones())
+    daemon.leaving = frozenset({"near"})
+    daemon.parts.tick()
+    daemon.parts.check("near")
+    daemon.clock.advance(LEAVING_BOUND_S + 0.1)
+    with pytest.raises(InvariantError):
+        daemon.parts.check("near")
+
+
+def test_host_that_comes_back_starts_slowly():
+    daemon = Daemon(two_zones())
+    daemon.assign(near="out")
+    daemon.parts.tick()
+    daemon.view = make_view(SERVICES, hosts=daemon.hosts, revision=3)
+    daemon.parts.tick()
+    parts = daemon.parts.parts(daemon.view.hosts, ("near", "far"))
+    assert parts == {"near": 1, "far": 8}
+
+
+def test_release_without_acquire_is_an_invariant_error():
+    with pytest.raises(InvariantError):
+        Daemon(two_zones()).slots.release("near")
