--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -7,32 +7,43 @@
 import sys
 import threading
 import time
+from collections.abc import Mapping
 from pathlib import Path
 
 from opentelemetry.metrics import Observation
 
+from gypsumplank.coordination.admission import Admission, Limits
 from gypsumplank.coordination.control import Control
 from gypsumplank.coordination.dispatch import Dispatcher
+from gypsumplank.coordination.ejection import Ejector, JudgedEndpoints
 from gypsumplank.coordination.follower import Follower
 from gypsumplank.coordination.gate import Gate
 from gypsumplank.coordination.heartbeat import Heartbeat
+from gypsumplank.coordination.leaving import LeavingHosts
+from gypsumplank.coordination.part import Parts
+from gypsumplank.coordination.rollout import Own, Rollout
+from gypsumplank.coordination.share import DemandTable
 from gypsumplank.coordination.slot import Slots
-from gypsumplank.coordination.supervisor import Supervisor
+from gypsumplank.coordination.snapshot import Snapshots
+from gypsumplank.coordination.supervisor import Supervisor, make_step
 from gypsumplank.errors import SettingsError
 from gypsumplank.log import Event, event, set_up
 from gypsumplank.metrics import Metrics
+from gypsumplank.protocol.envelope import Opener, Sealer
 from gypsumplank.protocol.exchange import Reply, Request
 from gypsumplank.settings import Settings, load_settings
 from gypsumplank.state.clock import SystemClock
 from gypsumplank.state.config import ConfigStore
 from gypsumplank.state.session import Session, SessionStore
 from gypsumplank.state.validation import check_records
-from gypsumplank.state.view import ViewHolder
+from gypsumplank.state.view import View, ViewHolder
 from gypsumplank.transport.caller import CallerApp
 from gypsumplank.transport.endpoint import HttpEndpointClient
-from gypsumplank.transport.listener import Listener
+from gypsumplank.transport.listener import ClosingDispatcher, Listener
 from gypsumplank.transport.operator import OperatorApp
-from gypsumplank.transport.platform import HttpTable, PlatformClient
+from gypsumplank.transport.peer import PynngPeers
+from gypsumplank.transport.platform import HttpMembership, HttpTable, PlatformClient
+from gypsumplank.transport.queue import QueueingDispatcher
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
@@ -40,6 +51,10 @@
 OPERATOR_THREADS = 4
 OPERATOR_GRACE_S = 2.0
 ENDPOINT_CONNECTIONS = 64
+MICROSECONDS = 1_000_000
+MEMBERSHIP_POLL_S = 0.5
+PARTS_PERIOD_S = 0.2
+ADMISSION_PERIOD_S = 0.1
 
 logger = logging.getLogger("gypsumplank.daemon")
 
@@ -67,9 +82,11 @@
         self._gate = Gate()
         self._holder = ViewHolder()
         self._supervisor = Supervisor(self._clock)
-        self._slots = Slots(random.Random())
         self._metrics = self._make_metrics()
         self._make_state()
+        self._peers = self._make_peers()
+        self._make_distribution()
+        self._make_load()
         self._callers = self._make_callers()
         self._operators = self._make_operators()
         self._supervise()
@@ -79,7 +96,6 @@
         self._platform = PlatformClient(cfg.platform, cfg.platform_timeout_s)
         table = HttpTable(self._platform)
         self._store = ConfigStore(table, self._clock, (check_records,))
-        self._follower = Follower(self._store, self._holder)
         self._heartbeat = Heartbeat(
             SessionStore(table),
             self._clock,
@@ -88,30 +104,130 @@
             lambda: self._holder.current.revision,
         )
 
+    def _make_peers(self) -> PynngPeers:
+        cfg = self._cfg
+        count = self._metrics.count("gypsumplank.peer.drops", "Peer messages dropped, by reason")
+        monotonic = self._clock.monotonic
+        return PynngPeers(
+            cfg.id,
+            cfg.peers,
+            Sealer(cfg.peer_key, int(self._clock.wall() * MICROSECONDS)),
+            Opener(cfg.peer_key, cfg.id, monotonic),
+            lambda reason: count(1, {"reason": reason}),
+            monotonic,
+        )
+
+    def _make_distribution(self) -> None:
+        def revision() -> int:
+            return self._holder.current.revision
+
+        own = Own(lambda: self._heartbeat.session, revision, lambda: self._follower.caught_up)
+        self._rollout = Rollout(
+            own,
+            self._peers,
+            self._clock,
+            lambda: self._heartbeat.live,
+            lambda: self._supervisor.hurry("follower"),
+        )
+        self._follower = Follower(
+            self._store, self._holder, self._rollout.acknowledge, self._rollout.ahead
+        )
+        self._snapshots = Snapshots(
+            self._peers,
+            self._holder,
+            self._follower,
+            self._rollout,
+            self._clock,
+            lambda: self._heartbeat.session,
+            lambda: self._heartbeat.live,
+            self._cfg.lease_s,
+            random.Random(),
+        )
+
+    def _join_peers(self) -> None:
+        sessions = {session.id: session.peers for session in self._heartbeat.live}
+        self._peers.connect({**self._snapshots.addresses, **sessions}, self._cfg.peer_seeds)
+        self._rollout.tick()
+
+    def _make_load(self) -> None:
+        """Wire what decides when a request starts and at which host."""
+        cfg = self._cfg
+        self._leaving = LeavingHosts(HttpMembership(self._platform))
+        self._ejector = Ejector(self._view, self._clock)
+        self._demands = DemandTable(
+            cfg.id,
+            self._peers,
+            self._clock,
+            lambda: tuple(session.id for session in self._heartbeat.live),
+            self._demand,
+        )
+        self._parts = Parts(
+            cfg.id,
+            self._view,
+            self._demands,
+            self._ejector,
+            lambda: self._leaving.current,
+            self._clock,
+            cfg.daemons,
+        )
+        limits = Limits(cfg.threads, cfg.waiting)
+        self._admission = Admission(self._view, self._parts, self._clock, limits)
+        self._slots = Slots(random.Random(), cfg.zone, self._parts)
+        self._metrics.gauge(
+            "gypsumplank.requests.waiting",
+            "{request}",
+            "Requests that wait for a slot",
+            lambda: [
+                Observation(count, {"service": name})
+                for name, count in self._admission.waiting().items()
+            ],
+        )
+
+    def _demand(self) -> dict[str, int]:
+        return self._admission.demand()
+
+    def _view(self) -> View:
+        return self._holder.current
+
+    def _host_names(self) -> Mapping[str, str]:
+        return self._view().host_names
+
     def _make_callers(self) -> Listener:
         cfg = self._cfg
         self._endpoints = HttpEndpointClient(ENDPOINT_CONNECTIONS, cfg.connect_timeout_s)
-        dispatcher = Dispatcher(
-            lambda: self._holder.current, self._endpoints, self._slots, self._clock
-        )
+        judged = JudgedEndpoints(self._endpoints, self._ejector, self._host_names)
+        dispatcher = Dispatcher(self._view, judged, self._slots, self._clock)
         app = CallerApp(
             GatedCarrier(self._gate, dispatcher),
             lambda: self._holder.current.services,
             self._metrics.request,
         )
-        return Listener(app, cfg.callers, cfg.threads, cfg.max_body_bytes, "callers")
+        queue = QueueingDispatcher(cfg.threads, self._admission, lambda: self._view().services)
+        return Listener(app, cfg.callers, queue, cfg.max_body_bytes, "callers")
 
     def _make_operators(self) -> Listener:
         cfg = self._cfg
         control = Control(
-            self._store, self._holder, self._follower, self._heartbeat, self._slots, self._ready
+            self._store,
+            self._holder,
+            self._follower,
+            self._heartbeat,
+            self._slots,
+            self._ready,
+            self._rollout,
         )
         app = OperatorApp(control, self._metrics.render, cfg.tokens)
-        return Listener(app, cfg.operators, OPERATOR_THREADS, cfg.max_body_bytes, "operators")
+        threads = ClosingDispatcher(OPERATOR_THREADS)
+        return Listener(app, cfg.operators, threads, cfg.max_body_bytes, "operators")
 
     def _supervise(self) -> None:
         self._supervisor.add("follower", self._follower, self._cfg.poll_s)
         self._supervisor.add("heartbeat", self._heartbeat, self._cfg.heartbeat_s)
+        self._supervisor.add("peers", make_step(self._join_peers), self._cfg.heartbeat_s)
+        self._supervisor.add("snapshots", self._snapshots, self._cfg.heartbeat_s)
+        self._supervisor.add("leaving", self._leaving, MEMBERSHIP_POLL_S)
+        self._supervisor.add("parts", self._parts, PARTS_PERIOD_S)
+        self._supervisor.add("admission", self._admission, ADMISSION_PERIOD_S)
 
     def stop(self) -> None:
         """Ask the daemon to stop gracefully."""
@@ -120,6 +236,7 @@
     def run(self) -> int:
         """Serve until asked to stop; return the exit code."""
         self._operators.start()
+        self._peers.start()
         self._supervisor.start()
         self._callers.start()
         event(logger, Event.STARTED, daemon=self._cfg.id, callers=self._cfg.callers)
@@ -133,6 +250,7 @@
         idle = self._callers.close(self._cfg.grace_s)
         self._supervisor.stop()
         self._heartbeat.close()
+        self._peers.close()
         self._operators.close(OPERATOR_GRACE_S)
         self._endpoints.close()
         self._platform.close()
--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -22,13 +22,21 @@
     STOPPED = "stopped"
     CONFIG_IN_FORCE = "config-in-force"
     CONFIG_ACCEPTED = "config-accepted"
+    CONFIG_REVERSED = "config-reversed"
+    CONFIG_FROM_PEER = "config-from-peer"
     CONFIG_UNREADABLE = "config-unreadable"
     STATE_UNAVAILABLE = "state-unavailable"
+    SESSION_OPENED = "session-opened"
+    SESSION_LAPSED = "session-lapsed"
+    PEER_DROPPED = "peer-dropped"
+    PEER_FAILED = "peer-failed"
     REQUEST_FAILED = "request-failed"
     ACTOR_RESTARTED = "actor-restarted"
     ACTOR_FAILED = "actor-failed"
     AGENT_FAILED = "agent-failed"
     TASK_EVICTED = "task-evicted"
+    ENDPOINT_EJECTED = "endpoint-ejected"
+    ENDPOINT_RETURNED = "endpoint-returned"
 
 
 class LogfmtFormatter(JsonFormatter):
