--- /dev/null
+++ b/gypsumplank/coordination/submission.py
@@ -0,0 +1,81 @@
+"""Take tasks in from callers, list, cancel and wait for them."""
+
+import secrets
+import threading
+import time
+from collections.abc import Callable
+
+from gypsumplank.coordination.placement import impossible_reason, quota_of, room_of
+from gypsumplank.errors import RequestInvalidError, TaskImpossibleError
+from gypsumplank.protocol.task import FINAL_STATES, Task, TaskOrder
+from gypsumplank.state.clock import Clock
+from gypsumplank.state.task import TaskStore
+from gypsumplank.state.view import View
+
+ID_BYTES = 6
+WAIT_POLL_S = 0.25
+MAX_WAITERS = 16
+MAX_URGENCY = 7
+MAX_LISTED = 100
+
+
+class Submission:
+    """Serve callers' calls about tasks; each may raise StateError."""
+
+    def __init__(self, view: Callable[[], View], store: TaskStore, clock: Clock) -> None:
+        self._view = view
+        self._store = store
+        self._clock = clock
+        self._waiters = threading.BoundedSemaphore(MAX_WAITERS)
+
+    def submit(self, order: TaskOrder, key: str = "") -> Task:
+        """Queue a task; raise RequestInvalidError or TaskImpossibleError."""
+        view = self._view()
+        service = view.services.get(order.service)
+        if service is None:
+            raise RequestInvalidError(f"no service {order.service!r}")
+        _check_order(order)
+        rooms = [room_of(name, view.hosts[name]) for name in view.hosts_of(service.pool)]
+        reason = impossible_reason(order.size, rooms, quota_of(view.teams.get(order.team)))
+        if reason:
+            raise TaskImpossibleError(reason)
+        now = self._clock.wall()
+        task_id = f"{int(now * 1000):013d}-{secrets.token_hex(ID_BYTES)}"
+        return self._store.submit(Task(task_id, service.pool, order, now), key)
+
+    def get(self, task_id: str, wait_s: float = 0.0) -> Task:
+        """Return a task, after waiting for its end; raise TaskMissingError.
+
+        Where too many wait already, it is returned as it is now.
+        """
+        if wait_s <= 0 or not self._waiters.acquire(blocking=False):
+            return self._store.get(task_id).task
+        try:
+            return self._wait(task_id, self._clock.monotonic() + wait_s)
+        finally:
+            self._waiters.release()
+
+    def team(self, team: str, after: str = "") -> list[Task]:
+        """Return a page of a team's tasks, those after one id."""
+        return self._store.team(team, after, MAX_LISTED)
+
+    def cancel(self, task_id: str) -> Task:
+        """Cancel a task unless it has ended; raise TaskMissingError."""
+        return self._store.cancel(task_id)
+
+    def _wait(self, task_id: str, until: float) -> Task:
+        while True:
+            task = self._store.get(task_id).task
+            if task.state in FINAL_STATES or self._clock.monotonic() >= until:
+                return task
+            time.sleep(WAIT_POLL_S)
+
+
+def _check_order(order: TaskOrder) -> None:
+    size = order.size
+    if min(size.cores, size.memory_gb, size.accelerators, order.run_s) < 0:
+        raise RequestInvalidError("size and run_s must not be negative")
+    if not 0 <= order.urgency <= MAX_URGENCY:
+        raise RequestInvalidError(f"urgency must be 0 to {MAX_URGENCY}")
+    if "/" in order.team:
+        raise RequestInvalidError("team must not hold a slash")
--- a/gypsumplank/coordination/taskpool.py
+++ b/gypsumplank/coordination/taskpool.py
@@ -145,7 +145,7 @@
         contact.due = min(contact.due, now + RENEW_S)
         start = Start(task.id, task.token, LEASE_S, task.order, task.checkpoint)
         try:
-            self._agents.start(spec.address, start)
+            self._agents.start(spec.agent_address, start)
         except AgentFencedError:
             self.rescan_soon()
         except AgentError as exc:
@@ -153,7 +153,7 @@
 
     def evict(self, view: View, eviction: Eviction) -> None:
         """Tell an attempt to make room."""
-        task, address = eviction.task, view.hosts[eviction.task.host].address
+        task, address = eviction.task, view.hosts[eviction.task.host].agent_address
         event(logger, Event.TASK_EVICTED, task=task.id, host=task.host, how=eviction.how.value)
         try:
             if eviction.how is Yield.THROTTLE:
@@ -246,7 +246,7 @@
             contact.renewed_at = now
         renewal = Renewal(LEASE_S, tokens if contact.renewing else {}, self._settled(host, tokens))
         try:
-            reports = self._agents.renew(view.hosts[host].address, renewal)
+            reports = self._agents.renew(view.hosts[host].agent_address, renewal)
         except AgentError as exc:
             contact.missed += 1
             _log_agent(host, exc)
--- a/gypsumplank/errors.py
+++ b/gypsumplank/errors.py
@@ -209,7 +209,6 @@
     code = "endpoint-answer"
 
 
-<<<<<<< HEAD
 class TaskMissingError(GypsumplankError):
     """No task of this id is known."""
 
@@ -236,7 +235,8 @@
 
     code = "agent-fenced"
     status = 409
-=======
+
+
 class PeerError(GypsumplankError):
     """A message between daemons is not acceptable and was dropped."""
 
@@ -271,4 +271,3 @@
     """The message exceeds the size limit."""
 
     code = "peer-too-large"
->>>>>>> main
--- a/gypsumplank/protocol/spec.py
+++ b/gypsumplank/protocol/spec.py
@@ -73,6 +73,12 @@
     cores: Count = 1
     memory_gb: Count = 1
     accelerators: Count = 0
+    agent: str = ""
+
+    @property
+    def agent_address(self) -> str:
+        """Return the address of the agent that runs tasks on this host."""
+        return self.agent or self.address
 
 
 class AssignmentState(StrEnum):
--- /dev/null
+++ b/gypsumplank/transport/agent.py
@@ -0,0 +1,72 @@
+"""Drive the agents on workers over HTTP."""
+
+from typing import Any
+
+import msgspec
+import urllib3
+from urllib3.exceptions import HTTPError
+
+from gypsumplank.errors import AgentError, AgentFencedError
+from gypsumplank.protocol.agent import (
+    PATH_CHECKPOINT,
+    PATH_RENEW,
+    PATH_START,
+    PATH_STOP,
+    PATH_THROTTLE,
+    STATUS_FENCED,
+    AttemptRef,
+)
+from gypsumplank.protocol.task import Renewal, Report, Start
+
+STATUS_OK = 200
+POOLS = 512
+CONNECTIONS = 2
+
+
+class HttpAgents:
+    """Reach each worker's agent; calls are short and never tried again."""
+
+    def __init__(self, timeout_s: float) -> None:
+        self._pools = urllib3.PoolManager(
+            POOLS, maxsize=CONNECTIONS, retries=False, timeout=timeout_s
+        )
+
+    def start(self, address: str, start: Start) -> None:
+        """Run a task."""
+        self._call(address, PATH_START, start)
+
+    def renew(self, address: str, renewal: Renewal) -> tuple[Report, ...]:
+        """Renew leases and return what the worker has."""
+        raw = self._call(address, PATH_RENEW, renewal)
+        try:
+            return msgspec.json.decode(raw, type=tuple[Report, ...])
+        except msgspec.MsgspecError as exc:
+            raise AgentError(f"malformed answer: {exc}") from exc
+
+    def throttle(self, address: str, task: str, token: int) -> None:
+        """Give an attempt fewer cores."""
+        self._call(address, PATH_THROTTLE, AttemptRef(task, token))
+
+    def checkpoint(self, address: str, task: str, token: int) -> None:
+        """Save an attempt's progress and end it."""
+        self._call(address, PATH_CHECKPOINT, AttemptRef(task, token))
+
+    def stop(self, address: str, task: str, token: int) -> None:
+        """End an attempt."""
+        self._call(address, PATH_STOP, AttemptRef(task, token))
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        self._pools.clear()
+
+    def _call(self, address: str, path: str, body: Any) -> bytes:
+        url = f"http://{address}{path}"
+        try:
+            resp = self._pools.request("POST", url, body=msgspec.json.encode(body))
+        except HTTPError as exc:
+            raise AgentError(str(exc)) from exc
+        if resp.status == STATUS_FENCED:
+            raise AgentFencedError(resp.data.decode(errors="replace"))
+        if resp.status != STATUS_OK:
+            raise AgentError(f"status {resp.status}")
+        return resp.data
