Bound each exchange with an endpoint by one deadline

Cause: urllib3's read timeout is per socket operation, so a trickling endpoint could exceed the deadline; an over-long, crossed or unframed answer was taken or its connection kept; a method or header that HTTP cannot express escaped carry() as ValueError. Change: DeadlineSocket shares one timeout among all operations, tells whether a byte left and whether more came than the answer; answers without a length are errors; a crossed connection is closed. A break before the first byte is endpoint-unsent (not-run); after it, unknown.

--- a/gypsumplank/coordination/outcome.py
+++ b/gypsumplank/coordination/outcome.py
@@ -9,6 +9,7 @@
     EndpointError,
     EndpointResetError,
     EndpointTimeoutError,
+    EndpointUnsentError,
 )
 from gypsumplank.protocol.exchange import Outcome
 
@@ -24,6 +25,7 @@
 
 VERDICTS: Mapping[type[EndpointError], Verdict] = {
     EndpointConnectError: Verdict(Outcome.NOT_RUN, retry_any=True, retry_idempotent=True),
+    EndpointUnsentError: Verdict(Outcome.NOT_RUN, retry_any=True, retry_idempotent=True),
     EndpointResetError: Verdict(Outcome.UNKNOWN, retry_any=False, retry_idempotent=True),
     EndpointTimeoutError: Verdict(Outcome.UNKNOWN, retry_any=False, retry_idempotent=False),
     EndpointAnswerError: Verdict(Outcome.UNKNOWN, retry_any=False, retry_idempotent=True),
--- a/gypsumplank/errors.py
+++ b/gypsumplank/errors.py
@@ -157,6 +157,12 @@
     code = "endpoint-connect"
 
 
+class EndpointUnsentError(EndpointError):
+    """The connection broke before a byte of the request left."""
+
+    code = "endpoint-unsent"
+
+
 class EndpointResetError(EndpointError):
     """The connection broke after the request may have been sent."""
 
--- a/gypsumplank/transport/caller.py
+++ b/gypsumplank/transport/caller.py
@@ -25,6 +25,7 @@
 
 MAX_ID_LENGTH = 128
 REPLACED = frozenset({"content-length", "x-request-id"})
+BODILESS_STATUSES = frozenset({204, 304})
 PHRASES = {status.value: f"{status.value} {status.phrase}" for status in HTTPStatus}
 
 Measure = Callable[[str, str, float], None]
@@ -61,7 +62,7 @@
         outcome = Outcome.FINISHED if isinstance(reply, Answer) else reply.outcome
         self._measure(service if spec else "", outcome.value, time.monotonic() - started)
         status, fields, body = _http_answer(reply)
-        fields += [(HEADER_REQUEST_ID, request_id), ("Content-Length", str(len(body)))]
+        fields += [(HEADER_REQUEST_ID, request_id), *_length(environ, reply, status, body)]
         start(PHRASES.get(status, f"{status} Unassigned"), fields)
         return (body,)
 
@@ -110,6 +111,16 @@
     return f"/{rest}"
 
 
+def _length(
+    environ: Mapping[str, Any], reply: Reply, status: int, body: bytes
+) -> list[tuple[str, str]]:
+    """Return the length field; an answer without a body keeps the length the endpoint gave."""
+    bodiless = environ["REQUEST_METHOD"] == "HEAD" or status in BODILESS_STATUSES
+    if bodiless and isinstance(reply, Answer):
+        return [(name, value) for name, value in reply.headers if name.lower() == "content-length"]
+    return [("Content-Length", str(len(body)))]
+
+
 def _http_answer(reply: Reply) -> tuple[int, list[tuple[str, str]], bytes]:
     if isinstance(reply, Answer):
         headers = [(name, value) for name, value in reply.headers if name.lower() not in REPLACED]
--- a/gypsumplank/transport/endpoint.py
+++ b/gypsumplank/transport/endpoint.py
@@ -1,17 +1,18 @@
 """Send requests to endpoints over HTTP."""
 
 import threading
+from typing import cast
 
 import urllib3
 from urllib3.exceptions import (
     ConnectTimeoutError,
     HTTPError,
-    IncompleteRead,
-    InvalidHeader,
+    LocationValueError,
     NewConnectionError,
     ProtocolError,
     ReadTimeoutError,
 )
+from urllib3.response import BaseHTTPResponse
 
 from gypsumplank.errors import (
     EndpointAnswerError,
@@ -19,9 +20,22 @@
     EndpointError,
     EndpointResetError,
     EndpointTimeoutError,
+    EndpointUnsentError,
+    GypsumplankError,
+    RequestInvalidError,
 )
 from gypsumplank.protocol.exchange import HEADER_REQUEST_ID, Answer, Request
 from gypsumplank.protocol.header import end_to_end
+from gypsumplank.transport.connection import DeadlineConnection, UnsentError
+
+METHOD_HEAD = "HEAD"
+BODILESS_STATUSES = frozenset({204, 304})
+
+
+class DeadlinePool(urllib3.HTTPConnectionPool):
+    """Keep connections whose exchanges are bounded by one deadline."""
+
+    ConnectionCls = DeadlineConnection
 
 
 class HttpEndpointClient:
@@ -31,60 +45,93 @@
         self._connections = connections
         self._connect_timeout_s = connect_timeout_s
         self._lock = threading.Lock()
-        self._pools: dict[str, urllib3.HTTPConnectionPool] = {}
+        self._pools: dict[str, DeadlinePool] = {}
 
     def send(self, address: str, req: Request, timeout_s: float) -> Answer:
-        """Return the endpoint's whole answer; raise EndpointError."""
+        """Return the endpoint's whole answer within the timeout, in seconds.
+
+        Raise EndpointError, or RequestInvalidError where nothing was sent.
+        """
         pool = self._pools.get(address) or self._open(address)
-        connect_s = min(self._connect_timeout_s, timeout_s)
         try:
-            resp = pool.urlopen(
-                req.method,
-                req.target,
-                body=req.body,
-                headers={**req.headers, HEADER_REQUEST_ID: req.id},
-                retries=False,
-                redirect=False,
-                assert_same_host=False,
-                timeout=urllib3.Timeout(connect=connect_s, read=timeout_s),
-                decode_content=False,
-            )
+            return _exchange(pool, req, timeout_s)
+        except GypsumplankError:
+            raise
+        except LocationValueError as exc:
+            raise RequestInvalidError(str(exc)) from exc
         except HTTPError as exc:
             raise _error_of(exc) from exc
-        _check_identity(resp, req)
-        headers = end_to_end(tuple(resp.headers.items()))
-        return Answer(resp.status, headers, resp.data)
+        except Exception as exc:
+            raise EndpointResetError(f"{type(exc).__name__}: {exc}") from exc
 
     def close(self) -> None:
         """Close all idle connections."""
         for pool in self._pools.values():
             pool.close()
 
-    def _open(self, address: str) -> urllib3.HTTPConnectionPool:
+    def _open(self, address: str) -> DeadlinePool:
         with self._lock:
             if address not in self._pools:
                 host, _, port = address.rpartition(":")
-                self._pools[address] = urllib3.HTTPConnectionPool(
-                    host, int(port), maxsize=self._connections
+                self._pools[address] = DeadlinePool(
+                    host,
+                    int(port),
+                    maxsize=self._connections,
+                    connect_timeout_s=self._connect_timeout_s,
                 )
             return self._pools[address]
 
 
-def _check_identity(resp: urllib3.BaseHTTPResponse, req: Request) -> None:
+def _exchange(pool: DeadlinePool, req: Request, timeout_s: float) -> Answer:
+    resp = pool.urlopen(
+        req.method,
+        req.target,
+        body=req.body or None,
+        headers={**req.headers, HEADER_REQUEST_ID: req.id},
+        retries=False,
+        redirect=False,
+        assert_same_host=False,
+        timeout=urllib3.Timeout(total=timeout_s),
+        preload_content=False,
+        decode_content=False,
+    )
+    conn = cast(DeadlineConnection, resp.connection)
+    try:
+        _check_identity(resp, req)
+        _check_framing(cast(urllib3.HTTPResponse, resp), req)
+    except EndpointAnswerError:
+        conn.close()
+        resp.release_conn()
+        raise
+    exchange = conn.exchange
+    body = resp.read(decode_content=False)
+    if exchange is None or exchange.surplus:
+        raise EndpointAnswerError("more bytes came than the answer's length")
+    return Answer(resp.status, end_to_end(tuple(resp.headers.items())), body)
+
+
+def _check_identity(resp: BaseHTTPResponse, req: Request) -> None:
     echoed = resp.headers.get(HEADER_REQUEST_ID, req.id)
     if echoed != req.id:
         raise EndpointAnswerError(f"the answer belongs to request {echoed!r}")
 
 
+def _check_framing(resp: urllib3.HTTPResponse, req: Request) -> None:
+    """Refuse a body that ends with the connection: whether it is whole cannot be told."""
+    bodiless = req.method == METHOD_HEAD or resp.status in BODILESS_STATUSES
+    if not bodiless and not resp.chunked and resp.length_remaining is None:
+        raise EndpointAnswerError("the answer states no length")
+
+
 def _error_of(exc: HTTPError) -> EndpointError:
     match exc:
         case NewConnectionError() | ConnectTimeoutError():
             return EndpointConnectError(str(exc))
-        case ReadTimeoutError():
+        case ProtocolError(args=(_, UnsentError())):
+            return EndpointUnsentError(str(exc))
+        case ReadTimeoutError() | ProtocolError(args=(_, TimeoutError())):
             return EndpointTimeoutError(str(exc))
-        case ProtocolError(args=(_, IncompleteRead())):
-            return EndpointAnswerError(str(exc))
-        case IncompleteRead() | InvalidHeader():
-            return EndpointAnswerError(str(exc))
-        case _:
+        case ProtocolError(args=(_, OSError())):
             return EndpointResetError(str(exc))
+        case _:
+            return EndpointAnswerError(str(exc))
