Retry on other hosts within a budget and the deadline

Cause: a retry could go to the host that had just failed, without a pause or bound on its share of traffic; an unexpected exception escaped carry(); a request with an idempotency key and an idempotent method was sent again after a byte had left.

--- a/gypsumplank/coordination/outcome.py
+++ b/gypsumplank/coordination/outcome.py
@@ -4,14 +4,21 @@
 from dataclasses import dataclass
 
 from gypsumplank.errors import (
+    DeadlinePassedError,
     EndpointAnswerError,
     EndpointConnectError,
-    EndpointError,
     EndpointResetError,
     EndpointTimeoutError,
     EndpointUnsentError,
+    GypsumplankError,
+    LateAnswerError,
+    LeaseLostError,
+    RequestInvalidError,
 )
-from gypsumplank.protocol.exchange import Outcome
+from gypsumplank.protocol.exchange import Outcome, Refusal, Request
+from gypsumplank.protocol.spec import ServiceSpec
+
+RETRY_AFTER_S = 1
 
 
 @dataclass(frozen=True)
@@ -23,18 +30,42 @@
     retry_idempotent: bool
 
 
-VERDICTS: Mapping[type[EndpointError], Verdict] = {
-    EndpointConnectError: Verdict(Outcome.NOT_RUN, retry_any=True, retry_idempotent=True),
-    EndpointUnsentError: Verdict(Outcome.NOT_RUN, retry_any=True, retry_idempotent=True),
-    EndpointResetError: Verdict(Outcome.UNKNOWN, retry_any=False, retry_idempotent=True),
-    EndpointTimeoutError: Verdict(Outcome.UNKNOWN, retry_any=False, retry_idempotent=False),
-    EndpointAnswerError: Verdict(Outcome.UNKNOWN, retry_any=False, retry_idempotent=True),
+NOT_SENT = Verdict(Outcome.NOT_RUN, retry_any=True, retry_idempotent=True)
+NOT_SENT_FINAL = Verdict(Outcome.NOT_RUN, retry_any=False, retry_idempotent=False)
+MAY_HAVE_RUN = Verdict(Outcome.UNKNOWN, retry_any=False, retry_idempotent=True)
+MAY_HAVE_RUN_FINAL = Verdict(Outcome.UNKNOWN, retry_any=False, retry_idempotent=False)
+
+VERDICTS: Mapping[type[Exception], Verdict] = {
+    EndpointConnectError: NOT_SENT,
+    EndpointUnsentError: NOT_SENT,
+    EndpointResetError: MAY_HAVE_RUN,
+    EndpointAnswerError: MAY_HAVE_RUN,
+    EndpointTimeoutError: MAY_HAVE_RUN_FINAL,
+    LateAnswerError: MAY_HAVE_RUN_FINAL,
+    DeadlinePassedError: NOT_SENT_FINAL,
+    LeaseLostError: NOT_SENT_FINAL,
+    RequestInvalidError: NOT_SENT_FINAL,
 }
 
 
-def verdict_of(exc: EndpointError) -> Verdict:
-    """Return the verdict on an endpoint's failure."""
-    return VERDICTS[type(exc)]
+def verdict_of(exc: Exception) -> Verdict:
+    """Return the verdict on a failed try; what is not in the table may have run."""
+    return VERDICTS.get(type(exc), MAY_HAVE_RUN_FINAL)
+
+
+def may_retry(exc: Exception, req: Request, service: ServiceSpec) -> bool:
+    """Tell whether another try is safe; with an idempotency key only if nothing was sent."""
+    verdict = verdict_of(exc)
+    idempotent = not req.idempotency_key and (req.idempotent or service.idempotent)
+    return verdict.retry_any or (idempotent and verdict.retry_idempotent)
+
+
+def refusal_of(exc: Exception, outcome: Outcome | None = None) -> Refusal:
+    """Return what the caller is told, with the outcome of all tries or of this one alone."""
+    error = exc if isinstance(exc, GypsumplankError) else GypsumplankError(type(exc).__name__)
+    told = outcome or verdict_of(exc).outcome
+    retry_after_s = 0 if isinstance(exc, RequestInvalidError) else RETRY_AFTER_S
+    return Refusal(error.code, told, error.status, error.detail, retry_after_s)
 
 
 def worse_of(one: Outcome, other: Outcome) -> Outcome:
--- a/gypsumplank/errors.py
+++ b/gypsumplank/errors.py
@@ -243,3 +243,59 @@
     """The message exceeds the size limit."""
 
     code = "peer-too-large"
+
+
+class DeadlinePassedError(EndpointError):
+    """The request's deadline passed before it was sent."""
+
+    code = "deadline-passed"
+    status = 504
+
+
+class LateAnswerError(EndpointError):
+    """The endpoint's answer came after the request's deadline."""
+
+    code = "answer-late"
+    status = 504
+
+
+class LeaseLostError(EndpointError):
+    """This daemon's lease lapsed between the claim and the dispatch; nothing was sent."""
+
+    code = "lease-lost"
+    status = 503
+
+
+class KeyReusedError(GypsumplankError):
+    """The idempotency key was used with another method, target or body."""
+
+    code = "idempotency-key-reused"
+    status = 422
+
+
+class KeyInUseError(GypsumplankError):
+    """The first request with this idempotency key is still in flight."""
+
+    code = "idempotency-key-in-use"
+    status = 409
+
+
+class ClaimAbandonedError(GypsumplankError):
+    """The first request with this idempotency key was lost with its daemon; it may have run."""
+
+    code = "claim-abandoned"
+    status = 504
+
+
+class ClaimUnavailableError(GypsumplankError):
+    """The claim of an idempotency key could not be stored; the request was not sent."""
+
+    code = "claim-unavailable"
+    status = 503
+
+
+class AnswerNotKeptError(GypsumplankError):
+    """The request finished, but its answer was too large to be kept for a repeat."""
+
+    code = "answer-not-kept"
+    status = 502
--- a/tests/coordination/test_dispatch.py
+++ b/tests/coordination/test_dispatch.py
@@ -1,15 +1,18 @@
 import random
+from dataclasses import replace
 
 import pytest
 
 from gypsumplank.coordination.dispatch import Dispatcher
 from gypsumplank.coordination.endpoint import MemoryEndpointClient
+from gypsumplank.coordination.retry import RetryBudget, RetryPolicy
 from gypsumplank.coordination.slot import Slots
 from gypsumplank.errors import (
     EndpointAnswerError,
     EndpointConnectError,
     EndpointResetError,
     EndpointTimeoutError,
+    EndpointUnsentError,
 )
 from gypsumplank.protocol.exchange import Answer, Outcome, Request
 from gypsumplank.protocol.record import Kind, Record
@@ -33,10 +36,11 @@
 OK = Answer(200, (), b"ok")
 
 
-def dispatcher(answer):
+def dispatcher(answer, clock=None, view=lambda: VIEW):
     client = MemoryEndpointClient(answer)
     slots = Slots(random.Random(1))
-    return Dispatcher(lambda: VIEW, client, slots, ManualClock()), client, slots
+    retry = RetryPolicy(RetryBudget(), random.Random(1), lambda seconds: None)
+    return Dispatcher(view, client, slots, clock or ManualClock(), retry), client, slots
 
 
 def req(method="POST", service="quotes", deadline=5.0):
@@ -61,6 +65,8 @@
     [
         (EndpointConnectError, "POST", Outcome.NOT_RUN, 3),
         (EndpointConnectError, "GET", Outcome.NOT_RUN, 3),
+        (EndpointUnsentError, "POST", Outcome.NOT_RUN, 3),
+        (EndpointUnsentError, "GET", Outcome.NOT_RUN, 3),
         (EndpointResetError, "POST", Outcome.UNKNOWN, 1),
         (EndpointResetError, "GET", Outcome.UNKNOWN, 3),
         (EndpointTimeoutError, "POST", Outcome.UNKNOWN, 1),
@@ -93,3 +99,73 @@
     assert carrier.carry(req(service="nothing")).outcome is Outcome.NOT_RUN
     assert carrier.carry(req(deadline=-1.0)).outcome is Outcome.NOT_RUN
     assert client.sent == []
+
+
+def test_each_try_goes_to_another_host():
+    carrier, client, _ = dispatcher(failing(EndpointConnectError()))
+    carrier.carry(req())
+    assert len({address for address, _ in client.sent}) == len(client.sent) == 3
+
+
+@pytest.mark.parametrize("error", [RuntimeError("x"), KeyError("x"), OSError("x")])
+def test_unexpected_exceptions_become_refusals(error):
+    carrier, client, slots = dispatcher(failing(error))
+    reply = carrier.carry(req("GET"))
+    assert (reply.code, reply.outcome) == ("internal", Outcome.UNKNOWN)
+    assert len(client.sent) == 1
+    assert slots.in_flight() == {}
+
+
+def test_request_with_key_is_retried_only_if_unsent():
+    for error, tries in ((EndpointResetError, 1), (EndpointUnsentError, 3)):
+        carrier, client, _ = dispatcher(failing(error()))
+        carrier.carry(replace(req("PUT"), idempotency_key="k"))
+        assert len(client.sent) == tries
+
+
+def test_answer_after_the_deadline_is_unknown():
+    clock = ManualClock()
+
+    def answer(address, request):
+        clock.advance(6.0)
+        return OK
+
+    carrier, _, _ = dispatcher(answer, clock)
+    reply = carrier.carry(req())
+    assert (reply.code, reply.outcome) == ("answer-late", Outcome.UNKNOWN)
+
+
+def test_deadline_passed_while_waiting_for_a_slot_is_not_run():
+    clock = ManualClock()
+    carrier, client, slots = dispatcher(lambda address, request: OK, clock)
+    acquire = slots.acquire
+
+    def slow(hosts, names):
+        clock.advance(6.0)
+        return acquire(hosts, names)
+
+    slots.acquire = slow
+    reply = carrier.carry(req())
+    assert (reply.code, reply.outcome) == ("deadline-passed", Outcome.NOT_RUN)
+    assert client.sent == []
+    assert slots.in_flight() == {}
+
+
+def test_guard_holds_before_every_try():
+    carrier, client, _ = dispatcher(failing(EndpointConnectError()))
+    held = iter([True, False])
+    reply = carrier.send(req(), lambda: next(held))
+    assert (reply.code, reply.outcome) == ("lease-lost", Outcome.NOT_RUN)
+    assert len(client.sent) == 1
+
+
+def test_retry_follows_the_newest_view():
+    views = [VIEW]
+
+    def answer(address, request):
+        views.append(build_view(2, [rec for rec in RECORDS if rec.kind is not Kind.HOST]))
+        raise EndpointConnectError
+
+    carrier, client, _ = dispatcher(answer, view=lambda: views[-1])
+    assert carrier.carry(req()).outcome is Outcome.NOT_RUN
+    assert len(client.sent) == 1
