Test distribution, sessions and roles, alone and on real daemons

Change: fault cases for lapse by row and not by wall time, lost answers, outage starts, daemons ahead of the store; real daemons paused, killed and started during an outage; every operators' path by role; the callers' listener.

--- /dev/null
+++ b/tests/coordination/test_follower.py
@@ -0,0 +1,102 @@
+from concurrent.futures import ThreadPoolExecutor
+
+from gypsumplank.coordination.follower import Follower
+from gypsumplank.errors import StateUnavailableError
+from gypsumplank.protocol.record import Kind, Record
+from gypsumplank.state.clock import ManualClock
+from gypsumplank.state.config import Change, ConfigStore
+from gypsumplank.state.table import MemoryTable
+from gypsumplank.state.view import ViewHolder, build_view
+
+
+def pool(name="p", schema=2, **spec):
+    return Record(Kind.POOL, name, schema, spec)
+
+
+class OutTable(MemoryTable):
+    out = False
+
+    def get(self, table, key):
+        if self.out:
+            raise StateUnavailableError
+        return super().get(table, key)
+
+
+def test_change_is_put_in_force_and_announced():
+    store, holder, told = ConfigStore(MemoryTable(), ManualClock()), ViewHolder(), []
+    follower = Follower(store, holder, told.append)
+    store.accept(Change("a", (pool(),)))
+    follower.tick()
+    follower.tick()
+    assert holder.current.revision == 1
+    assert told == [1]
+    assert follower.caught_up
+
+
+def test_outage_keeps_what_is_in_force():
+    table, holder = OutTable(), ViewHolder()
+    store = ConfigStore(table, ManualClock())
+    follower = Follower(store, holder)
+    store.accept(Change("a", (pool(),)))
+    follower.tick()
+    table.out = True
+    follower.tick()
+    assert holder.current.revision == 1
+    assert not follower.reachable
+    assert follower.caught_up
+
+
+def test_daemon_ahead_of_the_store_is_never_passed_over(caplog):
+    store, holder = ConfigStore(MemoryTable(), ManualClock()), ViewHolder()
+    follower = Follower(store, holder, ahead=lambda: 4)
+    store.accept(Change("a", (pool(),)))
+    follower.tick()
+    assert not follower.caught_up
+    assert holder.current.revision == 0
+    assert "config-reversed" in caplog.text
+
+
+def test_store_that_went_back_never_reverts_what_is_in_force(caplog):
+    holder = ViewHolder()
+    follower = Follower(ConfigStore(MemoryTable(), ManualClock()), holder)
+    assert follower.adopt(build_view(3, (pool(),)))
+    follower.tick()
+    assert holder.current.revision == 3
+    assert not follower.caught_up
+    assert "config-reversed" in caplog.text
+
+
+def test_older_view_of_a_peer_is_not_adopted():
+    holder = ViewHolder()
+    follower = Follower(ConfigStore(MemoryTable(), ManualClock()), holder)
+    assert follower.adopt(build_view(3, ()))
+    assert not follower.adopt(build_view(3, (pool(),)))
+    assert not follower.adopt(build_view(2, (pool(),)))
+    assert holder.current.records == {}
+
+
+def test_unreadable_record_is_told_once(caplog):
+    store, holder = ConfigStore(MemoryTable(), ManualClock()), ViewHolder()
+    follower = Follower(store, holder)
+    store.accept(Change("a", (pool(spare=True),)))
+    follower.tick()
+    store.accept(Change("b", (pool(schema=9),)))
+    follower.tick()
+    store.accept(Change("c", (pool("q"),)))
+    follower.tick()
+    assert holder.current.pools["p"].spare
+    assert caplog.text.count("config-unreadable") == 1
+
+
+def test_pulls_from_many_threads_only_rise():
+    store, holder, told = ConfigStore(MemoryTable(), ManualClock()), ViewHolder(), []
+    follower = Follower(store, holder, told.append)
+
+    def work(number):
+        store.accept(Change(f"op-{number}", (pool(f"p{number}"),)))
+        follower.tick()
+
+    with ThreadPoolExecutor(16) as executor:
+        list(executor.map(work, range(100)))
+    assert told == sorted(set(told))
+    assert holder.current.revision == 100
--- /dev/null
+++ b/tests/coordination/test_rollout.py
@@ -0,0 +1,64 @@
+from gypsumplank.coordination.peer import MemoryPeers
+from gypsumplank.coordination.rollout import CONTACT_S, Own, Rollout
+from gypsumplank.protocol.peer import Hello, Hint, InForce
+from gypsumplank.state.clock import ManualClock
+from gypsumplank.state.session import Session
+
+
+def session(name, epoch=1, revision=0):
+    return Session(name, epoch, "z", "", "", "", revision, 0.0)
+
+
+class Node:
+    """Hold one daemon's rollout over peers in memory."""
+
+    def __init__(self, name, live=()):
+        self.peers, self.clock, self.live = MemoryPeers(name), ManualClock(), live
+        self.revision, self.hurried = 0, 0
+        own = Own(lambda: session(name), lambda: self.revision, lambda: True)
+        self.rollout = Rollout(own, self.peers, self.clock, lambda: self.live, self.hurry)
+
+    def hurry(self):
+        self.hurried += 1
+
+
+def test_newer_revision_makes_a_daemon_pull():
+    node = Node("a")
+    node.revision = 5
+    for message, pulls in (
+        (Hint("b", 1, 5), 0),
+        (Hint("b", 1, 6), 1),
+        (InForce("b", 1, 6), 2),
+        (Hello("b", 1, "", 6, True), 3),
+        (Hello("b", 1, "", 5, True), 3),
+    ):
+        node.peers.deliver(message)
+        assert node.hurried == pulls
+
+
+def test_revisions_are_the_newest_of_session_and_message():
+    node = Node("a", (session("a"), session("b", 1, 4), session("c", 2, 3)))
+    node.revision = 5
+    node.peers.deliver(InForce("b", 1, 5))
+    node.peers.deliver(InForce("c", 1, 5))
+    assert node.rollout.revisions() == {"a": 5, "b": 5, "c": 3}
+
+
+def test_contact_ahead_counts_until_it_is_silent():
+    node = Node("a")
+    node.peers.deliver(InForce("b", 1, 9))
+    assert node.rollout.ahead() == 9
+    node.clock.advance(CONTACT_S)
+    assert node.rollout.ahead() == 0
+
+
+def test_messages_reach_the_other_daemons():
+    one, two = Node("a"), Node("b")
+    one.peers.join(two.peers)
+    one.rollout.hint(3)
+    assert two.hurried == 1
+    one.revision = 3
+    one.rollout.acknowledge(3)
+    one.rollout.tick()
+    assert two.rollout.contacts()["a"].revision == 3
+    assert two.rollout.contacts()["a"].caught_up
--- /dev/null
+++ b/tests/test_distribution.py
@@ -0,0 +1,136 @@
+"""Drive the distribution of configuration over real daemons on loopback."""
+
+import json
+import signal
+import time
+
+import pytest
+import urllib3
+
+from demo.cluster import post
+from gypsumplank import cli, porcelain, porcelain_config
+from gypsumplank.porcelain import Server
+
+pytestmark = pytest.mark.process
+
+NAMES = ("entry-0", "entry-1", "entry-2")
+WAIT_S = 30.0
+
+
+@pytest.fixture
+def fleet(cluster):
+    cluster.start_platform()
+    for name in NAMES:
+        cluster.start_daemon(name, "kochi-a")
+    wait_for(lambda: all(len(server(cluster, name).daemons) == 3 for name in NAMES))
+    return cluster
+
+
+def server(cluster, name):
+    return porcelain.status(Server(cluster.operators(name)))
+
+
+def wait_for(condition):
+    until = time.monotonic() + WAIT_S
+    while not condition():
+        assert time.monotonic() < until
+        time.sleep(0.05)
+
+
+def write_pools(folder, *names, schema=2, **spec):
+    path = folder / "pools.json"
+    records = [{"kind": "pool", "name": name, "schema": schema, "spec": spec} for name in names]
+    path.write_text(json.dumps(records), encoding="utf-8")
+    return path
+
+
+def run(cluster, *args, name="entry-0"):
+    return cli.main(["--server", cluster.operators(name), *map(str, args)])
+
+
+def test_wait_returns_when_in_force_and_names_who_is_behind(fleet, tmp_path, capsys):
+    assert run(fleet, "apply", "--wait", "20", write_pools(tmp_path, "a")) == cli.EXIT_OK
+    assert "in force at entry-0, entry-1, entry-2" in capsys.readouterr().err
+    fleet.signal("entry-2", signal.SIGSTOP)
+    code = run(fleet, "apply", "--wait", "1", write_pools(tmp_path, "b"))
+    assert code == cli.EXIT_NOT_IN_FORCE
+    assert "accepted but not in force at entry-2" in capsys.readouterr().err
+    fleet.signal("entry-2", signal.SIGCONT)
+    wait_for(lambda: server(fleet, "entry-2").revision == 2)
+    found = porcelain_config.wait_in_force(Server(fleet.operators("entry-0")), 2, WAIT_S)
+    assert found.behind == ()
+
+
+def test_daemon_that_starts_in_an_outage_is_ready_on_the_newest_revision(fleet, tmp_path):
+    assert run(fleet, "apply", "--wait", "20", write_pools(tmp_path, "a", "b")) == cli.EXIT_OK
+    post(fleet.platform, "/faults", {"outage": True})
+    seeds = [fleet.settings["entry-0"]["listen"]["peers"]]
+    fleet.start_daemon("late", "kochi-a", peers={"seeds": seeds})
+    assert server(fleet, "late").revision == 1
+    assert "event=config-from-peer" in fleet.log("late")
+    assert run(fleet, "apply", write_pools(tmp_path, "c")) == cli.EXIT_FAILED
+    post(fleet.platform, "/faults", {})
+    assert run(fleet, "apply", "--wait", "20", write_pools(tmp_path, "c")) == cli.EXIT_OK
+    wait_for(lambda: server(fleet, "late").revision == 2)
+
+
+def test_restarted_daemon_is_not_ready_on_an_older_revision(fleet, tmp_path):
+    assert run(fleet, "apply", "--wait", "20", write_pools(tmp_path, "a")) == cli.EXIT_OK
+    fleet.kill("entry-1")
+    assert run(fleet, "apply", write_pools(tmp_path, "b")) == cli.EXIT_OK
+    fleet.start_daemon("entry-1", "kochi-a")
+    assert server(fleet, "entry-1").revision == 2
+
+
+def test_diff_history_and_rollback(fleet, tmp_path, capsys):
+    first = write_pools(tmp_path, "a", budget={"max_out_per_rack": 1})
+    assert run(fleet, "apply", "--wait", "20", first) == cli.EXIT_OK
+    capsys.readouterr()
+    second = write_pools(tmp_path, "a", "b", schema=1, min_in_service=0, spare=True)
+    assert run(fleet, "--output", "json", "diff", second) == cli.EXIT_OK
+    changed = {(row["record"], row["field"]) for row in json.loads(capsys.readouterr().out)}
+    assert ("pool/a", "spec.spare") in changed
+    assert ("pool/a", "spec.budget.max_out_per_rack") not in changed
+    assert ("pool/b", "schema") in changed
+    assert run(fleet, "apply", "--wait", "20", second) == cli.EXIT_OK
+    assert run(fleet, "rollback", "1", "--if-revision", "1") == cli.EXIT_CONFLICT
+    assert run(fleet, "rollback", "1", "--wait", "20", "--if-revision", "2") == cli.EXIT_OK
+    found = porcelain.get(Server(fleet.operators("entry-1")))
+    assert found.revision == 3
+    assert [(rec.name, rec.spec) for rec in found.records] == [
+        ("a", {"budget": {"max_out_per_rack": 1}})
+    ]
+    assert run(fleet, "rollback", "9") == cli.EXIT_FAILED
+    capsys.readouterr()
+    assert run(fleet, "--output", "json", "history") == cli.EXIT_OK
+    entries = json.loads(capsys.readouterr().out)
+    assert [entry["revision"] for entry in entries] == [3, 2, 1]
+    assert entries[0]["deletes"] == ["pool/b"]
+
+
+def test_faults_name_file_record_field_and_code(fleet, tmp_path, capsys):
+    path = write_pools(tmp_path, "a", spare="yes", guarded=3)
+    assert run(fleet, "apply", path) == cli.EXIT_INVALID
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == 2
+    assert f"{path}: pool/a: spec.guarded: " in lines[0]
+    assert lines[0].endswith("[field-invalid]")
+
+
+def test_callers_listener_never_reaches_operators_calls(fleet, tmp_path):
+    run(fleet, "apply", "--wait", "20", write_pools(tmp_path, "a"))
+    for method, path in (
+        ("GET", "/v1/status"),
+        ("GET", "/v1/records"),
+        ("POST", "/v1/changes"),
+        ("GET", "/metrics"),
+        ("GET", "/healthz"),
+        ("GET", "/x/../v1/status"),
+        ("GET", "//v1/status"),
+        ("GET", "/%76%31/status"),
+    ):
+        url = f"http://{fleet.callers('entry-0')}"
+        pool = urllib3.connection_from_url(url, retries=False)
+        resp = pool.urlopen(method, path, body=b"{}")
+        assert resp.status == 404
+        assert json.loads(resp.data)["code"] == "service-unknown"
--- /dev/null
+++ b/tests/transport/test_operator.py
@@ -0,0 +1,116 @@
+import hashlib
+import hmac
+import io
+import json
+
+import pytest
+
+from gypsumplank.protocol.operator import RolloutStatus, Status
+from gypsumplank.settings import Token
+from gypsumplank.transport import operator
+from gypsumplank.transport.operator import OperatorApp
+
+READ_PATHS = ("/v1/status", "/v1/records", "/v1/records/pool/a", "/v1/history", "/v1/rollout")
+WRITE_PATHS = ("/v1/changes", "/v1/rollback", "/v1/validate")
+OPEN_PATHS = ("/healthz", "/readyz", "/metrics")
+ORDER = {"operation": "op", "revision": 1}
+
+
+def token(name, role):
+    return Token(name, role, hashlib.sha256(name.encode()).hexdigest().upper())
+
+
+class FakeController:
+    """Answer every call and keep the actor of writes."""
+
+    def __init__(self):
+        self.actors = []
+
+    def __getattr__(self, name):
+        def call(*args):
+            if name in ("change", "rollback"):
+                self.actors.append(args[1])
+            return {"ready": True}.get(name, RolloutStatus(1, (), ()))
+
+        return call
+
+    def status(self):
+        return Status("a", True, 1)
+
+
+@pytest.fixture
+def controller():
+    return FakeController()
+
+
+@pytest.fixture
+def app(controller):
+    tokens = (token("see", "viewer"), token("do", "operator"))
+    return OperatorApp(controller, lambda: b"metrics", tokens)
+
+
+def call(app, method, path, bearer=None, body=ORDER):
+    raw = body if isinstance(body, bytes) else json.dumps(body).encode()
+    path, _, query = path.partition("?")
+    environ = {
+        "REQUEST_METHOD": method,
+        "PATH_INFO": path,
+        "QUERY_STRING": query,
+        "wsgi.input": io.BytesIO(raw),
+    }
+    if bearer is not None:
+        environ["HTTP_AUTHORIZATION"] = f"Bearer {bearer}"
+    statuses = []
+    app(environ, lambda status, _headers: statuses.append(int(status[:3])))
+    return statuses[0]
+
+
+@pytest.mark.parametrize("path", READ_PATHS)
+@pytest.mark.parametrize(("bearer", "status"), [(None, 401), ("x", 401), ("see", 200), ("do", 200)])
+def test_reading_needs_a_token(app, path, bearer, status):
+    assert call(app, "GET", path, bearer) == status
+
+
+@pytest.mark.parametrize("path", WRITE_PATHS)
+@pytest.mark.parametrize(("bearer", "status"), [(None, 401), ("x", 401), ("see", 403), ("do", 200)])
+def test_writing_needs_an_operator(app, controller, path, bearer, status):
+    assert call(app, "POST", path, bearer) == status
+    if status != 200:
+        assert controller.actors == []
+
+
+@pytest.mark.parametrize("path", OPEN_PATHS)
+def test_probes_are_open(app, path):
+    assert call(app, "GET", path) == 200
+
+
+def test_actor_is_the_tokens_name(app, controller):
+    call(app, "POST", "/v1/changes", "do")
+    assert controller.actors == ["do"]
+
+
+def test_every_token_is_compared_in_constant_time(app, monkeypatch):
+    compared = []
+    real = hmac.compare_digest
+    monkeypatch.setattr(
+        operator.hmac, "compare_digest", lambda a, b: compared.append(a) or real(a, b)
+    )
+    call(app, "GET", "/v1/status", "see")
+    assert len(compared) == 2
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "body", "status"),
+    [
+        ("GET", "/v1/nothing", {}, 404),
+        ("POST", "/v1/nothing", ORDER, 404),
+        ("PUT", "/v1/changes", ORDER, 404),
+        ("POST", "/v1/changes", b"{", 422),
+        ("POST", "/v1/changes", b"", 422),
+        ("POST", "/v1/rollback", {"operation": "op"}, 422),
+        ("GET", "/v1/history?limit=x", {}, 400),
+        ("GET", "/v1/records?schema=one", {}, 400),
+    ],
+)
+def test_malformed_request(app, method, path, body, status):
+    assert call(app, method, path, "do", body) == status
