--- a/gypsumplank/state/change.py
+++ b/gypsumplank/state/change.py
@@ -1,6 +1,5 @@
 """Define accepted changes and the rows that keep them."""
 
-from collections import Counter
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
@@ -8,7 +7,7 @@
 
 from gypsumplank.protocol.record import Kind, Record
 from gypsumplank.state.table import ABSENT, Check, Txn, Write
-from gypsumplank.state.view import NO_REVISION, View, build_view
+from gypsumplank.state.view import NO_REVISION, View, change_view
 
 TABLE_CONFIG = "config"
 TABLE_RECORDS = "records"
@@ -94,22 +93,22 @@
 
 def apply_entries(view: View, entries: Iterable[ChangeEntry]) -> View:
     """Return the view after these changes, which follow it without a gap."""
-    records = dict(view.records)
+    changes: dict[str, Record | None] = {}
     revision = view.revision
     for entry in entries:
-        records.update((record.key, record) for record in entry.puts)
-        for key in entry.deletes:
-            records.pop(key, None)
+        changes.update((record.key, record) for record in entry.puts)
+        changes.update(dict.fromkeys(entry.deletes))
         revision = entry.revision
-    return build_view(revision, records.values(), view)
+    return change_view(view, revision, changes)
 
 
 def next_head(head: Head, steps: Sequence[Step], floor: int) -> Head:
     """Return the head after these accepted changes."""
     last = steps[-1].after
-    counts = Counter(record.kind for record in last.records.values())
     changed = {kind: step.entry.revision for step in steps for kind in touched_kinds(step.entry)}
-    digests = {kind: KindDigest(revision, counts[kind]) for kind, revision in changed.items()}
+    digests = {
+        kind: KindDigest(revision, len(last.specs[kind])) for kind, revision in changed.items()
+    }
     return Head(last.revision, floor, {**head.kinds, **digests})
 
 
--- a/gypsumplank/state/validation.py
+++ b/gypsumplank/state/validation.py
@@ -23,7 +23,7 @@
     """Return all faults of records that would be in force together."""
     held = tuple(records)
     alone = (fault for record in held for fault in _faults_alone(record))
-    return (*_repeats(held), *alone, *_faults_together(build_view(0, held)))
+    return (*_repeats(held), *alone, *_faults_together(build_view(0, held), RULES))
 
 
 def find_warnings(records: Iterable[Record]) -> tuple[Fault, ...]:
@@ -37,11 +37,13 @@
 
 def check_records(before: View, after: View) -> None:
     """Raise RecordsError where a change brings in faults that were not there before."""
-    changed = [rec for key, rec in after.records.items() if before.records.get(key) is not rec]
+    changed = (rec for key, rec in after.records.items() if before.records.get(key) is not rec)
     alone = [fault for record in changed for fault in _faults_alone(record)]
-    together = _faults_together(after)
+    touched = {kind for kind, specs in after.specs.items() if before.specs[kind] is not specs}
+    rules = [rule for rule, kinds in RULES.items() if touched & kinds]
+    together = _faults_together(after, rules)
     if together:
-        old = _faults_together(before)
+        old = _faults_together(before, rules)
         together = tuple(fault for fault in together if fault not in old)
     faults = (*alone, *together, *_edited_pools(before, after))
     if faults:
@@ -92,8 +94,8 @@
         yield Fault("address-invalid", "spec.address", wrong, record.key)
 
 
-def _faults_together(view: View) -> tuple[Fault, ...]:
-    return tuple(itertools.chain.from_iterable(rule(view) for rule in RULES))
+def _faults_together(view: View, rules: Iterable[Rule]) -> tuple[Fault, ...]:
+    return tuple(itertools.chain.from_iterable(rule(view) for rule in rules))
 
 
 def _unknown_pools(view: View) -> Iterator[Fault]:
@@ -201,13 +203,14 @@
             yield Fault("pool-fixed", "spec.pool", detail, record_key(Kind.HOST, name))
 
 
-RULES: tuple[Rule, ...] = (
-    _unknown_pools,
-    _unknown_hosts,
-    _large_budgets,
-    _shared_addresses,
-    _crossed_waves,
-    _missing_spares,
-    _large_quotas,
-    _large_shares,
-)
+PLACED = frozenset({Kind.POOL, Kind.HOST, Kind.ASSIGNMENT})
+RULES: Mapping[Rule, frozenset[Kind]] = {
+    _unknown_pools: frozenset({Kind.POOL, Kind.SERVICE, Kind.HOST, Kind.WAVE}),
+    _unknown_hosts: frozenset({Kind.HOST, Kind.WAVE}),
+    _large_budgets: PLACED,
+    _shared_addresses: frozenset({Kind.HOST}),
+    _crossed_waves: PLACED | {Kind.WAVE},
+    _missing_spares: frozenset({Kind.POOL, Kind.SERVICE}),
+    _large_quotas: frozenset({Kind.HOST, Kind.TEAM}),
+    _large_shares: frozenset({Kind.SERVICE, Kind.TEAM}),
+}
--- a/gypsumplank/state/view.py
+++ b/gypsumplank/state/view.py
@@ -32,6 +32,30 @@
     return {kind: {} for kind in SPEC_TYPES}
 
 
+@dataclass(frozen=True)
+class Placement:
+    """Hold which hosts each pool has; a host without assignment is in the pool of its record."""
+
+    hosts: Mapping[str, HostSpec] = field(default_factory=dict)
+    assignments: Mapping[str, AssignmentSpec] = field(default_factory=dict)
+
+    def assignment(self, host: str) -> AssignmentSpec:
+        """Return what a known host does now."""
+        return self.assignments.get(host) or AssignmentSpec(self.hosts[host].pool, epoch=0)
+
+    @cached_property
+    def members(self) -> dict[str, tuple[str, ...]]:
+        """Return the hosts of each pool that has any, in any state."""
+        return _group((self.assignment(name).pool, name) for name in self.hosts)
+
+    @cached_property
+    def serving(self) -> dict[str, tuple[str, ...]]:
+        """Return the hosts of each pool that take new work."""
+        held = ((self.assignment(name), name) for name in self.hosts)
+        serving = AssignmentState.SERVING
+        return _group((found.pool, name) for found, name in held if found.state is serving)
+
+
 @dataclass(frozen=True)
 class View:
     """Hold every record at one revision, typed; `unreadable` names those of unknown form."""
@@ -40,6 +64,7 @@
     records: Mapping[str, Record] = field(default_factory=dict)
     specs: Specs = field(default_factory=_no_specs)
     unreadable: tuple[str, ...] = ()
+    placement: Placement = field(default_factory=Placement)
 
     @property
     def pools(self) -> Mapping[str, PoolSpec]:
@@ -78,25 +103,15 @@
 
     def assignment(self, host: str) -> AssignmentSpec:
         """Return what a known host does now."""
-        return self.assignments.get(host) or AssignmentSpec(self.hosts[host].pool, epoch=0)
+        return self.placement.assignment(host)
 
     def hosts_of(self, pool: str) -> tuple[str, ...]:
         """Return the names of the pool's hosts, in any state."""
-        return self._members.get(pool, ())
+        return self.placement.members.get(pool, ())
 
     def serving_hosts(self, pool: str) -> tuple[str, ...]:
         """Return the names of the pool's hosts that take new work."""
-        return self._serving.get(pool, ())
-
-    @cached_property
-    def _members(self) -> dict[str, tuple[str, ...]]:
-        return _group((self.assignment(name).pool, name) for name in self.hosts)
-
-    @cached_property
-    def _serving(self) -> dict[str, tuple[str, ...]]:
-        held = ((self.assignment(name), name) for name in self.hosts)
-        serving = AssignmentState.SERVING
-        return _group((found.pool, name) for found, name in held if found.state is serving)
+        return self.placement.serving.get(pool, ())
 
 
 def _group(pairs: Iterable[tuple[str, str]]) -> dict[str, tuple[str, ...]]:
@@ -108,27 +123,45 @@
 
 def build_view(revision: int, records: Iterable[Record], last: View | None = None) -> View:
     """Return the view of these records; one that cannot be read keeps its last known form."""
+    before = last or View()
     held = {record.key: record for record in records}
-    specs: dict[Kind, dict[str, Any]] = {kind: {} for kind in SPEC_TYPES}
-    unreadable = []
-    for record in held.values():
-        spec = _known_spec(record, last)
-        if spec is None:
-            try:
-                spec = decode_spec(record)
-            except RecordsError:
-                unreadable.append(record.key)
-                spec = last.specs[record.kind].get(record.name) if last else None
-        if spec is not None:
-            specs[record.kind][record.name] = spec
-    return View(revision, held, specs, tuple(sorted(unreadable)))
-
-
-def _known_spec(record: Record, last: View | None) -> Any:
-    """Return the spec that the last view decoded from this same record."""
-    if last is None or last.records.get(record.key) is not record:
-        return None
-    return None if record.key in last.unreadable else last.specs[record.kind].get(record.name)
+    changes: dict[str, Record | None] = dict.fromkeys(before.records.keys() - held.keys())
+    changes.update(
+        (key, record) for key, record in held.items() if before.records.get(key) is not record
+    )
+    return change_view(before, revision, changes)
+
+
+def change_view(view: View, revision: int, changes: Mapping[str, Record | None]) -> View:
+    """Return a view with these records written and, where None, deleted.
+
+    What the changes do not touch is shared with the view before.
+    """
+    records = dict(view.records)
+    specs: dict[Kind, dict[str, Any]] = {}
+    unreadable = {*view.unreadable} - changes.keys()
+    for key, record in changes.items():
+        kind, name = _split_key(key)
+        held = specs.setdefault(kind, dict(view.specs[kind]))
+        if record is None:
+            records.pop(key, None)
+            held.pop(name, None)
+            continue
+        records[key] = record
+        try:
+            held[name] = decode_spec(record)
+        except RecordsError:
+            unreadable.add(key)
+    placement = view.placement
+    after = {**view.specs, **specs}
+    if Kind.HOST in specs or Kind.ASSIGNMENT in specs:
+        placement = Placement(after[Kind.HOST], after[Kind.ASSIGNMENT])
+    return View(revision, records, after, tuple(sorted(unreadable)), placement)
+
+
+def _split_key(key: str) -> tuple[Kind, str]:
+    kind, _, name = key.partition("/")
+    return Kind(kind), name
 
 
 class ViewHolder:
