--- a/gypsumplank/state/view.py
+++ b/gypsumplank/state/view.py
@@ -113,6 +113,11 @@
         """Return the names of the pool's hosts that take new work."""
         return self.placement.serving.get(pool, ())
 
+    @cached_property
+    def host_names(self) -> Mapping[str, str]:
+        """Return the name of the host at each address."""
+        return {spec.address: name for name, spec in self.hosts.items()}
+
 
 def _group(pairs: Iterable[tuple[str, str]]) -> dict[str, tuple[str, ...]]:
     return {
