Race writers, outages, lost and late answers against acceptance

Cause: only single faults were tested; what must hold is that nobody is told both and that no accepted change is lost, whatever comes together. Change: a Hypothesis state machine over three stores on one table with scripted faults for each call, and fault cases for fences and sizes within a group.

--- a/tests/state/test_config.py
+++ b/tests/state/test_config.py
@@ -1,17 +1,28 @@
+import contextlib
+import itertools
+import random
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from gypsumplank.errors import (
+    GypsumplankError,
+    RecordsError,
     RevisionConflictError,
     RevisionReversedError,
+    StateConflictError,
+    StateTooLargeError,
     StateUnavailableError,
     StateUnknownError,
 )
 from gypsumplank.protocol.record import Kind, Record
+from gypsumplank.state.batch import Batch, Pending
 from gypsumplank.state.clock import ManualClock
 from gypsumplank.state.config import Change, ConfigStore
-from gypsumplank.state.table import MemoryTable
+from gypsumplank.state.table import MAX_ROW_BYTES, Check, MemoryTable, Txn, Write
 from gypsumplank.state.view import View, ViewHolder
 
 POOL = Record(Kind.POOL, "quotes", 1, {"min_in_service": 2})
@@ -134,3 +145,183 @@
         )
     assert sorted(revisions) == list(range(1, 201))
     assert len(stores[0].refresh(View()).pools) == 200
+
+
+class RacingTable(MemoryTable):
+    """Play a script of faults, one step for each call; commits held back land later."""
+
+    def __init__(self):
+        super().__init__()
+        self.script = []
+        self.held = []
+        self.race = None
+
+    def get(self, table, key):
+        self._play(("out", "land"))
+        return super().get(table, key)
+
+    def scan(self, table, prefix="", after="", limit=1000):
+        self._play(("out", "land"))
+        return super().scan(table, prefix, after, limit)
+
+    def commit(self, txn):
+        fault = self._play(("out", "land", "lost", "late", "race"))
+        if fault == "late":
+            self.held.append(txn)
+            raise StateUnknownError
+        if fault == "race":
+            self.race()
+        version = super().commit(txn)
+        if fault == "lost":
+            raise StateUnknownError
+        return version
+
+    def _play(self, possible):
+        fault = self.script.pop(0) if self.script else "ok"
+        if fault == "out":
+            raise StateUnavailableError
+        if fault == "land":
+            self.land()
+        return fault if fault in possible else "ok"
+
+    def land(self):
+        for txn in self.held:
+            with contextlib.suppress(StateConflictError):
+                super().commit(txn)
+        self.held.clear()
+
+
+class AcceptanceMachine(RuleBasedStateMachine):
+    """Race writers, outages, lost and late answers; nobody is told both, none is lost."""
+
+    def __init__(self):
+        super().__init__()
+        self.table = RacingTable()
+        self.table.race = self.accept_racer
+        self.stores = [self.make_store() for _ in range(3)]
+        self.numbers = itertools.count()
+        self.accepted, self.refused, self.unknown = {}, set(), set()
+
+    def make_store(self):
+        guards = (self.guard,)
+        return ConfigStore(
+            self.table, ManualClock(), guards, random.Random(1), lambda _s: None, kept=10_000
+        )
+
+    @staticmethod
+    def guard(_before, after):
+        if len(after.pools) > 4:
+            raise RecordsError(())
+
+    def accept_racer(self):
+        script, self.table.script = self.table.script, []
+        self.tell(self.stores[2], f"op-{next(self.numbers)}", "racer", None)
+        self.table.script = script
+
+    def tell(self, store, operation, name, if_revision):
+        newest = max(self.accepted.values(), default=0)
+        change = Change(operation, (Record(Kind.POOL, name, 2),), if_revision=if_revision)
+        try:
+            revision = store.accept(change)
+        except StateUnknownError:
+            self.unknown.add(operation)
+            return
+        except GypsumplankError:
+            if operation not in self.unknown:
+                self.refused.add(operation)
+            return
+        if operation in self.accepted:
+            assert revision == self.accepted[operation]
+        elif operation not in self.unknown:
+            assert revision > newest
+        self.accepted[operation] = revision
+
+    @rule(
+        writer=st.integers(0, 1),
+        name=st.sampled_from("abcde"),
+        script=st.lists(st.sampled_from(["ok", "ok", "out", "lost", "late", "land", "race"])),
+        if_revision=st.none() | st.integers(0, 6),
+    )
+    def accept(self, writer, name, script, if_revision):
+        self.table.script = list(script)
+        self.tell(self.stores[writer], f"op-{next(self.numbers)}", name, if_revision)
+        self.table.script = []
+
+    @rule(data=st.data(), writer=st.integers(0, 1))
+    def repeat(self, data, writer):
+        known = sorted({*self.accepted, *self.unknown})
+        if known:
+            self.tell(self.stores[writer], data.draw(st.sampled_from(known)), "a", None)
+
+    @rule()
+    def land(self):
+        self.table.land()
+
+    @rule(writer=st.integers(0, 1))
+    def restart(self, writer):
+        self.stores[writer] = self.make_store()
+
+    @invariant()
+    def told_is_true(self):
+        entries = self.make_store().entries(0)
+        assert [entry.revision for entry in entries] == list(range(1, len(entries) + 1))
+        log = {entry.operation: entry.revision for entry in entries}
+        assert len(log) == len(entries)
+        assert self.accepted.items() <= log.items()
+        assert not self.refused & log.keys()
+        assert log.keys() <= self.accepted.keys() | self.unknown
+        assert self.stores[0].head()[0].revision == len(entries)
+
+    def teardown(self):
+        self.table.script = []
+        self.table.land()
+        self.told_is_true()
+
+
+TestAcceptance = AcceptanceMachine.TestCase
+TestAcceptance.settings = settings(max_examples=150, stateful_step_count=25)
+
+
+def test_fence_that_does_not_hold_refuses_only_its_own_change():
+    table = MemoryTable()
+    version = table.commit(Txn((), (Write("leases", "x", b"1"),)))
+    store = ConfigStore(table, ManualClock(), pause=lambda _s: None)
+    fenced = Change("fenced", (POOL,), fences=(Check("leases", "x", version + 7),))
+    good = [Change(f"op-{n}", (Record(Kind.POOL, f"p{n}", 2),)) for n in range(5)]
+    batch = Batch([Pending(c.operation, lambda _v, c=c: c) for c in (fenced, *good)])
+    store._settle(batch)
+    errors = [pending.future.exception() for pending in batch._pendings]
+    assert isinstance(errors[0], StateConflictError)
+    assert errors[1:] == [None] * 5
+    assert store.head()[0].revision == 5
+
+
+def test_lost_fence_is_told_without_many_tries():
+    table = MemoryTable()
+    store = ConfigStore(table, ManualClock(), pause=lambda _s: None)
+    with pytest.raises(StateConflictError):
+        store.accept(Change("op", (POOL,), fences=(Check("leases", "x", 9),)))
+    assert store.head()[0].revision == 0
+
+
+def test_too_large_change_is_refused_alone():
+    store = ConfigStore(MemoryTable(), ManualClock(), pause=lambda _s: None)
+    huge = Record(Kind.POOL, "huge", 2, {"x": "y" * MAX_ROW_BYTES})
+    changes = (Change("huge", (huge,)), Change("good", (POOL,)))
+    batch = Batch([Pending(c.operation, lambda _v, c=c: c) for c in changes])
+    store._settle(batch)
+    errors = [pending.future.exception() for pending in batch._pendings]
+    assert isinstance(errors[0], StateTooLargeError)
+    assert errors[1] is None
+
+
+@pytest.mark.parametrize("calls_that_answer", [0, 1, 2])
+def test_delayed_commit_is_not_told_as_refused(calls_that_answer):
+    table = RacingTable()
+    store = ConfigStore(table, ManualClock(), pause=lambda _s: None)
+    table.script = ["ok", "late", *["ok"] * calls_that_answer, *["out"] * 500]
+    with pytest.raises(StateUnknownError):
+        store.accept(Change("op-1", (POOL,)))
+    table.script = []
+    table.land()
+    assert store.accepted("op-1") == 1
