Call the table service with deadlines, a budget of retries and a breaker

Cause: during an outage every poll and change waited out its own time-out, and a short one failed what a second try would have mended.

Change: TableClient wraps the table port: deadline, bounded queue, jittered retries of what surely was not carried out, a breaker that half opens for one probe. A commit whose answer was lost is never repeated here. The command line sends a change again under the same operation id while the store does not answer, for up to 5 s: with the breaker in place, an apply right after an outage was refused for up to 1.5 s (test_distribution saw it fail first).

--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -32,6 +32,7 @@
 from gypsumplank.protocol.envelope import Opener, Sealer
 from gypsumplank.protocol.exchange import Reply, Request
 from gypsumplank.settings import Settings, load_settings
+from gypsumplank.state.client import TableClient
 from gypsumplank.state.clock import SystemClock
 from gypsumplank.state.config import ConfigStore
 from gypsumplank.state.session import Session, SessionStore
@@ -94,7 +95,7 @@
     def _make_state(self) -> None:
         cfg = self._cfg
         self._platform = PlatformClient(cfg.platform, cfg.platform_timeout_s)
-        table = HttpTable(self._platform)
+        table = TableClient(HttpTable(self._platform), self._clock, random.Random())
         self._store = ConfigStore(table, self._clock, (check_records,))
         self._heartbeat = Heartbeat(
             SessionStore(table),
--- a/gypsumplank/porcelain.py
+++ b/gypsumplank/porcelain.py
@@ -1,5 +1,6 @@
 """Offer each operators' command as one function."""
 
+import time
 import uuid
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
@@ -29,6 +30,9 @@
 
 STATUS_OK = 200
 TIMEOUT_S = 30.0
+RETRY_S = 5.0
+RETRY_PAUSE_S = 0.25
+RETRY_CODES = frozenset({"state-unavailable", "state-unknown"})
 SUFFIXES = (".json", ".json5")
 
 T = TypeVar("T")
@@ -56,6 +60,20 @@
             raise _error_of(resp.data, resp.status)
         return msgspec.json.decode(resp.data, type=kind)
 
+    def change(self, path: str, order: Any) -> ChangeReceipt:
+        """Send a change; while the store does not answer, send it again for a while.
+
+        The operation id makes that safe: what was accepted before is found and not repeated.
+        """
+        until = time.monotonic() + RETRY_S
+        while True:
+            try:
+                return self.call("POST", path, ChangeReceipt, order)
+            except ServerError as exc:
+                if exc.code not in RETRY_CODES or time.monotonic() >= until:
+                    raise
+            time.sleep(RETRY_PAUSE_S)
+
 
 def _error_of(raw: bytes, status: int) -> ServerError:
     try:
@@ -128,7 +146,7 @@
     held = tuple(paths)
     order = ChangeOrder(uuid.uuid4().hex, read_records(held), (), if_revision)
     try:
-        return server.call("POST", PATH_CHANGES, ChangeReceipt, order)
+        return server.change(PATH_CHANGES, order)
     except ServerError as exc:
         faults = with_files(exc.faults, record_files(held))
         raise ServerError(exc.code, exc.detail, faults) from exc
@@ -137,7 +155,7 @@
 def delete(server: Server, kind: str, name: str) -> ChangeReceipt:
     """Delete one record."""
     order = ChangeOrder(uuid.uuid4().hex, (), (record_key(kind, name),))
-    return server.call("POST", PATH_CHANGES, ChangeReceipt, order)
+    return server.change(PATH_CHANGES, order)
 
 
 def get(server: Server, kind: str = "", schema: int | None = None) -> RecordList:
--- a/gypsumplank/porcelain_config.py
+++ b/gypsumplank/porcelain_config.py
@@ -73,7 +73,7 @@
 def rollback(server: Server, revision: int, if_revision: int | None = None) -> ChangeReceipt:
     """Accept a new revision with the records of an older one."""
     order = RollbackOrder(uuid.uuid4().hex, revision, if_revision)
-    return server.call("POST", PATH_ROLLBACK, ChangeReceipt, order)
+    return server.change(PATH_ROLLBACK, order)
 
 
 def rollout(server: Server, revision: int) -> RolloutStatus:
--- /dev/null
+++ b/tests/state/test_retry.py
@@ -0,0 +1,23 @@
+import random
+
+from gypsumplank.state.retry import BACKOFF_MAX_S, RetryBudget, backoff_s
+
+
+def test_backoff_grows_is_jittered_and_bounded():
+    rng = random.Random(1)
+    early = [backoff_s(1, rng) for _ in range(200)]
+    late = [backoff_s(50, rng) for _ in range(200)]
+    assert max(early) < max(late) <= BACKOFF_MAX_S
+    assert len(set(early)) == 200
+
+
+def test_budget_allows_a_few_and_then_a_share():
+    budget = RetryBudget(tokens=3, share=0.5)
+    assert [budget.spend() for _ in range(4)] == [True, True, True, False]
+    budget.earn()
+    assert not budget.spend()
+    budget.earn()
+    assert budget.spend()
+    for _ in range(100):
+        budget.earn()
+    assert [budget.spend() for _ in range(4)] == [True, True, True, False]
