Hold every pool's budget through drains, moves, failures and waves

Cause: a host's pool and state were records that anybody could write, and nothing counted what was out of service.

Change: coordination/budget.py counts it from the view and guards every change in the transaction that commits it. move.py and controller.py carry a host from serving to draining to out or to another pool, fenced by a lease row for each pool (lease.py), once every live daemon has the drain in force and tells no request in flight, or the grace is over (witness.py, usage.py). wave.py orders maintenance, roster.py weighs the platform's list against traffic, planner.py sizes pools. Operators get host, pool, wave and plan commands.

--- a/gypsumplank/cli.py
+++ b/gypsumplank/cli.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from gypsumplank import porcelain
+from gypsumplank import cli_fleet, porcelain
 from gypsumplank.errors import FaultsError, GypsumplankError, ServerError, ServerUnreachableError
 from gypsumplank.settings import read_json
 
@@ -69,6 +69,7 @@
         command.add_argument("name")
         command.set_defaults(run=run)
     commands.add_parser("status", help="show the fleet").set_defaults(run=run_status)
+    cli_fleet.add_commands(commands, find_server, show)
     return parser
 
 
--- a/gypsumplank/coordination/control.py
+++ b/gypsumplank/coordination/control.py
@@ -3,10 +3,11 @@
 import logging
 from collections.abc import Callable
 
+from gypsumplank.coordination.budget import is_assignment_key
 from gypsumplank.coordination.follower import Follower
 from gypsumplank.coordination.heartbeat import Heartbeat
 from gypsumplank.coordination.slot import Slots
-from gypsumplank.errors import RecordMissingError
+from gypsumplank.errors import AssignmentError, RecordMissingError
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.operator import (
     ChangeOrder,
@@ -50,6 +51,7 @@
 
     def change(self, order: ChangeOrder, actor: str) -> ChangeReceipt:
         """Accept a change whole or raise GypsumplankError."""
+        _refuse_assignments(order)
         change = Change(order.operation, order.puts, order.deletes, actor, order.if_revision)
         revision = self._store.accept(change)
         event(logger, Event.CONFIG_ACCEPTED, revision=revision, actor=actor)
@@ -88,6 +90,13 @@
         )
 
 
+def _refuse_assignments(order: ChangeOrder) -> None:
+    """Raise AssignmentError where an operator writes what only the system may."""
+    written = (*(record.key for record in order.puts), *order.deletes)
+    if any(is_assignment_key(key) for key in written):
+        raise AssignmentError("assignments change by `host drain`, `host undrain` and `host move`")
+
+
 def _daemon_status(session: Session) -> DaemonStatus:
     return DaemonStatus(
         session.id,
--- a/gypsumplank/coordination/heartbeat.py
+++ b/gypsumplank/coordination/heartbeat.py
@@ -1,7 +1,7 @@
 """Renew this daemon's session and know which other daemons are live."""
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 
 from gypsumplank.errors import StateConflictError, StateError
@@ -22,11 +22,13 @@
         session: Session,
         lease_s: float,
         revision: Callable[[], int],
+        leaving: Callable[[], Mapping[str, int]] = dict,
     ) -> None:
         self._store = store
         self._clock = clock
         self._lease_s = lease_s
         self._revision = revision
+        self._leaving = leaving
         self._version: int | None = None
         self._held_until = 0.0
         self.session = session
@@ -59,8 +61,12 @@
         started = self._clock.monotonic()
         if self._version is None:
             self._take_epoch()
+        revision = self._revision()
         self.session = replace(
-            self.session, revision=self._revision(), renewed_at=self._clock.wall()
+            self.session,
+            revision=revision,
+            renewed_at=self._clock.wall(),
+            leaving=self._leaving(),
         )
         try:
             self._version = self._store.renew(self.session, self._version or 0)
--- /dev/null
+++ b/gypsumplank/coordination/lease.py
@@ -0,0 +1,134 @@
+"""Spread leases over the live daemons and hold this daemon's share of them."""
+
+import hashlib
+import logging
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, replace
+
+from gypsumplank.errors import StateConflictError, StateError
+from gypsumplank.log import Event, event
+from gypsumplank.state.clock import Clock
+from gypsumplank.state.lease import Lease, LeaseRow, LeaseStore
+from gypsumplank.state.table import Check
+
+RENEWALS_A_LEASE = 3
+MARGIN_SHARE = 0.5
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class Sighting:
+    """Hold a row's version and when it was first seen, in monotonic seconds."""
+
+    version: int
+    at: float
+
+
+def preferred(name: str, daemons: Iterable[str]) -> str:
+    """Return the daemon that should hold a lease, by rendezvous hashing."""
+    return max(daemons, key=lambda daemon: hashlib.blake2b(f"{daemon}\0{name}".encode()).digest())
+
+
+class Leases:
+    """Take, renew and give up leases; one counts as held only on the monotonic clock.
+
+    A lease of another daemon is taken once its row stayed the same for longer than its life,
+    so no two clocks are ever compared.
+    """
+
+    def __init__(self, store: LeaseStore, clock: Clock, daemon: str, life_s: float) -> None:
+        self._store = store
+        self._clock = clock
+        self._daemon = daemon
+        self._life_s = life_s
+        self._mine: dict[str, LeaseRow] = {}
+        self._until: dict[str, float] = {}
+        self._seen: dict[str, Sighting] = {}
+        self._read_at = clock.monotonic()
+        self.holders: dict[str, str] = {}
+
+    def fence(self, name: str) -> Check | None:
+        """Return the check that fences a write under a lease; None where it is not held."""
+        if self._clock.monotonic() >= self._until.get(name, 0.0):
+            return None
+        return self._mine[name].fence
+
+    def held(self) -> tuple[str, ...]:
+        """Return the names of the leases held now."""
+        return tuple(name for name in sorted(self._mine) if self.fence(name) is not None)
+
+    def tick(self, names: Iterable[str], live: Collection[str]) -> None:
+        """Renew or give up what is held and take what is free; raise StateError."""
+        started = self._clock.monotonic()
+        rows = self._store.all()
+        self._look(rows, started)
+        daemons = {*live, self._daemon}
+        wanted = sorted(names)
+        self.holders = {name: rows[name].lease.holder for name in wanted if name in rows}
+        for name in wanted:
+            row = rows.get(name, LeaseRow(Lease(name)))
+            wants = preferred(name, daemons) == self._daemon
+            try:
+                self._settle(row, wants, started)
+            except StateConflictError:
+                self._drop(name)
+
+    def _look(self, rows: dict[str, LeaseRow], now: float) -> None:
+        blind = now - self._read_at > self._life_s
+        self._read_at = now
+        for name, row in rows.items():
+            seen = self._seen.get(name)
+            if seen is None or seen.version != row.version or blind:
+                self._seen[name] = Sighting(row.version, now)
+
+    def _settle(self, row: LeaseRow, wants: bool, now: float) -> None:
+        if self._is_mine(row):
+            self._keep(row, wants, now)
+            return
+        self._drop(row.lease.name)
+        lapsed = row.lease.holder and self._lapsed(row, now)
+        if lapsed or (wants and not row.lease.holder):
+            lease = Lease(row.lease.name, self._daemon, row.lease.epoch + 1)
+            self._put(lease, row, now)
+            event(logger, Event.LEASE_TAKEN, lease=lease.name, epoch=lease.epoch)
+
+    def _is_mine(self, row: LeaseRow) -> bool:
+        mine = self._mine.get(row.lease.name)
+        same = mine is not None and mine.lease.epoch == row.lease.epoch
+        return same and row.lease.holder == self._daemon
+
+    def _keep(self, row: LeaseRow, wants: bool, now: float) -> None:
+        if not wants:
+            self._drop(row.lease.name)
+            self._store.put(replace(row.lease, holder=""), row.version)
+            return
+        self._mine[row.lease.name] = row
+        due = self._until.get(row.lease.name, 0.0) - self._life_s * (1 - 1 / RENEWALS_A_LEASE)
+        if now >= due:
+            self._put(replace(row.lease, beat=row.lease.beat + 1), row, now)
+
+    def _put(self, lease: Lease, row: LeaseRow, now: float) -> None:
+        """Write a lease; an answer that is lost leaves the row to be recognised when read."""
+        self._mine[lease.name] = LeaseRow(lease, row.version)
+        self._mine[lease.name] = self._store.put(lease, row.version)
+        self._until[lease.name] = now + self._life_s
+        self.holders[lease.name] = self._daemon
+
+    def _lapsed(self, row: LeaseRow, now: float) -> bool:
+        return now - self._seen[row.lease.name].at > self._life_s * (1 + MARGIN_SHARE)
+
+    def _drop(self, name: str) -> None:
+        if self._mine.pop(name, None) is not None:
+            self._until.pop(name, None)
+            event(logger, Event.LEASE_LOST, logging.WARNING, lease=name)
+
+    def close(self) -> None:
+        """Give up all leases; those that cannot be written lapse."""
+        for row in list(self._mine.values()):
+            try:
+                self._store.put(replace(row.lease, holder=""), row.version)
+            except StateError as exc:
+                event(logger, Event.STATE_UNAVAILABLE, logging.WARNING, code=exc.code, step="lease")
+        self._mine.clear()
+        self._until.clear()
--- a/gypsumplank/coordination/outcome.py
+++ b/gypsumplank/coordination/outcome.py
@@ -7,6 +7,7 @@
     EndpointAnswerError,
     EndpointConnectError,
     EndpointError,
+    EndpointLeavingError,
     EndpointResetError,
     EndpointTimeoutError,
 )
@@ -24,6 +25,7 @@
 
 VERDICTS: Mapping[type[EndpointError], Verdict] = {
     EndpointConnectError: Verdict(Outcome.NOT_RUN, retry_any=True, retry_idempotent=True),
+    EndpointLeavingError: Verdict(Outcome.NOT_RUN, retry_any=True, retry_idempotent=True),
     EndpointResetError: Verdict(Outcome.UNKNOWN, retry_any=False, retry_idempotent=True),
     EndpointTimeoutError: Verdict(Outcome.UNKNOWN, retry_any=False, retry_idempotent=False),
     EndpointAnswerError: Verdict(Outcome.UNKNOWN, retry_any=False, retry_idempotent=True),
--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -7,32 +7,52 @@
 import sys
 import threading
 import time
+from collections.abc import Mapping
 from pathlib import Path
 
 from opentelemetry.metrics import Observation
 
+from gypsumplank.coordination.budget import check_assignments, check_budgets
 from gypsumplank.coordination.control import Control
+from gypsumplank.coordination.controller import Controller, Stores
+from gypsumplank.coordination.desk import FleetDesk, Sources
 from gypsumplank.coordination.dispatch import Dispatcher
 from gypsumplank.coordination.follower import Follower
 from gypsumplank.coordination.gate import Gate
 from gypsumplank.coordination.heartbeat import Heartbeat
+from gypsumplank.coordination.lease import Leases
+from gypsumplank.coordination.planner import Planner
+from gypsumplank.coordination.roster import Roster
 from gypsumplank.coordination.slot import Slots
 from gypsumplank.coordination.supervisor import Supervisor
+from gypsumplank.coordination.usage import HostUsage
+from gypsumplank.coordination.witness import Witness
 from gypsumplank.errors import SettingsError
 from gypsumplank.log import Event, event, set_up
 from gypsumplank.metrics import Metrics
 from gypsumplank.protocol.exchange import Reply, Request
+from gypsumplank.protocol.fleet import (
+    PATH_HOST,
+    PATH_PLAN,
+    PATH_POOLS,
+    PATH_WAVE,
+    PATH_WAVES,
+    HostOrder,
+    WaveOrder,
+)
 from gypsumplank.settings import Settings, load_settings
 from gypsumplank.state.clock import SystemClock
 from gypsumplank.state.config import ConfigStore
+from gypsumplank.state.lease import LeaseStore
 from gypsumplank.state.session import Session, SessionStore
 from gypsumplank.state.validation import check_records
 from gypsumplank.state.view import ViewHolder
+from gypsumplank.state.wave import WaveStore
 from gypsumplank.transport.caller import CallerApp
 from gypsumplank.transport.endpoint import HttpEndpointClient
 from gypsumplank.transport.listener import Listener
-from gypsumplank.transport.operator import OperatorApp
-from gypsumplank.transport.platform import HttpTable, PlatformClient
+from gypsumplank.transport.operator import OperatorApp, Route
+from gypsumplank.transport.platform import HttpMembership, HttpTable, PlatformClient
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
@@ -41,6 +61,8 @@
 OPERATOR_GRACE_S = 2.0
 ENDPOINT_CONNECTIONS = 64
 
+GUARDS = (check_records, check_assignments, check_budgets)
+
 logger = logging.getLogger("gypsumplank.daemon")
 
 
@@ -70,6 +92,7 @@
         self._slots = Slots(random.Random())
         self._metrics = self._make_metrics()
         self._make_state()
+        self._make_fleet()
         self._callers = self._make_callers()
         self._operators = self._make_operators()
         self._supervise()
@@ -78,7 +101,7 @@
         cfg = self._cfg
         self._platform = PlatformClient(cfg.platform, cfg.platform_timeout_s)
         table = HttpTable(self._platform)
-        self._store = ConfigStore(table, self._clock, (check_records,))
+        self._store = ConfigStore(table, self._clock, GUARDS)
         self._follower = Follower(self._store, self._holder)
         self._heartbeat = Heartbeat(
             SessionStore(table),
@@ -86,14 +109,52 @@
             Session(cfg.id, 0, cfg.zone, cfg.callers, cfg.operators, cfg.peers, 0, 0.0),
             cfg.lease_s,
             lambda: self._holder.current.revision,
+            self._leaving,
         )
 
-    def _make_callers(self) -> Listener:
-        cfg = self._cfg
+    def _make_fleet(self) -> None:
+        cfg, table, clock = self._cfg, HttpTable(self._platform), self._clock
+        view = lambda: self._holder.current  # noqa: E731
         self._endpoints = HttpEndpointClient(ENDPOINT_CONNECTIONS, cfg.connect_timeout_s)
-        dispatcher = Dispatcher(
-            lambda: self._holder.current, self._endpoints, self._slots, self._clock
+        self._roster = Roster(HttpMembership(self._platform), clock, lambda: view().hosts)
+        self._usage = HostUsage(self._endpoints, view, lambda: False, self._roster.heard)
+        self._leases = Leases(LeaseStore(table), clock, cfg.id, cfg.lease_s)
+        witness = Witness(clock, cfg.lease_s, cfg.lease_margin_s)
+        stores = Stores(self._store, SessionStore(table), WaveStore(table))
+        self._planner = Planner(view, self._demand, self._roster.failed, clock)
+        self._controller = Controller(
+            stores, self._holder, self._leases, witness, self._roster, clock, self._flooded
         )
+        sources = Sources(self._holder, self._leases, self._controller, self._roster, self._flooded)
+        self._desk = FleetDesk(stores, sources, clock, self._follower.tick)
+
+    def _leaving(self) -> Mapping[str, int]:
+        return self._usage.leaving()
+
+    def _flooded(self, _pool: str) -> bool:
+        return False
+
+    def _demand(self) -> dict[str, float]:
+        """Return each pool's slots in use, scaled from this daemon's share to the fleet."""
+        view, daemons = self._holder.current, max(1, len(self._heartbeat.live))
+        busy = self._slots.in_flight()
+        return {
+            pool: daemons * sum(busy.get(host, 0) for host in view.hosts_of(pool))
+            for pool in view.pools
+        }
+
+    def _fleet_routes(self) -> dict[str, Route]:
+        return {
+            PATH_HOST: Route(self._desk.host, HostOrder),
+            PATH_WAVE: Route(self._desk.wave, WaveOrder),
+            PATH_POOLS: Route(self._desk.pools),
+            PATH_WAVES: Route(self._desk.waves),
+            PATH_PLAN: Route(lambda: self._planner.plan),
+        }
+
+    def _make_callers(self) -> Listener:
+        cfg = self._cfg
+        dispatcher = Dispatcher(lambda: self._holder.current, self._usage, self._slots, self._clock)
         app = CallerApp(
             GatedCarrier(self._gate, dispatcher),
             lambda: self._holder.current.services,
@@ -106,12 +167,15 @@
         control = Control(
             self._store, self._holder, self._follower, self._heartbeat, self._slots, self._ready
         )
-        app = OperatorApp(control, self._metrics.render, cfg.tokens)
+        app = OperatorApp(control, self._metrics.render, cfg.tokens, self._fleet_routes())
         return Listener(app, cfg.operators, OPERATOR_THREADS, cfg.max_body_bytes, "operators")
 
     def _supervise(self) -> None:
         self._supervisor.add("follower", self._follower, self._cfg.poll_s)
         self._supervisor.add("heartbeat", self._heartbeat, self._cfg.heartbeat_s)
+        self._supervisor.add("roster", self._roster, self._cfg.step_s)
+        self._supervisor.add("controller", self._controller, self._cfg.step_s)
+        self._supervisor.add("planner", self._planner, self._cfg.planner_s)
 
     def stop(self) -> None:
         """Ask the daemon to stop gracefully."""
@@ -132,6 +196,7 @@
         time.sleep(self._cfg.notice_s)
         idle = self._callers.close(self._cfg.grace_s)
         self._supervisor.stop()
+        self._leases.close()
         self._heartbeat.close()
         self._operators.close(OPERATOR_GRACE_S)
         self._endpoints.close()
--- a/gypsumplank/errors.py
+++ b/gypsumplank/errors.py
@@ -174,3 +174,45 @@
     """The endpoint's answer is short, malformed or belongs to another request."""
 
     code = "endpoint-answer"
+
+
+class EndpointLeavingError(EndpointError):
+    """The host takes no new work for this service; nothing was sent."""
+
+    code = "endpoint-leaving"
+    status = 503
+
+
+class BudgetError(GypsumplankError):
+    """The change would take a pool under its availability budget."""
+
+    code = "budget-exceeded"
+    status = 409
+
+
+class AssignmentError(GypsumplankError):
+    """A host's assignment may not change this way."""
+
+    code = "assignment-refused"
+    status = 409
+
+
+class StepStaleError(GypsumplankError):
+    """Another daemon or operator has moved the host on."""
+
+    code = "step-stale"
+    status = 409
+
+
+class LeaseLostError(GypsumplankError):
+    """The lease under which this was to be done is not held."""
+
+    code = "lease-lost"
+    status = 409
+
+
+class WaveError(GypsumplankError):
+    """The wave is not in a state that allows this."""
+
+    code = "wave-refused"
+    status = 409
--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -27,6 +27,12 @@
     REQUEST_FAILED = "request-failed"
     ACTOR_RESTARTED = "actor-restarted"
     ACTOR_FAILED = "actor-failed"
+    HOST_ASSIGNED = "host-assigned"
+    BUDGET_OVERRIDDEN = "budget-overridden"
+    STEP_REFUSED = "step-refused"
+    LEASE_TAKEN = "lease-taken"
+    LEASE_LOST = "lease-lost"
+    WAVE_CHANGED = "wave-changed"
 
 
 class LogfmtFormatter(JsonFormatter):
--- /dev/null
+++ b/gypsumplank/porcelain_fleet.py
@@ -0,0 +1,56 @@
+"""Offer the operators' commands on hosts, pools and waves as functions."""
+
+import uuid
+
+from gypsumplank.porcelain import Server
+from gypsumplank.protocol.fleet import (
+    PATH_HOST,
+    PATH_PLAN,
+    PATH_POOLS,
+    PATH_WAVE,
+    PATH_WAVES,
+    HostAction,
+    HostOrder,
+    Plan,
+    PoolReport,
+    WaveAction,
+    WaveOrder,
+    WaveReport,
+)
+from gypsumplank.protocol.operator import ChangeReceipt
+from gypsumplank.protocol.spec import DEFAULT_GRACE_S
+
+
+def order_host(
+    server: Server,
+    action: HostAction,
+    host: str,
+    target_pool: str = "",
+    grace_s: float = DEFAULT_GRACE_S,
+    override: bool = False,
+) -> ChangeReceipt:
+    """Drain, undrain or move one host."""
+    order = HostOrder(uuid.uuid4().hex, action, host, target_pool, grace_s, override)
+    return server.call("POST", PATH_HOST, ChangeReceipt, order)
+
+
+def order_wave(server: Server, action: WaveAction, wave: str) -> WaveReport:
+    """Start, pause, resume or abort a wave."""
+    return server.call("POST", PATH_WAVE, WaveReport, WaveOrder(action, wave))
+
+
+def pools(server: Server, name: str = "") -> tuple[PoolReport, ...]:
+    """Return how each pool stands, or one of them."""
+    found = server.call("GET", PATH_POOLS, tuple[PoolReport, ...])
+    return tuple(held for held in found if name in ("", held.pool))
+
+
+def waves(server: Server, name: str = "") -> tuple[WaveReport, ...]:
+    """Return how far each wave is, or one of them."""
+    found = server.call("GET", PATH_WAVES, tuple[WaveReport, ...])
+    return tuple(held for held in found if name in ("", held.wave))
+
+
+def plan(server: Server) -> Plan:
+    """Return what the planner would do."""
+    return server.call("GET", PATH_PLAN, Plan)
--- /dev/null
+++ b/gypsumplank/protocol/fleet.py
@@ -0,0 +1,140 @@
+"""Define what operators ask of hosts and waves, and what they are told."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from gypsumplank.protocol.spec import DEFAULT_GRACE_S
+
+PATH_HOST = "/v1/fleet/host"
+PATH_WAVE = "/v1/fleet/wave"
+PATH_POOLS = "/v1/fleet/pools"
+PATH_WAVES = "/v1/fleet/waves"
+PATH_PLAN = "/v1/fleet/plan"
+
+
+class HostAction(StrEnum):
+    """Name what may be asked of a host."""
+
+    DRAIN = "drain"
+    UNDRAIN = "undrain"
+    MOVE = "move"
+
+
+class WaveAction(StrEnum):
+    """Name what may be asked of a wave."""
+
+    START = "start"
+    PAUSE = "pause"
+    RESUME = "resume"
+    ABORT = "abort"
+
+
+@dataclass(frozen=True)
+class HostOrder:
+    """Ask for one host's state to change; `operation` makes a repeat harmless."""
+
+    operation: str
+    action: HostAction
+    host: str
+    target_pool: str = ""
+    grace_s: float = DEFAULT_GRACE_S
+    override: bool = False
+
+
+@dataclass(frozen=True)
+class WaveOrder:
+    """Ask for a wave's run to change."""
+
+    action: WaveAction
+    wave: str
+
+
+@dataclass(frozen=True)
+class HostReport:
+    """Tell of one host that is out of service; `out_s` is for how long."""
+
+    host: str
+    pool: str
+    zone: str
+    state: str
+    reason: str
+    run: str = ""
+    target_pool: str = ""
+    override: bool = False
+    out_s: float = 0.0
+    wait: str = ""
+
+
+@dataclass(frozen=True)
+class PoolReport:
+    """Tell how a pool stands against its budget and who controls it."""
+
+    pool: str
+    hosts: int
+    in_service: int
+    floor: int
+    room: int
+    holder: str
+    flooded: bool
+    out: tuple[HostReport, ...] = ()
+    suspects: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class WaveReport:
+    """Tell how far a wave is; `waits` gives by pool why its next host waits."""
+
+    wave: str
+    run: str
+    state: str
+    total: int
+    done: int
+    out: tuple[str, ...]
+    next: tuple[str, ...]
+    left_s: float
+    actor: str = ""
+    reason: str = ""
+    override: bool = False
+    waits: Mapping[str, str] = field(default_factory=dict)
+    order: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True)
+class PoolPlan:
+    """Tell what a pool needs by its demand, failures and maintenance, in hosts."""
+
+    pool: str
+    hosts: int
+    demand_slots: float
+    for_demand: int
+    for_failures: int
+    for_maintenance: int
+    floor: int
+    need: int
+
+    @property
+    def surplus(self) -> int:
+        """Return the hosts beyond the need, negative where some lack."""
+        return self.hosts - self.need
+
+
+@dataclass(frozen=True)
+class PlannedMove:
+    """Suggest to move a host to another pool."""
+
+    host: str
+    source: str
+    target: str
+    reason: str
+    held_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class Plan:
+    """Tell what the planner would do, and why not where it does nothing."""
+
+    pools: tuple[PoolPlan, ...] = ()
+    moves: tuple[PlannedMove, ...] = ()
+    notes: tuple[str, ...] = ()
+    acting: bool = False
--- a/gypsumplank/protocol/spec.py
+++ b/gypsumplank/protocol/spec.py
@@ -13,6 +13,7 @@
 DEFAULT_TIMEOUT_MS = 10_000
 DEFAULT_SLOTS = 8
 DEFAULT_CONNECTIONS = 64
+DEFAULT_GRACE_S = 60.0
 
 
 @dataclass(frozen=True)
@@ -75,6 +76,7 @@
     SERVING = "serving"
     DRAINING = "draining"
     OUT = "out"
+    FAILED = "failed"
 
 
 @dataclass(frozen=True)
@@ -82,6 +84,8 @@
     """Tell which one pool a host is in now, written by the system only.
 
     `epoch` rises with every change; `since` is in seconds since the epoch of the wall clock.
+    `run` names the wave run that has the host out, `maintained` the last one that is done with
+    it. `override` lets the host be out although the pool's budget forbids it.
     """
 
     pool: str
@@ -90,18 +94,28 @@
     target_pool: str = ""
     epoch: int = 1
     since: float = 0.0
+    grace_s: float = DEFAULT_GRACE_S
+    run: str = ""
+    maintained: str = ""
+    override: bool = False
 
 
 @dataclass(frozen=True)
 class WaveSpec:
-    """Describe maintenance of the hosts of pools, one after another within their budgets."""
+    """Describe maintenance of the hosts of pools, a few at a time within their budgets.
+
+    `not_before` is in seconds since the epoch; without `cross_domains`, the hosts of a pool that
+    are out at once share an availability zone; `override` disregards budgets and floods.
+    """
 
     pools: tuple[str, ...] = ()
     hosts: tuple[str, ...] = ()
     parallelism: int = 1
-    grace_s: float = 60.0
+    grace_s: float = DEFAULT_GRACE_S
     maintenance_s: float = 60.0
     cross_domains: bool = False
+    not_before: float = 0.0
+    override: bool = False
 
 
 @dataclass(frozen=True)
--- a/gypsumplank/settings.py
+++ b/gypsumplank/settings.py
@@ -102,6 +102,21 @@
         "session.heartbeat_s", "time between heartbeats, seconds", 1.0, check_positive
     )
     lease_s: float = key("session.lease_s", "life of a session, seconds", 5.0, check_positive)
+    step_s: float = key(
+        "fleet.step_s", "time between rounds of drains and waves, seconds", 1.0, check_positive
+    )
+    lease_margin_s: float = key(
+        "fleet.lease_margin_s",
+        "wait beyond session.lease_s before a daemon counts as lapsed, seconds",
+        2.0,
+        check_positive,
+    )
+    planner_s: float = key(
+        "fleet.planner_s", "time between rounds of the planner, seconds", 5.0, check_positive
+    )
+    planner_acts: bool = key(
+        "fleet.planner_acts", "whether the planner makes the moves it suggests", False, None
+    )
     threads: int = key("limits.threads", "requests carried at once", 128, check_positive)
     max_body_bytes: int = key(
         "limits.max_body_bytes", "largest request body, bytes", 1 << 20, check_positive
--- a/gypsumplank/state/session.py
+++ b/gypsumplank/state/session.py
@@ -1,6 +1,7 @@
 """Keep one lease row for each live daemon."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -11,7 +12,10 @@
 
 @dataclass(frozen=True)
 class Session:
-    """Hold what a daemon tells of itself; `renewed_at` is in seconds since the epoch."""
+    """Hold what a daemon tells of itself; `renewed_at` is in seconds since the epoch.
+
+    `leaving` counts the requests in flight at hosts that do not serve at this revision.
+    """
 
     id: str
     epoch: int
@@ -21,6 +25,7 @@
     peers: str
     revision: int
     renewed_at: float
+    leaving: Mapping[str, int] = field(default_factory=dict)
 
 
 class SessionStore:
--- a/gypsumplank/transport/operator.py
+++ b/gypsumplank/transport/operator.py
@@ -2,9 +2,9 @@
 
 import hashlib
 import hmac
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 import msgspec
 
@@ -40,6 +40,8 @@
 ROLE_OPERATOR = "operator"
 ANONYMOUS = "anonymous"
 
+T = TypeVar("T")
+
 
 class Controller(Protocol):
     """Carry out what operators ask; each call may raise GypsumplankError."""
@@ -63,6 +65,14 @@
         """Tell the status."""
 
 
+@dataclass(frozen=True)
+class Route:
+    """Answer one path; `kind` is the type of the body that it takes, None for a read."""
+
+    answer: Callable[..., Any]
+    kind: type | None = None
+
+
 @dataclass(frozen=True)
 class Page:
     """Hold one HTTP answer to an operator."""
@@ -76,11 +86,16 @@
     """Turn operators' HTTP requests into calls of the controller."""
 
     def __init__(
-        self, controller: Controller, metrics: Callable[[], bytes], tokens: Sequence[Token]
+        self,
+        controller: Controller,
+        metrics: Callable[[], bytes],
+        tokens: Sequence[Token],
+        routes: Mapping[str, Route] | None = None,
     ) -> None:
         self._controller = controller
         self._metrics = metrics
         self._tokens = tuple(tokens)
+        self._routes = dict(routes or {})
 
     def __call__(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
         """Answer one HTTP request."""
@@ -114,6 +129,9 @@
         return Page(b"ready\n" if ready else b"not ready\n", 200 if ready else 503, TEXT_TYPE)
 
     def _read(self, path: str, query: str) -> Page:
+        route = self._routes.get(path)
+        if route is not None and route.kind is None:
+            return Page(msgspec.json.encode(route.answer()))
         if path == PATH_STATUS:
             return Page(msgspec.json.encode(self._controller.status()))
         if path == PATH_RECORDS:
@@ -125,7 +143,11 @@
         raise RecordMissingError(f"nothing at {path}")
 
     def _write(self, path: str, body: bytes, actor: str) -> Page:
-        order = _decode_order(body)
+        route = self._routes.get(path)
+        if route is not None and route.kind is not None:
+            asked: Any = _decode_body(body, route.kind)
+            return Page(msgspec.json.encode(route.answer(asked, actor)))
+        order = _decode_body(body, ChangeOrder)
         if path == PATH_CHANGES:
             return Page(msgspec.json.encode(self._controller.change(order, actor)))
         if path == PATH_VALIDATE:
@@ -145,8 +167,8 @@
         return found[0].name
 
 
-def _decode_order(body: bytes) -> ChangeOrder:
+def _decode_body(body: bytes, kind: type[T]) -> T:
     try:
-        return msgspec.json.decode(body, type=ChangeOrder)
+        return msgspec.json.decode(body, type=kind)
     except msgspec.MsgspecError as exc:
         raise RecordsError((Fault("change-malformed", "$", str(exc)),)) from exc
