--- a/gypsumplank/coordination/budget.py
+++ b/gypsumplank/coordination/budget.py
@@ -2,7 +2,7 @@
 
 import math
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from dataclasses import dataclass
 
 from gypsumplank.errors import AssignmentError, BudgetError, InvariantError
@@ -32,21 +32,22 @@
         return max(0, self.floor - self.in_service)
 
 
-def standing_of(view: View, pool: str) -> Standing:
-    """Return how a pool of the view stands."""
+def standing_of(view: View, pool: str, suspects: Collection[str] = ()) -> Standing:
+    """Return how a pool of the view stands; suspects are dead or ejected, not yet recorded."""
     budget = view.pools[pool].budget
-    hosts, serving = view.hosts_of(pool), view.serving_hosts(pool)
+    hosts = view.hosts_of(pool)
+    serving = [name for name in view.serving_hosts(pool) if name not in suspects]
     floor = max(budget.min_in_service, math.ceil(budget.min_share * len(hosts)))
     held = set(serving)
     out = tuple(name for name in hosts if name not in held)
     return Standing(pool, len(hosts), len(serving), floor, out)
 
 
-def find_blocker(view: View, host: str) -> str:
+def find_blocker(view: View, host: str, suspects: Collection[str] = ()) -> str:
     """Return why a serving host may not go out of service now; empty where it may."""
     pool = view.assignment(host).pool
-    standing = standing_of(view, pool)
-    if standing.room < 1:
+    standing = standing_of(view, pool, suspects)
+    if standing.room < 1 and host not in suspects:
         return f"{standing.in_service} of {standing.hosts} in service, {standing.floor} promised"
     spec, budget = view.hosts[host], view.pools[pool].budget
     for kind, domain, limit in (
@@ -54,6 +55,7 @@
         ("rack", spec.rack, budget.max_out_per_rack),
     ):
         gone = [name for name in standing.out if getattr(view.hosts[name], kind) == domain]
+        gone = [name for name in gone if name != host]
         if limit is not None and len(gone) >= limit:
             return f"{len(gone)} out in {kind} {domain}, {limit} allowed: {', '.join(gone)}"
     return ""
--- a/gypsumplank/coordination/controller.py
+++ b/gypsumplank/coordination/controller.py
@@ -7,10 +7,9 @@
 
 from gypsumplank.coordination import move
 from gypsumplank.coordination.lease import Leases
-from gypsumplank.coordination.roster import Roster
+from gypsumplank.coordination.signals import Signals
 from gypsumplank.coordination.wave import (
     CORRELATED_FAILURES,
-    Flooded,
     WaveState,
     find_wait,
     survey,
@@ -19,7 +18,7 @@
 from gypsumplank.errors import (
     BudgetError,
     GypsumplankError,
-    LeaseLostError,
+    PoolLeaseLostError,
     StateError,
     StepStaleError,
 )
@@ -63,17 +62,16 @@
         holder: ViewHolder,
         leases: Leases,
         witness: Witness,
-        roster: Roster,
+        signals: Signals,
         clock: Clock,
-        flooded: Flooded,
     ) -> None:
         self._stores = stores
         self._holder = holder
         self._leases = leases
         self._witness = witness
-        self._roster = roster
+        self._signals = signals
+        self._roster = signals.roster
         self._clock = clock
-        self._flooded = flooded
         self._drains = move.DrainLog()
         self._runs: Mapping[str, RunRow] = {}
         self.refusals: dict[str, str] = {}
@@ -174,7 +172,7 @@
 
     def _run_wave(self, view: View, pool: str, row: RunRow) -> None:
         spec = view.waves[row.run.wave]
-        state = survey(view, spec, row.run, self._flooded)
+        state = survey(view, spec, row.run, self._signals)
         if self._settle_run(state, row) or self._clock.wall() < spec.not_before:
             return
         for host in state.ready:
@@ -188,10 +186,10 @@
         )
 
         def decide(newest: View, _was: AssignmentSpec) -> AssignmentSpec:
-            wait = find_wait(newest, spec, row.run, host, self._flooded)
+            wait = find_wait(newest, spec, row.run, host, self._signals)
             if wait:
                 raise BudgetError(f"host {host!r}: {wait}")
-            return move.begin_drain(newest, order, self._clock.wall())
+            return move.begin_drain(newest, order, self._clock.wall(), self._signals.suspects())
 
         return decide
 
@@ -233,7 +231,7 @@
         def propose(newest: View) -> Change:
             fence = self._leases.fence(pool)
             if fence is None:
-                raise LeaseLostError(f"lease of pool {pool!r}")
+                raise PoolLeaseLostError(f"lease of pool {pool!r}")
             was = move.held_assignment(newest, host)
             if was != held:
                 raise StepStaleError(f"host {host!r} is {was.state.value} by now")
--- a/gypsumplank/coordination/desk.py
+++ b/gypsumplank/coordination/desk.py
@@ -8,8 +8,8 @@
 from gypsumplank.coordination.budget import standing_of
 from gypsumplank.coordination.controller import Controller, Stores
 from gypsumplank.coordination.lease import Leases
-from gypsumplank.coordination.roster import Roster
-from gypsumplank.coordination.wave import Flooded, forecast_s, selection, survey
+from gypsumplank.coordination.signals import Signals
+from gypsumplank.coordination.wave import forecast_s, selection, survey
 from gypsumplank.errors import RecordMissingError, StateUnknownError, WaveError
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.fleet import (
@@ -46,8 +46,7 @@
     holder: ViewHolder
     leases: Leases
     controller: Controller
-    roster: Roster
-    flooded: Flooded
+    signals: Signals
 
 
 class FleetDesk:
@@ -97,8 +96,8 @@
     def pools(self) -> tuple[PoolReport, ...]:
         """Return how every pool stands."""
         view = self._from.holder.current
-        failed = self._from.roster.failed()
-        return tuple(self._report_pool(view, pool, failed) for pool in sorted(view.pools))
+        suspects = self._from.signals.suspects()
+        return tuple(self._report_pool(view, pool, suspects) for pool in sorted(view.pools))
 
     def waves(self) -> tuple[WaveReport, ...]:
         """Return how far every wave is; one not yet started shows its plan."""
@@ -119,7 +118,7 @@
         drain = move.Drain(
             order.host, reason, order.grace_s, target_pool=target, override=order.override
         )
-        return move.begin_drain(view, drain, now)
+        return move.begin_drain(view, drain, now, self._from.signals.suspects())
 
     def _next_run(self, order: WaveOrder, row: RunRow | None, actor: str) -> WaveRun:
         state = row.run.state if row else None
@@ -146,8 +145,8 @@
             if found is None or found.run != run:
                 raise
 
-    def _report_pool(self, view: View, pool: str, failed: frozenset[str]) -> PoolReport:
-        standing = standing_of(view, pool)
+    def _report_pool(self, view: View, pool: str, suspects: frozenset[str]) -> PoolReport:
+        standing = standing_of(view, pool, suspects)
         return PoolReport(
             pool,
             standing.hosts,
@@ -155,9 +154,9 @@
             standing.floor,
             standing.room,
             self._from.leases.holders.get(pool, ""),
-            self._from.flooded(pool),
-            tuple(self._report_host(view, host) for host in standing.out),
-            tuple(host for host in view.serving_hosts(pool) if host in failed),
+            self._from.signals.flooded(pool),
+            tuple(self._report_host(view, host) for host in standing.out if host not in suspects),
+            tuple(host for host in view.serving_hosts(pool) if host in suspects),
         )
 
     def _report_host(self, view: View, host: str) -> HostReport:
@@ -180,7 +179,7 @@
     def _report_wave(self, view: View, name: str, run: WaveRun | None) -> WaveReport:
         spec = view.waves[name]
         shown = run or WaveRun(name, 0, RunState.PAUSED, 0.0)
-        state = survey(view, spec, shown, self._from.flooded)
+        state = survey(view, spec, shown, self._from.signals)
         waits = dict(state.waits)
         starts_in_s = max(0.0, spec.not_before - self._clock.wall())
         if starts_in_s:
--- a/gypsumplank/coordination/move.py
+++ b/gypsumplank/coordination/move.py
@@ -1,5 +1,6 @@
 """Decide each step of a host from serving to drained and back, in its pool or another."""
 
+from collections.abc import Collection
 from dataclasses import dataclass, replace
 from enum import StrEnum
 
@@ -48,7 +49,9 @@
     return view.assignment(host)
 
 
-def begin_drain(view: View, order: Drain, now: float) -> AssignmentSpec:
+def begin_drain(
+    view: View, order: Drain, now: float, suspects: Collection[str] = ()
+) -> AssignmentSpec:
     """Return the assignment of a host that starts to leave; raise BudgetError."""
     was = held_assignment(view, order.host)
     idle = was.state is OUT and not was.run
@@ -56,7 +59,7 @@
         raise StepStaleError(f"host {order.host!r} is {was.state.value} already")
     if order.target_pool and order.target_pool not in view.pools:
         raise RecordMissingError(f"no pool {order.target_pool!r}")
-    blocker = find_blocker(view, order.host) if was.state is SERVING else ""
+    blocker = find_blocker(view, order.host, suspects) if was.state is SERVING else ""
     if blocker and not order.override:
         raise BudgetError(f"host {order.host!r} in pool {was.pool!r}: {blocker}")
     return replace(
--- a/gypsumplank/coordination/usage.py
+++ b/gypsumplank/coordination/usage.py
@@ -94,7 +94,7 @@
         held, service = view.assignment(host), view.services.get(req.service)
         if held.state is not AssignmentState.SERVING:
             raise EndpointLeavingError(f"host {host!r} is {held.state.value}")
-        if service is None or not (held.pool == service.pool or service.overflow):
+        if service is None or held.pool != (req.pool or service.pool):
             raise EndpointLeavingError(f"host {host!r} is in pool {held.pool!r}")
         return host
 
--- a/gypsumplank/coordination/wave.py
+++ b/gypsumplank/coordination/wave.py
@@ -1,18 +1,17 @@
 """Choose which hosts a wave takes out next, and forecast its end."""
 
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from gypsumplank.coordination.budget import find_blocker, standing_of
+from gypsumplank.coordination.signals import Signals
 from gypsumplank.protocol.spec import AssignmentState, WaveSpec
 from gypsumplank.state.view import View
 from gypsumplank.state.wave import WaveRun
 
 CORRELATED_FAILURES = 2
 
-Flooded = Callable[[str], bool]
-
 
 @dataclass(frozen=True)
 class WaveState:
@@ -38,7 +37,7 @@
     return view.assignment(host).pool, spec.zone, spec.rack, host
 
 
-def survey(view: View, spec: WaveSpec, run: WaveRun, flooded: Flooded) -> WaveState:
+def survey(view: View, spec: WaveSpec, run: WaveRun, signals: Signals) -> WaveState:
     """Return how far a run is and which hosts may go out next."""
     chosen = selection(view, spec)
     held = {host: view.assignment(host) for host in chosen}
@@ -57,7 +56,7 @@
             if held[host].run != run.id:
                 waits.setdefault(held[host].pool, f"{host}: is {held[host].state.value} already")
             continue
-        reason = find_wait(view, spec, run, host, flooded)
+        reason = find_wait(view, spec, run, host, signals)
         if reason:
             waits.setdefault(held[host].pool, f"{host}: {reason}")
         else:
@@ -65,7 +64,7 @@
     return WaveState(len(chosen), done, out, tuple(ready), waits, failed)
 
 
-def find_wait(view: View, spec: WaveSpec, run: WaveRun, host: str, flooded: Flooded) -> str:
+def find_wait(view: View, spec: WaveSpec, run: WaveRun, host: str, signals: Signals) -> str:
     """Return why the wave may not take a host out now; empty where it may."""
     pool = view.assignment(host).pool
     out = [name for name, held in view.assignments.items() if held.run == run.id]
@@ -77,9 +76,9 @@
         return f"hosts in {', '.join(sorted(zones))} are out"
     if spec.override:
         return ""
-    if flooded(pool):
+    if signals.flooded(pool):
         return "the pool is in flood"
-    return find_blocker(view, host)
+    return find_blocker(view, host, signals.suspects())
 
 
 def forecast_s(view: View, spec: WaveSpec, state: WaveState) -> float:
--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -12,24 +12,35 @@
 
 from opentelemetry.metrics import Observation
 
+from gypsumplank.coordination.admission import Admission, Limits
 from gypsumplank.coordination.budget import check_assignments, check_budgets
 from gypsumplank.coordination.control import Control
 from gypsumplank.coordination.controller import Controller, Stores
 from gypsumplank.coordination.desk import FleetDesk, Sources
 from gypsumplank.coordination.dispatch import Dispatcher
+from gypsumplank.coordination.ejection import Ejector, JudgedEndpoints
+from gypsumplank.coordination.flood import is_flooded
 from gypsumplank.coordination.follower import Follower
 from gypsumplank.coordination.gate import Gate
 from gypsumplank.coordination.heartbeat import Heartbeat
+from gypsumplank.coordination.isolation import Isolation
 from gypsumplank.coordination.lease import Leases
+from gypsumplank.coordination.leaving import LeavingHosts
+from gypsumplank.coordination.part import Parts
 from gypsumplank.coordination.planner import Planner
+from gypsumplank.coordination.rollout import Own, Rollout
 from gypsumplank.coordination.roster import Roster
+from gypsumplank.coordination.share import DemandTable
+from gypsumplank.coordination.signals import Signals
 from gypsumplank.coordination.slot import Slots
-from gypsumplank.coordination.supervisor import Supervisor
+from gypsumplank.coordination.snapshot import Snapshots
+from gypsumplank.coordination.supervisor import Supervisor, make_step
 from gypsumplank.coordination.usage import HostUsage
 from gypsumplank.coordination.witness import Witness
 from gypsumplank.errors import SettingsError
 from gypsumplank.log import Event, event, set_up
 from gypsumplank.metrics import Metrics
+from gypsumplank.protocol.envelope import Opener, Sealer
 from gypsumplank.protocol.exchange import Reply, Request
 from gypsumplank.protocol.fleet import (
     PATH_HOST,
@@ -46,13 +57,15 @@
 from gypsumplank.state.lease import LeaseStore
 from gypsumplank.state.session import Session, SessionStore
 from gypsumplank.state.validation import check_records
-from gypsumplank.state.view import ViewHolder
+from gypsumplank.state.view import View, ViewHolder
 from gypsumplank.state.wave import WaveStore
 from gypsumplank.transport.caller import CallerApp
 from gypsumplank.transport.endpoint import HttpEndpointClient
-from gypsumplank.transport.listener import Listener
+from gypsumplank.transport.listener import ClosingDispatcher, Listener
 from gypsumplank.transport.operator import OperatorApp, Route
+from gypsumplank.transport.peer import PynngPeers
 from gypsumplank.transport.platform import HttpMembership, HttpTable, PlatformClient
+from gypsumplank.transport.queue import QueueingDispatcher
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
@@ -60,6 +73,10 @@
 OPERATOR_THREADS = 4
 OPERATOR_GRACE_S = 2.0
 ENDPOINT_CONNECTIONS = 64
+MICROSECONDS = 1_000_000
+MEMBERSHIP_POLL_S = 0.5
+PARTS_PERIOD_S = 0.2
+ADMISSION_PERIOD_S = 0.1
 
 GUARDS = (check_records, check_assignments, check_budgets)
 
@@ -89,9 +106,11 @@
         self._gate = Gate()
         self._holder = ViewHolder()
         self._supervisor = Supervisor(self._clock)
-        self._slots = Slots(random.Random())
         self._metrics = self._make_metrics()
         self._make_state()
+        self._peers = self._make_peers()
+        self._make_distribution()
+        self._make_load()
         self._make_fleet()
         self._callers = self._make_callers()
         self._operators = self._make_operators()
@@ -102,46 +121,130 @@
         self._platform = PlatformClient(cfg.platform, cfg.platform_timeout_s)
         table = HttpTable(self._platform)
         self._store = ConfigStore(table, self._clock, GUARDS)
-        self._follower = Follower(self._store, self._holder)
         self._heartbeat = Heartbeat(
             SessionStore(table),
             self._clock,
             Session(cfg.id, 0, cfg.zone, cfg.callers, cfg.operators, cfg.peers, 0, 0.0),
             cfg.lease_s,
             lambda: self._holder.current.revision,
-            self._leaving,
+            self._in_flight_at_leaving,
         )
 
+    def _make_peers(self) -> PynngPeers:
+        cfg = self._cfg
+        count = self._metrics.count("gypsumplank.peer.drops", "Peer messages dropped, by reason")
+        monotonic = self._clock.monotonic
+        return PynngPeers(
+            cfg.id,
+            cfg.peers,
+            Sealer(cfg.peer_key, int(self._clock.wall() * MICROSECONDS)),
+            Opener(cfg.peer_key, cfg.id, monotonic),
+            lambda reason: count(1, {"reason": reason}),
+            monotonic,
+        )
+
+    def _make_distribution(self) -> None:
+        def revision() -> int:
+            return self._holder.current.revision
+
+        own = Own(lambda: self._heartbeat.session, revision, lambda: self._follower.caught_up)
+        self._rollout = Rollout(
+            own,
+            self._peers,
+            self._clock,
+            lambda: self._heartbeat.live,
+            lambda: self._supervisor.hurry("follower"),
+        )
+        self._follower = Follower(
+            self._store, self._holder, self._rollout.acknowledge, self._rollout.ahead
+        )
+        self._snapshots = Snapshots(
+            self._peers,
+            self._holder,
+            self._follower,
+            self._rollout,
+            self._clock,
+            lambda: self._heartbeat.session,
+            lambda: self._heartbeat.live,
+            self._cfg.lease_s,
+            random.Random(),
+        )
+
+    def _join_peers(self) -> None:
+        sessions = {session.id: session.peers for session in self._heartbeat.live}
+        self._peers.connect({**self._snapshots.addresses, **sessions}, self._cfg.peer_seeds)
+        self._rollout.tick()
+
+    def _make_load(self) -> None:
+        """Wire what decides when a request starts and at which host."""
+        cfg = self._cfg
+        self._leaving = LeavingHosts(HttpMembership(self._platform))
+        self._ejector = Ejector(self._view, self._clock)
+        self._demands = DemandTable(
+            cfg.id,
+            self._peers,
+            self._clock,
+            lambda: tuple(session.id for session in self._heartbeat.live),
+            self._demand,
+        )
+        self._parts = Parts(
+            cfg.id,
+            self._view,
+            self._demands,
+            self._ejector,
+            lambda: self._leaving.current,
+            self._clock,
+            cfg.daemons,
+        )
+        limits = Limits(cfg.threads, cfg.waiting)
+        self._admission = Admission(self._view, self._parts, self._clock, limits)
+        self._slots = Slots(random.Random(), cfg.zone, self._parts)
+        self._metrics.gauge(
+            "gypsumplank.requests.waiting",
+            "{request}",
+            "Requests that wait for a slot",
+            lambda: [
+                Observation(count, {"service": name})
+                for name, count in self._admission.waiting().items()
+            ],
+        )
+
+    def _demand(self) -> dict[str, int]:
+        return self._admission.demand()
+
+    def _view(self) -> View:
+        return self._holder.current
+
+    def _host_names(self) -> Mapping[str, str]:
+        return self._view().host_names
+
     def _make_fleet(self) -> None:
         cfg, table, clock = self._cfg, HttpTable(self._platform), self._clock
-        view = lambda: self._holder.current  # noqa: E731
         self._endpoints = HttpEndpointClient(ENDPOINT_CONNECTIONS, cfg.connect_timeout_s)
-        self._roster = Roster(HttpMembership(self._platform), clock, lambda: view().hosts)
-        self._usage = HostUsage(self._endpoints, view, lambda: False, self._roster.heard)
+        judged = JudgedEndpoints(self._endpoints, self._ejector, self._host_names)
+        self._isolation = Isolation(self._heartbeat, self._rollout, clock, cfg.lease_s)
+        self._roster = Roster(HttpMembership(self._platform), clock, lambda: self._view().hosts)
+        self._usage = HostUsage(judged, self._view, self._isolation.cut_off, self._roster.heard)
         self._leases = Leases(LeaseStore(table), clock, cfg.id, cfg.lease_s)
         witness = Witness(clock, cfg.lease_s, cfg.lease_margin_s)
         stores = Stores(self._store, SessionStore(table), WaveStore(table))
-        self._planner = Planner(view, self._demand, self._roster.failed, clock)
-        self._controller = Controller(
-            stores, self._holder, self._leases, witness, self._roster, clock, self._flooded
-        )
-        sources = Sources(self._holder, self._leases, self._controller, self._roster, self._flooded)
+        self._planner = Planner(self._view, self._fleet_demand, self._suspects, clock)
+        signals = Signals(self._roster, self._suspects, self._flooded)
+        self._controller = Controller(stores, self._holder, self._leases, witness, signals, clock)
+        sources = Sources(self._holder, self._leases, self._controller, signals)
         self._desk = FleetDesk(stores, sources, clock, self._follower.tick)
 
-    def _leaving(self) -> Mapping[str, int]:
+    def _in_flight_at_leaving(self) -> Mapping[str, int]:
         return self._usage.leaving()
 
-    def _flooded(self, _pool: str) -> bool:
-        return False
+    def _suspects(self) -> frozenset[str]:
+        return self._roster.failed() | self._ejector.ejected()
 
-    def _demand(self) -> dict[str, float]:
-        """Return each pool's slots in use, scaled from this daemon's share to the fleet."""
-        view, daemons = self._holder.current, max(1, len(self._heartbeat.live))
-        busy = self._slots.in_flight()
-        return {
-            pool: daemons * sum(busy.get(host, 0) for host in view.hosts_of(pool))
-            for pool in view.pools
-        }
+    def _flooded(self, pool: str) -> bool:
+        return is_flooded(self._view(), pool, self._fleet_demand())
+
+    def _fleet_demand(self) -> dict[str, int]:
+        return self._demands.totals()
 
     def _fleet_routes(self) -> dict[str, Route]:
         return {
@@ -154,21 +257,29 @@
 
     def _make_callers(self) -> Listener:
         cfg = self._cfg
-        dispatcher = Dispatcher(lambda: self._holder.current, self._usage, self._slots, self._clock)
+        dispatcher = Dispatcher(self._view, self._usage, self._slots, self._clock)
         app = CallerApp(
             GatedCarrier(self._gate, dispatcher),
             lambda: self._holder.current.services,
             self._metrics.request,
         )
-        return Listener(app, cfg.callers, cfg.threads, cfg.max_body_bytes, "callers")
+        queue = QueueingDispatcher(cfg.threads, self._admission, lambda: self._view().services)
+        return Listener(app, cfg.callers, queue, cfg.max_body_bytes, "callers")
 
     def _make_operators(self) -> Listener:
         cfg = self._cfg
         control = Control(
-            self._store, self._holder, self._follower, self._heartbeat, self._slots, self._ready
+            self._store,
+            self._holder,
+            self._follower,
+            self._heartbeat,
+            self._slots,
+            self._ready,
+            self._rollout,
         )
         app = OperatorApp(control, self._metrics.render, cfg.tokens, self._fleet_routes())
-        return Listener(app, cfg.operators, OPERATOR_THREADS, cfg.max_body_bytes, "operators")
+        threads = ClosingDispatcher(OPERATOR_THREADS)
+        return Listener(app, cfg.operators, threads, cfg.max_body_bytes, "operators")
 
     def _supervise(self) -> None:
         self._supervisor.add("follower", self._follower, self._cfg.poll_s)
@@ -176,6 +287,11 @@
         self._supervisor.add("roster", self._roster, self._cfg.step_s)
         self._supervisor.add("controller", self._controller, self._cfg.step_s)
         self._supervisor.add("planner", self._planner, self._cfg.planner_s)
+        self._supervisor.add("peers", make_step(self._join_peers), self._cfg.heartbeat_s)
+        self._supervisor.add("snapshots", self._snapshots, self._cfg.heartbeat_s)
+        self._supervisor.add("leaving", self._leaving, MEMBERSHIP_POLL_S)
+        self._supervisor.add("parts", self._parts, PARTS_PERIOD_S)
+        self._supervisor.add("admission", self._admission, ADMISSION_PERIOD_S)
 
     def stop(self) -> None:
         """Ask the daemon to stop gracefully."""
@@ -184,6 +300,7 @@
     def run(self) -> int:
         """Serve until asked to stop; return the exit code."""
         self._operators.start()
+        self._peers.start()
         self._supervisor.start()
         self._callers.start()
         event(logger, Event.STARTED, daemon=self._cfg.id, callers=self._cfg.callers)
@@ -198,6 +315,7 @@
         self._supervisor.stop()
         self._leases.close()
         self._heartbeat.close()
+        self._peers.close()
         self._operators.close(OPERATOR_GRACE_S)
         self._endpoints.close()
         self._platform.close()
--- a/gypsumplank/errors.py
+++ b/gypsumplank/errors.py
@@ -93,6 +93,20 @@
     status = 409
 
 
+class SessionLapsedError(GypsumplankError):
+    """This daemon's lease is not in force; it must not act for the fleet."""
+
+    code = "session-lapsed"
+    status = 503
+
+
+class RevisionMissingError(GypsumplankError):
+    """The revision does not exist or is no longer kept."""
+
+    code = "revision-missing"
+    status = 404
+
+
 class RecordMissingError(GypsumplankError):
     """No record of this kind and name is in force."""
 
@@ -120,12 +134,19 @@
 
 
 class UnauthorizedError(GypsumplankError):
-    """The operator's token is missing, unknown or has too small a role."""
+    """The operator's token is missing or unknown."""
 
     code = "unauthorized"
     status = 401
 
 
+class ForbiddenError(GypsumplankError):
+    """The operator's token has too small a role."""
+
+    code = "forbidden"
+    status = 403
+
+
 class ServerError(GypsumplankError):
     """A daemon answered an operator's command with a failure."""
 
@@ -137,6 +158,12 @@
         self.faults = tuple(faults)
 
 
+class NotInForceError(GypsumplankError):
+    """A change was accepted, but some live daemons have not put it in force in time."""
+
+    code = "not-in-force"
+
+
 class ServerUnreachableError(GypsumplankError):
     """No daemon answered at the operators' address."""
 
@@ -157,6 +184,12 @@
     code = "endpoint-connect"
 
 
+class EndpointUnsentError(EndpointError):
+    """The connection broke before a byte of the request left."""
+
+    code = "endpoint-unsent"
+
+
 class EndpointResetError(EndpointError):
     """The connection broke after the request may have been sent."""
 
@@ -204,10 +237,10 @@
     status = 409
 
 
-class LeaseLostError(GypsumplankError):
-    """The lease under which this was to be done is not held."""
+class PoolLeaseLostError(GypsumplankError):
+    """The lease of the pool under which this was to be done is not held."""
 
-    code = "lease-lost"
+    code = "pool-lease-lost"
     status = 409
 
 
@@ -216,3 +249,95 @@
 
     code = "wave-refused"
     status = 409
+
+
+class PeerError(GypsumplankError):
+    """A message between daemons is not acceptable and was dropped."""
+
+    code = "peer"
+
+
+class PeerMalformedError(PeerError):
+    """The bytes are no message that this version knows."""
+
+    code = "peer-malformed"
+
+
+class PeerForgedError(PeerError):
+    """The keyed hash of the message does not match."""
+
+    code = "peer-forged"
+
+
+class PeerReplayedError(PeerError):
+    """The message is no newer than the last one from its sender."""
+
+    code = "peer-replayed"
+
+
+class PeerMisdirectedError(PeerError):
+    """The message is for another daemon, or comes from this one."""
+
+    code = "peer-misdirected"
+
+
+class PeerTooLargeError(PeerError):
+    """The message exceeds the size limit."""
+
+    code = "peer-too-large"
+
+
+class DeadlinePassedError(EndpointError):
+    """The request's deadline passed before it was sent."""
+
+    code = "deadline-passed"
+    status = 504
+
+
+class LateAnswerError(EndpointError):
+    """The endpoint's answer came after the request's deadline."""
+
+    code = "answer-late"
+    status = 504
+
+
+class LeaseLostError(EndpointError):
+    """This daemon's lease lapsed between the claim and the dispatch; nothing was sent."""
+
+    code = "lease-lost"
+    status = 503
+
+
+class KeyReusedError(GypsumplankError):
+    """The idempotency key was used with another method, target or body."""
+
+    code = "idempotency-key-reused"
+    status = 422
+
+
+class KeyInUseError(GypsumplankError):
+    """The first request with this idempotency key is still in flight."""
+
+    code = "idempotency-key-in-use"
+    status = 409
+
+
+class ClaimAbandonedError(GypsumplankError):
+    """The first request with this idempotency key was lost with its daemon; it may have run."""
+
+    code = "claim-abandoned"
+    status = 504
+
+
+class ClaimUnavailableError(GypsumplankError):
+    """The claim of an idempotency key could not be stored; the request was not sent."""
+
+    code = "claim-unavailable"
+    status = 503
+
+
+class AnswerNotKeptError(GypsumplankError):
+    """The request finished, but its answer was too large to be kept for a repeat."""
+
+    code = "answer-not-kept"
+    status = 502
--- a/tests/coordination/test_controller.py
+++ b/tests/coordination/test_controller.py
@@ -12,7 +12,7 @@
 from gypsumplank.state.config import Change, apply_entries
 from gypsumplank.state.membership import Member
 from gypsumplank.state.wave import RunState
-from tests.fleet import Fleet, pool_records, record
+from tests.fleet import Fleet, address_of, pool_records, record
 
 GRACE_S = 20.0
 RECORDS = (*pool_records("a", 6, min_in_service=4), *pool_records("b", 3, min_in_service=2))
@@ -59,10 +59,10 @@
     fleet.run(10)
     assert fleet.state("a-0") == "draining"
     assert "requests in flight" in fleet.nodes[0].controller.drain_wait("a-0")
-    fleet.nodes[0].usage.leave("a-0:80")
+    fleet.nodes[0].usage.leave(address_of("a", 0))
     fleet.run(3)
     assert fleet.state("a-0") == "draining"
-    fleet.nodes[1].usage.leave("a-0:80")
+    fleet.nodes[1].usage.leave(address_of("a", 0))
     fleet.run(3)
     assert fleet.view.assignment("a-0").pool == "b"
     assert "a-0" in fleet.view.serving_hosts("b")
@@ -135,7 +135,9 @@
 
 
 def test_two_waves_on_two_daemons_take_no_more_than_the_budget():
-    fleet = make_fleet(wave("w"), wave("v"))
+    halves = ["a-0", "a-1", "a-2"], ["a-3", "a-4", "a-5"]
+    waves = (wave(name, pools=[], hosts=half) for name, half in zip("wv", halves, strict=True))
+    fleet = make_fleet(*waves)
     drive(fleet, "start", "w", 0)
     drive(fleet, "start", "v", 1)
     for _ in range(200):
@@ -275,6 +277,10 @@
     assert "a-0" not in fleet.view.assignments
 
 
+WAVES = (
+    wave("w", pools=["b"], hosts=["a-0", "a-1", "a-2"]),
+    wave("v", pools=[], hosts=["a-3", "a-4", "a-5"]),
+)
 POOLS = {"a": 4, "b": 2}
 NODES = st.integers(0, 2)
 HOSTS = st.sampled_from([f"a-{i}" for i in range(6)] + [f"b-{i}" for i in range(3)])
@@ -285,7 +291,7 @@
 
     @initialize()
     def start(self):
-        self.fleet = Fleet((*RECORDS, wave(), wave("v", pools=["a", "b"])), nodes=3)
+        self.fleet = Fleet((*RECORDS, *WAVES), nodes=3)
         self.fleet.run(3)
         self.number = 0
         self.flights = []
@@ -361,7 +367,7 @@
     @rule(data=st.data())
     def end_request(self, data):
         index, host = self.flights.pop(data.draw(st.integers(0, len(self.flights) - 1)))
-        self.node(index).usage.leave(f"{host}:80")
+        self.node(index).usage.leave(address_of(host, int(host[2:])))
 
     def attempt(self, work):
         try:
--- a/tests/coordination/test_usage.py
+++ b/tests/coordination/test_usage.py
@@ -7,9 +7,10 @@
 from gypsumplank.protocol.exchange import Answer, Request
 from gypsumplank.protocol.spec import AssignmentSpec, AssignmentState
 from gypsumplank.state.view import build_view
-from tests.fleet import pool_records
+from tests.fleet import address_of, pool_records
 
 RECORDS = (*pool_records("a", 2), *pool_records("b", 1))
+A0, A1 = address_of("a", 0), address_of("a", 1)
 OK = Answer(200, (), b"ok")
 REQ = Request("r", "a", "POST", "/", 10.0)
 
@@ -47,21 +48,21 @@
 )
 def test_nothing_is_sent_to_a_host_that_left_the_pool(states):
     world = World()
-    assert world.usage.send("a-0:80", REQ, 1.0) == OK
+    assert world.usage.send(A0, REQ, 1.0) == OK
     world.view = view_with(2, *states)
     with pytest.raises(EndpointLeavingError):
-        world.usage.send("a-0:80", REQ, 1.0)
+        world.usage.send(A0, REQ, 1.0)
     assert len(world.client.sent) == 1
-    assert world.usage.send("a-1:80", REQ, 1.0) == OK
+    assert world.usage.send(A1, REQ, 1.0) == OK
 
 
 def test_isolated_daemon_and_unknown_address_send_nothing():
     world = World()
     with pytest.raises(EndpointLeavingError):
-        world.usage.send("elsewhere:80", REQ, 1.0)
+        world.usage.send("10.9.9.9:80", REQ, 1.0)
     world.cut_off = True
     with pytest.raises(EndpointLeavingError):
-        world.usage.send("a-0:80", REQ, 1.0)
+        world.usage.send(A0, REQ, 1.0)
     assert world.client.sent == []
 
 
@@ -75,7 +76,7 @@
         return OK
 
     world = World(answer)
-    world.usage.send("a-0:80", REQ, 1.0)
+    world.usage.send(A0, REQ, 1.0)
     assert seen == [{}, {"a-0": 1}]
     assert world.usage.leaving() == {}
 
@@ -93,8 +94,8 @@
     world = World(answer)
     if error:
         with pytest.raises(error):
-            world.usage.send("a-0:80", REQ, 1.0)
+            world.usage.send(A0, REQ, 1.0)
     else:
-        world.usage.send("a-0:80", REQ, 1.0)
+        world.usage.send(A0, REQ, 1.0)
     assert world.evidence == evidence
     assert world.usage.leaving() == {}
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -9,6 +9,7 @@
 from gypsumplank.coordination.heartbeat import Heartbeat
 from gypsumplank.coordination.lease import Leases
 from gypsumplank.coordination.roster import Roster
+from gypsumplank.coordination.signals import Signals
 from gypsumplank.coordination.usage import HostUsage
 from gypsumplank.coordination.witness import Witness
 from gypsumplank.errors import StateError, StateUnavailableError, StateUnknownError
@@ -34,9 +35,13 @@
     return Record(Kind(kind), name, 2, spec)
 
 
+def address_of(pool, number):
+    return f"10.0.{ord(pool[0])}.{number + 1}:80"
+
+
 def host_record(pool, number, zones=ZONES, **more):
     zone = zones[number % len(zones)]
-    spec = {"address": f"{pool}-{number}:80", "pool": pool, "zone": zone, "rack": f"{zone}-0"}
+    spec = {"address": address_of(pool, number), "pool": pool, "zone": zone, "rack": f"{zone}-0"}
     return record("host", f"{pool}-{number}", **{**spec, **more})
 
 
@@ -96,12 +101,13 @@
     def __init__(self, name, table, clock, membership, flooded=lambda pool: False):
         self.name, self.clock, self.membership, self.flooded = name, clock, membership, flooded
         self.table = FaultyTable(table)
+        self.ejected = set()
         self.boot()
 
     def boot(self):
         table, clock = self.table, self.clock
         self.holder = ViewHolder()
-        self.config = ConfigStore(table, clock, GUARDS)
+        self.config = ConfigStore(table, clock, GUARDS, random.Random(1), lambda seconds: None)
         self.stores = Stores(self.config, SessionStore(table), WaveStore(table))
         self.heartbeat = Heartbeat(
             SessionStore(table),
@@ -121,16 +127,18 @@
         )
         self.leases = Leases(LeaseStore(table), clock, self.name, LEASE_S)
         self.witness = Witness(clock, LEASE_S, MARGIN_S)
+        signals = Signals(
+            self.roster, lambda: self.roster.failed() | frozenset(self.ejected), self.flooded
+        )
         self.controller = Controller(
             self.stores,
             self.holder,
             self.leases,
             self.witness,
-            self.roster,
+            signals,
             clock,
-            self.flooded,
         )
-        sources = Sources(self.holder, self.leases, self.controller, self.roster, self.flooded)
+        sources = Sources(self.holder, self.leases, self.controller, signals)
         self.desk = FleetDesk(self.stores, sources, clock, self.refresh)
 
     def leaving(self):
