--- a/gypsumplank/cli.py
+++ b/gypsumplank/cli.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Any
 
-from gypsumplank import cli_config, porcelain
+from gypsumplank import cli_config, cli_fleet, porcelain
 from gypsumplank.cli_show import ENV_SERVER, ENV_TOKEN, find_server, show
 from gypsumplank.errors import FaultsError, GypsumplankError, ServerError, ServerUnreachableError
 
@@ -69,6 +69,7 @@
         command.set_defaults(run=run)
     cli_config.add_commands(commands)
     commands.add_parser("status", help="show the fleet").set_defaults(run=run_status)
+    cli_fleet.add_commands(commands, find_server, show)
     return parser
 
 
--- a/gypsumplank/coordination/outcome.py
+++ b/gypsumplank/coordination/outcome.py
@@ -7,6 +7,7 @@
     DeadlinePassedError,
     EndpointAnswerError,
     EndpointConnectError,
+    EndpointLeavingError,
     EndpointResetError,
     EndpointTimeoutError,
     EndpointUnsentError,
@@ -37,6 +38,7 @@
 
 VERDICTS: Mapping[type[Exception], Verdict] = {
     EndpointConnectError: NOT_SENT,
+    EndpointLeavingError: NOT_SENT,
     EndpointUnsentError: NOT_SENT,
     EndpointResetError: MAY_HAVE_RUN,
     EndpointAnswerError: MAY_HAVE_RUN,
--- a/gypsumplank/transport/operator.py
+++ b/gypsumplank/transport/operator.py
@@ -84,6 +84,14 @@
         """Tell the status."""
 
 
+@dataclass(frozen=True)
+class Route:
+    """Answer one path; `kind` is the type of the body that it takes, None for a read."""
+
+    answer: Callable[..., Any]
+    kind: type | None = None
+
+
 @dataclass(frozen=True)
 class Page:
     """Hold one HTTP answer to an operator."""
@@ -97,11 +105,16 @@
     """Turn operators' HTTP requests into calls of the controller."""
 
     def __init__(
-        self, controller: Controller, metrics: Callable[[], bytes], tokens: Sequence[Token]
+        self,
+        controller: Controller,
+        metrics: Callable[[], bytes],
+        tokens: Sequence[Token],
+        routes: Mapping[str, Route] | None = None,
     ) -> None:
         self._controller = controller
         self._metrics = metrics
         self._tokens = tuple(tokens)
+        self._routes = dict(routes or {})
 
     def __call__(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
         """Answer one HTTP request."""
@@ -135,6 +148,9 @@
         return Page(b"ready\n" if ready else b"not ready\n", 200 if ready else 503, TEXT_TYPE)
 
     def _read(self, path: str, query: str) -> Page:
+        route = self._routes.get(path)
+        if route is not None and route.kind is None:
+            return _json(route.answer())
         asked = parse_qs(query)
         if path == PATH_STATUS:
             return _json(self._controller.status())
@@ -151,6 +167,10 @@
         raise RecordMissingError(f"nothing at {path}")
 
     def _write(self, path: str, body: bytes, actor: str) -> Page:
+        route = self._routes.get(path)
+        if route is not None and route.kind is not None:
+            asked: Any = _decode(body, route.kind)
+            return _json(route.answer(asked, actor))
         if path == PATH_CHANGES:
             return _json(self._controller.change(_decode(body, ChangeOrder), actor))
         if path == PATH_ROLLBACK:
