--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 STAMP := $(VENV)/.installed
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: setup test format demo bench
+.PHONY: setup test format demo bench bench-capacity
 
 setup: $(STAMP)
 
@@ -29,3 +29,6 @@
 
 bench: setup
 	$(PY) -m bench
+
+bench-capacity: setup
+	$(PY) -m bench capacity
--- a/bench/hop.py
+++ b/bench/hop.py
@@ -21,10 +21,10 @@
 KIB = 1024
 
 
-def measure(address: str, path: str, callers: int) -> Figures:
+def measure(address: str, path: str, callers: int, seconds: float = SECONDS) -> Figures:
     """Run one load in a process of its own."""
     args = ["--address", address, "--path", path]
-    args += ["--callers", str(callers), "--seconds", str(SECONDS)]
+    args += ["--callers", str(callers), "--seconds", str(seconds)]
     done = subprocess.run(
         [sys.executable, "-m", "bench.load", *args], cwd=ROOT, capture_output=True, check=True
     )
--- /dev/null
+++ b/bench/peers.py
@@ -0,0 +1,45 @@
+"""Stand in for the peers' side of other daemons: greet one daemon and hear it."""
+
+import argparse
+import time
+
+from gypsumplank.protocol.envelope import Opener, Sealer
+from gypsumplank.protocol.peer import Hello
+from gypsumplank.transport.peer import PynngPeers
+
+BOOT = 1
+
+
+def make_peer(name: str, address: str, key: str, daemon: str) -> PynngPeers:
+    """Return one peer that sends to the daemon."""
+    sealer, opener = Sealer(key, BOOT), Opener(key, name, time.monotonic)
+    peer = PynngPeers(name, address, sealer, opener, lambda _reason: None, time.monotonic)
+    peer.start()
+    peer.connect({"entry-0": daemon})
+    return peer
+
+
+def main() -> None:
+    """Greet the daemon from all peers every period until ended."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--address", required=True, action="append")
+    parser.add_argument("--daemon", required=True)
+    parser.add_argument("--key", required=True)
+    parser.add_argument("--period-s", type=float, required=True)
+    args = parser.parse_args()
+    peers = {
+        f"other-{number}": make_peer(f"other-{number}", address, args.key, args.daemon)
+        for number, address in enumerate(args.address)
+    }
+    hellos = {
+        name: Hello(name, 1, address, 1, True)
+        for (name, address) in zip(peers, args.address, strict=True)
+    }
+    while True:
+        for name, peer in peers.items():
+            peer.broadcast(hellos[name])
+        time.sleep(args.period_s)
+
+
+if __name__ == "__main__":
+    main()
