Report the burn of error budgets over all daemons

Each daemon process counts in buckets of 5 minutes by what spent the budget, and writes its rows whole to the table service every 10 s, so that a repeat doubles nothing and a replaced daemon keeps to rows of its own. `gypsumplank report burn` shows windows of 5 minutes, 1 hour and 6 hours and the four measures, from any daemon, as a table, JSON, PNG or a self-contained page. Only requests finished on time count as success.

One write every 10 s a daemon.

--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -7,12 +7,13 @@
 import sys
 import threading
 import time
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from pathlib import Path
 
 from opentelemetry.metrics import Observation
 
 from gypsumplank.coordination.admission import Admission, Limits
+from gypsumplank.coordination.burn import WRITE_PERIOD_S, BurnCounter, BurnWriter
 from gypsumplank.coordination.control import Control
 from gypsumplank.coordination.dispatch import Dispatcher
 from gypsumplank.coordination.ejection import Ejector, JudgedEndpoints
@@ -21,6 +22,7 @@
 from gypsumplank.coordination.heartbeat import Heartbeat
 from gypsumplank.coordination.leaving import LeavingHosts
 from gypsumplank.coordination.part import Parts
+from gypsumplank.coordination.report import Acceptance, BurnReporter
 from gypsumplank.coordination.rollout import Own, Rollout
 from gypsumplank.coordination.share import DemandTable
 from gypsumplank.coordination.slot import Slots
@@ -29,9 +31,12 @@
 from gypsumplank.errors import SettingsError
 from gypsumplank.log import Event, event, set_up
 from gypsumplank.metrics import Metrics
+from gypsumplank.protocol.burn import Finish
 from gypsumplank.protocol.envelope import Opener, Sealer
 from gypsumplank.protocol.exchange import Reply, Request
+from gypsumplank.protocol.operator import PATH_BURN
 from gypsumplank.settings import Settings, load_settings
+from gypsumplank.state.burn import BurnStore
 from gypsumplank.state.clock import SystemClock
 from gypsumplank.state.config import ConfigStore
 from gypsumplank.state.session import Session, SessionStore
@@ -87,6 +92,7 @@
         self._peers = self._make_peers()
         self._make_distribution()
         self._make_load()
+        self._make_burn()
         self._callers = self._make_callers()
         self._operators = self._make_operators()
         self._supervise()
@@ -192,6 +198,25 @@
     def _host_names(self) -> Mapping[str, str]:
         return self._view().host_names
 
+    def _make_burn(self) -> None:
+        """Wire the counts against objectives and the report on them."""
+        writer = f"{self._cfg.id}.{int(self._clock.wall() * MICROSECONDS):x}"
+        store = BurnStore(HttpTable(self._platform))
+        self._burn = BurnCounter(writer, self._view, self._clock)
+        self._burn_writer = BurnWriter(self._burn, store, self._clock)
+        self._reporter = BurnReporter(
+            self._burn, self._burn_writer, store, self._clock, self._view, self._acceptances
+        )
+        self._holder.listen(self._burn.advance)
+
+    def _acceptances(self, after: int) -> Iterable[Acceptance]:
+        entries = self._store.entries(max(after, 0))
+        return (Acceptance(entry.revision, entry.accepted_at) for entry in entries)
+
+    def _finished(self, finish: Finish) -> None:
+        self._metrics.request(finish.service, finish.outcome.value, finish.duration_s)
+        self._burn.count(finish)
+
     def _make_callers(self) -> Listener:
         cfg = self._cfg
         self._endpoints = HttpEndpointClient(ENDPOINT_CONNECTIONS, cfg.connect_timeout_s)
@@ -200,7 +225,7 @@
         app = CallerApp(
             GatedCarrier(self._gate, dispatcher),
             lambda: self._holder.current.services,
-            self._metrics.request,
+            self._finished,
         )
         queue = QueueingDispatcher(cfg.threads, self._admission, lambda: self._view().services)
         return Listener(app, cfg.callers, queue, cfg.max_body_bytes, "callers")
@@ -216,7 +241,9 @@
             self._ready,
             self._rollout,
         )
-        app = OperatorApp(control, self._metrics.render, cfg.tokens)
+        app = OperatorApp(
+            control, self._metrics.render, cfg.tokens, {PATH_BURN: self._reporter.report}
+        )
         threads = ClosingDispatcher(OPERATOR_THREADS)
         return Listener(app, cfg.operators, threads, cfg.max_body_bytes, "operators")
 
@@ -227,6 +254,7 @@
         self._supervisor.add("snapshots", self._snapshots, self._cfg.heartbeat_s)
         self._supervisor.add("leaving", self._leaving, MEMBERSHIP_POLL_S)
         self._supervisor.add("parts", self._parts, PARTS_PERIOD_S)
+        self._supervisor.add("burn", self._burn_writer, WRITE_PERIOD_S)
         self._supervisor.add("admission", self._admission, ADMISSION_PERIOD_S)
 
     def stop(self) -> None:
@@ -249,6 +277,7 @@
         time.sleep(self._cfg.notice_s)
         idle = self._callers.close(self._cfg.grace_s)
         self._supervisor.stop()
+        self._burn_writer.tick()
         self._heartbeat.close()
         self._peers.close()
         self._operators.close(OPERATOR_GRACE_S)
--- a/gypsumplank/errors.py
+++ b/gypsumplank/errors.py
@@ -299,3 +299,9 @@
 
     code = "answer-not-kept"
     status = 502
+
+
+class PlotUnavailableError(GypsumplankError):
+    """The library for plots is not installed where the command runs."""
+
+    code = "plot-unavailable"
--- a/gypsumplank/transport/caller.py
+++ b/gypsumplank/transport/caller.py
@@ -7,6 +7,7 @@
 from typing import Any, Protocol
 
 from gypsumplank.errors import RequestInvalidError
+from gypsumplank.protocol.burn import Finish
 from gypsumplank.protocol.exchange import (
     HEADER_IDEMPOTENCY_KEY,
     HEADER_PRIORITY,
@@ -25,12 +26,13 @@
 from gypsumplank.transport.listener import StartResponse
 from gypsumplank.transport.queue import ENV_REFUSAL, ENV_TICKET
 
+ENV_DISCONNECTED = "waitress.client_disconnected"
 MAX_ID_LENGTH = 128
 REPLACED = frozenset({"content-length", "x-request-id"})
 BODILESS_STATUSES = frozenset({204, 304})
 PHRASES = {status.value: f"{status.value} {status.phrase}" for status in HTTPStatus}
 
-Measure = Callable[[str, str, float], None]
+Measure = Callable[[Finish], None]
 Services = Callable[[], Mapping[str, ServiceSpec]]
 
 
@@ -58,6 +60,7 @@
         service = environ["PATH_INFO"].split("/", 2)[1]
         spec = self._services().get(service)
         reply: Reply | None = environ.get(ENV_REFUSAL)
+        req: Request | None = None
         try:
             if reply is None:
                 pool = ticket.pool if ticket else ""
@@ -65,14 +68,20 @@
                 reply = self._carrier.carry(req)
         except RequestInvalidError as exc:
             reply = Refusal(exc.code, Outcome.NOT_RUN, exc.status, exc.detail)
-        outcome = Outcome.FINISHED if isinstance(reply, Answer) else reply.outcome
-        self._measure(service if spec else "", outcome.value, time.monotonic() - started)
+        ended = time.monotonic()
+        late = req is not None and ended > req.deadline
+        gone = environ.get(ENV_DISCONNECTED, _connected)()
+        self._measure(Finish(service if spec else "", reply, ended - started, late, gone))
         status, fields, body = _http_answer(reply)
         fields += [(HEADER_REQUEST_ID, request_id), *_length(environ, reply, status, body)]
         start(PHRASES.get(status, f"{status} Unassigned"), fields)
         return (body,)
 
 
+def _connected() -> bool:
+    return False
+
+
 def _headers(environ: Mapping[str, Any]) -> dict[str, str]:
     found = {
         name[5:].replace("_", "-").title(): value
--- a/gypsumplank/transport/operator.py
+++ b/gypsumplank/transport/operator.py
@@ -97,11 +97,16 @@
     """Turn operators' HTTP requests into calls of the controller."""
 
     def __init__(
-        self, controller: Controller, metrics: Callable[[], bytes], tokens: Sequence[Token]
+        self,
+        controller: Controller,
+        metrics: Callable[[], bytes],
+        tokens: Sequence[Token],
+        reports: Mapping[str, Callable[[], Any]] | None = None,
     ) -> None:
         self._controller = controller
         self._metrics = metrics
         self._tokens = tuple(tokens)
+        self._reports = reports or {}
 
     def __call__(self, environ: dict[str, Any], start: StartResponse) -> Iterable[bytes]:
         """Answer one HTTP request."""
@@ -136,6 +141,8 @@
 
     def _read(self, path: str, query: str) -> Page:
         asked = parse_qs(query)
+        if path in self._reports:
+            return _json(self._reports[path]())
         if path == PATH_STATUS:
             return _json(self._controller.status())
         if path == PATH_HISTORY:
--- /dev/null
+++ b/tests/state/test_burn.py
@@ -0,0 +1,27 @@
+from gypsumplank.protocol.burn import Advance, BurnRow, Result
+from gypsumplank.state.burn import BurnStore
+from gypsumplank.state.table import MemoryTable
+
+ROW = BurnRow(600, "a.1", {"quotes": {Result.ON_TIME: 3}}, (Advance(1, 2, 601.5),), 1)
+
+
+def test_rows_come_back_whole():
+    store = BurnStore(MemoryTable())
+    store.write((ROW,))
+    assert store.read(600) == [ROW]
+    assert store.read(900) == []
+
+
+def test_repeat_leaves_one_row():
+    store = BurnStore(MemoryTable())
+    store.write((ROW,))
+    store.write((ROW,))
+    assert store.read(0) == [ROW]
+
+
+def test_old_rows_expire():
+    store = BurnStore(MemoryTable())
+    newer = BurnRow(900, "a.1")
+    store.write((ROW, newer))
+    assert store.expire(900) == 1
+    assert store.read(0) == [newer]
