Show pools, budgets, queues, waves and revisions in a terminal

`gypsumplank top` asks one daemon who is live and each of those for its overview: hosts by state against the hosts promised, requests in flight and waiting summed over the daemons, waves, and who is behind or silent. Text without colour; on a terminal the screen is cleared in between, elsewhere screens follow one another.

--- a/gypsumplank/cli.py
+++ b/gypsumplank/cli.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Any
 
-from gypsumplank import cli_config, cli_report, porcelain
+from gypsumplank import cli_config, cli_report, cli_top, porcelain
 from gypsumplank.cli_show import ENV_SERVER, ENV_TOKEN, find_server, show
 from gypsumplank.errors import FaultsError, GypsumplankError, ServerError, ServerUnreachableError
 
@@ -32,6 +32,7 @@
   gypsumplank --output json get host
   gypsumplank describe pool counter-desk
   gypsumplank status
+  gypsumplank top --period 5
   gypsumplank report burn --plot burn.html
 
 exit codes: 0 done, 1 failed, 2 wrong usage, 3 no daemon reached,
@@ -70,6 +71,7 @@
         command.set_defaults(run=run)
     cli_config.add_commands(commands)
     cli_report.add_commands(commands)
+    cli_top.add_commands(commands)
     commands.add_parser("status", help="show the fleet").set_defaults(run=run_status)
     return parser
 
--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -7,8 +7,9 @@
 import sys
 import threading
 import time
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from pathlib import Path
+from typing import Any
 
 from opentelemetry.metrics import Observation
 
@@ -21,6 +22,7 @@
 from gypsumplank.coordination.gate import Gate
 from gypsumplank.coordination.heartbeat import Heartbeat
 from gypsumplank.coordination.leaving import LeavingHosts
+from gypsumplank.coordination.overview import Overviewer
 from gypsumplank.coordination.part import Parts
 from gypsumplank.coordination.report import Acceptance, BurnReporter
 from gypsumplank.coordination.rollout import Own, Rollout
@@ -35,6 +37,7 @@
 from gypsumplank.protocol.envelope import Opener, Sealer
 from gypsumplank.protocol.exchange import Reply, Request
 from gypsumplank.protocol.operator import PATH_BURN
+from gypsumplank.protocol.overview import PATH_OVERVIEW
 from gypsumplank.settings import Settings, load_settings
 from gypsumplank.state.burn import BurnStore
 from gypsumplank.state.clock import SystemClock
@@ -209,6 +212,12 @@
         )
         self._holder.listen(self._burn.advance)
 
+    def _reports(self) -> dict[str, Callable[[], Any]]:
+        overviewer = Overviewer(
+            self._cfg.id, self._view, self._slots.in_flight, self._admission.waiting
+        )
+        return {PATH_BURN: self._reporter.report, PATH_OVERVIEW: overviewer.overview}
+
     def _acceptances(self, after: int) -> Iterable[Acceptance]:
         entries = self._store.entries(max(after, 0))
         return (Acceptance(entry.revision, entry.accepted_at) for entry in entries)
@@ -241,9 +250,7 @@
             self._ready,
             self._rollout,
         )
-        app = OperatorApp(
-            control, self._metrics.render, cfg.tokens, {PATH_BURN: self._reporter.report}
-        )
+        app = OperatorApp(control, self._metrics.render, cfg.tokens, self._reports())
         threads = ClosingDispatcher(OPERATOR_THREADS)
         return Listener(app, cfg.operators, threads, cfg.max_body_bytes, "operators")
 
