--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -7,13 +7,14 @@
 import sys
 import threading
 import time
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from pathlib import Path
 
 from opentelemetry.metrics import Observation
 
 from gypsumplank.coordination.admission import Admission, Limits
 from gypsumplank.coordination.budget import check_assignments, check_budgets
+from gypsumplank.coordination.burn import WRITE_PERIOD_S, BurnCounter, BurnWriter
 from gypsumplank.coordination.control import Control
 from gypsumplank.coordination.controller import Controller, Stores
 from gypsumplank.coordination.desk import FleetDesk, Sources
@@ -26,8 +27,10 @@
 from gypsumplank.coordination.isolation import Isolation
 from gypsumplank.coordination.lease import Leases
 from gypsumplank.coordination.leaving import LeavingHosts
+from gypsumplank.coordination.overview import Overviewer
 from gypsumplank.coordination.part import Parts
 from gypsumplank.coordination.planner import Planner
+from gypsumplank.coordination.report import Acceptance, BurnReporter
 from gypsumplank.coordination.rollout import Own, Rollout
 from gypsumplank.coordination.roster import Roster
 from gypsumplank.coordination.share import DemandTable
@@ -40,6 +43,7 @@
 from gypsumplank.errors import SettingsError
 from gypsumplank.log import Event, event, set_up
 from gypsumplank.metrics import Metrics
+from gypsumplank.protocol.burn import Finish
 from gypsumplank.protocol.envelope import Opener, Sealer
 from gypsumplank.protocol.exchange import Reply, Request
 from gypsumplank.protocol.fleet import (
@@ -51,7 +55,10 @@
     HostOrder,
     WaveOrder,
 )
+from gypsumplank.protocol.operator import PATH_BURN
+from gypsumplank.protocol.overview import PATH_OVERVIEW
 from gypsumplank.settings import Settings, load_settings
+from gypsumplank.state.burn import BurnStore
 from gypsumplank.state.client import TableClient
 from gypsumplank.state.clock import SystemClock
 from gypsumplank.state.config import ConfigStore
@@ -113,6 +120,7 @@
         self._make_distribution()
         self._make_load()
         self._make_fleet()
+        self._make_burn()
         self._callers = self._make_callers()
         self._operators = self._make_operators()
         self._supervise()
@@ -219,6 +227,34 @@
     def _host_names(self) -> Mapping[str, str]:
         return self._view().host_names
 
+    def _make_burn(self) -> None:
+        """Wire the counts against objectives and the report on them."""
+        writer = f"{self._cfg.id}.{int(self._clock.wall() * MICROSECONDS):x}"
+        store = BurnStore(self._table)
+        self._burn = BurnCounter(writer, self._view, self._clock)
+        self._burn_writer = BurnWriter(self._burn, store, self._clock)
+        self._reporter = BurnReporter(
+            self._burn, self._burn_writer, store, self._clock, self._view, self._acceptances
+        )
+        self._holder.listen(self._burn.advance)
+
+    def _report_routes(self) -> dict[str, Route]:
+        overviewer = Overviewer(
+            self._cfg.id, self._view, self._slots.in_flight, self._admission.waiting
+        )
+        return {
+            PATH_BURN: Route(self._reporter.report),
+            PATH_OVERVIEW: Route(overviewer.overview),
+        }
+
+    def _acceptances(self, after: int) -> Iterable[Acceptance]:
+        entries = self._store.entries(max(after, 0))
+        return (Acceptance(entry.revision, entry.accepted_at) for entry in entries)
+
+    def _finished(self, finish: Finish) -> None:
+        self._metrics.request(finish.service, finish.outcome.value, finish.duration_s)
+        self._burn.count(finish)
+
     def _make_fleet(self) -> None:
         cfg, table, clock = self._cfg, self._table, self._clock
         self._endpoints = HttpEndpointClient(ENDPOINT_CONNECTIONS, cfg.connect_timeout_s)
@@ -262,7 +298,7 @@
         app = CallerApp(
             GatedCarrier(self._gate, dispatcher),
             lambda: self._holder.current.services,
-            self._metrics.request,
+            self._finished,
         )
         queue = QueueingDispatcher(cfg.threads, self._admission, lambda: self._view().services)
         return Listener(app, cfg.callers, queue, cfg.max_body_bytes, "callers")
@@ -278,7 +314,8 @@
             self._ready,
             self._rollout,
         )
-        app = OperatorApp(control, self._metrics.render, cfg.tokens, self._fleet_routes())
+        routes = {**self._fleet_routes(), **self._report_routes()}
+        app = OperatorApp(control, self._metrics.render, cfg.tokens, routes)
         threads = ClosingDispatcher(OPERATOR_THREADS)
         return Listener(app, cfg.operators, threads, cfg.max_body_bytes, "operators")
 
@@ -292,6 +329,7 @@
         self._supervisor.add("snapshots", self._snapshots, self._cfg.heartbeat_s)
         self._supervisor.add("leaving", self._leaving, MEMBERSHIP_POLL_S)
         self._supervisor.add("parts", self._parts, PARTS_PERIOD_S)
+        self._supervisor.add("burn", self._burn_writer, WRITE_PERIOD_S)
         self._supervisor.add("admission", self._admission, ADMISSION_PERIOD_S)
 
     def stop(self) -> None:
@@ -315,6 +353,7 @@
         idle = self._callers.close(self._cfg.grace_s)
         self._supervisor.stop()
         self._leases.close()
+        self._burn_writer.tick()
         self._heartbeat.close()
         self._peers.close()
         self._operators.close(OPERATOR_GRACE_S)
