--- a/gypsumplank/coordination/outcome.py
+++ b/gypsumplank/coordination/outcome.py
@@ -4,6 +4,9 @@
 from dataclasses import dataclass
 
 from gypsumplank.errors import (
+    AnswerNotKeptError,
+    ClaimAbandonedError,
+    ClaimUnavailableError,
     DeadlinePassedError,
     EndpointAnswerError,
     EndpointConnectError,
@@ -11,6 +14,8 @@
     EndpointTimeoutError,
     EndpointUnsentError,
     GypsumplankError,
+    KeyInUseError,
+    KeyReusedError,
     LateAnswerError,
     LeaseLostError,
     RequestInvalidError,
@@ -45,8 +50,15 @@
     DeadlinePassedError: NOT_SENT_FINAL,
     LeaseLostError: NOT_SENT_FINAL,
     RequestInvalidError: NOT_SENT_FINAL,
+    KeyReusedError: NOT_SENT_FINAL,
+    ClaimUnavailableError: NOT_SENT_FINAL,
+    KeyInUseError: MAY_HAVE_RUN_FINAL,
+    ClaimAbandonedError: MAY_HAVE_RUN_FINAL,
+    AnswerNotKeptError: MAY_HAVE_RUN_FINAL,
 }
 
+HOPELESS = (RequestInvalidError, KeyReusedError, ClaimAbandonedError, AnswerNotKeptError)
+
 
 def verdict_of(exc: Exception) -> Verdict:
     """Return the verdict on a failed try; what is not in the table may have run."""
@@ -64,7 +76,7 @@
     """Return what the caller is told, with the outcome of all tries or of this one alone."""
     error = exc if isinstance(exc, GypsumplankError) else GypsumplankError(type(exc).__name__)
     told = outcome or verdict_of(exc).outcome
-    retry_after_s = 0 if isinstance(exc, RequestInvalidError) else RETRY_AFTER_S
+    retry_after_s = 0 if isinstance(exc, HOPELESS) else RETRY_AFTER_S
     return Refusal(error.code, told, error.status, error.detail, retry_after_s)
 
 
--- a/gypsumplank/errors.py
+++ b/gypsumplank/errors.py
@@ -86,6 +86,12 @@
     status = 413
 
 
+class StateBusyError(StateError):
+    """Too many writes wait for the platform; nothing was written."""
+
+    code = "state-busy"
+
+
 class RevisionConflictError(GypsumplankError):
     """The configuration is at another revision than the operator named."""
 
--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -31,6 +31,7 @@
     PEER_DROPPED = "peer-dropped"
     PEER_FAILED = "peer-failed"
     REQUEST_FAILED = "request-failed"
+    CLAIM_UNSETTLED = "claim-unsettled"
     ACTOR_RESTARTED = "actor-restarted"
     ACTOR_FAILED = "actor-failed"
 
--- a/gypsumplank/protocol/header.py
+++ b/gypsumplank/protocol/header.py
@@ -4,7 +4,11 @@
 from collections.abc import Mapping
 
 from gypsumplank.errors import RequestInvalidError
-from gypsumplank.protocol.exchange import DEFAULT_URGENCY, HEADER_TIMEOUT_MS
+from gypsumplank.protocol.exchange import (
+    DEFAULT_URGENCY,
+    HEADER_IDEMPOTENCY_KEY,
+    HEADER_TIMEOUT_MS,
+)
 
 # RFC 9110 section 7.6.1
 HOP_BY_HOP = frozenset(
@@ -21,6 +25,9 @@
     }
 )
 MAX_TIMEOUT_MS = 3_600_000
+MAX_KEY_LENGTH = 255
+_KEY = rf"([!#-\[\]-~]{{1,{MAX_KEY_LENGTH}}})"
+IDEMPOTENCY_KEY = re.compile(rf'{_KEY}|"{_KEY}"')
 # RFC 9218 section 4.1
 URGENCY = re.compile(r"(?:^|[,\s])u=([0-7])(?:$|[,;\s])")
 
@@ -42,6 +49,15 @@
     return int(raw) / 1000
 
 
+def parse_idempotency_key(value: str) -> str:
+    """Return the key, with or without the quotes of a string field; raise RequestInvalidError."""
+    match = IDEMPOTENCY_KEY.fullmatch(value)
+    if match is None:
+        detail = f"{HEADER_IDEMPOTENCY_KEY} must be 1 to {MAX_KEY_LENGTH} visible ASCII characters"
+        raise RequestInvalidError(detail)
+    return match.group(1) or match.group(2)
+
+
 def end_to_end(headers: tuple[tuple[str, str], ...]) -> tuple[tuple[str, str], ...]:
     """Return the fields without the ones that concern a single connection."""
     return tuple((name, value) for name, value in headers if name.lower() not in HOP_BY_HOP)
