--- a/gypsumplank/coordination/claim.py
+++ b/gypsumplank/coordination/claim.py
@@ -47,8 +47,13 @@
 class Lease(Protocol):
     """Tell of this daemon's lease and of the sessions that are live."""
 
-    session: Session
-    live: tuple[Session, ...]
+    @property
+    def session(self) -> Session:
+        """Return this daemon's session."""
+
+    @property
+    def live(self) -> tuple[Session, ...]:
+        """Return the sessions whose leases are in force, as last read."""
 
     @property
     def held(self) -> bool:
--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -7,16 +7,24 @@
 import sys
 import threading
 import time
+from collections.abc import Mapping
 from pathlib import Path
 
 from opentelemetry.metrics import Observation
 
+from gypsumplank.coordination.admission import Admission, Limits
+from gypsumplank.coordination.claim import Claims
 from gypsumplank.coordination.control import Control
 from gypsumplank.coordination.dispatch import Dispatcher
+from gypsumplank.coordination.ejection import Ejector, JudgedEndpoints
+from gypsumplank.coordination.expiry import Expiry
 from gypsumplank.coordination.follower import Follower
 from gypsumplank.coordination.gate import Gate
 from gypsumplank.coordination.heartbeat import Heartbeat
+from gypsumplank.coordination.leaving import LeavingHosts
+from gypsumplank.coordination.part import Parts
 from gypsumplank.coordination.rollout import Own, Rollout
+from gypsumplank.coordination.share import DemandTable
 from gypsumplank.coordination.slot import Slots
 from gypsumplank.coordination.snapshot import Snapshots
 from gypsumplank.coordination.supervisor import Supervisor, make_step
@@ -26,17 +34,25 @@
 from gypsumplank.protocol.envelope import Opener, Sealer
 from gypsumplank.protocol.exchange import Reply, Request
 from gypsumplank.settings import Settings, load_settings
+from gypsumplank.state.claim import ClaimStore
 from gypsumplank.state.clock import SystemClock
 from gypsumplank.state.config import ConfigStore
 from gypsumplank.state.session import Session, SessionStore
 from gypsumplank.state.validation import check_records
-from gypsumplank.state.view import ViewHolder
+from gypsumplank.state.view import View, ViewHolder
+from gypsumplank.state.writer import BatchWriter
 from gypsumplank.transport.caller import CallerApp
 from gypsumplank.transport.endpoint import HttpEndpointClient
-from gypsumplank.transport.listener import Listener
+from gypsumplank.transport.listener import ClosingDispatcher, Listener
 from gypsumplank.transport.operator import OperatorApp
 from gypsumplank.transport.peer import PynngPeers
-from gypsumplank.transport.platform import HttpTable, PlatformClient
+from gypsumplank.transport.platform import (
+    HttpMembership,
+    HttpObjectStore,
+    HttpTable,
+    PlatformClient,
+)
+from gypsumplank.transport.queue import QueueingDispatcher
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
@@ -45,6 +61,12 @@
 OPERATOR_GRACE_S = 2.0
 ENDPOINT_CONNECTIONS = 64
 MICROSECONDS = 1_000_000
+MEMBERSHIP_POLL_S = 0.5
+PARTS_PERIOD_S = 0.2
+ADMISSION_PERIOD_S = 0.1
+CLAIMS_PERIOD_S = 0.5
+EXPIRY_PERIOD_S = 1.0
+CLAIM_WRITES_PER_S = 150
 
 logger = logging.getLogger("gypsumplank.daemon")
 
@@ -72,11 +94,11 @@
         self._gate = Gate()
         self._holder = ViewHolder()
         self._supervisor = Supervisor(self._clock)
-        self._slots = Slots(random.Random())
         self._metrics = self._make_metrics()
         self._make_state()
         self._peers = self._make_peers()
         self._make_distribution()
+        self._make_load()
         self._callers = self._make_callers()
         self._operators = self._make_operators()
         self._supervise()
@@ -139,18 +161,84 @@
         self._peers.connect({**self._snapshots.addresses, **sessions}, self._cfg.peer_seeds)
         self._rollout.tick()
 
+    def _make_load(self) -> None:
+        """Wire what decides when a request starts and at which host."""
+        cfg = self._cfg
+        self._leaving = LeavingHosts(HttpMembership(self._platform))
+        self._ejector = Ejector(self._view, self._clock)
+        self._demands = DemandTable(
+            cfg.id,
+            self._peers,
+            self._clock,
+            lambda: tuple(session.id for session in self._heartbeat.live),
+            self._demand,
+        )
+        self._parts = Parts(
+            cfg.id,
+            self._view,
+            self._demands,
+            self._ejector,
+            lambda: self._leaving.current,
+            self._clock,
+            cfg.daemons,
+        )
+        limits = Limits(cfg.threads, cfg.waiting)
+        self._admission = Admission(self._view, self._parts, self._clock, limits)
+        self._slots = Slots(random.Random(), cfg.zone, self._parts)
+        self._metrics.gauge(
+            "gypsumplank.requests.waiting",
+            "{request}",
+            "Requests that wait for a slot",
+            lambda: [
+                Observation(count, {"service": name})
+                for name, count in self._admission.waiting().items()
+            ],
+        )
+
+    def _demand(self) -> dict[str, int]:
+        return self._admission.demand()
+
+    def _view(self) -> View:
+        return self._holder.current
+
+    def _host_names(self) -> Mapping[str, str]:
+        return self._view().host_names
+
     def _make_callers(self) -> Listener:
         cfg = self._cfg
         self._endpoints = HttpEndpointClient(ENDPOINT_CONNECTIONS, cfg.connect_timeout_s)
+        judged = JudgedEndpoints(self._endpoints, self._ejector, self._host_names)
         dispatcher = Dispatcher(
-            lambda: self._holder.current, self._endpoints, self._slots, self._clock
+            self._view, judged, self._slots, self._clock, keyed=self._make_claims()
         )
         app = CallerApp(
             GatedCarrier(self._gate, dispatcher),
             lambda: self._holder.current.services,
             self._metrics.request,
         )
-        return Listener(app, cfg.callers, cfg.threads, cfg.max_body_bytes, "callers")
+        queue = QueueingDispatcher(cfg.threads, self._admission, lambda: self._view().services)
+        return Listener(app, cfg.callers, queue, cfg.max_body_bytes, "callers")
+
+    def _make_claims(self) -> Claims:
+        """Wire what runs each idempotency key's request at most once."""
+        table = HttpTable(self._platform)
+        store = ClaimStore(table, HttpObjectStore(self._platform))
+        self._writer = BatchWriter(table, self._clock, self._claim_pace_s)
+        self._claims = claims = Claims(store, self._writer, self._clock, self._heartbeat)
+        expiry = Expiry(store, self._writer, self._clock, self._heartbeat, self._cfg.keep_claims_s)
+        self._supervisor.add("claims", claims, CLAIMS_PERIOD_S)
+        self._supervisor.add("expiry", expiry, EXPIRY_PERIOD_S)
+        self._metrics.gauge(
+            "gypsumplank.claims.unsettled",
+            "{claim}",
+            "Claims whose outcome waits for the platform",
+            lambda: [Observation(claims.unsettled())],
+        )
+        return claims
+
+    def _claim_pace_s(self) -> float:
+        """Return the time between commits that keeps all daemons within the claims' writes."""
+        return max(1, len(self._heartbeat.live)) / CLAIM_WRITES_PER_S
 
     def _make_operators(self) -> Listener:
         cfg = self._cfg
@@ -164,13 +252,17 @@
             self._rollout,
         )
         app = OperatorApp(control, self._metrics.render, cfg.tokens)
-        return Listener(app, cfg.operators, OPERATOR_THREADS, cfg.max_body_bytes, "operators")
+        threads = ClosingDispatcher(OPERATOR_THREADS)
+        return Listener(app, cfg.operators, threads, cfg.max_body_bytes, "operators")
 
     def _supervise(self) -> None:
         self._supervisor.add("follower", self._follower, self._cfg.poll_s)
         self._supervisor.add("heartbeat", self._heartbeat, self._cfg.heartbeat_s)
         self._supervisor.add("peers", make_step(self._join_peers), self._cfg.heartbeat_s)
         self._supervisor.add("snapshots", self._snapshots, self._cfg.heartbeat_s)
+        self._supervisor.add("leaving", self._leaving, MEMBERSHIP_POLL_S)
+        self._supervisor.add("parts", self._parts, PARTS_PERIOD_S)
+        self._supervisor.add("admission", self._admission, ADMISSION_PERIOD_S)
 
     def stop(self) -> None:
         """Ask the daemon to stop gracefully."""
@@ -180,6 +272,7 @@
         """Serve until asked to stop; return the exit code."""
         self._operators.start()
         self._peers.start()
+        self._writer.start()
         self._supervisor.start()
         self._callers.start()
         event(logger, Event.STARTED, daemon=self._cfg.id, callers=self._cfg.callers)
@@ -192,6 +285,8 @@
         time.sleep(self._cfg.notice_s)
         idle = self._callers.close(self._cfg.grace_s)
         self._supervisor.stop()
+        self._claims.tick()
+        self._writer.stop()
         self._heartbeat.close()
         self._peers.close()
         self._operators.close(OPERATOR_GRACE_S)
--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -34,6 +34,8 @@
     CLAIM_UNSETTLED = "claim-unsettled"
     ACTOR_RESTARTED = "actor-restarted"
     ACTOR_FAILED = "actor-failed"
+    ENDPOINT_EJECTED = "endpoint-ejected"
+    ENDPOINT_RETURNED = "endpoint-returned"
 
 
 class LogfmtFormatter(JsonFormatter):
