--- a/tests/coordination/test_claim.py
+++ b/tests/coordination/test_claim.py
@@ -293,6 +293,20 @@
     assert one.claims.unsettled() == 0
 
 
+def test_release_spares_the_claim_of_another_daemon(fleet, one, other):
+    fleet.table.script = ["dropped", "dropped", "dropped"]
+    assert one.claims.carry(req(), fleet.send()).code == "claim-unavailable"
+    fleet.clock.advance(OUTAGE_PAUSE_S)
+
+    def run():
+        one.claims.tick()
+        assert one.claims.carry(req(), fleet.send()).status == 409
+        return OK
+
+    assert other.claims.carry(req(), fleet.send(run)) == OK
+    assert fleet.runs == ["k"]
+
+
 def test_claim_that_waits_past_the_deadline_is_not_written(fleet, one):
     one.writer.cancels = True
     found = one.claims.carry(req(deadline=1000.05), fleet.send())
