--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,7 +4,7 @@
 import importlib
 import sys
 
-MEASUREMENTS = ("hop",)
+MEASUREMENTS = ("hop", "claims")
 
 
 def main() -> None:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -19,11 +19,15 @@
 
 @dataclass(frozen=True)
 class Faults:
-    """Hold what goes wrong; shares are 0 to 1 of all writes, times in seconds."""
+    """Hold what goes wrong; shares are 0 to 1 of all writes, times in seconds.
+
+    Writes beyond `writes_per_s` wait for their turn; 0 sets no limit.
+    """
 
     outage: bool = False
     delay_s: float = 0.0
     lose_answers: float = 0.0
+    writes_per_s: float = 0.0
     freeze_members: bool = False
 
 
@@ -39,6 +43,7 @@
         self.counts: Counter[str] = Counter()
         self.lock = threading.Lock()
         self.rng = random.Random(seed)
+        self.next_write = 0.0
 
     def count(self, what: str, size: int) -> None:
         """Count one call and its bytes."""
@@ -46,6 +51,17 @@
             self.counts[what] += 1
             self.counts[f"{what}_bytes"] += size
 
+    def await_turn(self) -> None:
+        """Wait until the limit of writes lets the next one through."""
+        rate = self.faults.writes_per_s
+        if not rate:
+            return
+        with self.lock:
+            now = time.monotonic()
+            turn = max(now, self.next_write)
+            self.next_write = turn + 1 / rate
+        time.sleep(turn - now)
+
     def loses_answer(self) -> bool:
         """Tell whether the next answer to a write gets lost."""
         with self.lock:
@@ -123,6 +139,7 @@
     def _write(self, body: bytes) -> None:
         if self._out():
             return
+        self.platform.await_turn()
         self.platform.count("writes", len(body))
         try:
             answer = self._apply(body)
