Take in claims: keyed requests run at most once over all daemons

Cause: claims are wired beside host usage and burn counts. Change: the dispatcher sends through host usage and claims; claims use the shared table client.

--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -15,11 +15,13 @@
 from gypsumplank.coordination.admission import Admission, Limits
 from gypsumplank.coordination.budget import check_assignments, check_budgets
 from gypsumplank.coordination.burn import WRITE_PERIOD_S, BurnCounter, BurnWriter
+from gypsumplank.coordination.claim import Claims
 from gypsumplank.coordination.control import Control
 from gypsumplank.coordination.controller import Controller, Stores
 from gypsumplank.coordination.desk import FleetDesk, Sources
 from gypsumplank.coordination.dispatch import Dispatcher
 from gypsumplank.coordination.ejection import Ejector, JudgedEndpoints
+from gypsumplank.coordination.expiry import Expiry
 from gypsumplank.coordination.flood import is_flooded
 from gypsumplank.coordination.follower import Follower
 from gypsumplank.coordination.gate import Gate
@@ -59,6 +61,7 @@
 from gypsumplank.protocol.overview import PATH_OVERVIEW
 from gypsumplank.settings import Settings, load_settings
 from gypsumplank.state.burn import BurnStore
+from gypsumplank.state.claim import ClaimStore
 from gypsumplank.state.client import TableClient
 from gypsumplank.state.clock import SystemClock
 from gypsumplank.state.config import ConfigStore
@@ -67,12 +70,18 @@
 from gypsumplank.state.validation import check_records
 from gypsumplank.state.view import View, ViewHolder
 from gypsumplank.state.wave import WaveStore
+from gypsumplank.state.writer import BatchWriter
 from gypsumplank.transport.caller import CallerApp
 from gypsumplank.transport.endpoint import HttpEndpointClient
 from gypsumplank.transport.listener import ClosingDispatcher, Listener
 from gypsumplank.transport.operator import OperatorApp, Route
 from gypsumplank.transport.peer import PynngPeers
-from gypsumplank.transport.platform import HttpMembership, HttpTable, PlatformClient
+from gypsumplank.transport.platform import (
+    HttpMembership,
+    HttpObjectStore,
+    HttpTable,
+    PlatformClient,
+)
 from gypsumplank.transport.queue import QueueingDispatcher
 
 EXIT_OK = 0
@@ -85,6 +94,9 @@
 MEMBERSHIP_POLL_S = 0.5
 PARTS_PERIOD_S = 0.2
 ADMISSION_PERIOD_S = 0.1
+CLAIMS_PERIOD_S = 0.5
+EXPIRY_PERIOD_S = 1.0
+CLAIM_WRITES_PER_S = 150
 
 GUARDS = (check_records, check_assignments, check_budgets)
 
@@ -294,7 +306,9 @@
 
     def _make_callers(self) -> Listener:
         cfg = self._cfg
-        dispatcher = Dispatcher(self._view, self._usage, self._slots, self._clock)
+        dispatcher = Dispatcher(
+            self._view, self._usage, self._slots, self._clock, keyed=self._make_claims()
+        )
         app = CallerApp(
             GatedCarrier(self._gate, dispatcher),
             lambda: self._holder.current.services,
@@ -303,6 +317,27 @@
         queue = QueueingDispatcher(cfg.threads, self._admission, lambda: self._view().services)
         return Listener(app, cfg.callers, queue, cfg.max_body_bytes, "callers")
 
+    def _make_claims(self) -> Claims:
+        """Wire what runs each idempotency key's request at most once."""
+        table = self._table
+        store = ClaimStore(table, HttpObjectStore(self._platform))
+        self._writer = BatchWriter(table, self._clock, self._claim_pace_s)
+        self._claims = claims = Claims(store, self._writer, self._clock, self._heartbeat)
+        expiry = Expiry(store, self._writer, self._clock, self._heartbeat, self._cfg.keep_claims_s)
+        self._supervisor.add("claims", claims, CLAIMS_PERIOD_S)
+        self._supervisor.add("expiry", expiry, EXPIRY_PERIOD_S)
+        self._metrics.gauge(
+            "gypsumplank.claims.unsettled",
+            "{claim}",
+            "Claims whose outcome waits for the platform",
+            lambda: [Observation(claims.unsettled())],
+        )
+        return claims
+
+    def _claim_pace_s(self) -> float:
+        """Return the time between commits that keeps all daemons within the claims' writes."""
+        return max(1, len(self._heartbeat.live)) / CLAIM_WRITES_PER_S
+
     def _make_operators(self) -> Listener:
         cfg = self._cfg
         control = Control(
@@ -340,6 +375,7 @@
         """Serve until asked to stop; return the exit code."""
         self._operators.start()
         self._peers.start()
+        self._writer.start()
         self._supervisor.start()
         self._callers.start()
         event(logger, Event.STARTED, daemon=self._cfg.id, callers=self._cfg.callers)
@@ -352,6 +388,8 @@
         time.sleep(self._cfg.notice_s)
         idle = self._callers.close(self._cfg.grace_s)
         self._supervisor.stop()
+        self._claims.tick()
+        self._writer.stop()
         self._leases.close()
         self._burn_writer.tick()
         self._heartbeat.close()
