--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,7 +4,7 @@
 import importlib
 import sys
 
-MEASUREMENTS = ("hop",)
+MEASUREMENTS = ("hop", "flood", "slots")
 
 
 def main() -> None:
--- a/gypsumplank/coordination/admission.py
+++ b/gypsumplank/coordination/admission.py
@@ -269,7 +269,7 @@
         left = ticket.deadline - now
         key = (self._home(ticket), ticket.service, ticket.team)
         running = self._ledger.by_team[key] > 0
-        return left <= 0 or (running and self._estimates[_class(ticket)].mean_s > left)
+        return left <= 0 or (running and self._estimates[_class(ticket)].likely_s > left)
 
     def _home(self, ticket: Ticket) -> str:
         return self._shares.view.services[ticket.service].pool
--- a/gypsumplank/coordination/estimate.py
+++ b/gypsumplank/coordination/estimate.py
@@ -4,6 +4,7 @@
 
 GAIN = 0.125
 DEVIATION_GAIN = 0.25
+LIKELY_DEVIATIONS = 2
 
 
 @dataclass
@@ -27,4 +28,4 @@
     @property
     def likely_s(self) -> float:
         """Return a duration that most work does not exceed."""
-        return self.mean_s + self.deviation_s
+        return self.mean_s + LIKELY_DEVIATIONS * self.deviation_s
--- a/gypsumplank/coordination/share.py
+++ b/gypsumplank/coordination/share.py
@@ -1,5 +1,6 @@
 """Split the slots of endpoints among the daemons by their demand, alike at every daemon."""
 
+import math
 from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
@@ -11,7 +12,9 @@
 
 FLOOR = 1
 HEARD_FOR_S = 1.5
+REPEAT_S = 0.5
 DECAY = 2
+STEADY_SHARE = 0.25
 
 
 def split_slots(
@@ -35,6 +38,13 @@
     return dict(Counter(islice(rounds, first, last)))
 
 
+def _steady(last: int, now: int) -> int:
+    """Return the demand to tell, which small changes leave as it was."""
+    if abs(now - last) <= STEADY_SHARE * last:
+        return last
+    return max(now, last // DECAY)
+
+
 @dataclass(frozen=True)
 class Heard:
     """Hold a daemon's last message and when it came, on the monotonic clock."""
@@ -59,19 +69,28 @@
         self._clock = clock
         self._live = live
         self._demand = demand
-        self._told: Mapping[str, int] = {}
+        self._told: dict[str, int] = {}
+        self._counted: Mapping[str, int] = {}
+        self._sent_at = -math.inf
         self._heard: dict[str, Heard] = {}
         peers.subscribe(Demand, self.hear)
 
     def tick(self) -> None:
-        """Tell the others what waits here; it rises at once and falls by half each time."""
-        now = self._demand()
+        """Tell the others what waits here; it rises at once and falls by half each time.
+
+        A rise counts here one round later than at the others, who make room first.
+        """
+        now, last = self._demand(), self._told
         self._told = {
             pool: found
-            for pool in {*now, *self._told}
-            if (found := max(now.get(pool, 0), self._told.get(pool, 0) // DECAY))
+            for pool in {*now, *last}
+            if (found := _steady(last.get(pool, 0), now.get(pool, 0)))
         }
-        self._peers.broadcast(Demand(self._daemon, 0, dict(self._told)))
+        self._counted = {pool: min(found, last.get(pool, 0)) for pool, found in self._told.items()}
+        at = self._clock.monotonic()
+        if self._told != last or at - self._sent_at >= REPEAT_S:
+            self._sent_at = at
+            self._peers.broadcast(Demand(self._daemon, 0, self._told))
 
     def hear(self, message: object) -> None:
         """Keep another daemon's demand."""
@@ -87,7 +106,8 @@
         fresh = self._fresh()
         if not fresh:
             return dict.fromkeys(self.daemons(), FLOOR)
-        held = {name: demand.pools for name, demand in fresh.items()} | {self._daemon: self._told}
+        held: dict[str, Mapping[str, int]] = {name: told.pools for name, told in fresh.items()}
+        held[self._daemon] = self._counted
         return {name: FLOOR + pools.get(pool, 0) for name, pools in held.items()}
 
     def _fresh(self) -> dict[str, Demand]:
--- a/tests/coordination/test_share.py
+++ b/tests/coordination/test_share.py
@@ -2,7 +2,8 @@
 from hypothesis import strategies as st
 
 from gypsumplank.coordination.peer import MemoryPeers
-from gypsumplank.coordination.share import HEARD_FOR_S, DemandTable, split_slots
+from gypsumplank.coordination.share import HEARD_FOR_S, REPEAT_S, DemandTable, split_slots
+from gypsumplank.protocol.peer import Demand
 from gypsumplank.state.clock import ManualClock
 
 HOSTS = {f"h{i}": 8 for i in range(8)}
@@ -56,6 +57,8 @@
     group = Group(7)
     group.demand["d3"] = {"quotes": 120}
     group.tick()
+    assert sum(map(group.parts, group.live)) < 64, "the others make room first"
+    group.tick()
     assert group.parts("d3") >= 0.9 * 64
     assert sum(map(group.parts, group.live)) == 64
 
@@ -64,6 +67,7 @@
     group = Group(2)
     group.demand["d0"] = {"quotes": 100}
     group.tick()
+    group.tick()
     before = group.parts("d0")
     group.demand["d0"] = {}
     for _ in range(7):
@@ -92,6 +96,18 @@
     assert sorted(map(group.parts, group.live)) == [21, 21, 22]
 
 
+def test_steady_demand_is_told_once_until_it_must_be_repeated():
+    group, heard = Group(2), []
+    group.peers["d1"].subscribe(Demand, heard.append)
+    for count in (100, 110, 90, 100, 105):
+        group.demand["d0"] = {"quotes": count}
+        group.tables["d0"].tick()
+    assert len(heard) == 1
+    group.clock.advance(REPEAT_S)
+    group.tables["d0"].tick()
+    assert len(heard) == 2
+
+
 def test_new_daemon_starts_small():
     group = Group(3)
     group.demand |= {"d0": {"quotes": 30}, "d1": {"quotes": 30}}
