--- a/bench/model.py
+++ b/bench/model.py
@@ -4,7 +4,7 @@
 import itertools
 import random
 from collections import Counter, deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from functools import partial
 from typing import Protocol
@@ -324,6 +324,6 @@
     def __init__(self, daemons: int) -> None:
         self._daemons = daemons
 
-    def parts(self, hosts: Hosts, names: Sequence[str]) -> dict[str, int]:
+    def parts(self, hosts: Hosts, names: Sequence[str]) -> Mapping[str, int]:
         """Return the fixed part."""
         return {name: max(1, hosts[name].slots // self._daemons) for name in names}
--- a/gypsumplank/coordination/admission.py
+++ b/gypsumplank/coordination/admission.py
@@ -183,7 +183,7 @@
                 if ticket.service not in services:
                     self._refuse(ticket, "service-unknown", 0.0, settled)
         pools = {services[name].pool for name, count in self._waiting.items() if count}
-        for pool in sorted(pools, key=lambda name: self._ledger.by_pool[name]):
+        for pool in sorted(pools, key=lambda name: (self._ledger.by_pool[name], name)):
             self._fill(pool, now, settled)
         if any(self._waiting[name] for name in self._shares.overflowing):
             for pool in self._shares.spare_pools:
@@ -231,11 +231,13 @@
                 return ticket
             if free > self._shares.reserve(self._ledger, capacity, ticket):
                 return ticket
-        if pool in self._shares.spare_pools:
-            others = [name for name in self._shares.overflowing if self._is_full(name, pool)]
-            if free > self._shares.owed(self._ledger, pool, capacity):
-                return next(self._in_order(pool, others), None)
-        return None
+        if pool not in self._shares.spare_pools:
+            return None
+        if free <= self._shares.owed(self._ledger, pool, capacity):
+            return None
+        others = (name for name in self._shares.overflowing if self._waiting[name])
+        full = [name for name in others if self._is_full(name, pool)]
+        return next(self._in_order(pool, full), None)
 
     def _is_full(self, service: str, spare: str) -> bool:
         """Tell whether a service's own pool has no slot for it."""
--- a/gypsumplank/coordination/ejection.py
+++ b/gypsumplank/coordination/ejection.py
@@ -55,6 +55,7 @@
         self._lock = threading.Lock()
         self._health: dict[str, Health] = {}
         self._ejected: frozenset[str] = frozenset()
+        self.version = 0
 
     def record(self, host: str, ok: bool) -> None:
         """Take the result of one request in."""
@@ -73,6 +74,7 @@
         with self._lock:
             self._health[host] = Health(back_since=self._clock.monotonic())
             self._ejected -= {host}
+            self.version += 1
 
     def keep_budget(self, view: View) -> None:
         """Let ejected hosts back that the pools' budgets need in service."""
@@ -139,6 +141,7 @@
         health.ejections = min(health.ejections + 1, 10)
         health.ejected = True
         self._ejected |= {host}
+        self.version += 1
         health.out_until = self._clock.monotonic() + seconds
         event(logger, Event.ENDPOINT_EJECTED, host=host, seconds=seconds)
 
@@ -147,6 +150,7 @@
         held.failure_rate = health.failure_rate
         self._health[host] = held
         self._ejected -= {host}
+        self.version += 1
         event(logger, Event.ENDPOINT_RETURNED, host=host, reason=reason)
 
 
--- a/gypsumplank/coordination/part.py
+++ b/gypsumplank/coordination/part.py
@@ -1,12 +1,14 @@
 """Hold this daemon's part of the slots that all daemons share."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
+from typing import Any
 
 from gypsumplank.coordination.ejection import Ejector
 from gypsumplank.coordination.share import DemandTable, split_slots
 from gypsumplank.coordination.slot import Hosts
 from gypsumplank.errors import InvariantError
-from gypsumplank.protocol.spec import HostSpec
+from gypsumplank.protocol.spec import AssignmentState, HostSpec
 from gypsumplank.state.clock import Clock
 from gypsumplank.state.view import View
 
@@ -14,6 +16,23 @@
 MIN_SLOTS = 1
 
 
+@dataclass(frozen=True)
+class Bounds:
+    """Hold this daemon's slots, and its most requests in flight, at each usable host."""
+
+    parts: Mapping[str, int]
+    caps: Mapping[str, int]
+
+
+@dataclass(frozen=True)
+class Memo:
+    """Keep the bounds that were worked out on the same grounds."""
+
+    view: View
+    grounds: tuple[Any, ...]
+    bounds: dict[tuple[str, ...], Bounds] = field(default_factory=dict)
+
+
 class Parts:
     """Split slots by demand, and pass over hosts that leave or fail."""
 
@@ -36,8 +55,8 @@
         self._max_daemons = max_daemons
         self._parts: dict[str, int] = {}
         self._prospects: dict[str, int] = {}
-        self._seen = View()
-        self._serving: frozenset[str] = frozenset()
+        self._rounds = 0
+        self._memo = Memo(View(), ())
         self._marked: dict[str, float] = {}
 
     def tick(self) -> None:
@@ -56,6 +75,7 @@
                 self._ejector.arrive(name)
         self._parts, self._prospects = parts, prospects
         self._mark(view)
+        self._rounds += 1
 
     def capacity(self, view: View, pool: str) -> int:
         """Return the slots of a pool that this daemon may use now."""
@@ -67,18 +87,13 @@
         """Return the slots of a pool that this daemon may count on soon."""
         return max(self.capacity(view, pool), self._prospects.get(pool, 0))
 
-    def parts(self, hosts: Hosts, names: Sequence[str]) -> dict[str, int]:
+    def parts(self, hosts: Hosts, names: Sequence[str]) -> Mapping[str, int]:
         """Return this daemon's slots at each host that may get new work."""
-        return {
-            name: self._ejector.limit(name, min(cap, self._parts.get(name, MIN_SLOTS)))
-            for name, cap in self._usable(hosts, names).items()
-        }
+        return self._bounds(hosts, names).parts
 
-    def caps(self, hosts: Hosts, names: Sequence[str]) -> dict[str, int]:
+    def caps(self, hosts: Hosts, names: Sequence[str]) -> Mapping[str, int]:
         """Return the most requests in flight at each host that may get new work."""
-        return {
-            name: self._ejector.limit(name, cap) for name, cap in self._usable(hosts, names).items()
-        }
+        return self._bounds(hosts, names).caps
 
     def failure_rate(self, name: str) -> float:
         """Return the share of a host's recent answers that were failures."""
@@ -90,21 +105,34 @@
         if marked is not None and self._clock.monotonic() - marked > LEAVING_BOUND_S:
             raise InvariantError(f"{name} is leaving and would get new work")
 
-    def _usable(self, hosts: Hosts, names: Sequence[str]) -> dict[str, int]:
-        """Return the cap of each host that serves now, whatever view the names are from."""
-        view, leaving = self._view(), self._leaving()
-        if view is not self._seen:
-            self._serving = frozenset(
-                name for pool in view.pools for name in view.serving_hosts(pool)
-            )
-            self._seen = view
+    def _bounds(self, hosts: Hosts, names: Sequence[str]) -> Bounds:
+        """Return what holds for these hosts, worked out anew when its grounds change."""
+        view = self._view()
         self._ejector.keep_budget(view)
+        grounds = (view.revision, self._leaving(), self._ejector.version, self._rounds)
+        if grounds != self._memo.grounds or view is not self._memo.view:
+            self._memo = Memo(view, grounds)
+        key = tuple(names)
+        found = self._memo.bounds.get(key)
+        if found is None:
+            found = self._memo.bounds[key] = self._work_out(view, hosts, key)
+        return found
+
+    def _work_out(self, view: View, hosts: Hosts, names: Sequence[str]) -> Bounds:
+        """Return the bounds of the hosts that serve now, whatever view the names are from."""
         daemons = max(self._max_daemons, len(self._demands.daemons()))
-        return {
+        excluded = self._leaving() | self._marked.keys()
+        caps = {
             name: _cap(hosts[name], daemons)
             for name in names
-            if name in self._serving and name not in leaving and name not in self._marked
+            if name not in excluded and _is_serving(view, name)
         }
+        parts = {name: min(cap, self._parts.get(name, MIN_SLOTS)) for name, cap in caps.items()}
+        limit = self._ejector.limit
+        return Bounds(
+            {name: limit(name, part) for name, part in parts.items()},
+            {name: limit(name, cap) for name, cap in caps.items()},
+        )
 
     def _mark(self, view: View) -> None:
         now = self._clock.monotonic()
@@ -112,6 +140,10 @@
         self._marked = {name: self._marked.get(name, now) for name in gone}
 
 
+def _is_serving(view: View, name: str) -> bool:
+    return name in view.hosts and view.assignment(name).state is AssignmentState.SERVING
+
+
 def _cap(spec: HostSpec, daemons: int) -> int:
     """Return one daemon's connections to a host, so that those of all stay within its limit."""
     return min(spec.slots, spec.connections // daemons)
--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -21,13 +21,15 @@
 from gypsumplank.coordination.heartbeat import Heartbeat
 from gypsumplank.coordination.leaving import LeavingHosts
 from gypsumplank.coordination.part import Parts
-from gypsumplank.coordination.peer import MemoryPeers
+from gypsumplank.coordination.rollout import Own, Rollout
 from gypsumplank.coordination.share import DemandTable
 from gypsumplank.coordination.slot import Slots
-from gypsumplank.coordination.supervisor import Supervisor
+from gypsumplank.coordination.snapshot import Snapshots
+from gypsumplank.coordination.supervisor import Supervisor, make_step
 from gypsumplank.errors import SettingsError
 from gypsumplank.log import Event, event, set_up
 from gypsumplank.metrics import Metrics
+from gypsumplank.protocol.envelope import Opener, Sealer
 from gypsumplank.protocol.exchange import Reply, Request
 from gypsumplank.settings import Settings, load_settings
 from gypsumplank.state.clock import SystemClock
@@ -39,6 +41,7 @@
 from gypsumplank.transport.endpoint import HttpEndpointClient
 from gypsumplank.transport.listener import ClosingDispatcher, Listener
 from gypsumplank.transport.operator import OperatorApp
+from gypsumplank.transport.peer import PynngPeers
 from gypsumplank.transport.platform import HttpMembership, HttpTable, PlatformClient
 from gypsumplank.transport.queue import QueueingDispatcher
 
@@ -48,6 +51,7 @@
 OPERATOR_THREADS = 4
 OPERATOR_GRACE_S = 2.0
 ENDPOINT_CONNECTIONS = 64
+MICROSECONDS = 1_000_000
 MEMBERSHIP_POLL_S = 0.5
 PARTS_PERIOD_S = 0.1
 ADMISSION_PERIOD_S = 0.1
@@ -80,6 +84,8 @@
         self._supervisor = Supervisor(self._clock)
         self._metrics = self._make_metrics()
         self._make_state()
+        self._peers = self._make_peers()
+        self._make_distribution()
         self._make_load()
         self._callers = self._make_callers()
         self._operators = self._make_operators()
@@ -90,7 +96,6 @@
         self._platform = PlatformClient(cfg.platform, cfg.platform_timeout_s)
         table = HttpTable(self._platform)
         self._store = ConfigStore(table, self._clock, (check_records,))
-        self._follower = Follower(self._store, self._holder)
         self._heartbeat = Heartbeat(
             SessionStore(table),
             self._clock,
@@ -99,10 +104,54 @@
             lambda: self._holder.current.revision,
         )
 
+    def _make_peers(self) -> PynngPeers:
+        cfg = self._cfg
+        count = self._metrics.count("gypsumplank.peer.drops", "Peer messages dropped, by reason")
+        monotonic = self._clock.monotonic
+        return PynngPeers(
+            cfg.id,
+            cfg.peers,
+            Sealer(cfg.peer_key, int(self._clock.wall() * MICROSECONDS)),
+            Opener(cfg.peer_key, cfg.id, monotonic),
+            lambda reason: count(1, {"reason": reason}),
+            monotonic,
+        )
+
+    def _make_distribution(self) -> None:
+        def revision() -> int:
+            return self._holder.current.revision
+
+        own = Own(lambda: self._heartbeat.session, revision, lambda: self._follower.caught_up)
+        self._rollout = Rollout(
+            own,
+            self._peers,
+            self._clock,
+            lambda: self._heartbeat.live,
+            lambda: self._supervisor.hurry("follower"),
+        )
+        self._follower = Follower(
+            self._store, self._holder, self._rollout.acknowledge, self._rollout.ahead
+        )
+        self._snapshots = Snapshots(
+            self._peers,
+            self._holder,
+            self._follower,
+            self._rollout,
+            self._clock,
+            lambda: self._heartbeat.session,
+            lambda: self._heartbeat.live,
+            self._cfg.lease_s,
+            random.Random(),
+        )
+
+    def _join_peers(self) -> None:
+        sessions = {session.id: session.peers for session in self._heartbeat.live}
+        self._peers.connect({**self._snapshots.addresses, **sessions}, self._cfg.peer_seeds)
+        self._rollout.tick()
+
     def _make_load(self) -> None:
         """Wire what decides when a request starts and at which host."""
         cfg = self._cfg
-        self._peers = MemoryPeers()
         self._leaving = LeavingHosts(HttpMembership(self._platform))
         self._ejector = Ejector(self._view, self._clock)
         self._demands = DemandTable(
@@ -159,7 +208,13 @@
     def _make_operators(self) -> Listener:
         cfg = self._cfg
         control = Control(
-            self._store, self._holder, self._follower, self._heartbeat, self._slots, self._ready
+            self._store,
+            self._holder,
+            self._follower,
+            self._heartbeat,
+            self._slots,
+            self._ready,
+            self._rollout,
         )
         app = OperatorApp(control, self._metrics.render, cfg.tokens)
         threads = ClosingDispatcher(OPERATOR_THREADS)
@@ -168,6 +223,8 @@
     def _supervise(self) -> None:
         self._supervisor.add("follower", self._follower, self._cfg.poll_s)
         self._supervisor.add("heartbeat", self._heartbeat, self._cfg.heartbeat_s)
+        self._supervisor.add("peers", make_step(self._join_peers), self._cfg.heartbeat_s)
+        self._supervisor.add("snapshots", self._snapshots, self._cfg.heartbeat_s)
         self._supervisor.add("leaving", self._leaving, MEMBERSHIP_POLL_S)
         self._supervisor.add("parts", self._parts, PARTS_PERIOD_S)
         self._supervisor.add("admission", self._admission, ADMISSION_PERIOD_S)
@@ -179,6 +236,7 @@
     def run(self) -> int:
         """Serve until asked to stop; return the exit code."""
         self._operators.start()
+        self._peers.start()
         self._supervisor.start()
         self._callers.start()
         event(logger, Event.STARTED, daemon=self._cfg.id, callers=self._cfg.callers)
@@ -192,6 +250,7 @@
         idle = self._callers.close(self._cfg.grace_s)
         self._supervisor.stop()
         self._heartbeat.close()
+        self._peers.close()
         self._operators.close(OPERATOR_GRACE_S)
         self._endpoints.close()
         self._platform.close()
