--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,7 +4,7 @@
 import importlib
 import sys
 
-MEASUREMENTS = ("hop", "flood", "slots")
+MEASUREMENTS = ("hop", "flood", "slots", "live")
 
 
 def main() -> None:
