--- a/bench/hop.py
+++ b/bench/hop.py
@@ -86,7 +86,7 @@
         cluster.start_workers("worker", [endpoint], slots=64)
         cluster.start_module("bare", "bench.bare", "--listen", bare, "--endpoint", endpoint)
         cluster.wait_http(f"http://{bare}/_stats")
-        cluster.start_daemon("entry-0", "z")
+        cluster.start_daemon("entry-0", "z", limits={"daemons": 1})
         started = resident_mib(cluster.processes["entry-0"].pid)
         server = porcelain.Server(cluster.operators("entry-0"))
         porcelain.apply(server, [write_records(folder, endpoint)])
--- a/gypsumplank/coordination/admission.py
+++ b/gypsumplank/coordination/admission.py
@@ -70,13 +70,8 @@
             ticket.team = shares.team(ticket.team)
             self._numbers += 1
             ticket.number = self._numbers
-            self._enter(ticket)
-            if ticket.service in shares.view.services:
-                self._fill(self._home(ticket), now, settled)
-                self._spill(ticket, now, settled)
-                self._bound(ticket, now, settled)
-            else:
-                self._refuse(ticket, "service-unknown", 0.0, settled)
+            if not self._starts_at_once(ticket, now, settled):
+                self._queue(ticket, now, settled)
         _tell(settled)
 
     def withdraw(self, ticket: Ticket) -> bool:
@@ -95,7 +90,7 @@
             ticket.move(TicketState.FINISHED)
             self._ledger.give(ticket)
             self._estimates[_class(ticket)].record(now - ticket.started)
-            if self._waiting.total():
+            if self._waiting:
                 self._refreshed()
                 self._fill_all(now, settled)
         _tell(settled)
@@ -132,6 +127,31 @@
         with self._lock:
             return dict(+self._ledger.by_pool)
 
+    def _starts_at_once(self, ticket: Ticket, now: float, settled: Settled) -> bool:
+        """Grant a ticket without queueing it where nothing waits; return whether it was."""
+        if self._waiting or ticket.service not in self._shares.view.services:
+            return False
+        pool = self._home(ticket)
+        capacity = self._capacity.capacity(self._shares.view, pool)
+        free = capacity - self._ledger.by_pool[pool]
+        if free <= 0 or not self._has_thread(pool) or self._is_late(ticket, now):
+            return False
+        if self._is_long(ticket, pool) and free <= self._shares.reserve(
+            self._ledger, capacity, ticket
+        ):
+            return False
+        self._grant(ticket, pool, capacity, now, settled)
+        return True
+
+    def _queue(self, ticket: Ticket, now: float, settled: Settled) -> None:
+        self._enter(ticket)
+        if ticket.service in self._shares.view.services:
+            self._fill(self._home(ticket), now, settled)
+            self._spill(ticket, now, settled)
+            self._bound(ticket, now, settled)
+        else:
+            self._refuse(ticket, "service-unknown", 0.0, settled)
+
     def _refreshed(self) -> Shares:
         """Return the shares in force; move what waits for a team that is no more."""
         view = self._view()
@@ -203,12 +223,13 @@
             if self._is_late(ticket, now):
                 self._refuse(ticket, "deadline-unreachable", 0.0, settled)
             else:
+                self._take_out(ticket)
                 self._grant(ticket, pool, capacity, now, settled)
 
     def _grant(
         self, ticket: Ticket, pool: str, capacity: int, now: float, settled: Settled
     ) -> None:
-        self._leave(ticket, TicketState.GRANTED)
+        ticket.move(TicketState.GRANTED)
         ticket.pool, ticket.started = pool, now
         self._ledger.take(ticket)
         if self._ledger.by_pool[pool] > capacity or self._ledger.total > self._limits.threads:
