--- a/gypsumplank/coordination/slot.py
+++ b/gypsumplank/coordination/slot.py
@@ -17,10 +17,10 @@
 class SlotRule(Protocol):
     """Bound what this daemon may use of each host."""
 
-    def parts(self, hosts: Hosts, names: Sequence[str]) -> dict[str, int]:
+    def parts(self, hosts: Hosts, names: Sequence[str]) -> Mapping[str, int]:
         """Return this daemon's slots at each host that may get new work."""
 
-    def caps(self, hosts: Hosts, names: Sequence[str]) -> dict[str, int]:
+    def caps(self, hosts: Hosts, names: Sequence[str]) -> Mapping[str, int]:
         """Return the most requests in flight at each host that may get new work."""
 
     def failure_rate(self, name: str) -> float:
@@ -33,11 +33,11 @@
 class WholeSlots:
     """Let a single daemon use every slot of every host."""
 
-    def parts(self, hosts: Hosts, names: Sequence[str]) -> dict[str, int]:
+    def parts(self, hosts: Hosts, names: Sequence[str]) -> Mapping[str, int]:
         """Return all slots of each host."""
         return {name: hosts[name].slots for name in names}
 
-    def caps(self, hosts: Hosts, names: Sequence[str]) -> dict[str, int]:
+    def caps(self, hosts: Hosts, names: Sequence[str]) -> Mapping[str, int]:
         """Return all slots of each host."""
         return self.parts(hosts, names)
 
