Run tasks through real daemons, fenced by their pool's lease

Cause: tasks were decided but not wired; drains did not wait for them; a plan searched all tasks for each host, and idle workers were called although no task was there.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,7 +4,17 @@
 import importlib
 import sys
 
-MEASUREMENTS = ("hop",)
+MEASUREMENTS = (
+    "hop",
+    "flood",
+    "slots",
+    "live",
+    "claims",
+    "placement",
+    "rollout",
+    "store",
+    "capacity",
+)
 
 
 def main() -> None:
--- a/bench/hop.py
+++ b/bench/hop.py
@@ -21,10 +21,10 @@
 KIB = 1024
 
 
-def measure(address: str, path: str, callers: int) -> Figures:
+def measure(address: str, path: str, callers: int, seconds: float = SECONDS) -> Figures:
     """Run one load in a process of its own."""
     args = ["--address", address, "--path", path]
-    args += ["--callers", str(callers), "--seconds", str(SECONDS)]
+    args += ["--callers", str(callers), "--seconds", str(seconds)]
     done = subprocess.run(
         [sys.executable, "-m", "bench.load", *args], cwd=ROOT, capture_output=True, check=True
     )
@@ -86,7 +86,7 @@
         cluster.start_workers("worker", [endpoint], slots=64)
         cluster.start_module("bare", "bench.bare", "--listen", bare, "--endpoint", endpoint)
         cluster.wait_http(f"http://{bare}/_stats")
-        cluster.start_daemon("entry-0", "z")
+        cluster.start_daemon("entry-0", "z", limits={"daemons": 1})
         started = resident_mib(cluster.processes["entry-0"].pid)
         server = porcelain.Server(cluster.operators("entry-0"))
         porcelain.apply(server, [write_records(folder, endpoint)])
--- a/gypsumplank/coordination/control.py
+++ b/gypsumplank/coordination/control.py
@@ -3,11 +3,12 @@
 import logging
 from collections.abc import Callable, Mapping
 
+from gypsumplank.coordination.budget import is_assignment_key
 from gypsumplank.coordination.follower import Follower
 from gypsumplank.coordination.heartbeat import Heartbeat
 from gypsumplank.coordination.rollout import Rollout
 from gypsumplank.coordination.slot import Slots
-from gypsumplank.errors import RecordMissingError, RecordsError
+from gypsumplank.errors import AssignmentError, RecordMissingError, RecordsError
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.operator import (
     ChangeOrder,
@@ -57,6 +58,7 @@
 
     def change(self, order: ChangeOrder, actor: str) -> ChangeReceipt:
         """Accept a change whole or raise GypsumplankError."""
+        _refuse_assignments(order)
         revision = self._store.propose(order.operation, lambda view: change_of(view, order, actor))
         return self._accepted(revision, actor)
 
@@ -126,6 +128,13 @@
         )
 
 
+def _refuse_assignments(order: ChangeOrder) -> None:
+    """Raise AssignmentError where an operator writes what only the system may."""
+    written = (*(record.key for record in order.puts), *order.deletes)
+    if any(is_assignment_key(key) for key in written):
+        raise AssignmentError("assignments change by `host drain`, `host undrain` and `host move`")
+
+
 def _as_seen(record: Record, schema: int) -> Record:
     return downgrade(record) if schema == 1 else record
 
--- a/gypsumplank/coordination/placement.py
+++ b/gypsumplank/coordination/placement.py
@@ -3,6 +3,7 @@
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
+from heapq import heapify, heappop, heappush
 
 from gypsumplank.protocol.spec import HostSpec, TeamSpec
 from gypsumplank.protocol.task import NO_SIZE, URGENT, Size, Task, Yield
@@ -90,7 +91,10 @@
 
 @dataclass
 class Placer:
-    """Hold the room that is left while one plan is made."""
+    """Hold the room that is left while one plan is made.
+
+    Room only shrinks, so that what is no smaller than an `unfit` size fits nowhere either.
+    """
 
     rooms: Sequence[Room]
     running: Mapping[str, Sequence[Running]]
@@ -98,11 +102,13 @@
     free: dict[str, Size] = field(init=False)
     used: dict[str, Size] = field(init=False)
     spread: Counter[tuple[str, str]] = field(init=False)
+    unfit: list[Size] = field(init=False)
 
     def __post_init__(self) -> None:
         self.free = {room.name: self._free_of(room) for room in self.rooms}
         self.used = {}
         self.spread = Counter()
+        self.unfit = []
         by_name = {room.name: room for room in self.rooms}
         for host, attempts in self.running.items():
             for attempt in attempts:
@@ -134,19 +140,21 @@
         queues: dict[str, list[Candidate]] = {}
         for cand in reversed(waiting):
             queues.setdefault(cand.task.order.team, []).append(cand)
+        turns = [(self._share(team), team) for team in queues]
+        heapify(turns)
         starts = []
-        while queues:
-            team = min(queues, key=lambda name: (self._share(name), name))
+        while turns:
+            _, team = heappop(turns)
             cand = queues[team].pop()
-            if not queues[team]:
-                del queues[team]
             host = self._place(cand)
             if host:
                 starts.append((cand, host))
+            if queues[team]:
+                heappush(turns, (self._share(team), team))
         return starts
 
     def _place(self, cand: Candidate) -> str:
-        if not self._within_quota(cand):
+        if not self._within_quota(cand) or any(size.fits(cand.size) for size in self.unfit):
             return ""
         fitting = [
             room
@@ -154,6 +162,8 @@
             if room.name not in cand.task.failed_on and cand.size.fits(self.free[room.name])
         ]
         if not fitting:
+            if not cand.task.failed_on:
+                self.unfit.append(cand.size)
             return ""
         room = min(fitting, key=lambda held: self._cost(cand.task, held))
         self.free[room.name] -= cand.size
--- a/gypsumplank/coordination/task.py
+++ b/gypsumplank/coordination/task.py
@@ -40,7 +40,6 @@
         fence: Fence,
         clock: Clock,
         executor: Executor,
-        drain_grace_s: float,
     ) -> None:
         self._view = view
         self._store = store
@@ -48,7 +47,6 @@
         self._fence = fence
         self._clock = clock
         self._executor = executor
-        self._drain_grace_s = drain_grace_s
         self.pools: dict[str, TaskPool] = {}
 
     def tick(self) -> None:
@@ -66,6 +64,14 @@
             except StateError as exc:
                 event(logger, Event.STATE_UNAVAILABLE, logging.WARNING, code=exc.code, step="task")
 
+    def wait_at(self, pool: str, host: str) -> str:
+        """Return why tasks hold up the drain of a host; empty where none does."""
+        held = self.pools.get(pool)
+        if held is None or not held.known:
+            return "the pool's tasks are not read yet"
+        count = len(held.running_on(host))
+        return f"{count} tasks" if count else ""
+
     def _round(self, view: View, pool: str, held: TaskPool, fence: Check) -> None:
         held.read()
         if not held.save(held.contact(view, self._executor), fence):
@@ -80,7 +86,7 @@
         if held.save(started, fence):
             list(self._executor.map(partial(held.start, view), started))
         overdue = held.overdue_evictions() if held.urgent_waits() else []
-        leaving = held.drain_evictions(view, self._drain_grace_s)
+        leaving = held.drain_evictions(view)
         for eviction in (*plan.evictions, *overdue, *leaving):
             held.evict(view, eviction)
 
--- a/gypsumplank/coordination/taskpool.py
+++ b/gypsumplank/coordination/taskpool.py
@@ -33,6 +33,7 @@
 RENEW_S = 2.0
 IDLE_RENEW_S = 10.0
 CHECKPOINT_WAIT_S = 1.0
+STOP_SHARE = 0.8
 LAPSE_MARGIN_S = 2.0
 RESCAN_S = 5.0
 OVERLAP_MS = 10_000
@@ -80,6 +81,8 @@
         self._leaving: dict[str, Leaving] = {}
         self._draining_since: dict[str, float] = {}
         self.tasks: dict[str, HeldTask] = {}
+        self.known = False
+        self._hosts: dict[str, list[Task]] | None = None
         self.sizing = Sizing()
         self.quarantine = Quarantine()
 
@@ -89,10 +92,12 @@
 
     def read(self) -> None:
         """Read new tasks, and from time to time all of them."""
+        self._hosts = None
         now = self._clock.monotonic()
         if now >= self._rescan_at:
             self.tasks = {held.task.id: held for held in self._store.open(self._pool)}
             self._rescan_at = now + RESCAN_S
+            self.known = True
             return
         newest_ms = int(self._clock.wall() * 1000) - OVERLAP_MS
         for held in self._store.open(self._pool, f"{newest_ms:013d}"):
@@ -100,11 +105,15 @@
 
     def running_on(self, host: str) -> list[Task]:
         """Return the tasks whose attempts are at a host."""
-        return [
-            held.task
-            for held in self.tasks.values()
-            if held.task.state is TaskState.RUNNING and held.task.host == host
-        ]
+        return self._by_host().get(host, [])
+
+    def _by_host(self) -> dict[str, list[Task]]:
+        if self._hosts is None:
+            self._hosts = {}
+            for held in self.tasks.values():
+                if held.task.state is TaskState.RUNNING:
+                    self._hosts.setdefault(held.task.host, []).append(held.task)
+        return self._hosts
 
     def contact(self, view: View, executor: Executor) -> list[Task]:
         """Renew leases at the hosts that are due and return the tasks that have changed."""
@@ -167,8 +176,8 @@
         finally:
             self._contact(task.host).due = 0.0
 
-    def drain_evictions(self, view: View, grace_s: float) -> list[Eviction]:
-        """Return what tasks at leaving hosts must do: checkpoint, else stop after the grace."""
+    def drain_evictions(self, view: View) -> list[Eviction]:
+        """Return what tasks at leaving hosts must do: checkpoint, else stop late in the grace."""
         now = self._clock.monotonic()
         leaving = [
             host
@@ -178,7 +187,8 @@
         self._draining_since = {host: self._draining_since.get(host, now) for host in leaving}
         found = []
         for host in leaving:
-            over = now - self._draining_since[host] >= grace_s
+            grace_s = view.assignment(host).grace_s
+            over = now - self._draining_since[host] >= grace_s * STOP_SHARE
             for task in self.running_on(host):
                 if self._is_leaving(task):
                     continue
@@ -221,6 +231,7 @@
         return leaving is not None and leaving.token == task.token
 
     def _keep(self, task: Task, version: int) -> None:
+        self._hosts = None
         if task.state in FINAL_STATES:
             self.tasks.pop(task.id, None)
         else:
@@ -232,10 +243,13 @@
         return self._contacts[host]
 
     def _hosts_in_use(self, view: View) -> list[str]:
-        named = {
-            held.task.host for held in self.tasks.values() if held.task.state is TaskState.RUNNING
-        }
-        return sorted(host for host in {*named, *view.hosts_of(self._pool)} if host in view.hosts)
+        """Return the hosts with attempts, wanted or not, and those that did not answer."""
+        named = set(self._by_host())
+        reported = {place.partition("/")[0] for place in self._reports}
+        return sorted((named | reported | self._missed()) & view.hosts.keys())
+
+    def _missed(self) -> set[str]:
+        return {host for host, contact in self._contacts.items() if contact.missed}
 
     def _renew(self, view: View, host: str) -> Sequence[Report] | None:
         contact = self._contact(host)
--- a/gypsumplank/state/session.py
+++ b/gypsumplank/state/session.py
@@ -1,6 +1,7 @@
 """Keep one lease row for each live daemon."""
 
-from dataclasses import dataclass, replace
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
 
 import msgspec
 
@@ -13,7 +14,10 @@
 
 @dataclass(frozen=True)
 class Session:
-    """Hold what a daemon tells of itself; `renewed_at` is in seconds since the epoch."""
+    """Hold what a daemon tells of itself; `renewed_at` is in seconds since the epoch.
+
+    `leaving` counts the requests in flight at hosts that do not serve at this revision.
+    """
 
     id: str
     epoch: int
@@ -23,6 +27,7 @@
     peers: str
     revision: int
     renewed_at: float
+    leaving: Mapping[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
--- a/standins/agent.py
+++ b/standins/agent.py
@@ -1,5 +1,6 @@
 """Stand in for the agent on a worker: run tasks under leases and report late."""
 
+import argparse
 import threading
 import time
 from dataclasses import replace
@@ -79,6 +80,12 @@
 
     standin: AgentStandIn
 
+    def do_GET(self) -> None:  # noqa: N802
+        """Show the attempts that were started and those that run."""
+        with self.standin.lock:
+            shown = {"starts": self.standin.starts, "running": self.standin.agent.running()}
+        self.answer(200, msgspec.json.encode(shown))
+
     def do_POST(self) -> None:  # noqa: N802
         """Carry out one call."""
         body = self.body()
@@ -119,3 +126,20 @@
     standin = AgentStandIn()
     handler = type("BoundHandler", (AgentHandler,), {"standin": standin})
     return open_server(address, handler), standin
+
+
+def main() -> None:
+    """Serve one or more agents until ended."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--listen", required=True, action="append")
+    args = parser.parse_args()
+    servers = [make_agent(address)[0] for address in args.listen]
+    threads = [threading.Thread(target=server.serve_forever) for server in servers]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/coordination/test_task.py
+++ b/tests/coordination/test_task.py
@@ -86,7 +86,7 @@
 
 
 def drained(host, state=AssignmentState.DRAINING):
-    return Record(Kind.ASSIGNMENT, host, 2, {"pool": "p", "state": state.value})
+    return Record(Kind.ASSIGNMENT, host, 2, {"pool": "p", "state": state.value, "grace_s": 25.0})
 
 
 class DelayingAgents(MemoryAgents):
@@ -131,7 +131,6 @@
             lambda pool: self.fences[number],
             self.clock,
             InlineExecutor(),
-            drain_grace_s=20.0,
         )
 
     def take_over(self, number):
