Pass over kinds from the future, and say hello less often among many

Cause: a record of a kind that a newer version brought in stopped an older daemon from reading any later change (test_reader failed first); at 60 daemons a hello a second to each other one comes to about 10 KB/s alone.

Change: such records are kept in the store, named in `unreadable`, logged and passed over; the older daemon goes on to accept changes. Hellos are spaced to 15 a second at most. Gauges tell the newest revision known, unreadable records, peers known, the lease and the breaker.

--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -1,5 +1,6 @@
 """Measure how fast and at what cost a change comes in force everywhere."""
 
+import os
 import re
 import signal
 import sys
@@ -13,6 +14,7 @@
 
 import urllib3
 
+from bench.hop import resident_mib
 from bench.load import quantile
 from demo.cluster import ROOT, Cluster, post
 from gypsumplank import porcelain
@@ -31,6 +33,7 @@
 FLEETS = (7, 20, 60)
 POLL_S = 0.5
 PAUSE_S = 8.0
+IDLE_S = 10.0
 WAIT_S = 40.0
 IN_FORCE = re.compile(r"time=\"?(\S+ \S+?)\"? .*event=config-in-force .*revision=(\d+)")
 TARGET = "targets: p99 at most 1 s with the store well, 19 s with loss and a paused daemon"
@@ -136,6 +139,28 @@
             }
 
 
+def idle_row() -> dict[str, Any]:
+    """Return what an idle daemon spends, median of all."""
+    with tempfile.TemporaryDirectory() as folder, Cluster(Path(folder)) as cluster:
+        start_fleet(cluster, lambda _: "one-key-for-all-daemons", POLL_S)
+        time.sleep(3.0)
+        pids = [cluster.processes[f"entry-{number}"].pid for number in range(DAEMONS)]
+        before = [cpu_s(pid) for pid in pids]
+        time.sleep(IDLE_S)
+        spent = [cpu_s(pid) - was for pid, was in zip(pids, before, strict=True)]
+        return {
+            "idle daemons": DAEMONS,
+            "% of a core": round(quantile(spent, 0.5) / IDLE_S * 100, 2),
+            "resident MiB": round(quantile([resident_mib(pid) for pid in pids], 0.5), 1),
+        }
+
+
+def cpu_s(pid: int) -> float:
+    """Return the processor time of a process, in seconds."""
+    fields = Path(f"/proc/{pid}/stat").read_text(encoding="utf-8").rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
 def faulty_row() -> dict[str, Any]:
     """Return a row for lost answers and a daemon that is paused and resumed."""
     with tempfile.TemporaryDirectory() as folder, Cluster(Path(folder)) as cluster:
@@ -215,6 +240,8 @@
         porcelain.table([*real_rows()]),
         porcelain.table([faulty_row()]),
         TARGET,
+        "\nthe whole daemon, of which control is a part",
+        porcelain.table([idle_row()]),
         "\nfollowers in one process over the stand-in, polling every 0.5 s",
         porcelain.table(slope_row(fleet, hinted) for fleet in FLEETS for hinted in (False, True)),
     )
--- a/gypsumplank/coordination/rollout.py
+++ b/gypsumplank/coordination/rollout.py
@@ -9,6 +9,7 @@
 from gypsumplank.state.session import Session
 
 CONTACT_S = 10.0
+HELLOS_PER_S = 15.0
 
 Sessions = Callable[[], Iterable[Session]]
 
@@ -44,12 +45,17 @@
         self._live = live
         self._hurry = hurry
         self._seen: dict[str, Sighting] = {}
+        self._next_hello = 0.0
         peers.subscribe(Hello, self._hear)
         peers.subscribe(InForce, self._hear)
         peers.subscribe(Hint, self._hear)
 
     def tick(self) -> None:
-        """Tell the other daemons of this one."""
+        """Tell the other daemons of this one, less often the more there are."""
+        now = self._clock.monotonic()
+        if now < self._next_hello:
+            return
+        self._next_hello = now + len(self.contacts()) / HELLOS_PER_S
         session = self._own.session()
         revision, caught_up = self._own.revision(), self._own.caught_up()
         self._peers.broadcast(Hello(session.id, session.epoch, session.peers, revision, caught_up))
--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -87,6 +87,7 @@
         self._make_state()
         self._peers = self._make_peers()
         self._make_distribution()
+        self._make_distribution_metrics()
         self._make_load()
         self._callers = self._make_callers()
         self._operators = self._make_operators()
@@ -95,10 +96,10 @@
     def _make_state(self) -> None:
         cfg = self._cfg
         self._platform = PlatformClient(cfg.platform, cfg.platform_timeout_s)
-        table = TableClient(HttpTable(self._platform), self._clock, random.Random())
-        self._store = ConfigStore(table, self._clock, (check_records,))
+        self._table = TableClient(HttpTable(self._platform), self._clock, random.Random())
+        self._store = ConfigStore(self._table, self._clock, (check_records,))
         self._heartbeat = Heartbeat(
-            SessionStore(table),
+            SessionStore(self._table),
             self._clock,
             Session(cfg.id, 0, cfg.zone, cfg.callers, cfg.operators, cfg.peers, 0, 0.0),
             cfg.lease_s,
@@ -145,6 +146,39 @@
             random.Random(),
         )
 
+    def _make_distribution_metrics(self) -> None:
+        gauge = self._metrics.gauge
+        gauge(
+            "gypsumplank.config.newest",
+            "{revision}",
+            "Newest revision that any live daemon is known to have in force",
+            lambda: [Observation(self._rollout.ahead())],
+        )
+        gauge(
+            "gypsumplank.config.unreadable",
+            "{record}",
+            "Records in force by their last known form",
+            lambda: [Observation(len(self._holder.current.unreadable))],
+        )
+        gauge(
+            "gypsumplank.peers.known",
+            "{daemon}",
+            "Daemons that messages go to",
+            lambda: [Observation(len(self._peers.known))],
+        )
+        gauge(
+            "gypsumplank.session.held",
+            "1",
+            "1 while this daemon's lease is in force",
+            lambda: [Observation(int(self._heartbeat.held))],
+        )
+        gauge(
+            "gypsumplank.state.reachable",
+            "1",
+            "0 while calls to the platform are refused after failures in a row",
+            lambda: [Observation(int(not self._table.open))],
+        )
+
     def _join_peers(self) -> None:
         sessions = {session.id: session.peers for session in self._heartbeat.live}
         self._peers.connect({**self._snapshots.addresses, **sessions}, self._cfg.peer_seeds)
--- a/gypsumplank/state/change.py
+++ b/gypsumplank/state/change.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from gypsumplank.protocol.record import Kind, Record
+from gypsumplank.protocol.record import Kind, Record, record_key
 from gypsumplank.state.table import ABSENT, Check, Txn, Write
 from gypsumplank.state.view import NO_REVISION, View, change_view
 
@@ -34,7 +34,7 @@
 
     revision: int
     floor: int = 1
-    kinds: Mapping[Kind, KindDigest] = field(default_factory=dict)
+    kinds: Mapping[str, KindDigest] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -51,7 +51,10 @@
 
 @dataclass(frozen=True)
 class ChangeEntry:
-    """Hold one accepted change; `accepted_at` is in seconds since the epoch."""
+    """Hold one accepted change; `accepted_at` is in seconds since the epoch.
+
+    `unread` names the written records whose kind this version does not know.
+    """
 
     revision: int
     operation: str
@@ -59,6 +62,7 @@
     accepted_at: float
     puts: tuple[Record, ...] = ()
     deletes: tuple[str, ...] = ()
+    unread: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -85,21 +89,23 @@
     return f"{revision:016d}"
 
 
-def touched_kinds(entry: ChangeEntry) -> set[Kind]:
+def touched_kinds(entry: ChangeEntry) -> set[str]:
     """Return the kinds of the records that a change writes or deletes."""
-    deleted = (Kind(key.partition("/")[0]) for key in entry.deletes)
-    return {*(record.kind for record in entry.puts), *deleted}
+    deleted = (key.partition("/")[0] for key in entry.deletes)
+    return {*(record.kind.value for record in entry.puts), *deleted}
 
 
 def apply_entries(view: View, entries: Iterable[ChangeEntry]) -> View:
     """Return the view after these changes, which follow it without a gap."""
     changes: dict[str, Record | None] = {}
+    unread: set[str] = set()
     revision = view.revision
     for entry in entries:
         changes.update((record.key, record) for record in entry.puts)
         changes.update(dict.fromkeys(entry.deletes))
+        unread = (unread - {*entry.deletes}) | {*entry.unread}
         revision = entry.revision
-    return change_view(view, revision, changes)
+    return change_view(view, revision, changes, unread)
 
 
 def next_head(head: Head, steps: Sequence[Step], floor: int) -> Head:
@@ -107,7 +113,8 @@
     last = steps[-1].after
     changed = {kind: step.entry.revision for step in steps for kind in touched_kinds(step.entry)}
     digests = {
-        kind: KindDigest(revision, len(last.specs[kind])) for kind, revision in changed.items()
+        kind: KindDigest(revision, len(last.specs[Kind(kind)]))
+        for kind, revision in changed.items()
     }
     return Head(last.revision, floor, {**head.kinds, **digests})
 
@@ -149,8 +156,18 @@
 
 
 def decode_entry(raw: bytes) -> ChangeEntry:
-    """Return a change from its row."""
-    return msgspec.json.decode(raw, type=ChangeEntry)
+    """Return a change from its row; records of kinds from the future are named in `unread`."""
+    try:
+        return msgspec.json.decode(raw, type=ChangeEntry)
+    except msgspec.ValidationError:
+        loose = msgspec.json.decode(raw)
+    kinds = {kind.value for kind in Kind}
+    puts = loose.get("puts", ())
+    loose["puts"] = [put for put in puts if put["kind"] in kinds]
+    loose["unread"] = [
+        record_key(put["kind"], put["name"]) for put in puts if put["kind"] not in kinds
+    ]
+    return msgspec.convert(loose, ChangeEntry)
 
 
 def empty_head() -> Head:
--- a/gypsumplank/state/reader.py
+++ b/gypsumplank/state/reader.py
@@ -1,12 +1,12 @@
 """Read the accepted configuration from the table service, with few reads and bytes."""
 
 import itertools
-from collections.abc import Iterable, Iterator
+from dataclasses import replace
 
 import msgspec
 
 from gypsumplank.errors import RevisionMissingError, RevisionReversedError
-from gypsumplank.protocol.record import Kind, Record
+from gypsumplank.protocol.record import Record
 from gypsumplank.state.change import (
     KEY_HEAD,
     TABLE_CHANGES,
@@ -24,7 +24,7 @@
     revert,
 )
 from gypsumplank.state.table import ABSENT, Row, Table, scan_all
-from gypsumplank.state.view import View, build_view
+from gypsumplank.state.view import KINDS, View, build_view
 
 MIN_LOG_ROWS = 16
 
@@ -90,25 +90,37 @@
         """Read all records of the kinds that changed, and then what changed meanwhile."""
         changed = _changed_kinds(head, view)
         kept = (record for record in view.records.values() if record.kind not in changed)
-        read = (record for kind in changed for record in self._records(kind))
+        rows = [row for kind in changed for row in self._rows(kind)]
+        read = (msgspec.json.decode(row.value, type=Record) for row in rows if _is_known(row.key))
+        unread = {row.key for row in rows if not _is_known(row.key)}
         mixed = build_view(head.revision, (*kept, *read), view)
-        return apply_entries(mixed, self.entries(head.revision))
+        named = {key for key in view.unreadable if not _is_known(key)}
+        stale = {key for key in named if key.partition("/")[0] in changed}
+        told = {*mixed.unreadable} - stale | unread
+        whole = replace(mixed, unreadable=tuple(sorted(told)))
+        return apply_entries(whole, self.entries(head.revision))
 
-    def _records(self, kind: Kind) -> Iterator[Record]:
-        rows: Iterable[Row] = scan_all(self._table, TABLE_RECORDS, f"{kind}/")
-        return (msgspec.json.decode(row.value, type=Record) for row in rows)
+    def _rows(self, kind: str) -> list[Row]:
+        return scan_all(self._table, TABLE_RECORDS, f"{kind}/")
 
     def records_at(self, revision: int, newest: View) -> dict[str, Record]:
         """Return the records at an older revision; raise RevisionMissingError."""
         if revision > newest.revision or revision < 0:
             raise RevisionMissingError(f"no revision {revision} up to {newest.revision}")
         rows = scan_all(self._table, TABLE_UNDO, after=change_key(revision))
-        undos = [msgspec.json.decode(row.value, type=Undo) for row in rows]
+        try:
+            undos = [msgspec.json.decode(row.value, type=Undo) for row in rows]
+        except msgspec.ValidationError as exc:
+            raise RevisionMissingError(f"a newer version wrote what came after: {exc}") from exc
         kept = [undo for undo in undos if undo.revision <= newest.revision]
         if len(kept) != newest.revision - revision:
             raise RevisionMissingError(f"what came after revision {revision} is no longer kept")
         return revert(newest.records, reversed(kept))
 
 
-def _changed_kinds(head: Head, view: View) -> tuple[Kind, ...]:
+def _is_known(key: str) -> bool:
+    return key.partition("/")[0] in KINDS
+
+
+def _changed_kinds(head: Head, view: View) -> tuple[str, ...]:
     return tuple(kind for kind, held in head.kinds.items() if held.revision > view.revision)
--- a/gypsumplank/state/view.py
+++ b/gypsumplank/state/view.py
@@ -1,7 +1,7 @@
 """Hold the configuration in force as one immutable value."""
 
 import threading
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, field
 from functools import cached_property
 from itertools import groupby
@@ -24,6 +24,7 @@
 )
 
 NO_REVISION = 0
+KINDS: Mapping[str, Kind] = {kind.value: kind for kind in Kind}
 
 Specs = Mapping[Kind, Mapping[str, Any]]
 
@@ -137,16 +138,24 @@
     return change_view(before, revision, changes)
 
 
-def change_view(view: View, revision: int, changes: Mapping[str, Record | None]) -> View:
+def change_view(
+    view: View,
+    revision: int,
+    changes: Mapping[str, Record | None],
+    unread: Collection[str] = (),
+) -> View:
     """Return a view with these records written and, where None, deleted.
 
-    What the changes do not touch is shared with the view before.
+    What the changes do not touch is shared with the view before. `unread` names records that
+    are kept in the store but of a kind that this version does not know.
     """
     records = dict(view.records)
     specs: dict[Kind, dict[str, Any]] = {}
-    unreadable = {*view.unreadable} - changes.keys()
+    unreadable = ({*view.unreadable} - changes.keys()) | {*unread}
     for key, record in changes.items():
         kind, name = _split_key(key)
+        if kind is None:
+            continue
         held = specs.setdefault(kind, dict(view.specs[kind]))
         if record is None:
             records.pop(key, None)
@@ -164,9 +173,10 @@
     return View(revision, records, after, tuple(sorted(unreadable)), placement)
 
 
-def _split_key(key: str) -> tuple[Kind, str]:
+def _split_key(key: str) -> tuple[Kind | None, str]:
+    """Return the kind, None where this version does not know it, and the name."""
     kind, _, name = key.partition("/")
-    return Kind(kind), name
+    return KINDS.get(kind), name
 
 
 class ViewHolder:
--- a/tests/coordination/test_rollout.py
+++ b/tests/coordination/test_rollout.py
@@ -1,5 +1,5 @@
 from gypsumplank.coordination.peer import MemoryPeers
-from gypsumplank.coordination.rollout import CONTACT_S, Own, Rollout
+from gypsumplank.coordination.rollout import CONTACT_S, HELLOS_PER_S, Own, Rollout
 from gypsumplank.protocol.peer import Hello, Hint, InForce
 from gypsumplank.state.clock import ManualClock
 from gypsumplank.state.session import Session
@@ -62,3 +62,17 @@
     one.rollout.tick()
     assert two.rollout.contacts()["a"].revision == 3
     assert two.rollout.contacts()["a"].caught_up
+
+
+def test_many_daemons_say_hello_less_often():
+    node, other = Node("a"), Node("b")
+    node.peers.join(other.peers)
+    heard = []
+    other.peers.subscribe(Hello, heard.append)
+    for number in range(60):
+        node.peers.deliver(Hello(f"d{number}", 1, "", 0, True))
+    for _ in range(8):
+        node.rollout.tick()
+        node.clock.advance(1.0)
+    assert len(heard) == 2
+    assert 60 / HELLOS_PER_S < CONTACT_S
--- a/tests/coordination/test_snapshot.py
+++ b/tests/coordination/test_snapshot.py
@@ -88,6 +88,7 @@
     for _ in range(3):
         for node in (a, b, late):
             node.tick()
+        clock.advance(1.0)
     assert late.holder.current.records == a.holder.current.records
     assert late.follower.caught_up
     assert late.snapshots.addresses == {"a": "a:1", "b": "b:1"}
--- a/tests/state/test_reader.py
+++ b/tests/state/test_reader.py
@@ -1,12 +1,13 @@
+import msgspec
 import pytest
 
 from gypsumplank.errors import RevisionMissingError, RevisionReversedError
 from gypsumplank.protocol.record import Kind, Record
-from gypsumplank.state.change import TABLE_CHANGES, TABLE_OPERATIONS, TABLE_UNDO
+from gypsumplank.state.change import TABLE_CHANGES, TABLE_OPERATIONS, TABLE_UNDO, change_key
 from gypsumplank.state.clock import ManualClock
 from gypsumplank.state.config import Change, ConfigStore
 from gypsumplank.state.reader import MIN_LOG_ROWS
-from gypsumplank.state.table import MemoryTable, scan_all
+from gypsumplank.state.table import Check, MemoryTable, Txn, Write, scan_all
 from gypsumplank.state.view import View
 
 
@@ -111,3 +112,42 @@
     fill(store, 2)
     with pytest.raises(RevisionReversedError):
         store.refresh(View(3))
+
+
+def test_kind_from_the_future_is_told_and_passed_over():
+    table = MemoryTable()
+    store = ConfigStore(table, ManualClock())
+    store.accept(Change("a", (pool(1),)))
+    old = store.refresh(View())
+    write_future_kind(table, store)
+    for view in (store.refresh(old), store.refresh(View())):
+        assert view.revision == 2
+        assert set(view.pools) == {"p1", "p2"}
+        assert view.unreadable == ("orchard/x",)
+    assert store.accept(Change("c", (pool(3),))) == 3
+    assert set(ConfigStore(table, ManualClock()).refresh(View()).pools) == {"p1", "p2", "p3"}
+    assert b"orchard" in table.get("config", "head").value
+    fill(store, 2 * MIN_LOG_ROWS)
+    assert store.refresh(View()).unreadable == ("orchard/x",)
+    with pytest.raises(RevisionMissingError):
+        store.records_at(1, store.refresh(View()))
+
+
+def write_future_kind(table, store):
+    """Accept a change as a newer version would."""
+    head, version = store.head()
+    future = {"kind": "orchard", "name": "x", "schema": 3, "spec": {}, "origin": ""}
+    puts = [future, msgspec.to_builtins(pool(2))]
+    entry = {"revision": 2, "operation": "b", "actor": "", "accepted_at": 0.0, "puts": puts}
+    kinds = {**msgspec.to_builtins(head.kinds), "orchard": {"revision": 2, "records": 1}}
+    kinds["pool"] = {"revision": 2, "records": 2}
+    rows = {
+        ("config", "head"): {"revision": 2, "floor": 1, "kinds": kinds},
+        ("changes", change_key(2)): entry,
+        ("operations", "b"): 2,
+        ("undo", change_key(2)): {"revision": 2, "before": [future]},
+        ("records", "orchard/x"): future,
+        ("records", "pool/p2"): puts[1],
+    }
+    writes = (Write(*place, msgspec.json.encode(value)) for place, value in rows.items())
+    table.commit(Txn((Check("config", "head", version),), tuple(writes)))
