--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -3,6 +3,7 @@
 import json
 import signal
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 import urllib3
@@ -10,6 +11,8 @@
 from demo.cluster import post
 from gypsumplank import cli, porcelain, porcelain_config
 from gypsumplank.porcelain import Server
+from gypsumplank.protocol.operator import PATH_CHANGES, ChangeOrder
+from gypsumplank.protocol.record import Kind, Record
 
 pytestmark = pytest.mark.process
 
@@ -134,3 +137,19 @@
         resp = pool.urlopen(method, path, body=b"{}")
         assert resp.status == 404
         assert json.loads(resp.data)["code"] == "service-unknown"
+
+
+def test_burst_over_several_daemons_loses_none(fleet):
+    def accept(number):
+        record = Record(Kind.TEAM, f"t{number}", 2)
+        order = ChangeOrder(f"op-{number}", (record,))
+        address = fleet.operators(NAMES[number % len(NAMES)])
+        return Server(address).change(PATH_CHANGES, order).revision
+
+    with ThreadPoolExecutor(50) as executor:
+        revisions = list(executor.map(accept, range(50)))
+    assert sorted(revisions) == list(range(1, 51))
+    for name in NAMES:
+        wait_for(lambda name=name: server(fleet, name).revision == 50)
+        found = porcelain.get(Server(fleet.operators(name)), "team").records
+        assert {record.name for record in found} == {f"t{number}" for number in range(50)}
