--- a/tests/coordination/test_snapshot.py
+++ b/tests/coordination/test_snapshot.py
@@ -1,15 +1,22 @@
+import itertools
+import math
 import random
 
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
 from gypsumplank.coordination.follower import Follower
+from gypsumplank.coordination.heartbeat import Heartbeat
 from gypsumplank.coordination.peer import MemoryPeers
 from gypsumplank.coordination.rollout import Own, Rollout
 from gypsumplank.coordination.snapshot import Snapshots
 from gypsumplank.errors import StateUnavailableError
-from gypsumplank.protocol.peer import Snapshot
-from gypsumplank.protocol.record import Kind, Record
+from gypsumplank.protocol.peer import Hello, Snapshot
+from gypsumplank.protocol.record import Kind, Record, pack_records
 from gypsumplank.state.clock import ManualClock
 from gypsumplank.state.config import Change, ConfigStore
-from gypsumplank.state.session import Session
+from gypsumplank.state.session import Session, SessionStore
 from gypsumplank.state.table import MemoryTable
 from gypsumplank.state.view import ViewHolder
 
@@ -24,23 +31,29 @@
             raise StateUnavailableError
         return super().get(table, key)
 
+    def scan(self, table, prefix="", after="", limit=1000):
+        if self.out:
+            raise StateUnavailableError
+        return super().scan(table, prefix, after, limit)
+
+    def commit(self, txn):
+        if self.out:
+            raise StateUnavailableError
+        return super().commit(txn)
+
 
 def session(name):
-    return Session(name, 1, "z", "", "", f"{name}:1", 0, 0.0)
+    return Session(name, 0, "z", "", "", f"{name}:1", 0, 0.0)
 
 
 class Node:
-    """Hold one daemon's follower, rollout and snapshots over one table."""
+    """Hold one daemon's session, follower, rollout and snapshots over one table."""
 
-    def __init__(self, name, table, clock, live=()):
-        self.session, self.live = session(name), tuple(map(session, live))
+    def __init__(self, name, table, clock, seed=1):
         self.peers, self.holder = MemoryPeers(name), ViewHolder()
-        own = Own(
-            lambda: self.session,
-            lambda: self.holder.current.revision,
-            lambda: self.follower.caught_up,
-        )
-        self.rollout = Rollout(own, self.peers, clock, lambda: self.live, lambda: None)
+        self.beat = Heartbeat(SessionStore(table), clock, session(name), LEASE_S, self.revision)
+        own = Own(lambda: self.beat.session, self.revision, lambda: self.follower.caught_up)
+        self.rollout = Rollout(own, self.peers, clock, lambda: self.beat.live, lambda: None)
         self.follower = Follower(
             ConfigStore(table, clock), self.holder, self.rollout.acknowledge, self.rollout.ahead
         )
@@ -50,25 +63,32 @@
             self.follower,
             self.rollout,
             clock,
-            lambda: self.session,
-            lambda: self.live,
+            lambda: self.beat.session,
+            lambda: self.beat.live,
             LEASE_S,
-            random.Random(1),
+            random.Random(seed),
         )
 
+    def revision(self):
+        return self.holder.current.revision
+
     def tick(self):
+        self.beat.tick()
         self.follower.tick()
         self.rollout.tick()
         self.snapshots.tick()
 
 
-def fleet(live=("a", "b")):
+def fleet():
     table, clock = OutTable(), ManualClock()
     store = ConfigStore(table, clock)
     for number in range(3):
         store.accept(Change(f"op-{number}", (Record(Kind.POOL, f"p{number}", 2),)))
-    a, b = (Node(name, table, clock, live) for name in "ab")
+    a, b = (Node(name, table, clock) for name in "ab")
     a.peers.join(b.peers)
+    for node in (a, b, a):
+        node.beat.tick()
+        clock.advance(1.0)
     return table, clock, store, a, b
 
 
@@ -152,9 +172,110 @@
     assert b.holder.current.revision == 4
 
 
+def test_not_ready_while_the_snapshot_of_a_daemon_ahead_is_lost():
+    table, clock = OutTable(), ManualClock()
+    table.out = True
+    late = start(table, clock)
+    late.peers.deliver(Snapshot("b", 1, 0, b"", {"b": "b:1"}))
+    late.peers.deliver(Hello("b", 1, "b:1", 9, True))
+    late.tick()
+    assert not late.follower.caught_up
+    late.peers.deliver(Snapshot("b", 1, 9, pack_records(()), {"b": "b:1"}))
+    late.tick()
+    assert late.follower.caught_up
+
+
 def test_malformed_snapshot_is_refused(caplog):
     table, clock, _, a, _ = fleet()
     a.tick()
     a.peers.deliver(Snapshot("x", 1, 9, b"rubbish", {}))
     assert a.holder.current.revision == 3
     assert "peer-failed" in caplog.text
+
+
+class DistributionMachine(RuleBasedStateMachine):
+    """Restart daemons, cut them off and take the store away; revisions only rise."""
+
+    def __init__(self):
+        super().__init__()
+        self.table, self.clock = OutTable(), ManualClock()
+        self.store = ConfigStore(self.table, self.clock, pause=lambda _s: None)
+        self.numbers = itertools.count(1)
+        self.nodes, self.ready, self.cut_at = {}, {}, {}
+        self.highest = dict.fromkeys("abc", 0)
+        for name in "abc":
+            self.start(name)
+
+    def start(self, name):
+        node = Node(name, self.table, self.clock, next(self.numbers))
+        self.nodes[name], self.ready[name] = node, False
+        for other in self.nodes.values():
+            node.peers.join(other.peers)
+
+    @rule()
+    def accept(self):
+        if not self.table.out:
+            number = next(self.numbers)
+            self.store.accept(Change(f"op-{number}", (Record(Kind.POOL, f"p{number % 3}", 2),)))
+
+    @rule(name=st.sampled_from("abc"))
+    def tick(self, name):
+        self.nodes[name].tick()
+
+    @rule(seconds=st.sampled_from([0.5, 1.0, 2.0]), rounds=st.integers(1, 8))
+    def run(self, seconds, rounds):
+        for _ in range(rounds):
+            for node in self.nodes.values():
+                node.tick()
+            self.clock.advance(seconds)
+            self.rises()
+
+    @rule()
+    def toggle_store(self):
+        self.table.out = not self.table.out
+
+    @rule(name=st.sampled_from("abc"), cut=st.booleans())
+    def cut_off(self, name, cut):
+        self.nodes[name].peers.cut_off = cut
+        self.cut_at[name] = self.clock.now
+
+    @rule(name=st.sampled_from("abc"))
+    def restart(self, name):
+        self.nodes[name].peers.cut_off = True
+        self.start(name)
+        self.highest[name] = 0
+
+    @invariant()
+    def rises(self):
+        for name, node in self.nodes.items():
+            revision = node.holder.current.revision
+            assert revision >= self.highest[name]
+            self.highest[name] = revision
+            if node.follower.caught_up and not self.ready[name]:
+                heard = [other for key, other in self.nodes.items() if self.is_connected(key)]
+                ready = (
+                    [o for o in heard if o.follower.caught_up] if self.is_connected(name) else []
+                )
+                newest = max((o.holder.current.revision for o in ready), default=0)
+                assert revision >= newest, f"{name} is ready on {revision}, a peer has {newest}"
+            self.ready[name] = node.follower.caught_up
+
+    def is_connected(self, name):
+        """Tell whether a daemon was reachable for long enough to be heard."""
+        since = self.clock.now - self.cut_at.get(name, -math.inf)
+        return not self.nodes[name].peers.cut_off and since > 2 * LEASE_S
+
+    def teardown(self):
+        self.table.out = False
+        for node in self.nodes.values():
+            node.peers.cut_off = False
+        for _ in range(3):
+            self.run(1.0, 4)
+        newest = self.store.head()[0].revision
+        for node in self.nodes.values():
+            assert node.follower.caught_up
+            assert node.holder.current.revision == newest
+
+
+TestDistribution = DistributionMachine.TestCase
+TestDistribution.settings = settings(max_examples=150, stateful_step_count=30)
