--- a/bench/store.py
+++ b/bench/store.py
@@ -12,7 +12,9 @@
 from gypsumplank import porcelain
 from gypsumplank.coordination.follower import Follower
 from gypsumplank.coordination.heartbeat import Heartbeat
-from gypsumplank.protocol.record import Kind, Record
+from gypsumplank.protocol.envelope import Opener, Sealer
+from gypsumplank.protocol.peer import Hello, Hint, InForce, PeerMessage, Snapshot
+from gypsumplank.protocol.record import Kind, Record, pack_records
 from gypsumplank.state.change import apply_entries
 from gypsumplank.state.clock import ManualClock, SystemClock
 from gypsumplank.state.config import Change, ConfigStore
@@ -35,6 +37,7 @@
 BURST = 50
 BURSTS = 4
 DAEMONS = 7
+MESSAGES = 500
 
 
 class CountingTable(MemoryTable):
@@ -204,6 +207,36 @@
     }
 
 
+def message_rows() -> Iterator[dict[str, Any]]:
+    """Yield the size of peers' messages and the time to seal and open one."""
+    table = CountingTable()
+    store = ConfigStore(table, ManualClock())
+    fill(store)
+    packed = pack_records(tuple(store.refresh(View()).records.values()))
+    daemons = {f"entry-{number}": "10.0.0.1:8082" for number in range(max(FLEETS))}
+    messages: tuple[PeerMessage, ...] = (
+        Hello("entry-0", 1, "10.0.0.1:8082", 6300, True),
+        Hint("entry-0", 1, 6300),
+        InForce("entry-0", 1, 6300),
+        Snapshot("entry-0", 1, 6300, packed, daemons),
+    )
+    for message in messages:
+        sealer = Sealer("sixteen-letters!", 1_700_000_000_000_000)
+        opener = Opener("sixteen-letters!", "entry-1", time.monotonic)
+        started = time.perf_counter()
+        sealed = [sealer.seal(message) for _ in range(MESSAGES)]
+        half = time.perf_counter()
+        for raw in sealed:
+            opener.open(raw)
+        ended = time.perf_counter()
+        yield {
+            "message": type(message).__name__,
+            "bytes": len(sealed[0]),
+            "seal us": round((half - started) / MESSAGES * 1e6, 1),
+            "open us": round((ended - half) / MESSAGES * 1e6, 1),
+        }
+
+
 def main() -> None:
     """Print the report and keep it."""
     parts = (
@@ -213,6 +246,8 @@
         porcelain.table(burst_row(grouped) for grouped in (False, True)),
         "\nheartbeats every 1 s, session rows and polls every 0.5 s, idle, simulated clock",
         porcelain.table(budget_row(fleet) for fleet in FLEETS),
+        f"\npeers' messages; the snapshot holds {HOSTS} hosts and {POOLS} pools",
+        porcelain.table(message_rows()),
     )
     text = "\n".join(parts) + "\n"
     sys.stdout.write(text)
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -153,3 +153,21 @@
         wait_for(lambda name=name: server(fleet, name).revision == 50)
         found = porcelain.get(Server(fleet.operators(name)), "team").records
         assert {record.name for record in found} == {f"t{number}" for number in range(50)}
+
+
+def test_daemon_paused_past_its_lease_is_seen_as_lapsed_and_takes_a_new_epoch(cluster):
+    cluster.start_platform()
+    for name in NAMES:
+        cluster.start_daemon(name, "kochi-a", session={"lease_s": 1.5, "heartbeat_s": 0.3})
+
+    def epochs():
+        return {daemon.id: daemon.epoch for daemon in server(cluster, "entry-0").daemons}
+
+    wait_for(lambda: set(epochs()) == set(NAMES))
+    before = epochs()
+    cluster.signal("entry-1", signal.SIGSTOP)
+    wait_for(lambda: set(epochs()) == {"entry-0", "entry-2"})
+    cluster.signal("entry-1", signal.SIGCONT)
+    wait_for(lambda: epochs().get("entry-1", 0) > before["entry-1"])
+    assert "event=session-lapsed" in cluster.log("entry-1")
+    assert epochs()["entry-0"] == before["entry-0"]
