--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -33,6 +33,12 @@
     REQUEST_FAILED = "request-failed"
     ACTOR_RESTARTED = "actor-restarted"
     ACTOR_FAILED = "actor-failed"
+    HOST_ASSIGNED = "host-assigned"
+    BUDGET_OVERRIDDEN = "budget-overridden"
+    STEP_REFUSED = "step-refused"
+    LEASE_TAKEN = "lease-taken"
+    LEASE_LOST = "lease-lost"
+    WAVE_CHANGED = "wave-changed"
     ENDPOINT_EJECTED = "endpoint-ejected"
     ENDPOINT_RETURNED = "endpoint-returned"
 
--- /dev/null
+++ b/tests/coordination/test_flood.py
@@ -0,0 +1,14 @@
+import pytest
+
+from gypsumplank.coordination import move
+from gypsumplank.coordination.flood import is_flooded
+from gypsumplank.protocol.spec import AssignmentSpec, AssignmentState
+from gypsumplank.state.view import build_view
+from tests.fleet import pool_records
+
+
+@pytest.mark.parametrize(("demand", "flooded"), [({}, False), ({"a": 8}, False), ({"a": 9}, True)])
+def test_flood_is_more_than_the_serving_slots(demand, flooded):
+    out = move.assignment_record("a-0", AssignmentSpec("a", AssignmentState.OUT))
+    view = build_view(1, (*pool_records("a", 2), out))
+    assert is_flooded(view, "a", demand) is flooded
