--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -41,6 +41,7 @@
 from gypsumplank.coordination.usage import HostUsage
 from gypsumplank.coordination.witness import Witness
 from gypsumplank.errors import SettingsError
+from gypsumplank.gauges import Levels, add_gauges
 from gypsumplank.log import Event, event, set_up
 from gypsumplank.metrics import Metrics
 from gypsumplank.protocol.burn import Finish
@@ -114,11 +115,11 @@
         self._gate = Gate()
         self._holder = ViewHolder()
         self._supervisor = Supervisor(self._clock)
-        self._metrics = self._make_metrics()
+        self._metrics = Metrics()
         self._make_state()
         self._peers = self._make_peers()
         self._make_distribution()
-        self._make_distribution_metrics()
+        self._make_gauges()
         self._make_load()
         self._make_fleet()
         self._make_burn()
@@ -180,38 +181,17 @@
             random.Random(),
         )
 
-    def _make_distribution_metrics(self) -> None:
-        gauge = self._metrics.gauge
-        gauge(
-            "gypsumplank.config.newest",
-            "{revision}",
-            "Newest revision that any live daemon is known to have in force",
-            lambda: [Observation(self._rollout.ahead())],
-        )
-        gauge(
-            "gypsumplank.config.unreadable",
-            "{record}",
-            "Records in force by their last known form",
-            lambda: [Observation(len(self._holder.current.unreadable))],
-        )
-        gauge(
-            "gypsumplank.peers.known",
-            "{daemon}",
-            "Daemons that messages go to",
-            lambda: [Observation(len(self._peers.known))],
-        )
-        gauge(
-            "gypsumplank.session.held",
-            "1",
-            "1 while this daemon's lease is in force",
-            lambda: [Observation(int(self._heartbeat.held))],
-        )
-        gauge(
-            "gypsumplank.state.reachable",
-            "1",
-            "0 while calls to the platform are refused after failures in a row",
-            lambda: [Observation(int(not self._table.open))],
+    def _make_gauges(self) -> None:
+        levels = Levels(
+            revision=lambda: self._view().revision,
+            newest=self._rollout.ahead,
+            unreadable=lambda: len(self._view().unreadable),
+            peers=lambda: len(self._peers.known),
+            held=lambda: int(self._heartbeat.held),
+            reachable=lambda: int(not self._table.open),
+            in_flight=lambda: self._gate.in_flight,
         )
+        add_gauges(self._metrics, levels)
 
     def _join_peers(self) -> None:
         sessions = {session.id: session.peers for session in self._heartbeat.live}
@@ -400,22 +380,6 @@
     def _ready(self) -> bool:
         return self._follower.caught_up and not self._stop.is_set()
 
-    def _make_metrics(self) -> Metrics:
-        metrics = Metrics()
-        metrics.gauge(
-            "gypsumplank.config.revision",
-            "{revision}",
-            "Configuration revision in force",
-            lambda: [Observation(self._holder.current.revision)],
-        )
-        metrics.gauge(
-            "gypsumplank.requests.in_flight",
-            "{request}",
-            "Requests in flight",
-            lambda: [Observation(self._gate.in_flight)],
-        )
-        return metrics
-
 
 def make_parser() -> argparse.ArgumentParser:
     """Return the parser of the daemon's arguments."""
