--- a/gypsumplank/settings.py
+++ b/gypsumplank/settings.py
@@ -145,6 +145,9 @@
     connect_timeout_s: float = key(
         "limits.connect_timeout_s", "longest wait to connect to an endpoint", 1.0, check_positive
     )
+    keep_claims_s: float = key(
+        "claims.keep_s", "time that replies to idempotency keys are kept", 86_400.0, check_positive
+    )
     notice_s: float = key(
         "stop.notice_s", "time that listeners stay open after not ready, seconds", 2.0, None
     )
--- a/tests/coordination/test_dispatch.py
+++ b/tests/coordination/test_dispatch.py
@@ -13,6 +13,7 @@
     EndpointResetError,
     EndpointTimeoutError,
     EndpointUnsentError,
+    InvariantError,
 )
 from gypsumplank.protocol.exchange import Answer, Outcome, Request
 from gypsumplank.protocol.record import Kind, Record
@@ -169,3 +170,15 @@
     carrier, client, _ = dispatcher(answer, view=lambda: views[-1])
     assert carrier.carry(req()).outcome is Outcome.NOT_RUN
     assert len(client.sent) == 1
+
+
+def test_failure_of_the_slots_becomes_a_refusal():
+    carrier, client, slots = dispatcher(lambda address, request: OK)
+
+    def broken(hosts, names):
+        raise InvariantError("x")
+
+    slots.acquire = broken
+    reply = carrier.carry(req())
+    assert (reply.code, reply.outcome) == ("invariant", Outcome.UNKNOWN)
+    assert client.sent == []
