--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -46,6 +46,7 @@
 from gypsumplank.coordination.usage import HostUsage
 from gypsumplank.coordination.witness import Witness
 from gypsumplank.errors import SettingsError
+from gypsumplank.gauges import Levels, add_gauges
 from gypsumplank.log import Event, event, set_up
 from gypsumplank.metrics import Metrics
 from gypsumplank.protocol.burn import Finish
@@ -136,10 +137,11 @@
         self._gate = Gate()
         self._holder = ViewHolder()
         self._supervisor = Supervisor(self._clock)
-        self._metrics = self._make_metrics()
+        self._metrics = Metrics()
         self._make_state()
         self._peers = self._make_peers()
         self._make_distribution()
+        self._make_gauges()
         self._make_load()
         self._make_fleet()
         self._make_burn()
@@ -201,6 +203,18 @@
             random.Random(),
         )
 
+    def _make_gauges(self) -> None:
+        levels = Levels(
+            revision=lambda: self._view().revision,
+            newest=self._rollout.ahead,
+            unreadable=lambda: len(self._view().unreadable),
+            peers=lambda: len(self._peers.known),
+            held=lambda: int(self._heartbeat.held),
+            reachable=lambda: int(not self._table.open),
+            in_flight=lambda: self._gate.in_flight,
+        )
+        add_gauges(self._metrics, levels)
+
     def _join_peers(self) -> None:
         sessions = {session.id: session.peers for session in self._heartbeat.live}
         self._peers.connect({**self._snapshots.addresses, **sessions}, self._cfg.peer_seeds)
@@ -432,22 +446,6 @@
     def _ready(self) -> bool:
         return self._follower.caught_up and not self._stop.is_set()
 
-    def _make_metrics(self) -> Metrics:
-        metrics = Metrics()
-        metrics.gauge(
-            "gypsumplank.config.revision",
-            "{revision}",
-            "Configuration revision in force",
-            lambda: [Observation(self._holder.current.revision)],
-        )
-        metrics.gauge(
-            "gypsumplank.requests.in_flight",
-            "{request}",
-            "Requests in flight",
-            lambda: [Observation(self._gate.in_flight)],
-        )
-        return metrics
-
 
 def make_parser() -> argparse.ArgumentParser:
     """Return the parser of the daemon's arguments."""
