--- a/gypsumplank/state/writer.py
+++ b/gypsumplank/state/writer.py
@@ -10,17 +10,19 @@
     InvariantError,
     StateBusyError,
     StateConflictError,
+    StateError,
     StateTooLargeError,
     StateUnavailableError,
     StateUnknownError,
 )
 from gypsumplank.state.clock import Clock
-from gypsumplank.state.table import MAX_ROW_BYTES, MAX_TXN_ROWS, Check, Table, Txn, Write
+from gypsumplank.state.table import ABSENT, MAX_ROW_BYTES, MAX_TXN_ROWS, Check, Table, Txn, Write
 
 MAX_QUEUED = 4000
 MAX_BATCH = MAX_TXN_ROWS // 2
 MAX_BATCH_BYTES = 1 << 20
 SETTLE_TRIES = 3
+MAX_READ_ROWS = 32
 OUTAGE_PAUSE_S = 0.5
 
 
@@ -153,13 +155,31 @@
                 queued.future.set_result(version)
 
     def _split(self, batch: Sequence[Queued], exc: StateConflictError) -> None:
-        """Commit each half by itself, so that only the change in conflict fails."""
+        """Commit what is not in conflict, in smaller batches, and fail the rest alone."""
         if len(batch) == 1:
             _fail(batch, exc)
             return
-        middle = len(batch) // 2
-        self._commit(batch[:middle])
-        self._commit(batch[middle:])
+        fresh = batch if len(batch) > MAX_READ_ROWS else self._fresh(batch)
+        if len(fresh) == len(batch):
+            middle = len(batch) // 2
+            self._commit(batch[:middle])
+            self._commit(batch[middle:])
+            return
+        kept = set(map(id, fresh))
+        _fail([queued for queued in batch if id(queued) not in kept], exc)
+        if fresh:
+            self._commit(fresh)
+
+    def _fresh(self, batch: Sequence[Queued]) -> Sequence[Queued]:
+        """Return the changes whose rows still have their versions; all, where none was read."""
+        try:
+            return [queued for queued in batch if self._is_fresh(queued.change)]
+        except StateError:
+            return batch
+
+    def _is_fresh(self, change: RowChange) -> bool:
+        row = self._table.get(change.table, change.key)
+        return change.version == (ABSENT if row is None else row.version)
 
     def _settle(self, changes: Sequence[RowChange]) -> int:
         """Commit changes together and return their version, also where an answer was lost.
--- a/tests/state/test_writer.py
+++ b/tests/state/test_writer.py
@@ -49,6 +49,28 @@
     assert {fut.result(0) for fut in futures} == {table.get("t", "k0").version}
 
 
+def test_conflict_is_found_by_reading_the_rows_of_a_small_batch(table, writer):
+    table.commit(Txn((), (Write("t", "k7", b"other"),)))
+    futures = [writer.submit(put(f"k{i}")) for i in range(20)]
+    table.commits = 0
+    writer.flush()
+    assert table.commits == 2
+    failed = [number for number, fut in enumerate(futures) if fut.exception(0)]
+    assert failed == [7]
+
+
+def test_conflict_is_isolated_where_rows_cannot_be_read(table, writer):
+    table.commit(Txn((), (Write("t", "k7", b"other"),)))
+    futures = [writer.submit(put(f"k{i}")) for i in range(20)]
+
+    def out(name, key):
+        raise StateUnavailableError("out")
+
+    table.get = out
+    writer.flush()
+    assert [number for number, fut in enumerate(futures) if fut.exception(0)] == [7]
+
+
 def test_two_changes_of_a_row_never_share_a_transaction(table, writer):
     futures = [writer.submit(put("a", b"1")), writer.submit(put("a", b"2"))]
     assert [writer.flush(), writer.flush()] == [1, 1]
--- a/tests/transport/test_endpoint.py
+++ b/tests/transport/test_endpoint.py
@@ -187,6 +187,7 @@
     "trickled body": (trickle(whole(b"x" * 500, fields=ID), 0.01), EndpointTimeoutError),
     "short body": (answer_and_end(whole(b"x" * 10)[:-5]), EndpointAnswerError),
     "long body": (answer(whole() + b"more"), EndpointAnswerError),
+    "long large body": (answer(whole(b"x" * 50_000) + b"more"), EndpointAnswerError),
     "two answers": (answer(whole() + whole()), EndpointAnswerError),
     "no length": (answer_and_end(b"HTTP/1.1 200 OK\r\n\r\nbody"), EndpointAnswerError),
     "length is no number": (
