--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,7 +4,7 @@
 import importlib
 import sys
 
-MEASUREMENTS = ("hop", "claims", "once")
+MEASUREMENTS = ("hop", "claims", "once", "rollout", "store", "capacity")
 
 
 def main() -> None:
--- a/gypsumplank/coordination/heartbeat.py
+++ b/gypsumplank/coordination/heartbeat.py
@@ -1,7 +1,7 @@
 """Renew this daemon's session and know which other daemons are live."""
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
 
 from gypsumplank.errors import SessionLapsedError, StateError, StateUnavailableError
@@ -75,11 +75,13 @@
         session: Session,
         lease_s: float,
         revision: Callable[[], int],
+        leaving: Callable[[], Mapping[str, int]] = dict,
     ) -> None:
         self._store = store
         self._clock = clock
         self._lease_s = lease_s
         self._revision = revision
+        self._leaving = leaving
         self._watch = SessionWatch(clock, lease_s)
         self._version: int | None = None
         self._held_until = 0.0
@@ -124,7 +126,13 @@
 
     def _renew(self) -> None:
         started = self._clock.monotonic()
-        told = replace(self.session, revision=self._revision(), renewed_at=self._clock.wall())
+        revision = self._revision()
+        told = replace(
+            self.session,
+            revision=revision,
+            renewed_at=self._clock.wall(),
+            leaving=self._leaving(),
+        )
         if self._version is None and self.held:
             self._find_own()
         if self._version is None or not self.held:
--- a/gypsumplank/coordination/outcome.py
+++ b/gypsumplank/coordination/outcome.py
@@ -10,6 +10,7 @@
     DeadlinePassedError,
     EndpointAnswerError,
     EndpointConnectError,
+    EndpointLeavingError,
     EndpointResetError,
     EndpointTimeoutError,
     EndpointUnsentError,
@@ -42,6 +43,7 @@
 
 VERDICTS: Mapping[type[Exception], Verdict] = {
     EndpointConnectError: NOT_SENT,
+    EndpointLeavingError: NOT_SENT,
     EndpointUnsentError: NOT_SENT,
     EndpointResetError: MAY_HAVE_RUN,
     EndpointAnswerError: MAY_HAVE_RUN,
