--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,7 +4,17 @@
 import importlib
 import sys
 
-MEASUREMENTS = ("hop", "claims", "once", "rollout", "store", "capacity")
+MEASUREMENTS = (
+    "hop",
+    "flood",
+    "slots",
+    "live",
+    "claims",
+    "once",
+    "rollout",
+    "store",
+    "capacity",
+)
 
 
 def main() -> None:
