Take the retry budget and backoff that the state client has

Cause: the budget and the jittered backoff stood twice, in state/retry.py and coordination/retry.py. Change: coordination/retry.py keeps one state.retry.RetryBudget for each service.

--- a/gypsumplank/coordination/dispatch.py
+++ b/gypsumplank/coordination/dispatch.py
@@ -8,7 +8,7 @@
 
 from gypsumplank.coordination.endpoint import EndpointClient
 from gypsumplank.coordination.outcome import may_retry, refusal_of, worse_of
-from gypsumplank.coordination.retry import RetryBudget, RetryPolicy
+from gypsumplank.coordination.retry import RetryPolicy, ServiceBudgets
 from gypsumplank.coordination.slot import Slots
 from gypsumplank.errors import DeadlinePassedError, LateAnswerError, LeaseLostError
 from gypsumplank.log import Event, event
@@ -52,7 +52,7 @@
         self._endpoints = endpoints
         self._slots = slots
         self._clock = clock
-        self._retry = retry or RetryPolicy(RetryBudget(), random.Random(), time.sleep)
+        self._retry = retry or RetryPolicy(ServiceBudgets(), random.Random(), time.sleep)
         self._keyed = keyed
 
     def carry(self, req: Request) -> Reply:
@@ -75,7 +75,7 @@
 
     def send(self, req: Request, guard: Guard) -> Reply:
         """Try hosts, each once, until one answers; `guard` must hold right before each try."""
-        self._retry.budget.deposit(req.service)
+        self._retry.budgets.earn(req.service)
         refusal = Refusal("no-endpoint", Outcome.NOT_RUN, 503, "", RETRY_AFTER_S)
         tried: list[str] = []
         while (host := self._acquire(req, tried)) is not None:
--- a/tests/coordination/test_dispatch.py
+++ b/tests/coordination/test_dispatch.py
@@ -5,7 +5,7 @@
 
 from gypsumplank.coordination.dispatch import Dispatcher
 from gypsumplank.coordination.endpoint import MemoryEndpointClient
-from gypsumplank.coordination.retry import RetryBudget, RetryPolicy
+from gypsumplank.coordination.retry import RetryPolicy, ServiceBudgets
 from gypsumplank.coordination.slot import Slots
 from gypsumplank.errors import (
     EndpointAnswerError,
@@ -40,7 +40,7 @@
 def dispatcher(answer, clock=None, view=lambda: VIEW):
     client = MemoryEndpointClient(answer)
     slots = Slots(random.Random(1))
-    retry = RetryPolicy(RetryBudget(), random.Random(1), lambda seconds: None)
+    retry = RetryPolicy(ServiceBudgets(), random.Random(1), lambda seconds: None)
     return Dispatcher(view, client, slots, clock or ManualClock(), retry), client, slots
 
 
--- a/tests/coordination/test_retry.py
+++ b/tests/coordination/test_retry.py
@@ -2,29 +2,29 @@
 
 import pytest
 
-from gypsumplank.coordination.retry import RetryBudget, RetryPolicy
+from gypsumplank.coordination.retry import RetryPolicy, ServiceBudgets
 
 
 def policy(budget=None):
     pauses = []
-    return RetryPolicy(budget or RetryBudget(), random.Random(7), pauses.append), pauses
+    return RetryPolicy(budget or ServiceBudgets(), random.Random(7), pauses.append), pauses
 
 
 def test_budget_is_a_share_of_first_tries():
-    budget = RetryBudget(share=0.25, reserve=2.0)
-    assert [budget.withdraw("quotes") for _ in range(3)] == [True, True, False]
+    budget = ServiceBudgets(share=0.25, reserve=2.0)
+    assert [budget.spend("quotes") for _ in range(3)] == [True, True, False]
     granted = 0
     for _ in range(1000):
-        budget.deposit("quotes")
-        granted += budget.withdraw("quotes")
+        budget.earn("quotes")
+        granted += budget.spend("quotes")
     assert granted == 250
 
 
 def test_services_have_budgets_of_their_own():
-    budget = RetryBudget(reserve=1.0)
-    assert budget.withdraw("quotes")
-    assert not budget.withdraw("quotes")
-    assert budget.withdraw("rounds")
+    budget = ServiceBudgets(reserve=1.0)
+    assert budget.spend("quotes")
+    assert not budget.spend("quotes")
+    assert budget.spend("rounds")
 
 
 @pytest.mark.parametrize(("tries", "bound"), [(1, 0.01), (2, 0.02), (3, 0.04), (10, 0.25)])
@@ -45,6 +45,6 @@
 
 
 def test_spent_budget_allows_no_retry():
-    found, pauses = policy(RetryBudget(reserve=0.0))
+    found, pauses = policy(ServiceBudgets(reserve=0.0))
     assert not found.allows("quotes", 1, 5.0)
     assert pauses == []
