--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,6 +11,7 @@
     "live",
     "claims",
     "placement",
+    "once",
     "rollout",
     "store",
     "capacity",
