Plan moves from the last minutes' demand, and measure waves and planning

Cause: the planner's hour-long window kept a busy pool's need long after its demand had gone, so no pool could give a host; and the controller looked at every host each round.

Change: windows of 120 s, holds of seconds, hosts given back late; the controller looks at hosts that are out or dead only; a view with a host out hurries heartbeat and controller.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,7 +4,11 @@
 import importlib
 import sys
 
-MEASUREMENTS = ("hop",)
+MEASUREMENTS = (
+    "hop",
+    "wave",
+    "planner",
+)
 
 
 def main() -> None:
--- a/gypsumplank/coordination/controller.py
+++ b/gypsumplank/coordination/controller.py
@@ -2,10 +2,11 @@
 
 import logging
 import uuid
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
 
 from gypsumplank.coordination import move
+from gypsumplank.coordination.budget import standing_of
 from gypsumplank.coordination.lease import Leases
 from gypsumplank.coordination.signals import Signals
 from gypsumplank.coordination.wave import (
@@ -23,8 +24,9 @@
     StepStaleError,
 )
 from gypsumplank.log import Event, event
+from gypsumplank.protocol.fleet import Plan
 from gypsumplank.protocol.record import Kind, record_key
-from gypsumplank.protocol.spec import AssignmentSpec, AssignmentState, WaveSpec
+from gypsumplank.protocol.spec import DEFAULT_GRACE_S, AssignmentSpec, AssignmentState, WaveSpec
 from gypsumplank.state.clock import Clock
 from gypsumplank.state.config import Change, ConfigStore
 from gypsumplank.state.session import SessionStore
@@ -87,8 +89,20 @@
             return
         self.refusals = {}
         view = self._holder.current
+        due = self._due(view)
         for pool in self._leases.held():
-            self._run_pool(view, pool)
+            self._run_pool(view, pool, due.get(pool, ()))
+
+    def begin_moves(self, plan: Plan) -> None:
+        """Begin the planned moves out of pools whose leases are held here."""
+        view = self._holder.current
+        for found in plan.moves:
+            order = move.Drain(
+                found.host, move.Reason.MOVE, DEFAULT_GRACE_S, target_pool=found.target
+            )
+            held = view.assignment(found.host)
+            if held.pool == found.source and self._leases.fence(held.pool) is not None:
+                self._assign(held.pool, found.host, held, self._begin(order))
 
     def drain_wait(self, host: str) -> str:
         """Return why a drain is not over; empty where it is."""
@@ -118,17 +132,28 @@
         self._leases.tick(view.pools, live)
         self._runs = self._stores.waves.all()
 
-    def _run_pool(self, view: View, pool: str) -> None:
-        for host in view.hosts_of(pool):
-            self._step(view, pool, host)
+    def _due(self, view: View) -> dict[str, list[str]]:
+        """Return the hosts that may have a next step, by pool."""
+        due: dict[str, list[str]] = {}
+        for host, held in view.assignments.items():
+            if held.state is not AssignmentState.SERVING or host not in view.hosts:
+                due.setdefault(held.pool, []).append(host)
+        for host in self._roster.failed():
+            serves = host in view.hosts and view.assignment(host).state is AssignmentState.SERVING
+            if serves and standing_of(view, view.assignment(host).pool).room:
+                due.setdefault(view.assignment(host).pool, []).append(host)
+        return due
+
+    def _run_pool(self, view: View, pool: str, due: Iterable[str]) -> None:
+        for host in due:
+            if host in view.hosts:
+                self._step(view, pool, host)
+            else:
+                self._forget(pool, host)
         for name, row in self._runs.items():
             if row.run.state is RunState.RUNNING and name in view.waves:
                 self._run_wave(view, pool, row)
 
-        for host, held in view.assignments.items():
-            if held.pool == pool and host not in view.hosts:
-                self._forget(pool, host)
-
     def _step(self, view: View, pool: str, host: str) -> None:
         held = view.assignment(host)
         match held.state:
@@ -138,7 +163,7 @@
                 self._maintenance_step(view, pool, host, held)
             case AssignmentState.FAILED:
                 self._trial_step(pool, host, held)
-            case AssignmentState.SERVING if host in self._roster.failed():
+            case AssignmentState.SERVING:
                 self._assign(pool, host, held, lambda _, was: move.fail(was, self._clock.wall()))
 
     def _drain_step(self, pool: str, host: str, held: AssignmentSpec) -> None:
@@ -180,17 +205,23 @@
             if held.pool == pool:
                 self._assign(pool, host, held, self._wave_drain(host, spec, row), (row.fence,))
 
+    def _begin(self, order: move.Drain) -> Decide:
+        return lambda newest, _was: move.begin_drain(
+            newest, order, self._clock.wall(), self._signals.suspects()
+        )
+
     def _wave_drain(self, host: str, spec: WaveSpec, row: RunRow) -> Decide:
         order = move.Drain(
             host, move.Reason.WAVE, spec.grace_s, run=row.run.id, override=spec.override
         )
 
-        def decide(newest: View, _was: AssignmentSpec) -> AssignmentSpec:
+        def decide(newest: View, was: AssignmentSpec) -> AssignmentSpec:
             wait = find_wait(newest, spec, row.run, host, self._signals)
             if wait:
                 raise BudgetError(f"host {host!r}: {wait}")
-            return move.begin_drain(newest, order, self._clock.wall(), self._signals.suspects())
+            return begin(newest, was)
 
+        begin = self._begin(order)
         return decide
 
     def _settle_run(self, state: WaveState, row: RunRow) -> bool:
--- a/gypsumplank/coordination/planner.py
+++ b/gypsumplank/coordination/planner.py
@@ -13,12 +13,13 @@
 from gypsumplank.state.clock import Clock
 from gypsumplank.state.view import View
 
-LOWEST_QUANTILE = 0.90
+LOWEST_QUANTILE = 0.70
 HIGHEST_QUANTILE = 0.999
-WINDOW_S = 3600.0
-LEAST_SAMPLES = 30
-HOLD_S = 60.0
+WINDOW_S = 120.0
+LEAST_SAMPLES = 12
+HOLD_S = 15.0
 RETURN_SURPLUS = 2
+RETURN_HOLDS = 20
 ACCURACY = 0.02
 DEFAULT_POLICY = "default"
 
@@ -90,28 +91,31 @@
         demand: Callable[[], Sample],
         failed: Callable[[], Iterable[str]],
         clock: Clock,
-        window_s: float = WINDOW_S,
+        act: Callable[[Plan], None] | None = None,
     ) -> None:
         self._view = view
         self._demand = demand
         self._failed = failed
         self._clock = clock
-        self._window_s = window_s
+        self._act = act
         self._turned_at = clock.monotonic()
         self._measured: dict[str, Measured] = {}
         self._lacking_since: dict[str, float] = {}
+        self._idle_since: dict[str, float] = {}
         self.plan = Plan()
 
     def tick(self) -> None:
-        """Take one sample and plan anew."""
+        """Take one sample, plan anew and act on it where that is wanted."""
         view, now = self._view(), self._clock.monotonic()
         self._sample(view)
-        if now - self._turned_at >= self._window_s:
+        if now - self._turned_at >= WINDOW_S:
             self._turned_at = now
             for held in self._measured.values():
                 held.demand.turn()
                 held.failed.turn()
         self.plan = self._make(view, now)
+        if self._act is not None:
+            self._act(self.plan)
 
     def _sample(self, view: View) -> None:
         demand, dead = self._demand(), set(self._failed())
@@ -126,13 +130,20 @@
         pools = tuple(self._size(view, pool) for pool in sorted(view.pools))
         lacking = {held.pool for held in pools if held.surplus < 0}
         self._lacking_since = {pool: self._lacking_since.get(pool, now) for pool in lacking}
+        idle = {held.pool for held in pools if held.surplus >= RETURN_SURPLUS}
+        self._idle_since = {pool: self._idle_since.get(pool, now) for pool in idle}
         moves: list[PlannedMove] = []
         notes: list[str] = []
         for held in sorted(pools, key=lambda size: size.surplus):
             if held.surplus < 0:
                 self._fill(view, held, pools, now, moves, notes)
-        moves += _returns(view, pools, moves)
-        return Plan(pools, tuple(moves), tuple(notes))
+        if not moves:
+            moves += _returns(view, [held for held in pools if self._long_idle(view, held, now)])
+        return Plan(pools, tuple(moves), tuple(notes), self._act is not None)
+
+    def _long_idle(self, view: View, held: PoolPlan, now: float) -> bool:
+        least_s = RETURN_HOLDS * hold_s(policy_of(view, held.pool))
+        return now - self._idle_since.get(held.pool, now) >= least_s
 
     def _size(self, view: View, pool: str) -> PoolPlan:
         measured, share = self._measured[pool], quantile_of(policy_of(view, pool))
@@ -140,8 +151,8 @@
         slots = [view.hosts[host].slots for host in view.hosts_of(pool)]
         each = sum(slots) / len(slots) if slots else DEFAULT_SLOTS
         demand = measured.demand.quantile(share)
-        for_demand = math.ceil(demand / each)
-        for_failures = math.ceil(measured.failed.quantile(share))
+        for_demand = math.ceil(demand * (1 - ACCURACY) / each)
+        for_failures = round(measured.failed.quantile(share))
         for_maintenance = 1 if view.pools[pool].guarded else 0
         need = max(standing.floor, for_demand) + for_failures + for_maintenance
         return PoolPlan(
@@ -218,20 +229,14 @@
     return there, -here, host
 
 
-def _returns(
-    view: View, pools: tuple[PoolPlan, ...], moves: list[PlannedMove]
-) -> list[PlannedMove]:
-    """Plan to give hosts back to the spare pool where a pool has them to no use."""
-    spares = [held.pool for held in pools if view.pools[held.pool].spare]
-    if not spares or moves:
-        return []
-    homes = [host for held in pools for host in view.serving_hosts(held.pool)]
+def _returns(view: View, idle: Iterable[PoolPlan]) -> list[PlannedMove]:
+    """Plan to give a host back to the spare pool that it came from."""
     return [
         PlannedMove(host, held.pool, home, f"{held.pool} has {held.surplus} too many")
-        for held in pools
-        if held.surplus >= RETURN_SURPLUS
-        for host in homes
-        if (home := view.hosts[host].pool) in spares
-        and view.assignment(host).pool == held.pool != home
+        for held in idle
+        for host in view.serving_hosts(held.pool)
+        if (home := view.hosts[host].pool) != held.pool
+        and home in view.pools
+        and view.pools[home].spare
         and not find_blocker(view, host)
     ][:1]
--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -51,6 +51,7 @@
     HostOrder,
     WaveOrder,
 )
+from gypsumplank.protocol.spec import AssignmentState
 from gypsumplank.settings import Settings, load_settings
 from gypsumplank.state.clock import SystemClock
 from gypsumplank.state.config import ConfigStore
@@ -228,11 +229,19 @@
         self._leases = Leases(LeaseStore(table), clock, cfg.id, cfg.lease_s)
         witness = Witness(clock, cfg.lease_s, cfg.lease_margin_s)
         stores = Stores(self._store, SessionStore(table), WaveStore(table))
-        self._planner = Planner(self._view, self._fleet_demand, self._suspects, clock)
         signals = Signals(self._roster, self._suspects, self._flooded)
         self._controller = Controller(stores, self._holder, self._leases, witness, signals, clock)
+        act = self._controller.begin_moves if cfg.planner_acts else None
+        self._planner = Planner(self._view, self._fleet_demand, self._suspects, clock, act)
         sources = Sources(self._holder, self._leases, self._controller, signals)
         self._desk = FleetDesk(stores, sources, clock, self._follower.tick)
+        self._holder.listen(self._hurry_drains)
+
+    def _hurry_drains(self, view: View) -> None:
+        """Tell the others at once that a drain is in force here, and take its next step."""
+        if any(held.state is not AssignmentState.SERVING for held in view.assignments.values()):
+            self._supervisor.hurry("heartbeat")
+            self._supervisor.hurry("controller")
 
     def _in_flight_at_leaving(self) -> Mapping[str, int]:
         return self._usage.leaving()
--- a/tests/fleet.py
+++ b/standins/fleet.py
@@ -1,6 +1,8 @@
 """Join several daemons' fleet parts over one in-memory table service with faults."""
 
 import random
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import Any
 
 from gypsumplank.coordination.budget import check_assignments, check_budgets
 from gypsumplank.coordination.controller import Controller, Stores
@@ -15,12 +17,12 @@
 from gypsumplank.errors import StateError, StateUnavailableError, StateUnknownError
 from gypsumplank.protocol.exchange import Answer, Request
 from gypsumplank.protocol.record import Kind, Record
-from gypsumplank.state.clock import ManualClock
+from gypsumplank.state.clock import Clock, ManualClock
 from gypsumplank.state.config import Change, ConfigStore
 from gypsumplank.state.lease import LeaseStore
-from gypsumplank.state.membership import Member, MemoryMembership
+from gypsumplank.state.membership import Member, Membership, MemoryMembership
 from gypsumplank.state.session import Session, SessionStore
-from gypsumplank.state.table import MemoryTable
+from gypsumplank.state.table import SCAN_LIMIT, MemoryTable, Row, Table, Txn
 from gypsumplank.state.validation import check_records
 from gypsumplank.state.view import View, ViewHolder
 from gypsumplank.state.wave import WaveStore
@@ -29,63 +31,78 @@
 MARGIN_S = 2.0
 GUARDS = (check_records, check_assignments, check_budgets)
 ZONES = ("za", "zb", "zc")
+ROWS_A_CHANGE = 400
+OFFSETS_S = (0.0, 3.0, -2.0)
 
 
-def record(kind, name, **spec):
+def record(kind: str, name: str, **spec: Any) -> Record:
+    """Return a record in the newest schema."""
     return Record(Kind(kind), name, 2, spec)
 
 
-def address_of(pool, number):
+def address_of(pool: str, number: int) -> str:
+    """Return the address of a pool's host."""
     return f"10.0.{ord(pool[0])}.{number + 1}:80"
 
 
-def host_record(pool, number, zones=ZONES, **more):
-    zone = zones[number % len(zones)]
+def host_record(pool: str, number: int, **more: Any) -> Record:
+    """Return the record of a pool's host, its zones taking turns."""
+    zone = ZONES[number % len(ZONES)]
     spec = {"address": address_of(pool, number), "pool": pool, "zone": zone, "rack": f"{zone}-0"}
     return record("host", f"{pool}-{number}", **{**spec, **more})
 
 
-def pool_records(pool, hosts=6, spare=False, **budget):
+def pool_records(pool: str, hosts: int = 6, **budget: Any) -> tuple[Record, ...]:
+    """Return the records of a pool, its service and its hosts."""
     return (
-        record("pool", pool, budget=budget, spare=spare),
+        record("pool", pool, budget=budget),
         record("service", pool, pool=pool),
         *(host_record(pool, number) for number in range(hosts)),
     )
 
 
 class OffsetClock:
-    def __init__(self, base, offset):
+    """Tell the time of a clock that runs ahead or behind."""
+
+    def __init__(self, base: Clock, offset: float) -> None:
         self.base, self.offset = base, offset
 
-    def monotonic(self):
+    def monotonic(self) -> float:
+        """Return the shifted time."""
         return self.base.monotonic() + self.offset
 
-    def wall(self):
+    def wall(self) -> float:
+        """Return the shifted time."""
         return self.base.wall() + self.offset
 
 
 class FaultyTable:
-    """One daemon's way to the table: out, losing answers, or interleaved with another's work."""
+    """Reach a table as one daemon does: out, losing answers, or interleaved with others."""
 
-    def __init__(self, table):
+    def __init__(self, table: Table) -> None:
         self.table = table
         self.out = False
         self.lose = 0
-        self.before_commit = None
+        self.before_commit: Callable[[], None] | None = None
 
-    def _check(self):
+    def _check(self) -> None:
         if self.out:
             raise StateUnavailableError
 
-    def get(self, table, key):
+    def get(self, table: str, key: str) -> Row | None:
+        """Return one row."""
         self._check()
         return self.table.get(table, key)
 
-    def scan(self, table, prefix="", after="", limit=1000):
+    def scan(
+        self, table: str, prefix: str = "", after: str = "", limit: int = SCAN_LIMIT
+    ) -> list[Row]:
+        """Return rows in key order."""
         self._check()
         return self.table.scan(table, prefix, after, limit)
 
-    def commit(self, txn):
+    def commit(self, txn: Txn) -> int:
+        """Apply a transaction after what `before_commit` does."""
         self._check()
         hook, self.before_commit = self.before_commit, None
         if hook:
@@ -98,13 +115,23 @@
 
 
 class Node:
-    def __init__(self, name, table, clock, membership, flooded=lambda pool: False):
+    """Hold the fleet parts of one daemon, ticked by hand."""
+
+    def __init__(
+        self,
+        name: str,
+        table: Table,
+        clock: Clock,
+        membership: Membership,
+        flooded: Callable[[str], bool],
+    ) -> None:
         self.name, self.clock, self.membership, self.flooded = name, clock, membership, flooded
         self.table = FaultyTable(table)
-        self.ejected = set()
+        self.ejected: set[str] = set()
         self.boot()
 
-    def boot(self):
+    def boot(self) -> None:
+        """Start anew with nothing but what the table holds."""
         table, clock = self.table, self.clock
         self.holder = ViewHolder()
         self.config = ConfigStore(table, clock, GUARDS, random.Random(1), lambda seconds: None)
@@ -141,10 +168,12 @@
         sources = Sources(self.holder, self.leases, self.controller, signals)
         self.desk = FleetDesk(self.stores, sources, clock, self.refresh)
 
-    def leaving(self):
+    def leaving(self) -> Mapping[str, int]:
+        """Return the requests in flight at hosts that do not serve."""
         return self.usage.leaving()
 
-    def refresh(self):
+    def refresh(self) -> None:
+        """Put the newest view in force."""
         try:
             view = self.config.refresh(self.holder.current)
         except StateError:
@@ -152,49 +181,65 @@
         if view is not self.holder.current:
             self.holder.advance(view)
 
-    def tick(self):
+    def tick(self) -> None:
+        """Do one round of all periodic work."""
         self.refresh()
         self.heartbeat.tick()
         self.roster.tick()
         self.controller.tick()
 
-    def enter(self, service, host):
+    def enter(self, service: str, host: str) -> str:
+        """Begin a request at a host; raise EndpointLeavingError."""
         req = Request("r", service, "POST", "/", 1e9)
         return self.usage.enter(self.holder.current.hosts[host].address, req)
 
 
 class Fleet:
-    def __init__(self, records, nodes=2, offsets=(0.0, 3.0, -2.0), flooded=lambda pool: False):
+    """Hold several daemons over one table, one clock and one membership list."""
+
+    def __init__(
+        self,
+        records: Iterable[Record],
+        nodes: int = 2,
+        offsets: Sequence[float] = OFFSETS_S,
+        flooded: Callable[[str], bool] = lambda pool: False,
+    ) -> None:
+        held = tuple(records)
         self.clock = ManualClock(1000.0)
         self.table = MemoryTable()
         self.store = ConfigStore(self.table, self.clock, GUARDS)
-        self.store.accept(Change("boot", tuple(records)))
-        hosts = [rec.name for rec in records if rec.kind is Kind.HOST]
+        for start in range(0, len(held), ROWS_A_CHANGE):
+            self.store.accept(Change(f"boot-{start}", held[start : start + ROWS_A_CHANGE]))
+        hosts = [rec.name for rec in held if rec.kind is Kind.HOST]
         self.membership = MemoryMembership(Member(host) for host in hosts)
         self.nodes = [
             Node(f"n{i}", self.table, OffsetClock(self.clock, offsets[i]), self.membership, flooded)
             for i in range(nodes)
         ]
         self._view = View()
-        self.rng = random.Random(7)
 
     @property
-    def view(self):
+    def view(self) -> View:
+        """Return the newest accepted view."""
         self._view = self.store.refresh(self._view)
         return self._view
 
-    def state(self, host):
+    def state(self, host: str) -> str:
+        """Return the newest accepted state of a host."""
         return self.view.assignment(host).state.value
 
-    def run(self, seconds, step_s=1.0):
+    def run(self, seconds: float, step_s: float = 1.0) -> None:
+        """Let time pass and tick all daemons."""
         until = self.clock.now + seconds
         while self.clock.now < until:
             self.clock.advance(step_s)
             for node in self.nodes:
                 node.tick()
 
-    def run_until(self, condition, bound_s=600.0):
+    def run_until(self, condition: Callable[[], bool], bound_s: float = 600.0) -> None:
+        """Run until a condition holds; raise TimeoutError."""
         until = self.clock.now + bound_s
         while not condition():
-            assert self.clock.now < until, "bound passed"
+            if self.clock.now >= until:
+                raise TimeoutError
             self.run(1.0)
--- a/tests/coordination/test_budget.py
+++ b/tests/coordination/test_budget.py
@@ -13,7 +13,7 @@
 from gypsumplank.protocol.spec import AssignmentSpec, AssignmentState
 from gypsumplank.state.config import ChangeEntry, apply_entries
 from gypsumplank.state.view import build_view
-from tests.fleet import host_record, pool_records, record
+from standins.fleet import host_record, pool_records, record
 
 HOST = host_record("a", 0)
 
--- a/tests/coordination/test_controller.py
+++ b/tests/coordination/test_controller.py
@@ -12,7 +12,7 @@
 from gypsumplank.state.config import Change, apply_entries
 from gypsumplank.state.membership import Member
 from gypsumplank.state.wave import RunState
-from tests.fleet import Fleet, address_of, pool_records, record
+from standins.fleet import Fleet, address_of, pool_records, record
 
 GRACE_S = 20.0
 RECORDS = (*pool_records("a", 6, min_in_service=4), *pool_records("b", 3, min_in_service=2))
--- a/tests/coordination/test_flood.py
+++ b/tests/coordination/test_flood.py
@@ -4,7 +4,7 @@
 from gypsumplank.coordination.flood import is_flooded
 from gypsumplank.protocol.spec import AssignmentSpec, AssignmentState
 from gypsumplank.state.view import build_view
-from tests.fleet import pool_records
+from standins.fleet import pool_records
 
 
 @pytest.mark.parametrize(("demand", "flooded"), [({}, False), ({"a": 8}, False), ({"a": 9}, True)])
--- a/tests/coordination/test_lease.py
+++ b/tests/coordination/test_lease.py
@@ -7,7 +7,7 @@
 from gypsumplank.state.clock import ManualClock
 from gypsumplank.state.lease import LeaseStore
 from gypsumplank.state.table import MemoryTable, Txn, Write
-from tests.fleet import FaultyTable
+from standins.fleet import FaultyTable
 
 LIFE_S = 5.0
 NAMES = ("a", "b", "c", "d")
--- a/tests/coordination/test_move.py
+++ b/tests/coordination/test_move.py
@@ -9,7 +9,7 @@
 )
 from gypsumplank.protocol.spec import AssignmentSpec, AssignmentState
 from gypsumplank.state.view import build_view
-from tests.fleet import pool_records
+from standins.fleet import pool_records
 
 RECORDS = (*pool_records("a", 3, min_in_service=2), *pool_records("b", 1))
 SERVING, DRAINING = AssignmentState.SERVING, AssignmentState.DRAINING
--- a/tests/coordination/test_usage.py
+++ b/tests/coordination/test_usage.py
@@ -7,7 +7,7 @@
 from gypsumplank.protocol.exchange import Answer, Request
 from gypsumplank.protocol.spec import AssignmentSpec, AssignmentState
 from gypsumplank.state.view import build_view
-from tests.fleet import address_of, pool_records
+from standins.fleet import address_of, pool_records
 
 RECORDS = (*pool_records("a", 2), *pool_records("b", 1))
 A0, A1 = address_of("a", 0), address_of("a", 1)
--- a/tests/coordination/test_wave.py
+++ b/tests/coordination/test_wave.py
@@ -6,7 +6,7 @@
 from gypsumplank.protocol.spec import AssignmentSpec, AssignmentState, WaveSpec
 from gypsumplank.state.view import build_view
 from gypsumplank.state.wave import RunState, WaveRun
-from tests.fleet import pool_records
+from standins.fleet import pool_records
 
 RUN = WaveRun("w", 1, RunState.RUNNING, 100.0)
 OUT, FAILED = AssignmentState.OUT, AssignmentState.FAILED
