--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,11 +4,7 @@
 import importlib
 import sys
 
-MEASUREMENTS = (
-    "hop",
-    "wave",
-    "planner",
-)
+MEASUREMENTS = ("hop", "rollout", "store", "wave", "planner")
 
 
 def main() -> None:
--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -53,6 +53,7 @@
 )
 from gypsumplank.protocol.spec import AssignmentState
 from gypsumplank.settings import Settings, load_settings
+from gypsumplank.state.client import TableClient
 from gypsumplank.state.clock import SystemClock
 from gypsumplank.state.config import ConfigStore
 from gypsumplank.state.lease import LeaseStore
@@ -120,7 +121,8 @@
     def _make_state(self) -> None:
         cfg = self._cfg
         self._platform = PlatformClient(cfg.platform, cfg.platform_timeout_s)
-        table = HttpTable(self._platform)
+        table = TableClient(HttpTable(self._platform), self._clock, random.Random())
+        self._table = table
         self._store = ConfigStore(table, self._clock, GUARDS)
         self._heartbeat = Heartbeat(
             SessionStore(table),
@@ -220,7 +222,7 @@
         return self._view().host_names
 
     def _make_fleet(self) -> None:
-        cfg, table, clock = self._cfg, HttpTable(self._platform), self._clock
+        cfg, table, clock = self._cfg, self._table, self._clock
         self._endpoints = HttpEndpointClient(ENDPOINT_CONNECTIONS, cfg.connect_timeout_s)
         judged = JudgedEndpoints(self._endpoints, self._ejector, self._host_names)
         self._isolation = Isolation(self._heartbeat, self._rollout, clock, cfg.lease_s)
