--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -1,4 +1,4 @@
-"""Run the demo: records in two schema versions, a burst of requests, a summary."""
+"""Run the demo: records in two schema versions, a burst of requests, a wave, a summary."""
 
 import itertools
 import json
@@ -16,6 +16,7 @@
 import urllib3
 
 from demo.cluster import Cluster, free_addresses
+from demo.wave import maintain, write_wave
 from gypsumplank import cli
 
 ZONES = ("kochi-a", "kochi-b", "alappuzha")
@@ -75,12 +76,16 @@
     return outcome, time.monotonic() - started
 
 
+def service_urls(daemons: Iterable[str]) -> list[str]:
+    """Return the address of every service at every daemon."""
+    paths = itertools.product(daemons, SERVICES)
+    return [f"http://{daemon}/{service}/orders" for daemon, service in paths]
+
+
 def burst(daemons: Iterable[str]) -> None:
     """Send requests through all daemons and print what became of them."""
     pool = urllib3.PoolManager(maxsize=CALLERS, retries=False)
-    paths = itertools.product(daemons, SERVICES)
-    urls = [f"http://{daemon}/{service}/orders" for daemon, service in paths]
-    targets = list(itertools.islice(itertools.cycle(urls), REQUESTS))
+    targets = list(itertools.islice(itertools.cycle(service_urls(daemons)), REQUESTS))
     with ThreadPoolExecutor(CALLERS) as executor:
         results = list(executor.map(lambda url: send(pool, url), targets))
     outcomes = Counter(outcome for outcome, _ in results)
@@ -92,7 +97,7 @@
 
 
 def run(folder: Path) -> None:
-    """Start the fleet, apply the records, send the burst."""
+    """Start the fleet, apply the records, send the burst, maintain every host."""
     with Cluster(folder) as cluster:
         cluster.start_platform()
         addresses = {service: free_addresses(HOSTS_PER_POOL) for service in SERVICES}
@@ -107,6 +112,9 @@
         time.sleep(1.5)
         command(server, "status")
         burst(cluster.callers(name) for name in names)
+        command(server, "apply", str(write_wave(folder, SERVICES)))
+        maintain(command, server, service_urls(cluster.callers(name) for name in names))
+        command(server, "plan")
         sys.stdout.write("\nStopping gracefully:\n")
         for name in names:
             sys.stdout.write(f"  {name} exit {cluster.stop(name)}\n")
--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -249,7 +249,7 @@
         return self._usage.leaving()
 
     def _suspects(self) -> frozenset[str]:
-        return self._roster.failed() | self._ejector.ejected()
+        return self._roster.failed() | self._ejector.ejected() | self._leaving.current
 
     def _flooded(self, pool: str) -> bool:
         return is_flooded(self._view(), pool, self._fleet_demand())
