--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,7 +4,7 @@
 import importlib
 import sys
 
-MEASUREMENTS = ("hop", "rollout", "store", "wave", "planner")
+MEASUREMENTS = ("hop", "claims", "rollout", "store", "capacity", "wave", "planner")
 
 
 def main() -> None:
