--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -15,6 +15,8 @@
     "rollout",
     "store",
     "capacity",
+    "wave",
+    "planner",
 )
 
 
--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -63,6 +63,7 @@
 )
 from gypsumplank.protocol.operator import PATH_BURN
 from gypsumplank.protocol.overview import PATH_OVERVIEW
+from gypsumplank.protocol.spec import AssignmentState
 from gypsumplank.settings import Settings, load_settings
 from gypsumplank.state.burn import BurnStore
 from gypsumplank.state.claim import ClaimStore
@@ -301,12 +302,20 @@
         self._leases = Leases(LeaseStore(table), clock, cfg.id, cfg.lease_s)
         witness = Witness(clock, cfg.lease_s, cfg.lease_margin_s)
         stores = Stores(self._store, SessionStore(table), WaveStore(table))
-        self._planner = Planner(self._view, self._fleet_demand, self._suspects, clock)
         self._make_tasks()
         signals = Signals(self._roster, self._suspects, self._flooded, self._tasks.wait_at)
         self._controller = Controller(stores, self._holder, self._leases, witness, signals, clock)
+        act = self._controller.begin_moves if cfg.planner_acts else None
+        self._planner = Planner(self._view, self._fleet_demand, self._suspects, clock, act)
         sources = Sources(self._holder, self._leases, self._controller, signals)
         self._desk = FleetDesk(stores, sources, clock, self._follower.tick)
+        self._holder.listen(self._hurry_drains)
+
+    def _hurry_drains(self, view: View) -> None:
+        """Tell the others at once that a drain is in force here, and take its next step."""
+        if any(held.state is not AssignmentState.SERVING for held in view.assignments.values()):
+            self._supervisor.hurry("heartbeat")
+            self._supervisor.hurry("controller")
 
     def _make_tasks(self) -> None:
         """Wire what takes in, places and follows tasks that run long."""
@@ -324,7 +333,7 @@
         return self._usage.leaving()
 
     def _suspects(self) -> frozenset[str]:
-        return self._roster.failed() | self._ejector.ejected()
+        return self._roster.failed() | self._ejector.ejected() | self._leaving.current
 
     def _flooded(self, pool: str) -> bool:
         return is_flooded(self._view(), pool, self._fleet_demand())
