--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -9,10 +9,10 @@
 from bench.fit import Fit
 from demo.cluster import ROOT
 from gypsumplank.porcelain import table
+from reference.block import replace_block
 
 RESULT = ROOT / "docs" / "measurements" / "capacity.json"
 PAGE = ROOT / "docs" / "CAPACITY.md"
-MARKERS = ("<!-- begin {} -->", "<!-- end {} -->")
 
 WORKERS = 1_700
 POOLS = 21
@@ -205,22 +205,11 @@
 }
 
 
-def markdown(rows: Rows) -> str:
-    """Return rows as a table in Markdown."""
-    held = list(rows)
-    names = tuple(held[0])
-    lines = [names, ("---",) * len(names), *(tuple(row.values()) for row in held)]
-    return "\n".join(f"| {' | '.join(str(cell) for cell in line)} |" for line in lines)
-
-
 def render_page(page: str, raw: Mapping[str, Any]) -> str:
     """Return the page with every generated block made from the measurements."""
     measured = Measured(raw)
     for name, rows in BLOCKS.items():
-        start, end = MARKERS[0].format(name), MARKERS[1].format(name)
-        before, _, rest = page.partition(start)
-        _, _, after = rest.partition(end)
-        page = f"{before}{start}\n{markdown(rows(measured))}\n{end}{after}"
+        page = replace_block(page, name, rows(measured))
     stamp = f"Measured {raw['measured_at']} UTC, Python {raw['python']}."
     return re.sub(r"^Measured .*$", stamp, page, flags=re.MULTILINE)
 
--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -14,27 +14,36 @@
 
 
 class Event(StrEnum):
-    """Name every event that is logged."""
-
-    STARTED = "started"
-    READY = "ready"
-    STOPPING = "stopping"
-    STOPPED = "stopped"
-    CONFIG_IN_FORCE = "config-in-force"
-    CONFIG_ACCEPTED = "config-accepted"
-    CONFIG_REVERSED = "config-reversed"
-    CONFIG_FROM_PEER = "config-from-peer"
-    CONFIG_UNREADABLE = "config-unreadable"
-    STATE_UNAVAILABLE = "state-unavailable"
-    SESSION_OPENED = "session-opened"
-    SESSION_LAPSED = "session-lapsed"
-    PEER_DROPPED = "peer-dropped"
-    PEER_FAILED = "peer-failed"
-    REQUEST_FAILED = "request-failed"
-    ACTOR_RESTARTED = "actor-restarted"
-    ACTOR_FAILED = "actor-failed"
-    ENDPOINT_EJECTED = "endpoint-ejected"
-    ENDPOINT_RETURNED = "endpoint-returned"
+    """Name every event that is logged and tell what it means."""
+
+    doc: str
+
+    def __new__(cls, value: str, doc: str = "") -> "Event":
+        """Return a member that carries its documentation."""
+        member = str.__new__(cls, value)
+        member._value_ = value
+        member.doc = doc
+        return member
+
+    STARTED = "started", "The daemon serves callers and operators."
+    READY = "ready", "The daemon may be sent callers."
+    STOPPING = "stopping", "A planned stop has begun; the daemon takes no new connections soon."
+    STOPPED = "stopped", "The daemon has ended; `cut_off` requests were still in flight and should be 0."
+    CONFIG_IN_FORCE = "config-in-force", "A newer revision came into force here."
+    CONFIG_ACCEPTED = "config-accepted", "A change was accepted through this daemon."
+    CONFIG_REVERSED = "config-reversed", "The store told an older revision than is in force; the older one was not taken."
+    CONFIG_FROM_PEER = "config-from-peer", "A newer revision was taken from another daemon while the store was out."
+    CONFIG_UNREADABLE = "config-unreadable", "A record has a form that this version does not know; its last known form stays."
+    STATE_UNAVAILABLE = "state-unavailable", "The platform did not do what a step needed; the step comes again."
+    SESSION_OPENED = "session-opened", "The daemon has a session with a new epoch."
+    SESSION_LAPSED = "session-lapsed", "The daemon lost its session, by a pause or an outage, and opens another."
+    PEER_DROPPED = "peer-dropped", "A message from a peer was not acceptable and was dropped."
+    PEER_FAILED = "peer-failed", "A message from a peer could not be worked on; a fault of the program."
+    REQUEST_FAILED = "request-failed", "A try at an endpoint failed; the caller may still get an answer from another."
+    ACTOR_RESTARTED = "actor-restarted", "A periodic step raised an error and goes on anew; a fault of the program."
+    ACTOR_FAILED = "actor-failed", "A periodic step could not be started again."
+    ENDPOINT_EJECTED = "endpoint-ejected", "A host failed too often here and gets less work or none."
+    ENDPOINT_RETURNED = "endpoint-returned", "A host that was ejected gets work again."
 
 
 class LogfmtFormatter(JsonFormatter):
