--- a/gypsumplank/cli.py
+++ b/gypsumplank/cli.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Any
 
-from gypsumplank import cli_config, cli_report, cli_top, porcelain
+from gypsumplank import cli_config, cli_fleet, cli_report, cli_top, porcelain
 from gypsumplank.cli_show import ENV_SERVER, ENV_TOKEN, find_server, show
 from gypsumplank.errors import FaultsError, GypsumplankError, ServerError, ServerUnreachableError
 
@@ -73,6 +73,7 @@
     cli_report.add_commands(commands)
     cli_top.add_commands(commands)
     commands.add_parser("status", help="show the fleet").set_defaults(run=run_status)
+    cli_fleet.add_commands(commands, find_server, show)
     return parser
 
 
--- a/gypsumplank/coordination/dispatch.py
+++ b/gypsumplank/coordination/dispatch.py
@@ -57,6 +57,14 @@
 
     def carry(self, req: Request) -> Reply:
         """Return the endpoint's answer, or a refusal that tells whether the request ran."""
+        try:
+            return self._carry(req)
+        except Exception as exc:  # noqa: BLE001
+            refusal = refusal_of(exc)
+            _log_failure(req, "", refusal)
+            return refusal
+
+    def _carry(self, req: Request) -> Reply:
         if req.service not in self._view().services:
             return Refusal("service-unknown", Outcome.NOT_RUN, 404, f"no service {req.service!r}")
         if self._left_s(req) <= 0:
@@ -90,8 +98,8 @@
         service = view.services.get(req.service)
         if service is None:
             return None
-        names = [name for name in view.serving_hosts(req.pool or service.pool) if name not in tried]
-        return self._slots.acquire(view.hosts, names)
+        serving = view.serving_hosts(req.pool or service.pool)
+        return self._slots.acquire(view.hosts, [name for name in serving if name not in tried])
 
     def _send_to(self, host: str, req: Request, guard: Guard) -> Answer:
         address = self._view().hosts[host].address
--- a/gypsumplank/coordination/share.py
+++ b/gypsumplank/coordination/share.py
@@ -90,6 +90,13 @@
         held = {name: demand.pools for name, demand in fresh.items()} | {self._daemon: self._told}
         return {name: FLOOR + pools.get(pool, 0) for name, pools in held.items()}
 
+    def totals(self) -> dict[str, int]:
+        """Return the requests that each pool holds and that wait for it at all daemons heard."""
+        found = Counter(self._demand())
+        for demand in self._fresh().values():
+            found.update(demand.pools)
+        return dict(found)
+
     def _fresh(self) -> dict[str, Demand]:
         """Return the last message of each daemon that was heard of late."""
         oldest = self._clock.monotonic() - HEARD_FOR_S
--- a/reference/__main__.py
+++ b/reference/__main__.py
@@ -48,9 +48,15 @@
 def metric_rows() -> Rows:
     """Yield one row for each instrument that a daemon makes."""
     callers, operators, peers = free_addresses(3)
-    named = {"id": "entry-0", "zone": "z", "callers": callers, "operators": operators}
-    secret = "only-for-reference"
-    cfg = Settings(**named, peers=peers, platform=callers, peer_key=secret)
+    cfg = Settings(
+        id="entry-0",
+        zone="z",
+        callers=callers,
+        operators=operators,
+        peers=peers,
+        platform=callers,
+        peer_key="only-for-reference",
+    )
     instruments = Daemon(cfg).instruments
     pykka.ActorRegistry.stop_all()
     for one in sorted(instruments, key=lambda held: held.name):
