Refuse claims while the store is slow, and bound what waits for it

Cause: with a store that takes 0.8 s a call, a process test had no request without key finish: keyed ones held all that was admitted. Change: BatchWriter refuses while a commit takes over 0.5 s; Claims lets only so many wait.

--- a/gypsumplank/coordination/claim.py
+++ b/gypsumplank/coordination/claim.py
@@ -35,6 +35,7 @@
 CLOCK_SKEW_S = 5.0
 LATE_S = 10.0
 OPEN_TRIES = 3
+MAX_WAITING = 64
 MAX_UNSETTLED = 1000
 SETTLED_A_TICK = 100
 
@@ -82,12 +83,20 @@
 class Claims:
     """Claim a key before its request is sent, and keep the reply for repeats."""
 
-    def __init__(self, store: ClaimStore, writer: Writer, clock: Clock, lease: Lease) -> None:
+    def __init__(
+        self,
+        store: ClaimStore,
+        writer: Writer,
+        clock: Clock,
+        lease: Lease,
+        max_waiting: int = MAX_WAITING,
+    ) -> None:
         self._store = store
         self._writer = writer
         self._clock = clock
         self._lease = lease
         self._lock = threading.Lock()
+        self._waiting = threading.BoundedSemaphore(max_waiting)
         self._running: dict[str, Claim] = {}
         self._unsettled: deque[Unsettled] = deque(maxlen=MAX_UNSETTLED)
 
@@ -161,6 +170,14 @@
         """Store the claim and return its version; raise StateConflictError if there is one."""
         if not self._lease.held:
             raise ClaimUnavailableError("this daemon does not hold its lease")
+        if not self._waiting.acquire(blocking=False):
+            raise ClaimUnavailableError("too many requests wait for the platform")
+        try:
+            return self._await_opening(req, claim)
+        finally:
+            self._waiting.release()
+
+    def _await_opening(self, req: Request, claim: Claim) -> int:
         try:
             future = self._writer.submit(opening(claim))
         except StateError as exc:
@@ -182,13 +199,21 @@
 
         reply = send(req, may_send)
         not_run = not isinstance(reply, Answer) and reply.outcome is Outcome.NOT_RUN
-        kept = None if not_run else reply
+        self._conclude(req, claim, version, None if not_run else reply)
+        return reply
+
+    def _conclude(self, req: Request, claim: Claim, version: int, kept: Reply | None) -> None:
+        """Store the reply, or remove the claim, now or at a later tick."""
+        if not self._waiting.acquire(blocking=False):
+            self._settle_later(claim, kept, stored=True)
+            return
         try:
             change = self._change(claim, version, kept)
             self._writer.submit(change).result(self._wait_s(req, STORE_WAIT_S))
         except (StateError, TimeoutError):
             self._settle_later(claim, kept, stored=True)
-        return reply
+        finally:
+            self._waiting.release()
 
     def _change(self, claim: Claim, version: int, reply: Reply | None) -> RowChange:
         if reply is None:
--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -97,6 +97,7 @@
 CLAIMS_PERIOD_S = 0.5
 EXPIRY_PERIOD_S = 1.0
 CLAIM_WRITES_PER_S = 150
+CLAIM_THREADS = 0.75
 
 GUARDS = (check_records, check_assignments, check_budgets)
 
@@ -322,7 +323,9 @@
         table = self._table
         store = ClaimStore(table, HttpObjectStore(self._platform))
         self._writer = BatchWriter(table, self._clock, self._claim_pace_s)
-        self._claims = claims = Claims(store, self._writer, self._clock, self._heartbeat)
+        waiting = max(1, int(self._cfg.threads * CLAIM_THREADS))
+        claims = Claims(store, self._writer, self._clock, self._heartbeat, waiting)
+        self._claims = claims
         expiry = Expiry(store, self._writer, self._clock, self._heartbeat, self._cfg.keep_claims_s)
         self._supervisor.add("claims", claims, CLAIMS_PERIOD_S)
         self._supervisor.add("expiry", expiry, EXPIRY_PERIOD_S)
--- a/gypsumplank/state/writer.py
+++ b/gypsumplank/state/writer.py
@@ -24,6 +24,7 @@
 SETTLE_TRIES = 3
 MAX_READ_ROWS = 32
 OUTAGE_PAUSE_S = 0.5
+SLOW_S = 0.5
 
 
 @dataclass(frozen=True)
@@ -78,21 +79,26 @@
         self._queue: deque[Queued] = deque()
         self._stopped = threading.Event()
         self._out_until = 0.0
+        self._sent_at: float | None = None
         self._thread = threading.Thread(target=self._run, name="batch", daemon=True)
         self.commits = 0
 
     def submit(self, change: RowChange) -> Future[int]:
         """Queue a change and return the future of the row's new version.
 
-        Raise StateBusyError where too many are queued, StateTooLargeError, and shortly after the
-        platform was found to be out StateUnavailableError. The future fails with StateError.
+        Raise StateTooLargeError, StateBusyError where too many are queued, and
+        StateUnavailableError while a commit takes long and shortly after the platform was found
+        to be out. The future fails with StateError.
         """
         if change.size > MAX_ROW_BYTES:
             raise StateTooLargeError(f"row of {change.size} bytes exceeds {MAX_ROW_BYTES}")
         future: Future[int] = Future()
         with self._ready:
-            if self._clock.monotonic() < self._out_until:
+            now = self._clock.monotonic()
+            if now < self._out_until:
                 raise StateUnavailableError("the platform was out a moment ago")
+            if self._sent_at is not None and now - self._sent_at > SLOW_S:
+                raise StateUnavailableError("the platform is slow")
             if len(self._queue) >= self._max_queued:
                 raise StateBusyError(f"{self._max_queued} changes wait for the platform")
             self._queue.append(Queued(change, future))
@@ -213,7 +219,11 @@
         self.commits += 1
         checks = tuple(Check(change.table, change.key, change.version) for change in changes)
         writes = tuple(Write(change.table, change.key, change.value) for change in changes)
-        return self._table.commit(Txn(checks, writes))
+        self._sent_at = self._clock.monotonic()
+        try:
+            return self._table.commit(Txn(checks, writes))
+        finally:
+            self._sent_at = None
 
     def _applied(self, changes: Sequence[RowChange]) -> int | None:
         """Return the version of changes whose answer was lost; None where others came first.
--- a/tests/coordination/test_claim.py
+++ b/tests/coordination/test_claim.py
@@ -315,6 +315,22 @@
     assert fleet.rows() == []
 
 
+def test_few_requests_wait_for_the_store_at_once(fleet, one):
+    claims = Claims(one.store, one.writer, fleet.clock, one.lease, max_waiting=1)
+    inner = []
+
+    def submit(change):
+        inner.append(claims.carry(req("other"), fleet.send()))
+        return one.writer.submit(change)
+
+    claims._writer = type("Waiting", (), {"submit": staticmethod(submit)})
+    assert claims.carry(req(), fleet.send()) == OK
+    assert {(found.code, found.outcome) for found in inner} == {
+        ("claim-unavailable", Outcome.NOT_RUN)
+    }
+    assert fleet.runs == ["k"]
+
+
 def test_unreadable_claim_is_unknown(fleet, one, other):
     one.claims.carry(req(), fleet.send())
     fleet.table.script = ["then-out"]
--- a/tests/faulty.py
+++ b/tests/faulty.py
@@ -20,6 +20,7 @@
         self.late = []
         self.commits = 0
         self.gate = None
+        self.waiting = 0
         self.lock = threading.Lock()
 
     def get(self, table, key):
@@ -32,6 +33,7 @@
 
     def commit(self, txn):
         self._check_out()
+        self.waiting += 1
         if self.gate is not None:
             self.gate.wait(20.0)
         with self.lock:
--- a/tests/state/test_writer.py
+++ b/tests/state/test_writer.py
@@ -13,7 +13,7 @@
 )
 from gypsumplank.state.clock import ManualClock
 from gypsumplank.state.table import ABSENT, MAX_ROW_BYTES, MemoryTable, Txn, Write
-from gypsumplank.state.writer import OUTAGE_PAUSE_S, BatchWriter, RowChange
+from gypsumplank.state.writer import OUTAGE_PAUSE_S, SLOW_S, BatchWriter, RowChange
 from tests.faulty import FaultyTable
 
 WAIT_S = 20.0
@@ -180,6 +180,21 @@
     assert table.commits == 2
 
 
+def test_slow_commit_refuses_what_comes(table, writer, clock):
+    table.gate = threading.Event()
+    writer.start()
+    first = writer.submit(put("first"))
+    while table.waiting == 0:
+        pass
+    clock.advance(SLOW_S + 0.1)
+    with pytest.raises(StateUnavailableError):
+        writer.submit(put("next"))
+    table.gate.set()
+    assert first.result(WAIT_S)
+    writer.stop()
+    assert writer.submit(put("next"))
+
+
 def test_stop_commits_what_is_queued(table, writer):
     futures = [writer.submit(put(f"k{i}")) for i in range(10)]
     writer.start()
