--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -109,6 +109,7 @@
 TASKS_PERIOD_S = 0.25
 AGENT_TIMEOUT_S = 1.0
 AGENT_THREADS = 8
+CLAIM_THREADS = 0.75
 
 GUARDS = (check_records, check_assignments, check_budgets)
 
@@ -369,7 +370,9 @@
         table = self._table
         store = ClaimStore(table, HttpObjectStore(self._platform))
         self._writer = BatchWriter(table, self._clock, self._claim_pace_s)
-        self._claims = claims = Claims(store, self._writer, self._clock, self._heartbeat)
+        waiting = max(1, int(self._cfg.threads * CLAIM_THREADS))
+        claims = Claims(store, self._writer, self._clock, self._heartbeat, waiting)
+        self._claims = claims
         expiry = Expiry(store, self._writer, self._clock, self._heartbeat, self._cfg.keep_claims_s)
         self._supervisor.add("claims", claims, CLAIMS_PERIOD_S)
         self._supervisor.add("expiry", expiry, EXPIRY_PERIOD_S)
