--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,7 +4,7 @@
 import importlib
 import sys
 
-MEASUREMENTS = ("hop", "flood", "slots", "live", "rollout", "store")
+MEASUREMENTS = ("hop", "flood", "slots", "live", "claims", "rollout", "store", "capacity")
 
 
 def main() -> None:
--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -7,43 +7,81 @@
 import sys
 import threading
 import time
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from pathlib import Path
 
 from opentelemetry.metrics import Observation
 
 from gypsumplank.coordination.admission import Admission, Limits
+from gypsumplank.coordination.budget import check_assignments, check_budgets
+from gypsumplank.coordination.burn import WRITE_PERIOD_S, BurnCounter, BurnWriter
+from gypsumplank.coordination.claim import Claims
 from gypsumplank.coordination.control import Control
+from gypsumplank.coordination.controller import Controller, Stores
+from gypsumplank.coordination.desk import FleetDesk, Sources
 from gypsumplank.coordination.dispatch import Dispatcher
 from gypsumplank.coordination.ejection import Ejector, JudgedEndpoints
+from gypsumplank.coordination.expiry import Expiry
+from gypsumplank.coordination.flood import is_flooded
 from gypsumplank.coordination.follower import Follower
 from gypsumplank.coordination.gate import Gate
 from gypsumplank.coordination.heartbeat import Heartbeat
+from gypsumplank.coordination.isolation import Isolation
+from gypsumplank.coordination.lease import Leases
 from gypsumplank.coordination.leaving import LeavingHosts
+from gypsumplank.coordination.overview import Overviewer
 from gypsumplank.coordination.part import Parts
+from gypsumplank.coordination.planner import Planner
+from gypsumplank.coordination.report import Acceptance, BurnReporter
 from gypsumplank.coordination.rollout import Own, Rollout
+from gypsumplank.coordination.roster import Roster
 from gypsumplank.coordination.share import DemandTable
+from gypsumplank.coordination.signals import Signals
 from gypsumplank.coordination.slot import Slots
 from gypsumplank.coordination.snapshot import Snapshots
 from gypsumplank.coordination.supervisor import Supervisor, make_step
+from gypsumplank.coordination.usage import HostUsage
+from gypsumplank.coordination.witness import Witness
 from gypsumplank.errors import SettingsError
 from gypsumplank.log import Event, event, set_up
 from gypsumplank.metrics import Metrics
+from gypsumplank.protocol.burn import Finish
 from gypsumplank.protocol.envelope import Opener, Sealer
 from gypsumplank.protocol.exchange import Reply, Request
+from gypsumplank.protocol.fleet import (
+    PATH_HOST,
+    PATH_PLAN,
+    PATH_POOLS,
+    PATH_WAVE,
+    PATH_WAVES,
+    HostOrder,
+    WaveOrder,
+)
+from gypsumplank.protocol.operator import PATH_BURN
+from gypsumplank.protocol.overview import PATH_OVERVIEW
 from gypsumplank.settings import Settings, load_settings
+from gypsumplank.state.burn import BurnStore
+from gypsumplank.state.claim import ClaimStore
 from gypsumplank.state.client import TableClient
 from gypsumplank.state.clock import SystemClock
 from gypsumplank.state.config import ConfigStore
+from gypsumplank.state.lease import LeaseStore
 from gypsumplank.state.session import Session, SessionStore
 from gypsumplank.state.validation import check_records
 from gypsumplank.state.view import View, ViewHolder
+from gypsumplank.state.wave import WaveStore
+from gypsumplank.state.writer import BatchWriter
 from gypsumplank.transport.caller import CallerApp
 from gypsumplank.transport.endpoint import HttpEndpointClient
 from gypsumplank.transport.listener import ClosingDispatcher, Listener
-from gypsumplank.transport.operator import OperatorApp
+from gypsumplank.transport.operator import OperatorApp, Route
 from gypsumplank.transport.peer import PynngPeers
-from gypsumplank.transport.platform import HttpMembership, HttpTable, PlatformClient
+from gypsumplank.transport.platform import (
+    HttpMembership,
+    HttpObjectStore,
+    HttpTable,
+    PlatformClient,
+)
 from gypsumplank.transport.queue import QueueingDispatcher
 
 EXIT_OK = 0
@@ -56,6 +94,11 @@
 MEMBERSHIP_POLL_S = 0.5
 PARTS_PERIOD_S = 0.1
 ADMISSION_PERIOD_S = 0.1
+CLAIMS_PERIOD_S = 0.5
+EXPIRY_PERIOD_S = 1.0
+CLAIM_WRITES_PER_S = 150
+
+GUARDS = (check_records, check_assignments, check_budgets)
 
 logger = logging.getLogger("gypsumplank.daemon")
 
@@ -88,6 +131,8 @@
         self._peers = self._make_peers()
         self._make_distribution()
         self._make_load()
+        self._make_fleet()
+        self._make_burn()
         self._callers = self._make_callers()
         self._operators = self._make_operators()
         self._supervise()
@@ -95,14 +140,15 @@
     def _make_state(self) -> None:
         cfg = self._cfg
         self._platform = PlatformClient(cfg.platform, cfg.platform_timeout_s)
-        table = TableClient(HttpTable(self._platform), self._clock, random.Random())
-        self._store = ConfigStore(table, self._clock, (check_records,))
+        self._table = TableClient(HttpTable(self._platform), self._clock, random.Random())
+        self._store = ConfigStore(self._table, self._clock, GUARDS)
         self._heartbeat = Heartbeat(
-            SessionStore(table),
+            SessionStore(self._table),
             self._clock,
             Session(cfg.id, 0, cfg.zone, cfg.callers, cfg.operators, cfg.peers, 0, 0.0),
             cfg.lease_s,
             lambda: self._holder.current.revision,
+            self._in_flight_at_leaving,
         )
 
     def _make_peers(self) -> PynngPeers:
@@ -193,19 +239,105 @@
     def _host_names(self) -> Mapping[str, str]:
         return self._view().host_names
 
-    def _make_callers(self) -> Listener:
-        cfg = self._cfg
+    def _make_burn(self) -> None:
+        """Wire the counts against objectives and the report on them."""
+        writer = f"{self._cfg.id}.{int(self._clock.wall() * MICROSECONDS):x}"
+        store = BurnStore(self._table)
+        self._burn = BurnCounter(writer, self._view, self._clock)
+        self._burn_writer = BurnWriter(self._burn, store, self._clock)
+        self._reporter = BurnReporter(
+            self._burn, self._burn_writer, store, self._clock, self._view, self._acceptances
+        )
+        self._holder.listen(self._burn.advance)
+
+    def _report_routes(self) -> dict[str, Route]:
+        overviewer = Overviewer(
+            self._cfg.id, self._view, self._slots.in_flight, self._admission.waiting
+        )
+        return {
+            PATH_BURN: Route(self._reporter.report),
+            PATH_OVERVIEW: Route(overviewer.overview),
+        }
+
+    def _acceptances(self, after: int) -> Iterable[Acceptance]:
+        entries = self._store.entries(max(after, 0))
+        return (Acceptance(entry.revision, entry.accepted_at) for entry in entries)
+
+    def _finished(self, finish: Finish) -> None:
+        self._metrics.request(finish.service, finish.outcome.value, finish.duration_s)
+        self._burn.count(finish)
+
+    def _make_fleet(self) -> None:
+        cfg, table, clock = self._cfg, self._table, self._clock
         self._endpoints = HttpEndpointClient(ENDPOINT_CONNECTIONS, cfg.connect_timeout_s)
         judged = JudgedEndpoints(self._endpoints, self._ejector, self._host_names)
-        dispatcher = Dispatcher(self._view, judged, self._slots, self._clock)
+        self._isolation = Isolation(self._heartbeat, self._rollout, clock, cfg.lease_s)
+        self._roster = Roster(HttpMembership(self._platform), clock, lambda: self._view().hosts)
+        self._usage = HostUsage(judged, self._view, self._isolation.cut_off, self._roster.heard)
+        self._leases = Leases(LeaseStore(table), clock, cfg.id, cfg.lease_s)
+        witness = Witness(clock, cfg.lease_s, cfg.lease_margin_s)
+        stores = Stores(self._store, SessionStore(table), WaveStore(table))
+        self._planner = Planner(self._view, self._fleet_demand, self._suspects, clock)
+        signals = Signals(self._roster, self._suspects, self._flooded)
+        self._controller = Controller(stores, self._holder, self._leases, witness, signals, clock)
+        sources = Sources(self._holder, self._leases, self._controller, signals)
+        self._desk = FleetDesk(stores, sources, clock, self._follower.tick)
+
+    def _in_flight_at_leaving(self) -> Mapping[str, int]:
+        return self._usage.leaving()
+
+    def _suspects(self) -> frozenset[str]:
+        return self._roster.failed() | self._ejector.ejected()
+
+    def _flooded(self, pool: str) -> bool:
+        return is_flooded(self._view(), pool, self._fleet_demand())
+
+    def _fleet_demand(self) -> dict[str, int]:
+        return self._demands.totals()
+
+    def _fleet_routes(self) -> dict[str, Route]:
+        return {
+            PATH_HOST: Route(self._desk.host, HostOrder),
+            PATH_WAVE: Route(self._desk.wave, WaveOrder),
+            PATH_POOLS: Route(self._desk.pools),
+            PATH_WAVES: Route(self._desk.waves),
+            PATH_PLAN: Route(lambda: self._planner.plan),
+        }
+
+    def _make_callers(self) -> Listener:
+        cfg = self._cfg
+        dispatcher = Dispatcher(
+            self._view, self._usage, self._slots, self._clock, keyed=self._make_claims()
+        )
         app = CallerApp(
             GatedCarrier(self._gate, dispatcher),
             lambda: self._holder.current.services,
-            self._metrics.request,
+            self._finished,
         )
         queue = QueueingDispatcher(cfg.threads, self._admission, lambda: self._view().services)
         return Listener(app, cfg.callers, queue, cfg.max_body_bytes, "callers")
 
+    def _make_claims(self) -> Claims:
+        """Wire what runs each idempotency key's request at most once."""
+        table = self._table
+        store = ClaimStore(table, HttpObjectStore(self._platform))
+        self._writer = BatchWriter(table, self._clock, self._claim_pace_s)
+        self._claims = claims = Claims(store, self._writer, self._clock, self._heartbeat)
+        expiry = Expiry(store, self._writer, self._clock, self._heartbeat, self._cfg.keep_claims_s)
+        self._supervisor.add("claims", claims, CLAIMS_PERIOD_S)
+        self._supervisor.add("expiry", expiry, EXPIRY_PERIOD_S)
+        self._metrics.gauge(
+            "gypsumplank.claims.unsettled",
+            "{claim}",
+            "Claims whose outcome waits for the platform",
+            lambda: [Observation(claims.unsettled())],
+        )
+        return claims
+
+    def _claim_pace_s(self) -> float:
+        """Return the time between commits that keeps all daemons within the claims' writes."""
+        return max(1, len(self._heartbeat.live)) / CLAIM_WRITES_PER_S
+
     def _make_operators(self) -> Listener:
         cfg = self._cfg
         control = Control(
@@ -217,17 +349,22 @@
             self._ready,
             self._rollout,
         )
-        app = OperatorApp(control, self._metrics.render, cfg.tokens)
+        routes = {**self._fleet_routes(), **self._report_routes()}
+        app = OperatorApp(control, self._metrics.render, cfg.tokens, routes)
         threads = ClosingDispatcher(OPERATOR_THREADS)
         return Listener(app, cfg.operators, threads, cfg.max_body_bytes, "operators")
 
     def _supervise(self) -> None:
         self._supervisor.add("follower", self._follower, self._cfg.poll_s)
         self._supervisor.add("heartbeat", self._heartbeat, self._cfg.heartbeat_s)
+        self._supervisor.add("roster", self._roster, self._cfg.step_s)
+        self._supervisor.add("controller", self._controller, self._cfg.step_s)
+        self._supervisor.add("planner", self._planner, self._cfg.planner_s)
         self._supervisor.add("peers", make_step(self._join_peers), self._cfg.heartbeat_s)
         self._supervisor.add("snapshots", self._snapshots, self._cfg.heartbeat_s)
         self._supervisor.add("leaving", self._leaving, MEMBERSHIP_POLL_S)
         self._supervisor.add("parts", self._parts, PARTS_PERIOD_S)
+        self._supervisor.add("burn", self._burn_writer, WRITE_PERIOD_S)
         self._supervisor.add("admission", self._admission, ADMISSION_PERIOD_S)
 
     def stop(self) -> None:
@@ -238,6 +375,7 @@
         """Serve until asked to stop; return the exit code."""
         self._operators.start()
         self._peers.start()
+        self._writer.start()
         self._supervisor.start()
         self._callers.start()
         event(logger, Event.STARTED, daemon=self._cfg.id, callers=self._cfg.callers)
@@ -250,6 +388,10 @@
         time.sleep(self._cfg.notice_s)
         idle = self._callers.close(self._cfg.grace_s)
         self._supervisor.stop()
+        self._claims.tick()
+        self._writer.stop()
+        self._leases.close()
+        self._burn_writer.tick()
         self._heartbeat.close()
         self._peers.close()
         self._operators.close(OPERATOR_GRACE_S)
--- a/gypsumplank/errors.py
+++ b/gypsumplank/errors.py
@@ -86,6 +86,12 @@
     status = 413
 
 
+class StateBusyError(StateError):
+    """Too many writes wait for the platform; nothing was written."""
+
+    code = "state-busy"
+
+
 class RevisionConflictError(GypsumplankError):
     """The configuration is at another revision than the operator named."""
 
@@ -209,6 +215,48 @@
     code = "endpoint-answer"
 
 
+class EndpointLeavingError(EndpointError):
+    """The host takes no new work for this service; nothing was sent."""
+
+    code = "endpoint-leaving"
+    status = 503
+
+
+class BudgetError(GypsumplankError):
+    """The change would take a pool under its availability budget."""
+
+    code = "budget-exceeded"
+    status = 409
+
+
+class AssignmentError(GypsumplankError):
+    """A host's assignment may not change this way."""
+
+    code = "assignment-refused"
+    status = 409
+
+
+class StepStaleError(GypsumplankError):
+    """Another daemon or operator has moved the host on."""
+
+    code = "step-stale"
+    status = 409
+
+
+class PoolLeaseLostError(GypsumplankError):
+    """The lease of the pool under which this was to be done is not held."""
+
+    code = "pool-lease-lost"
+    status = 409
+
+
+class WaveError(GypsumplankError):
+    """The wave is not in a state that allows this."""
+
+    code = "wave-refused"
+    status = 409
+
+
 class PeerError(GypsumplankError):
     """A message between daemons is not acceptable and was dropped."""
 
@@ -299,3 +347,9 @@
 
     code = "answer-not-kept"
     status = 502
+
+
+class PlotUnavailableError(GypsumplankError):
+    """The library for plots is not installed where the command runs."""
+
+    code = "plot-unavailable"
