Let failures fade so that a host is tried again under light load

Cause: a host that failed once counted as more loaded than idle ones for ever, so under light load it got no work, and was neither ejected nor used again.

Change: the failure rate that counts as load halves each 2 s and counts no more below 0.05.

--- a/gypsumplank/coordination/ejection.py
+++ b/gypsumplank/coordination/ejection.py
@@ -17,6 +17,8 @@
 MAX_FAILURE_RATE = 0.5
 MIN_SAMPLES = 20
 RATE_GAIN = 0.1
+HALF_LIFE_S = 2.0
+LEAST_RATE = 0.05
 EJECT_S = 1.0
 MAX_EJECT_S = 30.0
 SLOW_START_S = 5.0
@@ -33,6 +35,7 @@
     consecutive: int = 0
     failure_rate: float = 0.0
     samples: int = 0
+    recorded_at: float = 0.0
     ejections: int = 0
     ejected: bool = False
     out_until: float = 0.0
@@ -62,6 +65,7 @@
         with self._lock:
             health = self._health.setdefault(host, Health())
             health.samples += 1
+            health.recorded_at = self._clock.monotonic()
             health.failure_rate += RATE_GAIN * ((not ok) - health.failure_rate)
             health.consecutive = 0 if ok else health.consecutive + 1
             if health.ejected:
@@ -101,9 +105,13 @@
         return slots if share >= 1 else min(slots, max(1, int(slots * share)))
 
     def failure_rate(self, host: str) -> float:
-        """Return the recent share of failures."""
+        """Return the recent share of failures, which fades so that the host is tried again."""
         health = self._health.get(host)
-        return health.failure_rate if health else 0.0
+        if health is None or not health.failure_rate:
+            return 0.0
+        age_s = self._clock.monotonic() - health.recorded_at
+        rate = health.failure_rate * 0.5 ** (age_s / HALF_LIFE_S)
+        return rate if rate >= LEAST_RATE else 0.0
 
     def _out(self, view: View, pool: str) -> list[str]:
         serving = view.serving_hosts(pool)
@@ -147,7 +155,7 @@
 
     def _return(self, host: str, health: Health, reason: str) -> None:
         held = Health(ejections=health.ejections, back_since=self._clock.monotonic())
-        held.failure_rate = health.failure_rate
+        held.failure_rate, held.recorded_at = health.failure_rate, health.recorded_at
         self._health[host] = held
         self._ejected -= {host}
         self.version += 1
--- a/tests/coordination/test_slot.py
+++ b/tests/coordination/test_slot.py
@@ -90,6 +90,20 @@
     assert held["h0"] < 40
 
 
+def test_host_that_failed_once_is_tried_again_under_light_load():
+    daemon = Daemon([host(f"h{i}", "quotes", "a") for i in range(2)])
+    daemon.ejector.record("h0", False)
+
+    def chosen():
+        name = daemon.acquire()
+        daemon.slots.release(name)
+        return name
+
+    assert {chosen() for _ in range(30)} == {"h1"}
+    daemon.clock.advance(5.0)
+    assert {chosen() for _ in range(30)} == {"h0", "h1"}
+
+
 @pytest.mark.parametrize("by", ["record", "membership"])
 def test_leaving_host_gets_no_new_work_even_by_an_old_view(by):
     daemon = Daemon(two_zones())
