--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,7 +4,20 @@
 import importlib
 import sys
 
-MEASUREMENTS = ("hop", "flood", "slots", "live", "claims", "rollout", "store", "capacity")
+MEASUREMENTS = (
+    "hop",
+    "flood",
+    "slots",
+    "live",
+    "claims",
+    "placement",
+    "once",
+    "rollout",
+    "store",
+    "capacity",
+    "wave",
+    "planner",
+)
 
 
 def main() -> None:
--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -34,6 +34,8 @@
     CLAIM_UNSETTLED = "claim-unsettled"
     ACTOR_RESTARTED = "actor-restarted"
     ACTOR_FAILED = "actor-failed"
+    AGENT_FAILED = "agent-failed"
+    TASK_EVICTED = "task-evicted"
     HOST_ASSIGNED = "host-assigned"
     BUDGET_OVERRIDDEN = "budget-overridden"
     STEP_REFUSED = "step-refused"
