--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -34,15 +34,18 @@
 POLL_S = 0.5
 PAUSE_S = 8.0
 IDLE_S = 10.0
+IDLE_FLEETS = (3, 7, 12)
 WAIT_S = 40.0
 IN_FORCE = re.compile(r"time=\"?(\S+ \S+?)\"? .*event=config-in-force .*revision=(\d+)")
 TARGET = "targets: p99 at most 1 s with the store well, 19 s with loss and a paused daemon"
 
 
-def start_fleet(cluster: Cluster, keys: Callable[[int], str], poll_s: float) -> None:
+def start_fleet(
+    cluster: Cluster, keys: Callable[[int], str], poll_s: float, count: int = DAEMONS
+) -> None:
     """Start a platform and daemons, each with the key of its number."""
     cluster.start_platform(seed=1)
-    for number in range(DAEMONS):
+    for number in range(count):
         cluster.start_daemon(
             f"entry-{number}",
             "z",
@@ -139,17 +142,22 @@
             }
 
 
-def idle_row() -> dict[str, Any]:
-    """Return what an idle daemon spends, median of all."""
+def idle_row(fleet: int) -> dict[str, Any]:
+    """Return what an idle daemon spends, median of all, and what all ask of the store."""
     with tempfile.TemporaryDirectory() as folder, Cluster(Path(folder)) as cluster:
-        start_fleet(cluster, lambda _: "one-key-for-all-daemons", POLL_S)
+        start_fleet(cluster, lambda _: "one-key-for-all-daemons", POLL_S, fleet)
         time.sleep(3.0)
-        pids = [cluster.processes[f"entry-{number}"].pid for number in range(DAEMONS)]
-        before = [cpu_s(pid) for pid in pids]
+        pids = [cluster.processes[f"entry-{number}"].pid for number in range(fleet)]
+        before, asked = [cpu_s(pid) for pid in pids], stats(cluster)
         time.sleep(IDLE_S)
+        rate = {key: (count - asked.get(key, 0)) / IDLE_S for key, count in stats(cluster).items()}
         spent = [cpu_s(pid) - was for pid, was in zip(pids, before, strict=True)]
         return {
-            "idle daemons": DAEMONS,
+            "idle daemons": fleet,
+            "reads/s": round(rate["reads"], 1),
+            "read KB/s": round(rate["reads_bytes"] / 1000, 1),
+            "writes/s": round(rate["writes"], 1),
+            "written KB/s": round(rate["writes_bytes"] / 1000, 1),
             "% of a core": round(quantile(spent, 0.5) / IDLE_S * 100, 2),
             "resident MiB": round(quantile([resident_mib(pid) for pid in pids], 0.5), 1),
         }
@@ -241,7 +249,7 @@
         porcelain.table([faulty_row()]),
         TARGET,
         "\nthe whole daemon, of which control is a part",
-        porcelain.table([idle_row()]),
+        porcelain.table(map(idle_row, IDLE_FLEETS)),
         "\nfollowers in one process over the stand-in, polling every 0.5 s",
         porcelain.table(slope_row(fleet, hinted) for fleet in FLEETS for hinted in (False, True)),
     )
