--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -4,7 +4,18 @@
 import importlib
 import sys
 
-MEASUREMENTS = ("hop", "claims", "rollout", "store", "capacity", "wave", "planner")
+MEASUREMENTS = (
+    "hop",
+    "flood",
+    "slots",
+    "live",
+    "claims",
+    "rollout",
+    "store",
+    "capacity",
+    "wave",
+    "planner",
+)
 
 
 def main() -> None:
