--- a/tests/state/test_writer.py
+++ b/tests/state/test_writer.py
@@ -1,4 +1,5 @@
 import threading
+import time
 
 import pytest
 from hypothesis import given
@@ -38,6 +39,13 @@
     return RowChange("t", key, version, value)
 
 
+def wait_until(condition):
+    until = time.monotonic() + WAIT_S
+    while not condition():
+        assert time.monotonic() < until
+        time.sleep(0.001)
+
+
 def results(futures):
     return [fut.exception(0) or "ok" for fut in futures]
 
@@ -170,8 +178,7 @@
     table.gate = threading.Event()
     writer.start()
     first = writer.submit(put("first"))
-    while not first.running():
-        pass
+    wait_until(first.running)
     futures = [writer.submit(put(f"k{i}")) for i in range(200)]
     table.gate.set()
     for fut in futures:
@@ -184,8 +191,7 @@
     table.gate = threading.Event()
     writer.start()
     first = writer.submit(put("first"))
-    while table.waiting == 0:
-        pass
+    wait_until(lambda: table.waiting)
     clock.advance(SLOW_S + 0.1)
     with pytest.raises(StateUnavailableError):
         writer.submit(put("next"))
