--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,10 +10,13 @@
     "slots",
     "live",
     "claims",
+    "placement",
     "once",
     "rollout",
     "store",
     "capacity",
+    "wave",
+    "planner",
 )
 
 
--- a/gypsumplank/state/table.py
+++ b/gypsumplank/state/table.py
@@ -1,8 +1,10 @@
 """Define the port to the platform's table service, with an in-memory variant."""
 
 import threading
+from bisect import bisect_left, bisect_right, insort
 from collections.abc import Sequence
 from dataclasses import dataclass
+from itertools import islice, takewhile
 from typing import Protocol
 
 from gypsumplank.errors import StateConflictError, StateTooLargeError
@@ -93,25 +95,25 @@
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._rows: dict[tuple[str, str], Row] = {}
+        self._rows: dict[str, dict[str, Row]] = {}
+        self._keys: dict[str, list[str]] = {}
         self._version = ABSENT
 
     def get(self, table: str, key: str) -> Row | None:
         """Return one row."""
         with self._lock:
-            return self._rows.get((table, key))
+            return self._rows.get(table, {}).get(key)
 
     def scan(
         self, table: str, prefix: str = "", after: str = "", limit: int = SCAN_LIMIT
     ) -> list[Row]:
         """Return rows in key order, those after the key `after` that start with `prefix`."""
         with self._lock:
-            keys = sorted(
-                key
-                for name, key in self._rows
-                if name == table and key > after and key.startswith(prefix)
-            )
-            return [self._rows[table, key] for key in keys[:limit]]
+            keys = self._keys.get(table, [])
+            first = max(bisect_left(keys, prefix), bisect_right(keys, after) if after else 0)
+            page = takewhile(lambda key: key.startswith(prefix), islice(keys, first, first + limit))
+            rows = self._rows.get(table, {})
+            return [rows[key] for key in page]
 
     def commit(self, txn: Txn) -> int:
         """Apply a transaction and return the version that its rows now have."""
@@ -125,15 +127,19 @@
 
     def _check(self, checks: Sequence[Check]) -> None:
         for check in checks:
-            row = self._rows.get((check.table, check.key))
+            row = self._rows.get(check.table, {}).get(check.key)
             found = row.version if row else ABSENT
             if found != check.version:
                 detail = f"{check.table}/{check.key} has version {found}, not {check.version}"
                 raise StateConflictError(detail)
 
     def _write(self, write: Write) -> None:
-        place = (write.table, write.key)
+        rows = self._rows.setdefault(write.table, {})
+        keys = self._keys.setdefault(write.table, [])
         if write.value is None:
-            self._rows.pop(place, None)
+            if rows.pop(write.key, None) is not None:
+                del keys[bisect_left(keys, write.key)]
             return
-        self._rows[place] = Row(write.table, write.key, self._version, write.value)
+        if write.key not in rows:
+            insort(keys, write.key)
+        rows[write.key] = Row(write.table, write.key, self._version, write.value)
