--- a/tests/coordination/test_share.py
+++ b/tests/coordination/test_share.py
@@ -113,3 +113,12 @@
     group.demand |= {"d0": {"quotes": 30}, "d1": {"quotes": 30}}
     group.tick()
     assert group.parts("d2") <= 2
+
+
+def test_totals_add_what_all_heard_daemons_hold_and_wait_for():
+    group = Group(2)
+    group.demand = {"d0": {"a": 3}, "d1": {"a": 4, "b": 1}}
+    group.tables["d1"].tick()
+    assert group.tables["d0"].totals() == {"a": 7, "b": 1}
+    group.clock.advance(HEARD_FOR_S + 1.0)
+    assert group.tables["d0"].totals() == {"a": 3}
