--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,6 +10,8 @@
     "slots",
     "live",
     "claims",
+    "placement",
+    "once",
     "rollout",
     "store",
     "capacity",
--- a/gypsumplank/coordination/controller.py
+++ b/gypsumplank/coordination/controller.py
@@ -120,7 +120,7 @@
         busy = self._witness.in_flight(host)
         if busy and age_s < held.grace_s:
             return f"{busy} requests in flight, {held.grace_s - age_s:.0f} s of grace left"
-        return ""
+        return self._signals.tasks(held.pool, host) if age_s < held.grace_s else ""
 
     def _spread_wait(self, revision: int) -> str:
         """Return which daemons may not know of a revision; empty where all that matter do."""
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -3,6 +3,7 @@
 import json
 import signal
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 import urllib3
@@ -10,6 +11,8 @@
 from demo.cluster import post
 from gypsumplank import cli, porcelain, porcelain_config
 from gypsumplank.porcelain import Server
+from gypsumplank.protocol.operator import PATH_CHANGES, ChangeOrder
+from gypsumplank.protocol.record import Kind, Record
 
 pytestmark = pytest.mark.process
 
@@ -134,3 +137,37 @@
         resp = pool.urlopen(method, path, body=b"{}")
         assert resp.status == 404
         assert json.loads(resp.data)["code"] == "service-unknown"
+
+
+def test_burst_over_several_daemons_loses_none(fleet):
+    def accept(number):
+        record = Record(Kind.TEAM, f"t{number}", 2)
+        order = ChangeOrder(f"op-{number}", (record,))
+        address = fleet.operators(NAMES[number % len(NAMES)])
+        return Server(address).change(PATH_CHANGES, order).revision
+
+    with ThreadPoolExecutor(50) as executor:
+        revisions = list(executor.map(accept, range(50)))
+    assert sorted(revisions) == list(range(1, 51))
+    for name in NAMES:
+        wait_for(lambda name=name: server(fleet, name).revision == 50)
+        found = porcelain.get(Server(fleet.operators(name)), "team").records
+        assert {record.name for record in found} == {f"t{number}" for number in range(50)}
+
+
+def test_daemon_paused_past_its_lease_is_seen_as_lapsed_and_takes_a_new_epoch(cluster):
+    cluster.start_platform()
+    for name in NAMES:
+        cluster.start_daemon(name, "kochi-a", session={"lease_s": 1.5, "heartbeat_s": 0.3})
+
+    def epochs():
+        return {daemon.id: daemon.epoch for daemon in server(cluster, "entry-0").daemons}
+
+    wait_for(lambda: set(epochs()) == set(NAMES))
+    before = epochs()
+    cluster.signal("entry-1", signal.SIGSTOP)
+    wait_for(lambda: set(epochs()) == {"entry-0", "entry-2"})
+    cluster.signal("entry-1", signal.SIGCONT)
+    wait_for(lambda: epochs().get("entry-1", 0) > before["entry-1"])
+    assert "event=session-lapsed" in cluster.log("entry-1")
+    assert epochs()["entry-0"] == before["entry-0"]
