Make the operators' reference from the code; measure the capacity anew

Event members now carry their meaning, Metrics a catalogue.

`daemon change` came out negative beside that load, so the page works out changes from `view change`.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,10 @@
 VENV ?= .venv
+CODE := gypsumplank standins demo bench reference soak tests
 PY := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: setup test format demo bench bench-capacity
+.PHONY: setup test format docs demo bench bench-capacity soak
 
 setup: $(STAMP)
 
@@ -13,16 +14,16 @@
 	touch $(STAMP)
 
 test: setup
-	$(PY) -m black --check --quiet gypsumplank standins demo bench tests
-	$(PY) -m ruff check --quiet gypsumplank standins demo bench tests
+	$(PY) -m black --check --quiet $(CODE)
+	$(PY) -m ruff check --quiet $(CODE)
 	$(PY) -m mypy --no-error-summary
 	$(VENV)/bin/lint-imports --no-cache
 	$(PY) -m tests.known_red
 	$(PY) -m pytest
 
 format: setup
-	$(PY) -m ruff check --quiet --fix gypsumplank standins demo bench tests
-	$(PY) -m black --quiet gypsumplank standins demo bench tests
+	$(PY) -m ruff check --quiet --fix $(CODE)
+	$(PY) -m black --quiet $(CODE)
 
 demo: setup
 	$(PY) -m demo
@@ -32,3 +33,11 @@
 
 bench-capacity: setup
 	$(PY) -m bench capacity
+
+docs: setup
+	$(PY) -m reference
+
+SEED ?= 1
+MINUTES ?= 1
+soak: setup
+	$(PY) -m soak --seed $(SEED) --minutes $(MINUTES)
--- a/bench/capacity_page.py
+++ b/bench/capacity_page.py
@@ -9,10 +9,10 @@
 from bench.fit import Fit
 from demo.cluster import ROOT
 from gypsumplank.porcelain import table
+from reference.block import replace_block
 
 RESULT = ROOT / "docs" / "measurements" / "capacity.json"
 PAGE = ROOT / "docs" / "CAPACITY.md"
-MARKERS = ("<!-- begin {} -->", "<!-- end {} -->")
 
 WORKERS = 1_700
 POOLS = 21
@@ -64,8 +64,8 @@
         return Fit(**self.slope(name)["fit"])
 
     def change_ms(self) -> float:
-        """Return the processor time of one change at the fleet's size."""
-        return self.fit("daemon change").at(RECORDS)
+        """Return the processor time of one change to the view at the fleet's size."""
+        return self.fit("view change").at(RECORDS)
 
     def changes_percent(self) -> float:
         """Return the share of a core that a day's changes take."""
@@ -183,7 +183,7 @@
     yield {"what": "records in force", "value": f"{RECORDS:,}"}
     yield {"what": "changes by operators a day", "value": f"{CHANGES_A_DAY:,}"}
     yield {"what": "changes by the system a day", "value": f"{system_changes_a_day():,.0f}"}
-    yield {"what": "one change at a daemon, ms", "value": f"{measured.change_ms():.1f}"}
+    yield {"what": "one change to the view in force, ms", "value": f"{measured.change_ms():.1f}"}
     yield {"what": "all changes, % of a core", "value": f"{measured.changes_percent():.3f}"}
     yield {
         "what": "all changes, at once an hour, % of a core",
@@ -205,22 +205,11 @@
 }
 
 
-def markdown(rows: Rows) -> str:
-    """Return rows as a table in Markdown."""
-    held = list(rows)
-    names = tuple(held[0])
-    lines = [names, ("---",) * len(names), *(tuple(row.values()) for row in held)]
-    return "\n".join(f"| {' | '.join(str(cell) for cell in line)} |" for line in lines)
-
-
 def render_page(page: str, raw: Mapping[str, Any]) -> str:
     """Return the page with every generated block made from the measurements."""
     measured = Measured(raw)
     for name, rows in BLOCKS.items():
-        start, end = MARKERS[0].format(name), MARKERS[1].format(name)
-        before, _, rest = page.partition(start)
-        _, _, after = rest.partition(end)
-        page = f"{before}{start}\n{markdown(rows(measured))}\n{end}{after}"
+        page = replace_block(page, name, rows(measured))
     stamp = f"Measured {raw['measured_at']} UTC, Python {raw['python']}."
     return re.sub(r"^Measured .*$", stamp, page, flags=re.MULTILINE)
 
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -27,13 +27,20 @@
 STATUS_OK = 200
 
 
-def free_addresses(count: int) -> list[str]:
+def free_addresses(count: int, host: str = LOOPBACK) -> list[str]:
     """Return addresses on loopback that nobody listens at.
 
     Ports lie below the range that the kernel gives to connecting sockets, so that none is
     taken between this call and the listen.
     """
-    return list(itertools.islice(filter(_is_free, _candidates), count))
+    candidates = (f"{host}:{port}" for port in _ports)
+    return list(itertools.islice(filter(_is_free, candidates), count))
+
+
+def own_loopback() -> str:
+    """Return an address on loopback that only this process uses, so that no port is taken."""
+    pid = os.getpid()
+    return f"127.{1 + pid // 65_536 % 250}.{pid // 256 % 256}.{pid % 256}"
 
 
 def _is_free(address: str) -> bool:
@@ -47,18 +54,19 @@
     return True
 
 
-def _endless(first: int) -> Iterator[str]:
+def _endless(first: int) -> Iterator[int]:
     for number in itertools.count(first):
-        yield f"{LOOPBACK}:{FIRST_PORT + number % PORTS}"
+        yield FIRST_PORT + number % PORTS
 
 
-_candidates = _endless(os.getpid() * PORTS_A_PROCESS)
+_ports = _endless(os.getpid() * PORTS_A_PROCESS)
 
 
 class Cluster:
     """Hold the processes started here, and end just these."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, host: str = LOOPBACK) -> None:
+        self.host = host
         self.folder = folder
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.settings: dict[str, dict[str, Any]] = {}
@@ -77,7 +85,7 @@
 
     def start_platform(self, seed: int = 0) -> str:
         """Start the platform and return its address."""
-        (self.platform,) = free_addresses(1)
+        (self.platform,) = free_addresses(1, self.host)
         self.start_module(
             "platform", "standins.platform", "--listen", self.platform, "--seed", str(seed)
         )
@@ -95,7 +103,7 @@
     def start_daemon(self, name: str, zone: str, **sections: dict[str, Any]) -> None:
         """Start a daemon with these settings over the defaults, and wait until it is ready."""
         if name not in self.settings:
-            callers, operators, peers = free_addresses(3)
+            callers, operators, peers = free_addresses(3, self.host)
             self.settings[name] = {
                 "daemon": {"id": name, "zone": zone},
                 "listen": {"callers": callers, "operators": operators, "peers": peers},
@@ -104,10 +112,14 @@
                 "stop": {"notice_s": 0.2},
                 **sections,
             }
+        self.start_daemon_process(name)
+        self.wait_http(f"http://{self.operators(name)}/readyz")
+
+    def start_daemon_process(self, name: str) -> None:
+        """Start a daemon that has settings, without waiting until it is ready."""
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(self.settings[name], indent=2), encoding="utf-8")
         self.start_module(name, "gypsumplank.daemon", "--settings", str(path))
-        self.wait_http(f"http://{self.operators(name)}/readyz")
 
     def callers(self, name: str) -> str:
         """Return the callers' address of a daemon."""
--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -44,7 +44,7 @@
 from gypsumplank.coordination.witness import Witness
 from gypsumplank.errors import SettingsError
 from gypsumplank.log import Event, event, set_up
-from gypsumplank.metrics import Metrics
+from gypsumplank.metrics import Instrument, Metrics
 from gypsumplank.protocol.burn import Finish
 from gypsumplank.protocol.envelope import Opener, Sealer
 from gypsumplank.protocol.exchange import Reply, Request
@@ -367,6 +367,11 @@
         self._supervisor.add("burn", self._burn_writer, WRITE_PERIOD_S)
         self._supervisor.add("admission", self._admission, ADMISSION_PERIOD_S)
 
+    @property
+    def instruments(self) -> tuple[Instrument, ...]:
+        """Return the description of each instrument."""
+        return tuple(self._metrics.catalogue)
+
     def stop(self) -> None:
         """Ask the daemon to stop gracefully."""
         self._stop.set()
--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -14,34 +14,43 @@
 
 
 class Event(StrEnum):
-    """Name every event that is logged."""
-
-    STARTED = "started"
-    READY = "ready"
-    STOPPING = "stopping"
-    STOPPED = "stopped"
-    CONFIG_IN_FORCE = "config-in-force"
-    CONFIG_ACCEPTED = "config-accepted"
-    CONFIG_REVERSED = "config-reversed"
-    CONFIG_FROM_PEER = "config-from-peer"
-    CONFIG_UNREADABLE = "config-unreadable"
-    STATE_UNAVAILABLE = "state-unavailable"
-    SESSION_OPENED = "session-opened"
-    SESSION_LAPSED = "session-lapsed"
-    PEER_DROPPED = "peer-dropped"
-    PEER_FAILED = "peer-failed"
-    REQUEST_FAILED = "request-failed"
-    CLAIM_UNSETTLED = "claim-unsettled"
-    ACTOR_RESTARTED = "actor-restarted"
-    ACTOR_FAILED = "actor-failed"
-    HOST_ASSIGNED = "host-assigned"
-    BUDGET_OVERRIDDEN = "budget-overridden"
-    STEP_REFUSED = "step-refused"
-    LEASE_TAKEN = "lease-taken"
-    LEASE_LOST = "lease-lost"
-    WAVE_CHANGED = "wave-changed"
-    ENDPOINT_EJECTED = "endpoint-ejected"
-    ENDPOINT_RETURNED = "endpoint-returned"
+    """Name every event that is logged and tell what it means."""
+
+    doc: str
+
+    def __new__(cls, value: str, doc: str = "") -> "Event":
+        """Return a member that carries its documentation."""
+        member = str.__new__(cls, value)
+        member._value_ = value
+        member.doc = doc
+        return member
+
+    STARTED = "started", "The daemon serves callers and operators."
+    READY = "ready", "The daemon may be sent callers."
+    STOPPING = "stopping", "A planned stop has begun; the daemon takes no new connections soon."
+    STOPPED = "stopped", "The daemon has ended; `cut_off` requests were in flight, 0 is right."
+    CONFIG_IN_FORCE = "config-in-force", "A newer revision came into force here."
+    CONFIG_ACCEPTED = "config-accepted", "A change was accepted through this daemon."
+    CONFIG_REVERSED = "config-reversed", "The store told an older revision; it was not taken."
+    CONFIG_FROM_PEER = "config-from-peer", "A newer revision came from a peer in an outage."
+    CONFIG_UNREADABLE = "config-unreadable", "A record is of unknown form; the last known stays."
+    STATE_UNAVAILABLE = "state-unavailable", "The platform failed a step; it comes again."
+    SESSION_OPENED = "session-opened", "The daemon has a session with a new epoch."
+    SESSION_LAPSED = "session-lapsed", "A pause or outage cost the session; another opens."
+    PEER_DROPPED = "peer-dropped", "A message from a peer was not acceptable and was dropped."
+    PEER_FAILED = "peer-failed", "Work on a peer's message failed; a program fault."
+    REQUEST_FAILED = "request-failed", "A try failed; another may answer."
+    ACTOR_RESTARTED = "actor-restarted", "A periodic step failed; a program fault."
+    ACTOR_FAILED = "actor-failed", "A periodic step could not be started again."
+    ENDPOINT_EJECTED = "endpoint-ejected", "A host failed too often; it gets less work."
+    ENDPOINT_RETURNED = "endpoint-returned", "A host that was ejected gets work again."
+    CLAIM_UNSETTLED = "claim-unsettled", "A claim's outcome will be written later."
+    HOST_ASSIGNED = "host-assigned", "A host changed its pool or its state."
+    BUDGET_OVERRIDDEN = "budget-overridden", "An operator let a change break a budget."
+    STEP_REFUSED = "step-refused", "A step of a move or wave was not allowed now; it comes again."
+    LEASE_TAKEN = "lease-taken", "This daemon now controls a pool or another shared task."
+    LEASE_LOST = "lease-lost", "This daemon no longer holds the lease and stops that work."
+    WAVE_CHANGED = "wave-changed", "A wave started, paused, ended or was aborted."
 
 
 class LogfmtFormatter(JsonFormatter):
