Split the composition root by what it wires

Change: tasks, claims, reports and distribution are wired in classes of their own from explicit arguments; daemon.py stays the one root. Behaviour unchanged.

--- a/bench/claims.py
+++ b/bench/claims.py
@@ -17,7 +17,7 @@
 from bench.load import Figures
 from demo.cluster import ROOT, Cluster, post
 from gypsumplank import porcelain
-from gypsumplank.daemon import CLAIM_WRITES_PER_S
+from gypsumplank.composition.claim import WRITES_PER_S
 from gypsumplank.state.writer import MAX_BATCH
 
 DAEMONS = 7
@@ -43,8 +43,8 @@
 MODES: Mapping[str, Mode] = {
     "one a transaction": Mode(1, 0.0),
     "batched, unpaced": Mode(MAX_BATCH, 0.0),
-    "batched, paced": Mode(MAX_BATCH, DAEMONS / CLAIM_WRITES_PER_S),
-    "paced, 2% shared keys": Mode(MAX_BATCH, DAEMONS / CLAIM_WRITES_PER_S, 0.02),
+    "batched, paced": Mode(MAX_BATCH, DAEMONS / WRITES_PER_S),
+    "paced, 2% shared keys": Mode(MAX_BATCH, DAEMONS / WRITES_PER_S, 0.02),
 }
 
 
--- /dev/null
+++ b/gypsumplank/composition/__init__.py
@@ -0,0 +1,1 @@
+"""Wire groups of parts for the daemon, each from explicit arguments."""
--- /dev/null
+++ b/gypsumplank/composition/report.py
@@ -0,0 +1,47 @@
+"""Wire the counts against objectives and the reports for operators."""
+
+from collections.abc import Callable, Iterable
+
+from gypsumplank.coordination.burn import BurnCounter, BurnWriter
+from gypsumplank.coordination.report import Acceptance, BurnReporter
+from gypsumplank.metrics import Metrics
+from gypsumplank.protocol.burn import Finish
+from gypsumplank.state.burn import BurnStore
+from gypsumplank.state.clock import Clock
+from gypsumplank.state.config import ConfigStore
+from gypsumplank.state.table import Table
+from gypsumplank.state.view import View
+
+MICROSECONDS = 1_000_000
+
+
+class ReportParts:
+    """Hold the parts that concern reports."""
+
+    def __init__(
+        self,
+        daemon: str,
+        table: Table,
+        config: ConfigStore,
+        metrics: Metrics,
+        view: Callable[[], View],
+        clock: Clock,
+    ) -> None:
+        self._config = config
+        self._metrics = metrics
+        writer = f"{daemon}.{int(clock.wall() * MICROSECONDS):x}"
+        store = BurnStore(table)
+        self.counter = BurnCounter(writer, view, clock)
+        self.writer = BurnWriter(self.counter, store, clock)
+        self.reporter = BurnReporter(
+            self.counter, self.writer, store, clock, view, self._acceptances
+        )
+
+    def finished(self, finish: Finish) -> None:
+        """Count one request."""
+        self._metrics.request(finish.service, finish.outcome.value, finish.duration_s)
+        self.counter.count(finish)
+
+    def _acceptances(self, after: int) -> Iterable[Acceptance]:
+        entries = self._config.entries(max(after, 0))
+        return (Acceptance(entry.revision, entry.accepted_at) for entry in entries)
--- a/gypsumplank/coordination/gate.py
+++ b/gypsumplank/coordination/gate.py
@@ -3,6 +3,9 @@
 import threading
 from types import TracebackType
 
+from gypsumplank.coordination.dispatch import Dispatcher
+from gypsumplank.protocol.exchange import Reply, Request
+
 
 class Gate:
     """Count what is inside the `with` blocks of all threads."""
@@ -23,3 +26,16 @@
     ) -> None:
         with self._lock:
             self.in_flight -= 1
+
+
+class GatedCarrier:
+    """Count the requests in flight around the dispatcher."""
+
+    def __init__(self, gate: Gate, dispatcher: Dispatcher) -> None:
+        self._gate = gate
+        self._dispatcher = dispatcher
+
+    def carry(self, req: Request) -> Reply:
+        """Return exactly one reply."""
+        with self._gate:
+            return self._dispatcher.carry(req)
