--- a/standins/agent.py
+++ b/standins/agent.py
@@ -21,7 +21,7 @@
 )
 from gypsumplank.protocol.task import AgentState, Renewal, Start
 from gypsumplank.state.clock import SystemClock
-from standins.server import Handler, Server, open_server
+from standins.server import Handler, Server, open_server, serve_all
 
 STEP_S = 0.02
 FAILING = "fail"
@@ -134,11 +134,7 @@
     parser.add_argument("--listen", required=True, action="append")
     args = parser.parse_args()
     servers = [make_agent(address)[0] for address in args.listen]
-    threads = [threading.Thread(target=server.serve_forever) for server in servers]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
+    serve_all(servers)
 
 
 if __name__ == "__main__":
--- a/standins/server.py
+++ b/standins/server.py
@@ -2,6 +2,8 @@
 
 import socket
 import struct
+import threading
+from collections.abc import Iterable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any
 
@@ -63,3 +65,12 @@
     """Return a server that listens at `ip:port`."""
     host, _, port = address.rpartition(":")
     return Server((host, int(port)), handler)
+
+
+def serve_all(servers: Iterable[Server]) -> None:
+    """Serve each in a thread until ended."""
+    threads = [threading.Thread(target=server.serve_forever) for server in servers]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
--- a/standins/workers.py
+++ b/standins/workers.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from standins.server import Handler, Server, open_server
+from standins.server import Handler, Server, open_server, serve_all
 
 SLOTS = 8
 TEXT_TYPE = "text/plain"
@@ -176,11 +176,7 @@
     parser.add_argument("--slots", type=int, default=SLOTS)
     args = parser.parse_args()
     servers = [make_worker(address, args.slots)[0] for address in args.listen]
-    threads = [threading.Thread(target=server.serve_forever) for server in servers]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
+    serve_all(servers)
 
 
 if __name__ == "__main__":
