State a budget's floor in one place and drop what nothing calls

Cause: a last read of the whole change: the hosts that a budget promises were worked out in budget, ejection, overview and task placement; quotas were made twice a round; four names had no caller. Change: Budget.floor serves all four; quotas are made once a round; GIB, EXIT_USAGE, outcome_of and validate_on are gone. Behaviour unchanged; the report's fractional buffer keeps its own sum.

--- a/gypsumplank/cli.py
+++ b/gypsumplank/cli.py
@@ -13,7 +13,6 @@
 
 EXIT_OK = 0
 EXIT_FAILED = 1
-EXIT_USAGE = 2
 EXIT_UNREACHABLE = 3
 EXIT_CONFLICT = 4
 EXIT_INVALID = 5
--- a/gypsumplank/coordination/budget.py
+++ b/gypsumplank/coordination/budget.py
@@ -1,6 +1,5 @@
 """Count what each pool has out of service against the budget that it promises."""
 
-import math
 from collections import Counter
 from collections.abc import Collection, Iterator
 from dataclasses import dataclass
@@ -37,7 +36,7 @@
     budget = view.pools[pool].budget
     hosts = view.hosts_of(pool)
     serving = [name for name in view.serving_hosts(pool) if name not in suspects]
-    floor = max(budget.min_in_service, math.ceil(budget.min_share * len(hosts)))
+    floor = budget.floor(len(hosts))
     held = set(serving)
     out = tuple(name for name in hosts if name not in held)
     return Standing(pool, len(hosts), len(serving), floor, out)
--- a/gypsumplank/coordination/dispatch.py
+++ b/gypsumplank/coordination/dispatch.py
@@ -135,8 +135,3 @@
         outcome=refusal.outcome.value,
         detail=refusal.detail,
     )
-
-
-def outcome_of(reply: Reply) -> Outcome:
-    """Return the outcome that a reply tells the caller."""
-    return Outcome.FINISHED if isinstance(reply, Answer) else reply.outcome
--- a/gypsumplank/coordination/ejection.py
+++ b/gypsumplank/coordination/ejection.py
@@ -44,9 +44,7 @@
 
 def required_hosts(view: View, pool: str) -> int:
     """Return how many hosts of a pool the availability budget keeps in service, at least one."""
-    budget = view.pools[pool].budget
-    share = math.ceil(budget.min_share * len(view.hosts_of(pool)))
-    return max(1, budget.min_in_service, share)
+    return max(1, view.pools[pool].budget.floor(len(view.hosts_of(pool))))
 
 
 class Ejector:
--- a/gypsumplank/coordination/overview.py
+++ b/gypsumplank/coordination/overview.py
@@ -1,6 +1,5 @@
 """Tell of pools, queues and waves at a glance."""
 
-import math
 from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 
@@ -13,9 +12,7 @@
 
 def promised_hosts(view: View, pool: str) -> int:
     """Return how many hosts of a pool its budget promises to keep serving."""
-    budget = view.pools[pool].budget
-    share = math.ceil(budget.min_share * len(view.hosts_of(pool)))
-    return max(budget.min_in_service, share)
+    return view.pools[pool].budget.floor(len(view.hosts_of(pool)))
 
 
 def _states(view: View, hosts: Iterable[str]) -> Counter[AssignmentState]:
--- a/gypsumplank/coordination/placement.py
+++ b/gypsumplank/coordination/placement.py
@@ -78,10 +78,8 @@
     return f"needs {_text(size)}, and no host of the pool has that; the most is {_text(largest)}"
 
 
-def quota_of(team: TeamSpec | None) -> Size | None:
-    """Return a team's quota, in which 0 leaves a resource unlimited; None without a team."""
-    if team is None:
-        return None
+def quota_of(team: TeamSpec) -> Size:
+    """Return a team's quota, in which 0 leaves a resource unlimited."""
     return Size(
         team.cores or float("inf"),
         team.memory_gb or float("inf"),
--- a/gypsumplank/coordination/submission.py
+++ b/gypsumplank/coordination/submission.py
@@ -36,7 +36,8 @@
             raise RequestInvalidError(f"no service {order.service!r}")
         _check_order(order)
         rooms = [room_of(name, view.hosts[name]) for name in view.hosts_of(service.pool)]
-        reason = impossible_reason(order.size, rooms, quota_of(view.teams.get(order.team)))
+        team = view.teams.get(order.team)
+        reason = impossible_reason(order.size, rooms, quota_of(team) if team else None)
         if reason:
             raise TaskImpossibleError(reason)
         now = self._clock.wall()
--- a/gypsumplank/coordination/task.py
+++ b/gypsumplank/coordination/task.py
@@ -1,7 +1,7 @@
 """Drive the tasks of the pools that this daemon controls."""
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from concurrent.futures import Executor
 from dataclasses import replace
 from functools import partial
@@ -18,7 +18,7 @@
 from gypsumplank.coordination.taskpool import TaskPool
 from gypsumplank.errors import StateError
 from gypsumplank.log import Event, event
-from gypsumplank.protocol.task import Task, TaskState
+from gypsumplank.protocol.task import Size, Task, TaskState
 from gypsumplank.state.clock import Clock
 from gypsumplank.state.table import Check
 from gypsumplank.state.task import TaskStore
@@ -94,9 +94,10 @@
     def _round(self, view: View, pool: str, held: TaskPool, fence: Check) -> None:
         if not held.save(held.contact(view, self._executor), fence):
             return
-        if not held.save(self._impossible(view, pool, held), fence):
+        quotas = {name: quota_of(spec) for name, spec in view.teams.items()}
+        if not held.save(self._impossible(view, pool, held, quotas), fence):
             return
-        plan = self._plan(view, pool, held)
+        plan = self._plan(view, pool, held, quotas)
         started = [
             replace(cand.task, state=TaskState.RUNNING, host=host, token=cand.task.token + 1)
             for cand, host in plan.starts
@@ -108,21 +109,15 @@
         for eviction in (*plan.evictions, *overdue, *leaving):
             held.evict(view, eviction)
 
-    def _plan(self, view: View, pool: str, held: TaskPool) -> Plan:
+    def _plan(self, view: View, pool: str, held: TaskPool, quotas: Mapping[str, Size]) -> Plan:
         rooms = self._rooms(view, pool, held)
-        quotas = {
-            name: quota
-            for name, spec in view.teams.items()
-            if (quota := quota_of(spec)) is not None
-        }
         placer = Placer(rooms, held.running(view.hosts_of(pool)), quotas)
         return placer.plan(held.candidates())
 
     def _rooms(self, view: View, pool: str, held: TaskPool) -> list[Room]:
         serving = view.serving_hosts(pool)
-        budget = view.pools[pool].budget
-        least = max(budget.min_in_service, budget.min_share * len(view.hosts_of(pool)))
-        most_out = max(0, int(len(serving) - least))
+        floor = view.pools[pool].budget.floor(len(view.hosts_of(pool)))
+        most_out = max(0, len(serving) - floor)
         selection = held.quarantine.select(serving, self._clock.monotonic(), most_out)
         idle_probes = [host for host in selection.probing if not held.running_on(host)]
         silent = held.silent_hosts()
@@ -132,15 +127,14 @@
             if name not in silent
         ]
 
-    def _impossible(self, view: View, pool: str, held: TaskPool) -> list[Task]:
+    def _impossible(
+        self, view: View, pool: str, held: TaskPool, quotas: Mapping[str, Size]
+    ) -> list[Task]:
         rooms = [room_of(name, view.hosts[name]) for name in view.hosts_of(pool)]
         if not rooms:
             return []
         reasons = (
-            (
-                cand.task,
-                impossible_reason(cand.size, rooms, quota_of(view.teams.get(cand.task.order.team))),
-            )
+            (cand.task, impossible_reason(cand.size, rooms, quotas.get(cand.task.order.team)))
             for cand in held.candidates()
         )
         return [
--- a/gypsumplank/porcelain.py
+++ b/gypsumplank/porcelain.py
@@ -18,7 +18,6 @@
     PATH_CHANGES,
     PATH_RECORDS,
     PATH_STATUS,
-    PATH_VALIDATE,
     ChangeOrder,
     ChangeReceipt,
     RecordList,
@@ -135,12 +134,6 @@
     return with_files(find_warnings(read_records(held)), record_files(held))
 
 
-def validate_on(server: Server, paths: Iterable[Path]) -> None:
-    """Check files against what is in force."""
-    order = ChangeOrder(uuid.uuid4().hex, read_records(paths))
-    server.call("POST", PATH_VALIDATE, dict[str, Any], order)
-
-
 def apply(server: Server, paths: Iterable[Path], if_revision: int | None = None) -> ChangeReceipt:
     """Put the records in files in force, all or none."""
     held = tuple(paths)
--- a/gypsumplank/protocol/spec.py
+++ b/gypsumplank/protocol/spec.py
@@ -1,5 +1,6 @@
 """Give each kind of record its typed specification, from either schema version."""
 
+import math
 from collections.abc import Iterator, Mapping
 from dataclasses import MISSING, dataclass, field, fields
 from enum import StrEnum
@@ -31,6 +32,10 @@
     max_out_per_zone: Count | None = None
     max_out_per_rack: Count | None = None
 
+    def floor(self, hosts: int) -> int:
+        """Return how many of a pool's hosts are promised to be in service."""
+        return max(self.min_in_service, math.ceil(self.min_share * hosts))
+
 
 @dataclass(frozen=True)
 class PoolSpec:
--- a/gypsumplank/protocol/task.py
+++ b/gypsumplank/protocol/task.py
@@ -6,7 +6,6 @@
 from gypsumplank.protocol.exchange import DEFAULT_URGENCY
 
 URGENT = 1
-GIB = 1 << 30
 
 
 class TaskState(StrEnum):
