Lend machines to the service whose turn it is, and let pools rest at half their size

Change: coordination/job/demand.py tells busy services from resting ones; a pool rests at half its first size but for the service that has rested longest, which is due next; what a busy service asks beyond its pool is lent by services at rest. First sizes are stored once, so a successor in the middle of a turn does not take a lent machine for the pool's own. Machines in upkeep are not replaced.

--- a/gypsumplank/composition/platform.py
+++ b/gypsumplank/composition/platform.py
@@ -101,9 +101,8 @@
             self._rows.clock_ms,
         )
         advisor = HttpAdvisor(Client(boot.advice, ADVICE_TIMEOUT_S, 1)) if boot.advice else None
-        ports = Ports(
-            JobStore(self._rows), self._rows, self._directory, HttpWorkers(), leases, advisor
-        )
+        store = JobStore(self._rows)
+        ports = Ports(store, self._rows, self._directory, HttpWorkers(), leases, advisor)
         machines = HttpMachines(Client(boot.machines, MACHINES_TIMEOUT_S, 1))
         desk = MachineDesk(
             machines,
@@ -112,7 +111,7 @@
             lambda: leases.fence(LEASE) is not None,
             lambda work: self._chief.post(work),  # noqa: PLW0108
         )
-        care = Care(desk, Upkeep(self._directory, desk), Pools(desk))
+        care = Care(desk, Upkeep(self._directory, desk), Pools(desk, store))
         self._chief = Chief(
             ports,
             self._clock,
--- a/gypsumplank/coordination/job/machine.py
+++ b/gypsumplank/coordination/job/machine.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from typing import Any
 
 import pykka
@@ -9,7 +10,7 @@
 from gypsumplank.coordination.job.port import Machines
 from gypsumplank.errors import MachineError
 from gypsumplank.log import Event, event
-from gypsumplank.protocol.queue import Machine
+from gypsumplank.protocol.queue import Machine, MachineState
 
 # Time between reads of the list of machines, seconds; below the time of a move.
 LIST_S = 0.6
@@ -119,16 +120,34 @@
         """Order a machine's upkeep."""
         token = self._token
         self._order(
-            machine, lambda: self._machines.upkeep(machine, wave, self._holder, token), outcome
+            machine,
+            lambda: self._machines.upkeep(machine, wave, self._holder, token),
+            lambda failure: self._tell(failure, machine, outcome, MachineState.UPKEEP),
         )
 
     def move(self, machine: str, pool: str, outcome: Outcome) -> None:
         """Order a machine's move."""
         token = self._token
         self._order(
-            machine, lambda: self._machines.move(machine, pool, self._holder, token), outcome
+            machine,
+            lambda: self._machines.move(machine, pool, self._holder, token),
+            lambda failure: self._tell(failure, machine, outcome, MachineState.MOVING, pool),
         )
 
+    def _tell(
+        self,
+        failure: MachineError | None,
+        machine: str,
+        outcome: Outcome,
+        state: MachineState,
+        pool: str = "",
+    ) -> None:
+        """Tell the outcome of an order; the list shows it before it is read again."""
+        listed = self.listed.get(machine)
+        if failure is None and listed is not None:
+            self.listed[machine] = replace(listed, state=state, pool=pool or listed.pool)
+        outcome(failure)
+
     def _order(self, machine: str, work: Callable[[], None], outcome: Outcome) -> None:
         self.calling.add(machine)
         token = self._token
--- a/gypsumplank/coordination/job/pool.py
+++ b/gypsumplank/coordination/job/pool.py
@@ -1,37 +1,40 @@
 """Size each service's pool of machines to its demand by moves to and from standby."""
 
 import logging
-import math
-from collections import deque
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Protocol
 
+from gypsumplank.coordination.job.demand import Demand, floors, machines_for, open_rooms
 from gypsumplank.coordination.job.machine import MachineDesk
 from gypsumplank.coordination.job.model import Job
 from gypsumplank.coordination.job.scheduler import Scheduler
-from gypsumplank.coordination.job.site import Site
-from gypsumplank.errors import MachineError, MachineRefusedError
+from gypsumplank.coordination.job.site import MISSES_OUT, Site
+from gypsumplank.errors import MachineError, MachineRefusedError, StateError
 from gypsumplank.log import Event, event
-from gypsumplank.protocol.job import FINAL_JOB_STATES, TaskPhase
-from gypsumplank.protocol.queue import Manifest
+from gypsumplank.protocol.job import Room
+from gypsumplank.protocol.queue import MachineState, Manifest
 from gypsumplank.protocol.worker import WorkerState
 
-# Share of a machine's processors that is planned for; the rest is what does not fit together.
-FILL = 0.85
-# Time over which the highest demand counts, seconds; keeps a pool from shrinking at each lull.
-HOLD_S = 3.0
 # Time after which a machine that was moved and has no worker counts no more, seconds.
 ARRIVES_S = 4.0
 # Time between rounds of planning, seconds.
 PLAN_S = 0.2
 # Pause before a machine whose move failed is moved again, seconds.
 AGAIN_S = 3.0
-
-OPEN = (TaskPhase.WAITING, TaskPhase.ASSIGNED)
+# Pause before the pools' first sizes are asked for again, seconds.
+SIZES_AGAIN_S = 1.0
 
 logger = logging.getLogger(__name__)
 
 
+class SizeStore(Protocol):
+    """Keep how many machines each pool had at first; may raise StateError."""
+
+    def first_sizes(self, present: Mapping[str, int]) -> dict[str, int]:
+        """Return the first sizes; keep those that are not yet stored."""
+
+
 @dataclass(frozen=True)
 class Arriving:
     """Hold a machine on its way: to which pool, since when, and its last worker's life."""
@@ -41,41 +44,55 @@
     life: str
 
 
-class Demand:
-    """Track the processors that one service's jobs ask for, in thousandths of a core.
+@dataclass(frozen=True)
+class Balance:
+    """Hold counts of machines by pool in one round of planning.
 
-    `base` is how many machines its pool had when it was first seen.
+    `asks` is what the open tasks need beyond what the pool has, `lacks` what it is short of, also
+    to what it keeps at least, `spare` what it can do without, and `lent` what it can lend.
     """
 
-    def __init__(self, base: int) -> None:
-        self.base = base
-        self._levels: deque[tuple[float, float]] = deque()
-        self.level = 0.0
+    asks: dict[str, int] = field(default_factory=dict)
+    lacks: dict[str, int] = field(default_factory=dict)
+    spare: dict[str, int] = field(default_factory=dict)
+    lent: dict[str, int] = field(default_factory=dict)
+
+    def gain(self, pool: str, count: int) -> None:
+        """Note that a pool gets machines, or gives some where the count is below 0."""
+        self.asks[pool] -= count
+        self.lacks[pool] -= count
+        self.spare[pool] += count
+        self.lent[pool] += count
 
-    def update(self, level: float, now: float) -> None:
-        """Note what runs and waits now."""
-        self._levels.append((now, level))
-        while self._levels[0][0] < now - HOLD_S:
-            self._levels.popleft()
-        self.level = max(level for _, level in self._levels)
+    def givers(self, taker: str) -> list[str]:
+        """Return the pools that can give a machine, those with the most to spare first."""
+        others = [pool for pool in self.spare if pool != taker]
+        spare = [pool for pool in others if self.spare[pool] > 0]
+        spare.sort(key=lambda pool: -self.spare[pool])
+        lenders = [pool for pool in others if self.lent[pool] > 0 and self.asks[taker] > 0]
+        lenders.sort(key=lambda pool: -self.lent[pool])
+        return spare + lenders
 
 
 class Pools:
     """Decide on moves; used by the scheduler's thread only."""
 
-    def __init__(self, desk: MachineDesk) -> None:
+    def __init__(self, desk: MachineDesk, sizes: SizeStore) -> None:
         self._desk = desk
+        self._sizes = sizes
         self._demands: dict[str, Demand] = {}
         self._arriving: dict[str, Arriving] = {}
         self._leaving: dict[str, str] = {}
         self._not_before: dict[str, float] = {}
         self._due = 0.0
+        self._sizes_due = 0.0
 
     def clear(self) -> None:
         """Forget everything."""
         self._demands.clear()
         self._arriving.clear()
         self._leaving.clear()
+        self._sizes_due = 0.0
 
     def act(self, scheduler: Scheduler, manifest: Manifest, now: float) -> None:
         """Plan from time to time, and move what is empty."""
@@ -87,27 +104,52 @@
         services = {queue.service for queue in manifest.queues} - {standby}
         if not self._desk.listed or not self._desk.may_act(now):
             return
+        if services - self._demands.keys():
+            self._ask_sizes(services, now)
+            return
         sites = scheduler.fleet.by_machine()
-        for service in services - self._demands.keys():
-            base = sum(1 for one in self._desk.listed.values() if one.pool == service)
-            self._demands[service] = Demand(base)
-        self._measure(scheduler.workload.jobs.values(), services, now)
+        members = {service: _members(service, sites) for service in services}
+        self._measure(scheduler.workload.jobs.values(), members, now)
         self._note_arrived(sites, now)
-        self._plan(services, standby, sites, now)
+        self._plan(members, standby, sites, now)
         self._move(scheduler, sites, now)
 
-    def _measure(self, jobs: Iterable[Job], services: set[str], now: float) -> None:
-        levels = dict.fromkeys(services, 0)
-        for job in jobs:
-            if job.service not in services or job.state in FINAL_JOB_STATES:
+    def _ask_sizes(self, services: set[str], now: float) -> None:
+        if now < self._sizes_due:
+            return
+        self._sizes_due = now + SIZES_AGAIN_S
+        pools = [one.pool for one in self._desk.listed.values()]
+        present = {service: pools.count(service) for service in services}
+
+        def ask() -> None:
+            try:
+                sizes = self._sizes.first_sizes(present)
+            except StateError as exc:
+                event(logger, Event.STATE_UNAVAILABLE, logging.WARNING, code=exc.code, step="pools")
+                return
+            self._desk.post(lambda: self._sized({name: sizes[name] for name in present}))
+
+        self._desk.tell(ask)
+
+    def _sized(self, sizes: Mapping[str, int]) -> None:
+        for service, size in sizes.items():
+            self._demands.setdefault(service, Demand(size))
+
+    def _measure(self, jobs: Iterable[Job], members: dict[str, list[Site]], now: float) -> None:
+        jobs = list(jobs)
+        for service, sites in members.items():
+            rooms = [site.entry.room for site in sites]
+            if not rooms:
                 continue
-            for step in job.steps.values():
-                if step.order.fills or not job.is_ready(step, math.inf):
-                    continue
-                open_tasks = sum(1 for task in step.tasks if task.phase in OPEN)
-                levels[job.service] += open_tasks * step.order.need.cpu
-        for service, level in levels.items():
-            self._demands[service].update(level, now)
+            size = Room(
+                min(room.cpu for room in rooms),
+                min(room.memory_mb for room in rooms),
+                min(room.accelerators for room in rooms),
+            )
+            total, passing = open_rooms(jobs, service)
+            self._demands[service].update(
+                machines_for(total, size), machines_for(passing, size), now
+            )
 
     def _note_arrived(self, sites: dict[str, Site], now: float) -> None:
         for machine, arriving in list(self._arriving.items()):
@@ -117,35 +159,65 @@
                 del self._arriving[machine]
                 self._desk.reserved.discard(machine)
 
-    def _plan(self, services: set[str], standby: str, sites: dict[str, Site], now: float) -> None:
-        members = {service: _members(service, sites) for service in services}
-        spare = self._standby(standby, now)
-        short = {one: self._shortage(one, members[one]) for one in sorted(services)}
-        givers = [one for one in services if short[one] < 0]
-        for service in sorted(services, key=lambda one: -short[one]):
-            for _ in range(max(0, short[service])):
-                if spare:
-                    self._leaving[spare.pop()] = service
-                    continue
-                giver = min(givers, key=lambda one: short[one], default=None)
-                machine = self._pick(members[giver], now) if giver else None
-                if giver is None or machine is None:
+    def _plan(
+        self, members: dict[str, list[Site]], standby: str, sites: dict[str, Site], now: float
+    ) -> None:
+        balance = self._balance(members, sites, now)
+        for name, found in members.items():
+            balance.gain(name, self._recall(found, balance.lacks[name]))
+        idle = self._standby(standby, now)
+        for name in sorted(members, key=lambda one: (-balance.asks[one], one)):
+            while balance.lacks[name] > 0:
+                if idle:
+                    self._leaving[idle.pop()] = name
+                elif not self._give(members, balance, name, now):
                     break
-                short[giver] += 1
-                givers = [one for one in givers if short[one] < 0]
-                self._leaving[machine] = service
-        for giver in givers:
-            for _ in range(-short[giver]):
-                machine = self._pick(members[giver], now)
-                if machine is not None:
-                    self._leaving[machine] = standby
+                balance.gain(name, 1)
+        for name, found in members.items():
+            for machine in self._idle(found, now)[: max(0, balance.spare[name])]:
+                self._leaving[machine] = standby
+
+    def _balance(
+        self, members: dict[str, list[Site]], sites: dict[str, Site], now: float
+    ) -> Balance:
+        kept = floors(self._demands, now)
+        balance = Balance()
+        for name, found in members.items():
+            demand = self._demands[name]
+            count = self._count(name, found, sites)
+            balance.asks[name] = demand.present - count
+            balance.lacks[name] = max(kept[name], demand.present) - count
+            balance.spare[name] = count - max(kept[name], demand.level)
+            balance.lent[name] = 0 if demand.is_busy(now) else count - demand.low
+        return balance
+
+    def _recall(self, members: list[Site], most: int) -> int:
+        """Keep machines that were about to leave a pool; return how many."""
+        leaving = [one for one in members if one.entry.machine in self._leaving]
+        kept = leaving[: max(0, most)]
+        for site in kept:
+            del self._leaving[site.entry.machine]
+            site.leaving = False
+        return len(kept)
+
+    def _give(
+        self, members: dict[str, list[Site]], balance: Balance, taker: str, now: float
+    ) -> bool:
+        """Have a pool give a machine that it can spare, or lend one while it is not busy."""
+        for giver in balance.givers(taker):
+            idle = self._idle(members[giver], now)
+            if idle:
+                balance.gain(giver, -1)
+                self._leaving[idle[0]] = taker
+                return True
+        return False
 
     def _standby(self, standby: str, now: float) -> list[str]:
         return [
             one.name
             for one in self._desk.listed.values()
             if one.pool == standby
-            and one.state == "up"
+            and one.state is MachineState.UP
             and one.name not in self._arriving
             and self._is_free(one.name, now)
         ]
@@ -154,28 +226,31 @@
         taken = machine in self._desk.reserved or machine in self._desk.calling
         return not (taken or machine in self._leaving or now < self._not_before.get(machine, 0.0))
 
-    def _shortage(self, service: str, members: list[Site]) -> int:
-        """Return how many machines a pool lacks; below 0, how many it can spare."""
-        if not members:
-            return 0
-        size = sum(site.entry.room.cpu for site in members) / len(members)
-        demand = self._demands[service]
-        wanted = max(demand.base, math.ceil(demand.level / (FILL * max(1.0, size))))
+    def _count(self, service: str, members: list[Site], sites: dict[str, Site]) -> int:
+        """Return how many machines a pool has, or will have once all orders are done."""
         leaving = sum(1 for site in members if site.entry.machine in self._leaving)
         arriving = sum(1 for one in self._arriving.values() if one.pool == service)
         coming = sum(1 for pool in self._leaving.values() if pool == service)
-        return wanted - (len(members) - leaving + arriving + coming)
+        upkeep = sum(
+            1
+            for one in self._desk.listed.values()
+            if one.pool == service
+            and one.state is MachineState.UPKEEP
+            and one.name not in sites
+            and one.name not in self._arriving
+        )
+        return len(members) - leaving + arriving + coming + upkeep
 
-    def _pick(self, members: list[Site], now: float) -> str | None:
-        """Return the machine of a pool that is emptied with the least loss."""
+    def _idle(self, members: list[Site], now: float) -> list[str]:
+        """Return the machines that can be emptied, those with the least loss first."""
         idle = [
             site
             for site in members
             if self._is_free(site.entry.machine, now)
             and not any(task.step.order.lasting for task in site.tasks.values())
         ]
-        best = min(idle, key=lambda site: site.used().cpu, default=None)
-        return best.entry.machine if best is not None else None
+        idle.sort(key=lambda site: site.used().cpu)
+        return [site.entry.machine for site in idle]
 
     def _move(self, scheduler: Scheduler, sites: dict[str, Site], now: float) -> None:
         for machine, pool in list(self._leaving.items()):
@@ -195,14 +270,14 @@
         life = site.life if site is not None else ""
         self._arriving[machine] = Arriving(pool, now, life)
         self._desk.reserved.add(machine)
-        level = self._demands[pool].level if pool in self._demands else 0
+        demand = self._demands[pool].level if pool in self._demands else 0
         event(
             logger,
             Event.MACHINE_MOVED,
             machine=machine,
             pool=pool,
             worker=life,
-            demand=round(level),
+            demand=demand,
         )
         self._desk.move(
             machine, pool, lambda failure: self._moved(scheduler, machine, site, failure)
@@ -230,5 +305,6 @@
         if site.entry.service == service
         and site.listed
         and not site.gone
+        and site.missed < MISSES_OUT
         and site.entry.state is WorkerState.READY
     ]
--- a/gypsumplank/coordination/job/upkeep.py
+++ b/gypsumplank/coordination/job/upkeep.py
@@ -13,7 +13,7 @@
 from gypsumplank.coordination.job.site import Site
 from gypsumplank.errors import MachineError, MachineRefusedError, StateError
 from gypsumplank.log import Event, event
-from gypsumplank.protocol.queue import UpkeepWave
+from gypsumplank.protocol.queue import MachineState, UpkeepWave
 
 # Time between looks for waves, seconds; far below a wave's duration.
 LOOK_S = 1.0
@@ -125,7 +125,7 @@
         """Count a machine as back only by a list that was read after its order was confirmed."""
         for machine, since in list(progress.down.items()):
             listed = self._desk.listed.get(machine)
-            if self._desk.listed_at > since and (listed is None or listed.state == "up"):
+            if self._desk.listed_at > since and (listed is None or listed.state is MachineState.UP):
                 del progress.down[machine]
 
     def _choose(self, progress: WaveProgress, sites: dict[str, Site], now: float) -> None:
--- a/gypsumplank/platform/machine.py
+++ b/gypsumplank/platform/machine.py
@@ -6,7 +6,7 @@
 
 from gypsumplank.errors import AdviceError, CallError, MachineError, MachineRefusedError
 from gypsumplank.platform.client import Client
-from gypsumplank.protocol.queue import Machine
+from gypsumplank.protocol.queue import Machine, MachineState
 
 PATH_MACHINES = "/api/machines"
 PATH_MOVE = "/api/machine-move"
@@ -93,8 +93,16 @@
     return Machine(
         str(raw.get("machine", "")),
         str(raw.get("pool", "")),
-        str(raw.get("state", "")),
+        _state(raw.get("state")),
         str(raw.get("zone", "")),
         str(raw.get("id") or ""),
         tuple(str(label) for label in raw.get("labels") or ()),
     )
+
+
+def _state(raw: Any) -> MachineState:
+    """Return a machine's state; one that is not known serves nobody."""
+    try:
+        return MachineState(raw)
+    except ValueError:
+        return MachineState.DOWN
--- a/gypsumplank/protocol/job.py
+++ b/gypsumplank/protocol/job.py
@@ -39,6 +39,10 @@
             self.accelerators - other.accelerators,
         )
 
+    def times(self, count: int) -> "Room":
+        """Return this many times the room."""
+        return Room(self.cpu * count, self.memory_mb * count, self.accelerators * count)
+
     def holds(self, other: "Room") -> bool:
         """Tell whether the other fits."""
         return (
--- a/gypsumplank/protocol/queue.py
+++ b/gypsumplank/protocol/queue.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 MS = 1000.0
 
@@ -67,13 +68,22 @@
     cap: int
 
 
+class MachineState(StrEnum):
+    """Tell what a machine does."""
+
+    UP = "up"
+    MOVING = "moving"
+    UPKEEP = "upkeep"
+    DOWN = "down"
+
+
 @dataclass(frozen=True)
 class Machine:
     """Hold one machine as the platform lists it; `worker` is its worker's present id."""
 
     name: str
     pool: str
-    state: str
+    state: MachineState
     zone: str
     worker: str
     labels: tuple[str, ...] = ()
--- a/gypsumplank/state/job.py
+++ b/gypsumplank/state/job.py
@@ -1,6 +1,6 @@
 """Keep jobs, their states and the progress of their steps in the table service."""
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -20,6 +20,7 @@
 TABLE_PENDING = "pending"
 TABLE_STEPS = "steps"
 TABLE_CANCELS = "cancels"
+TABLE_POOLS = "pools"
 
 # Entries of one transaction; the platform takes 100.
 MAX_ENTRIES = 90
@@ -171,6 +172,21 @@
         """Return the cancelled jobs that have not been cleaned up."""
         return {row.key for row in scan_all(self._table, TABLE_CANCELS)}
 
+    def first_sizes(self, present: Mapping[str, int]) -> dict[str, int]:
+        """Return how many machines each pool had at first; keep those that are not yet stored."""
+        rows = scan_all(self._table, TABLE_POOLS)
+        known = {row.key: decode(row.value, int) for row in rows}
+        for pool, size in present.items():
+            if pool in known:
+                continue
+            write = Write(TABLE_POOLS, pool, msgspec.json.encode(size))
+            try:
+                self._table.commit(Txn((Check(TABLE_POOLS, pool, ABSENT),), (write,)))
+            except StateConflictError:
+                return self.first_sizes(present)
+            known[pool] = size
+        return known
+
     def load(self) -> tuple[list[LoadedJob], list[str]]:
         """Return all jobs that are not cleaned up, and the identifiers of ended ones."""
         # In this order: a job that comes meanwhile is read as new, never as ended.
--- a/tests/coordination/job/test_machines.py
+++ b/tests/coordination/job/test_machines.py
@@ -1,8 +1,18 @@
+from collections import Counter
+
 import pytest
 
 from gypsumplank.protocol.job import Room, StepOrder
-from gypsumplank.protocol.queue import Manifest, ServicePolicy, UpkeepWave
-from tests.coordination.job.world import MANIFEST, QUEUE, SERVICE, STANDBY, World, lasting
+from gypsumplank.protocol.queue import Manifest, Queue, ServicePolicy, UpkeepWave
+from tests.coordination.job.world import (
+    MANIFEST,
+    QUEUE,
+    ROOM,
+    SERVICE,
+    STANDBY,
+    World,
+    lasting,
+)
 
 
 @pytest.fixture
@@ -99,3 +109,61 @@
     world.run(4.0)
     assert world.state("a" * 16) == "completed"
     assert all(one.run == 1 for one in world.farm.history)
+
+
+SECOND = "press"
+SECOND_QUEUE = Queue("plates", "h.example", "/q/", SECOND, 0, 3, 1.5, 600)
+
+
+def two_services(world, workers=6):
+    world.manifest = Manifest(
+        2,
+        (QUEUE, SECOND_QUEUE),
+        {name: ServicePolicy(name, standby=name == STANDBY) for name in (SERVICE, SECOND, STANDBY)},
+    )
+    for number in range(workers):
+        world.farm.add(f"p{number}", SECOND, ROOM)
+    world.run(3.0)
+
+
+def pools(world):
+    return Counter(one.pool for one in world.machines.all())
+
+
+def flood(world, jobs=12):
+    for number in range(jobs):
+        world.submit(f"{number:016x}", (StepOrder(4, Room(4000, 100), 4000),), spec="4")
+
+
+def test_a_service_at_rest_lends_machines_down_to_half_its_first_size(world):
+    two_services(world)
+    flood(world)
+    world.run(3.5)
+    assert pools(world) == {SERVICE: 9, SECOND: 3}
+
+
+def test_lent_machines_return_once_the_flood_is_over(world):
+    two_services(world)
+    flood(world)
+    world.run(60.0)
+    assert pools(world)[SECOND] == 6
+    assert not world.judge()
+
+
+def test_a_successor_knows_the_first_sizes_of_pools(world):
+    two_services(world)
+    flood(world)
+    world.run(3.5)
+    world.leader().asleep = True
+    world.run(60.0)
+    assert pools(world)[SECOND] == 6
+
+
+def test_a_machine_in_upkeep_is_not_replaced(world):
+    two_services(world, workers=3)
+    for number in range(4):
+        world.machines.off[f"m-{number}"] = True
+    wave(world, cap=2)
+    world.run(20.0)
+    assert told(world) == [True]
+    assert not [one for one in world.machines.orders if one[0] == "move"]
--- a/tests/coordination/job/world.py
+++ b/tests/coordination/job/world.py
@@ -14,7 +14,7 @@
 from gypsumplank.coordination.lease import Leases
 from gypsumplank.errors import GypsumplankError, StateError, WorkerError
 from gypsumplank.protocol.job import JobOrder, Room, StepOrder
-from gypsumplank.protocol.queue import Machine, Manifest, Queue, ServicePolicy
+from gypsumplank.protocol.queue import Machine, MachineState, Manifest, Queue, ServicePolicy
 from gypsumplank.state.clock import ManualClock
 from gypsumplank.state.feed import MemoryFeedTable
 from gypsumplank.state.job import JobStore
@@ -151,12 +151,16 @@
     def all(self):
         farm = self.world.farm
         up = [
-            Machine(one.entry.machine, one.entry.service, "up", "z", one.entry.id)
+            Machine(one.entry.machine, one.entry.service, MachineState.UP, "z", one.entry.id)
             for one in farm.workers.values()
             if one.up
         ]
-        gone = [Machine(name, pool, "upkeep", "z", "") for name, (_, pool) in self.away.items()]
-        return [*up, *gone, *(Machine(name, STANDBY, "up", "z", "") for name in self.off)]
+        gone = [Machine(name, pool, state, "z", "") for name, (_, pool, state) in self.away.items()]
+        return [
+            *up,
+            *gone,
+            *(Machine(name, STANDBY, MachineState.UP, "z", "") for name in self.off),
+        ]
 
     def upkeep(self, machine, wave, holder, token):
         pool = STANDBY if machine in self.off else self._leave(machine)
@@ -182,11 +186,12 @@
         return worker.entry.service
 
     def _send(self, machine, pool, order, seconds):
-        self.away[machine] = (self.world.clock.now + seconds, pool)
+        state = MachineState.MOVING if order[0] == "move" else MachineState.UPKEEP
+        self.away[machine] = (self.world.clock.now + seconds, pool, state)
         self.orders.append((order[0], machine, *order[1:], self.world.clock.now))
 
     def step(self):
-        for machine, (at, pool) in list(self.away.items()):
+        for machine, (at, pool, _) in list(self.away.items()):
             if self.world.clock.now >= at:
                 del self.away[machine]
                 if pool == STANDBY:
@@ -233,7 +238,7 @@
             lambda work: self.chief.post(work),  # noqa: PLW0108
             _AtOnce,
         )
-        care = Care(desk, Upkeep(self.directory, desk), Pools(desk))
+        care = Care(desk, Upkeep(self.directory, desk), Pools(desk, store))
         ports = Ports(store, None, self.directory, world.farm, self.leases)
         self.chief = Chief(
             ports, world.clock, lambda: world.manifest, lambda: LEASE_S, care, self.crew
