Keep the scheduler's lease with fast daemons and over outages; try a job's insert again

Change: the lease is renewed between the tables of a take-over; a daemon leaves a free lease for 0.8 s to live neighbours that are 1.5 times as fast, and to its holder after an outage; entries missing in the first 2.5 s after an outage say nothing of workers that answer. An insert whose outcome is unknown is tried again for 0.45 of the caller's time. Ruled out: that the store's rate was at its limit (no 429 in the logs).

--- a/gypsumplank/composition/platform.py
+++ b/gypsumplank/composition/platform.py
@@ -80,7 +80,9 @@
         boot = self._boot
         store = Client(boot.store, STORE_TIMEOUT_S, STORE_CONNECTIONS)
         self._rows = RowTable(store, PART)
-        neighbours = Neighbours(self._rows, boot.daemon, boot.peers, self._clock, random.Random())
+        neighbours = Neighbours(
+            self._rows, boot.daemon, boot.peers, self._clock, random.Random(), boot.speed
+        )
         self._neighbours = neighbours
         self._relay = RelayServer(self._rows, boot.peers)
         self._detour = RelayTable(self._rows, neighbours.addresses)
@@ -119,6 +121,7 @@
             lambda: min(TASK_LEASE_S, self._boot.max_lease_s),
             care,
             heartbeat_s=boot.heartbeat_s,
+            patience_s=self._neighbours.patience_s,
         )
 
     def _make_listeners(self) -> None:
--- a/gypsumplank/coordination/job/chief.py
+++ b/gypsumplank/coordination/job/chief.py
@@ -32,6 +32,12 @@
 LEASE_TICK_S = 0.4
 # Longest wait for the hand-over at a stop, seconds; others take a lapsed lease anyway.
 CLOSE_S = 0.5
+# Time after an outage of the store in which its holder may renew the lease before another daemon
+# takes it, seconds; two looks at the lease.
+REGAIN_S = 2 * LEASE_TICK_S
+# Time after an outage of the store in which workers' entries may still be missing, seconds; the
+# platform states about two.
+ENTRIES_BACK_S = 2.5
 # Longest pause between rounds, seconds; bounds how late a timer fires.
 ROUND_S = 0.2
 
@@ -50,7 +56,9 @@
         care: Care,
         crew: Crew | None = None,
         heartbeat_s: float = 1.5,
+        patience_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
+        self._patience_s = patience_s
         self._heartbeat_s = heartbeat_s
         self._ports = ports
         self._crew = crew or ThreadCrew(ports, clock, max_lease_s)
@@ -65,6 +73,7 @@
         self._lease_due = 0.0
         self._must_renew = False
         self._store_lost = False
+        self._regained_at = -ENTRIES_BACK_S
 
     @property
     def leads(self) -> bool:
@@ -123,7 +132,7 @@
                 return
             self._lease_due = self._clock.monotonic() + LEASE_TICK_S
         try:
-            leases.tick([LEASE], ())
+            leases.tick([LEASE], (), self._patience())
         except StateError as exc:
             self._note_store(exc)
             return
@@ -141,16 +150,23 @@
         if exc is not None:
             event(logger, Event.STORE_LOST, logging.WARNING, code=exc.code, detail=exc.detail)
         else:
+            self._regained_at = self._clock.monotonic()
             event(logger, Event.STORE_REGAINED)
 
+    def _patience(self) -> float:
+        """Return for how long a free lease is left to others, seconds."""
+        regained = self._clock.monotonic() < self._regained_at + 2 * REGAIN_S
+        return max(self._patience_s(), REGAIN_S if regained or self._store_lost else 0.0)
+
     def _take_over(self, epoch: int) -> None:
         if self._manifest() is None:
             return
+        jobs, ended = self._ports.store.load(self._keep_lease)
+        entries = self._ports.directory.workers()
+        self._keep_lease()
         fence = self._ports.leases.fence(LEASE)
         if fence is None:
             return
-        jobs, ended = self._ports.store.load()
-        entries = self._ports.directory.workers()
         scheduler = Scheduler(
             self._clock, self._manifest, epoch, self._max_lease_s(), self._heartbeat_s
         )
@@ -184,6 +200,12 @@
             version=fence.version,
         )
 
+    def _keep_lease(self) -> None:
+        """Renew the lease if that is due; raise StateError where it is lost."""
+        if self._clock.monotonic() >= self._lease_due:
+            self._lease_due = self._clock.monotonic() + LEASE_TICK_S
+            self._ports.leases.renew(LEASE)
+
     def _may_extend(self) -> bool:
         """Tell whether tasks' leases may be extended; a later holder waits for this to be over."""
         return self._clock.monotonic() < self._ports.leases.proven_until(LEASE) + HOLD_ON_S
@@ -227,7 +249,8 @@
 
     def _sighted(self, term: Term, sighted: Sighted) -> None:
         workload = term.scheduler.workload
-        term.scheduler.fleet.take_entries(sighted.entries)
+        complete = self._clock.monotonic() >= self._regained_at + ENTRIES_BACK_S
+        term.scheduler.fleet.take_entries(sighted.entries, complete and not self._store_lost)
         for job_id in sighted.pending - workload.jobs.keys():
             row = self._ports.store.order(job_id)
             if row is not None:
--- a/gypsumplank/coordination/job/desk.py
+++ b/gypsumplank/coordination/job/desk.py
@@ -17,10 +17,13 @@
 from gypsumplank.state.clock import Clock
 from gypsumplank.state.job import JobStore
 
-# Share of a caller's time within which a refused store call is tried again.
-RETRY_SHARE = 0.3
-# Pause between such tries, seconds.
+# Share of a caller's time within which a store call that failed is tried again; the rest is left
+# to the caller's tries at other daemons.
+RETRY_SHARE = 0.45
+# First pause between such tries, seconds; each is twice as long as the one before.
 RETRY_S = 0.05
+# Longest such pause, seconds; a few fit into a short outage.
+MAX_RETRY_S = 0.2
 # Age up to which a count of waiting jobs is told again, seconds; the platform allows 2.
 COUNT_AGE_S = 0.4
 
@@ -50,20 +53,27 @@
         return found
 
     def submit(self, queue: Queue, job_id: str, order: JobOrder, left_s: float) -> bool:
-        """Store a job; return whether it is new. StateUnknownError where that is not known."""
+        """Store a job; return whether it is new. StateUnknownError where that is not known.
+
+        A try whose outcome is unknown may be repeated: the job's row is inserted only once.
+        """
         accepted_ms = int(self._clock.wall() * 1000)
         job = StoredJob(job_id, queue.name, queue.service, accepted_ms, order)
         until = self._clock.monotonic() + left_s * RETRY_SHARE
+        pause_s = RETRY_S
+        tries = 1
         while True:
             try:
                 new = self._store.submit(job)
-            except StateUnavailableError as exc:
-                if self._clock.monotonic() + RETRY_S >= until:
+            except (StateUnavailableError, StateUnknownError) as exc:
+                if self._clock.monotonic() + pause_s >= until:
                     # An earlier attempt with this identifier may have been stored.
-                    raise StateUnknownError(exc.detail) from exc
-                self._pause.wait(RETRY_S)
+                    raise StateUnknownError(f"{exc.detail}, {tries} tries") from exc
+                self._pause.wait(pause_s)
+                pause_s = min(2 * pause_s, MAX_RETRY_S)
+                tries += 1
                 continue
-            event(logger, Event.JOB_ACCEPTED, job=job_id, queue=queue.name, new=new)
+            event(logger, Event.JOB_ACCEPTED, job=job_id, queue=queue.name, new=new, tries=tries)
             return new
 
     def state(self, job_id: str) -> JobState:
@@ -79,11 +89,11 @@
     def pending(self, queue: Queue) -> int:
         """Return how many accepted jobs of a queue have not started."""
         now = self._clock.monotonic()
-        read_at, count = self._counts.get(queue.name, (-COUNT_AGE_S, 0))
+        read_at, waiting = self._counts.get(queue.name, (-COUNT_AGE_S, 0))
         if now - read_at >= COUNT_AGE_S:
-            count = len(self._store.pending(queue.name))
-            self._counts[queue.name] = (now, count)
-        return count
+            waiting = len(self._store.pending(queue.name))
+            self._counts[queue.name] = (now, waiting)
+        return waiting
 
 
 def log_refusal(exc: GypsumplankError, method: str, target: str) -> None:
--- a/gypsumplank/coordination/job/fleet.py
+++ b/gypsumplank/coordination/job/fleet.py
@@ -54,8 +54,11 @@
             self.sites[key] = made
         return self.sites[key]
 
-    def take_entries(self, entries: Sequence[WorkerEntry]) -> None:
-        """Take in the workers' entries as they are now."""
+    def take_entries(self, entries: Sequence[WorkerEntry], complete: bool = True) -> None:
+        """Take in the workers' entries as they are now.
+
+        Where they are not `complete`, a missing entry of a worker that answers says nothing.
+        """
         now = self._clock.monotonic()
         entries = [one for one in entries if life_name(one.id, one.born) not in self._ended]
         listed = {entry.id: entry for entry in entries}
@@ -65,6 +68,8 @@
             if entry is not None and not site.gone and entry.born == site.born:
                 self._refresh(site, entry, now)
                 continue
+            if entry is None and not complete and site.contact_is_fresh(now):
+                continue
             if site.listed and self._has_left(site, now):
                 self.release_all(site, now, "left")
             site.listed = False
--- a/gypsumplank/coordination/job/survey.py
+++ b/gypsumplank/coordination/job/survey.py
@@ -48,6 +48,10 @@
         """End after the step in progress."""
         self._closed.set()
 
+    def wait(self, seconds: float) -> None:
+        """Pause for this long, less where the loop is closed."""
+        self._closed.wait(seconds)
+
     def step(self) -> None:
         """Do one round; may raise StateError."""
         raise NotImplementedError
--- a/gypsumplank/coordination/lease.py
+++ b/gypsumplank/coordination/lease.py
@@ -56,6 +56,7 @@
         self._mine: dict[str, LeaseRow] = {}
         self._until: dict[str, float] = {}
         self._seen: dict[str, Sighting] = {}
+        self._free_since: dict[str, float] = {}
         self._read_at = clock.monotonic()
         self.holders: dict[str, str] = {}
 
@@ -87,8 +88,8 @@
         started = self._clock.monotonic()
         self._put(replace(row.lease, beat=row.lease.beat + 1), row, started)
 
-    def tick(self, names: Iterable[str], live: Collection[str]) -> None:
-        """Renew or give up what is held and take what is free; raise StateError."""
+    def tick(self, names: Iterable[str], live: Collection[str], patience_s: float = 0.0) -> None:
+        """Renew or give up what is held, take what has been free for a time; raise StateError."""
         started = self._clock.monotonic()
         rows = self._store.all()
         self._look(rows, started)
@@ -99,7 +100,7 @@
             row = rows.get(name, LeaseRow(Lease(name)))
             wants = preferred(name, daemons) == self._daemon
             try:
-                self._settle(row, wants, started)
+                self._settle(row, wants, started, patience_s)
             except StateConflictError:
                 self._drop(name)
 
@@ -111,13 +112,17 @@
             if seen is None or seen.version != row.version or blind:
                 self._seen[name] = Sighting(row.version, now)
 
-    def _settle(self, row: LeaseRow, wants: bool, now: float) -> None:
+    def _settle(self, row: LeaseRow, wants: bool, now: float, patience_s: float) -> None:
+        name = row.lease.name
         if self._is_mine(row):
             self._keep(row, wants, now)
             return
-        self._drop(row.lease.name)
+        self._drop(name)
         lapsed = row.lease.holder and self._lapsed(row, now)
-        if lapsed or (wants and not row.lease.holder):
+        if not lapsed and not (wants and not row.lease.holder):
+            self._free_since.pop(name, None)
+        elif now - self._free_since.setdefault(name, now) >= patience_s:
+            self._free_since.pop(name, None)
             lease = Lease(row.lease.name, self._daemon, row.lease.epoch + 1)
             self._put(lease, row, now)
             event(logger, Event.LEASE_TAKEN, lease=lease.name, epoch=lease.epoch)
--- a/gypsumplank/platform/boot.py
+++ b/gypsumplank/platform/boot.py
@@ -24,10 +24,11 @@
 
 
 class WireLimits(msgspec.Struct, rename="kebab"):
-    """Hold what a process may use."""
+    """Hold what a process may use: `cores` is how many times as fast as one a core is."""
 
     max_fds: int = 1024
-    memory_mb: int = 0
+    cpu_share: Positive = 1.0
+    cores: Positive = 1
 
 
 class WireBounds(msgspec.Struct, rename="kebab"):
@@ -64,7 +65,7 @@
 
 @dataclass(frozen=True)
 class Boot:
-    """Hold a daemon's settings on the platform; times in seconds.
+    """Hold a daemon's settings on the platform; times in seconds, `speed` in cores.
 
     `peers` is where this daemon serves others, `handover_s` how long two holders must not both
     give orders for one machine.
@@ -79,6 +80,7 @@
     machines: str
     advice: str
     max_descriptors: int
+    speed: float
     max_lease_s: float
     handover_s: float
     grace_s: float
@@ -124,6 +126,7 @@
         wire.cloud.address if wire.cloud else "",
         wire.hint or "",
         wire.limits.max_fds,
+        wire.limits.cpu_share * wire.limits.cores,
         wire.bounds.max_hold_ms / MS,
         wire.bounds.lease_ms / MS,
         wire.bounds.grace_s,
--- a/gypsumplank/state/job.py
+++ b/gypsumplank/state/job.py
@@ -1,6 +1,6 @@
 """Keep jobs, their states and the progress of their steps in the table service."""
 
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -187,12 +187,18 @@
             known[pool] = size
         return known
 
-    def load(self) -> tuple[list[LoadedJob], list[str]]:
-        """Return all jobs that are not cleaned up, and the identifiers of ended ones."""
+    def load(self, between: Callable[[], None] = lambda: None) -> tuple[list[LoadedJob], list[str]]:
+        """Return all jobs that are not cleaned up, and the identifiers of ended ones.
+
+        Calls `between` after each table; what that raises ends the load.
+        """
         # In this order: a job that comes meanwhile is read as new, never as ended.
         states = {row.key: row for row in scan_all(self._table, TABLE_STATES)}
+        between()
         orders = scan_all(self._table, TABLE_ORDERS)
+        between()
         steps = scan_all(self._table, TABLE_STEPS)
+        between()
         cancelled = self.cancels()
         by_job: dict[str, dict[str, StepRecord]] = {}
         for row in steps:
--- a/tests/coordination/job/test_chief.py
+++ b/tests/coordination/job/test_chief.py
@@ -220,3 +220,74 @@
         world.farm.drain(name)
     world.run(1.0)
     assert sum(len(one.running) for one in world.farm.workers.values()) == 2
+
+
+def test_a_take_over_that_reads_slowly_keeps_its_lease():
+    world = World(1, daemons=3)
+    world.run(1.0)
+    first = world.leader()
+    first.asleep = True
+    slow, other = (one for one in world.daemons if one is not first)
+    other.asleep = True
+    slow.table.scan = _slow_scan(world, slow.table.scan, other)
+    world.run(6.0)
+    assert slow.chief.leads
+    assert slow.leases.epoch("scheduler") == 2
+
+
+def _slow_scan(world, scan, other):
+    """Let 0.7 s pass at each read of a table, in which another daemon seeks the lease."""
+
+    def slow(table, *args):
+        if table != "leases":
+            other.asleep = False
+            for _ in range(14):
+                world.clock.advance(0.05)
+                other.step()
+        return scan(table, *args)
+
+    return slow
+
+
+def outage(world, seconds):
+    for daemon in world.daemons:
+        daemon.table.out = True
+    world.run(seconds)
+    for daemon in world.daemons:
+        daemon.table.out = False
+
+
+def test_the_holder_keeps_the_lease_over_an_outage_of_the_store(world):
+    first = world.leader()
+    world.daemons.reverse()
+    outage(world, 4.5)
+    world.run(3.0)
+    assert world.leader() is first
+    assert first.leases.epoch("scheduler") == 1
+
+
+def test_another_daemon_takes_the_lease_if_its_holder_ended_in_an_outage(world):
+    first = world.leader()
+    for daemon in world.daemons:
+        daemon.table.out = True
+    world.run(1.0)
+    first.asleep = True
+    outage(world, 3.0)
+    world.run(5.0)
+    assert world.leader() is not None
+
+
+def test_workers_that_answer_take_work_while_their_entries_are_not_back(world):
+    leader = world.leader()
+    outage(world, 4.5)
+    workers = leader.directory.workers
+    leader.directory.workers = list
+    world.submit("a" * 16)
+    world.run(1.5)
+    assert world.state("a" * 16) == "completed"
+    world.run(3.0)
+    assert not leader.chief._term.scheduler.sites
+    leader.directory.workers = workers
+    world.submit("b" * 16)
+    world.run(2.0)
+    assert world.state("b" * 16) == "completed"
--- a/tests/coordination/test_lease.py
+++ b/tests/coordination/test_lease.py
@@ -106,3 +106,26 @@
     held.of["x"].close()
     held.tick("y", live=["y"])
     assert set(held.of["y"].held()) == set(NAMES)
+
+
+def test_a_patient_daemon_leaves_a_free_lease_to_others():
+    held = Holders("x", "y")
+    held.of["x"].tick(("a",), (), patience_s=2.5)
+    held.clock.advance(2.0)
+    held.of["x"].tick(("a",), (), patience_s=2.5)
+    assert held.of["x"].held() == ()
+    held.clock.advance(1.0)
+    held.of["x"].tick(("a",), (), patience_s=2.5)
+    assert held.of["x"].held() == ("a",)
+
+
+def test_patience_starts_anew_once_the_lease_was_taken():
+    held = Holders("x", "y")
+    held.of["x"].tick(("a",), (), patience_s=2.5)
+    held.of["y"].tick(("a",), ())
+    held.clock.advance(1.0)
+    held.of["x"].tick(("a",), (), patience_s=2.5)
+    held.of["y"].close()
+    held.clock.advance(2.0)
+    held.of["x"].tick(("a",), (), patience_s=2.5)
+    assert held.of["x"].held() == ()
