Take a lease back after a restart, look for neighbours before seeking it, and let pools rest sooner

A pool whose turn was over counted as due next while others had not had theirs. Change: a loop that failed is tried again after 0.2 s; a daemon that could not look for others leaves the lease for 2 s; a restarted daemon takes a lease back that an earlier process of its own held; no try begins that could outlast its time; services whose turn was not seen are due before those that had one.

--- a/gypsumplank/coordination/job/demand.py
+++ b/gypsumplank/coordination/job/demand.py
@@ -60,15 +60,14 @@
 def floors(demands: Mapping[str, Demand], now: float) -> dict[str, int]:
     """Return how many machines each pool keeps whatever its present demand.
 
-    Services are busy by turns: the one that has rested longest is due next and keeps its first
-    size, as do services of which no turn has been seen.
+    Services are busy by turns: those that have not had one are due next, else the one that has
+    rested longest. What is due next or busy keeps its first size.
     """
     resting = [name for name, one in demands.items() if one.rests(now)]
-    due = min(resting, key=lambda name: demands[name].busy_at or 0.0, default=None)
-    return {
-        name: one.low if name in resting and name != due else one.base
-        for name, one in demands.items()
-    }
+    if all(one.busy_at is not None for one in demands.values()):
+        resting.sort(key=lambda name: demands[name].busy_at or 0.0)
+        resting = resting[1:]
+    return {name: one.low if name in resting else one.base for name, one in demands.items()}
 
 
 def open_rooms(jobs: Iterable[Job], service: str) -> tuple[Room, Room]:
--- a/gypsumplank/coordination/job/desk.py
+++ b/gypsumplank/coordination/job/desk.py
@@ -63,10 +63,12 @@
         pause_s = RETRY_S
         tries = 1
         while True:
+            began = self._clock.monotonic()
             try:
                 new = self._store.submit(job)
             except (StateUnavailableError, StateUnknownError) as exc:
-                if self._clock.monotonic() + pause_s >= until:
+                now = self._clock.monotonic()
+                if now + pause_s + (now - began) >= until:
                     # An earlier attempt with this identifier may have been stored.
                     raise StateUnknownError(f"{exc.detail}, {tries} tries") from exc
                 self._pause.wait(pause_s)
--- a/gypsumplank/coordination/job/neighbour.py
+++ b/gypsumplank/coordination/job/neighbour.py
@@ -26,6 +26,8 @@
 FASTER = 1.5
 # Time for which a lease is left to faster neighbours, seconds; two of their looks at it.
 YIELD_S = 0.8
+# Longest time for which a daemon that could not look for others leaves the lease to them, seconds.
+UNKNOWN_S = 2.0
 
 logger = logging.getLogger(__name__)
 
@@ -67,6 +69,7 @@
         self._rng = rng
         self._speed = speed
         self._beat = 0
+        self._looks = 0
         self._seen: dict[str, Seen] = {}
 
     def step(self) -> None:
@@ -86,7 +89,8 @@
                 event(
                     logger, Event.ENTRY_DROPPED, logging.WARNING, code=exc.code, detail=exc.detail
                 )
-        if self._beat == 1 and not self._seen:
+        self._looks += 1
+        if self._looks == 1 and not self._seen:
             self.wait(SECOND_ROUND_S)
             self.step()
 
@@ -105,6 +109,7 @@
 
         Also yields while it has not looked for others yet.
         """
+        if not self._seen and self._looks < 2:
+            return UNKNOWN_S
         fastest = max((row.speed for row in self._live()), default=0.0)
-        looked = bool(self._seen) or self._beat > 1
-        return 0.0 if looked and (not self._speed or fastest < FASTER * self._speed) else YIELD_S
+        return YIELD_S if 0 < FASTER * self._speed <= fastest else 0.0
--- a/gypsumplank/coordination/job/survey.py
+++ b/gypsumplank/coordination/job/survey.py
@@ -58,8 +58,10 @@
 
     def _run(self) -> None:
         while not self._closed.is_set():
+            pause_s = RETRY_S
             try:
                 self.step()
+                pause_s = self._pause_s
             except StateError as exc:
                 event(
                     logger,
@@ -69,11 +71,9 @@
                     step=self._thread.name,
                     detail=exc.detail,
                 )
-                self._closed.wait(RETRY_S)
             except Exception:
                 logger.exception(Event.ACTOR_RESTARTED.value)
-                self._closed.wait(RETRY_S)
-            self._closed.wait(self._pause_s)
+            self._closed.wait(pause_s)
 
 
 class Survey(Loop):
--- a/gypsumplank/coordination/lease.py
+++ b/gypsumplank/coordination/lease.py
@@ -118,7 +118,11 @@
             self._keep(row, wants, now)
             return
         self._drop(name)
-        lapsed = row.lease.holder and self._lapsed(row, now)
+        # A row that names this daemon and is not its own was written by an earlier process of it.
+        orphaned = row.lease.holder == self._daemon
+        if orphaned:
+            patience_s = 0.0
+        lapsed = row.lease.holder and (orphaned or self._lapsed(row, now))
         if not lapsed and not (wants and not row.lease.holder):
             self._free_since.pop(name, None)
         elif now - self._free_since.setdefault(name, now) >= patience_s:
--- a/tests/coordination/job/test_demand.py
+++ b/tests/coordination/job/test_demand.py
@@ -43,3 +43,9 @@
     assert machines_for(Room(0, 0, 0), size) == 0
     assert machines_for(Room(8000, 100), size) == 2
     assert machines_for(Room(1000, 20000), size) == 3
+
+
+def test_a_service_whose_turn_was_not_seen_is_due_before_others():
+    demands = {"a": busy_until(6, 10.0), "b": busy_until(6, None)}
+    demands["a"].update(0, 0, 20.0)
+    assert floors(demands, 20.0) == {"a": 3, "b": 6}
--- a/tests/coordination/job/test_desk.py
+++ b/tests/coordination/job/test_desk.py
@@ -53,3 +53,14 @@
         desk.submit(QUEUE, JOB, ORDER, 3.0)
     assert desk._clock.now - 100.0 < 1.5
     assert table.commits < 3.0 / desks.MAX_RETRY_S
+
+
+def test_no_try_begins_that_could_outlast_its_time(desk, table):
+    def slow(txn):
+        desk._clock.advance(1.2)
+        raise StateUnknownError("timed out")
+
+    table.commit = slow
+    with pytest.raises(StateUnknownError):
+        desk.submit(QUEUE, JOB, ORDER, 3.0)
+    assert desk._clock.now - 100.0 < 1.5
--- a/tests/coordination/test_lease.py
+++ b/tests/coordination/test_lease.py
@@ -129,3 +129,15 @@
     held.clock.advance(2.0)
     held.of["x"].tick(("a",), (), patience_s=2.5)
     assert held.of["x"].held() == ()
+
+
+def test_a_restarted_daemon_takes_its_own_lease_back_at_once():
+    held = Holders("x", "y")
+    held.of["x"].tick(("a",), ())
+    epoch = held.of["x"].epoch("a")
+    again = Leases(LeaseStore(held.tables["x"]), held.clock, "x", LIFE_S)
+    again.tick(("a",), (), patience_s=2.5)
+    assert again.held() == ("a",)
+    assert again.epoch("a") == epoch + 1
+    with pytest.raises(StateConflictError):
+        held.of["x"].renew("a")
