Let a successor order about machines at once, but for those that were just ordered about

Cause: after each take-over no machine was moved or serviced for 3.5 s, as the order of an earlier holder might be younger than the platform's bound. The bound holds for each machine by itself. Change: an order is noted in the store before it is given; a successor reads the notes and waits only for machines of which the last is younger than the bound, by the store's clock. Pools' sizes are logged at most once a second. A slow daemon leaves the lease to faster ones that are still looking. Ruled out: telling recent orders by the machines' state and their workers' age (an order without answer would be missed).

--- a/gypsumplank/composition/platform.py
+++ b/gypsumplank/composition/platform.py
@@ -29,6 +29,7 @@
 from gypsumplank.state.clock import SystemClock
 from gypsumplank.state.job import JobStore
 from gypsumplank.state.lease import LeaseStore
+from gypsumplank.state.machine import MachineOrders
 from gypsumplank.transport.listener import ClosingDispatcher, Listener
 from gypsumplank.transport.relay import RelayServer, RelayTable
 
@@ -112,6 +113,7 @@
             lambda: self._boot.handover_s,
             lambda: leases.fence(LEASE) is not None,
             lambda work: self._chief.post(work),  # noqa: PLW0108
+            MachineOrders(self._rows, self._rows.clock_ms),
         )
         care = Care(desk, Upkeep(self._directory, desk), Pools(desk, store))
         self._chief = Chief(
--- a/gypsumplank/coordination/job/machine.py
+++ b/gypsumplank/coordination/job/machine.py
@@ -1,14 +1,14 @@
 """List machines and give orders for them, in a thread apart from the scheduler's."""
 
 import logging
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
-from typing import Any
+from typing import Any, Protocol
 
 import pykka
 
 from gypsumplank.coordination.job.port import Machines
-from gypsumplank.errors import MachineError
+from gypsumplank.errors import MachineError, StateError
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.queue import Machine, MachineState
 
@@ -17,11 +17,24 @@
 # Added to the time within which two holders may not both give orders, seconds.
 HANDOVER_MARGIN_S = 0.5
 
+# Pause before the orders of an earlier holder are read again, seconds.
+READ_AGAIN_S = 0.5
+
 Outcome = Callable[[MachineError | None], None]
 
 logger = logging.getLogger(__name__)
 
 
+class OrderLog(Protocol):
+    """Keep when each machine was last ordered about; every call may raise StateError."""
+
+    def note(self, machine: str) -> None:
+        """Note that an order for a machine is about to be given."""
+
+    def ages(self) -> Mapping[str, float]:
+        """Return how long ago each machine was ordered about, in seconds."""
+
+
 class Caller(pykka.ThreadingActor):
     """Run calls one after another."""
 
@@ -45,8 +58,10 @@
         handover_s: Callable[[], float],
         may_order: Callable[[], bool],
         post: Callable[[Callable[[], None]], None],
+        log: OrderLog,
         caller: type[Any] = Caller,
     ) -> None:
+        self._log = log
         self._caller_type = caller
         self._machines = machines
         self._holder = holder
@@ -55,7 +70,8 @@
         self.post = post
         self._caller: Any = None
         self._token = 0
-        self._began = 0.0
+        self._free_at: dict[str, float] | None = None
+        self._read_due = 0.0
         self._list_due = 0.0
         self._listing = False
         self.listed: dict[str, Machine] = {}
@@ -67,8 +83,9 @@
         """Start under a new token."""
         self.end()
         self._token = token
-        self._began = now
         self._caller = self._caller_type.start()
+        self._free_at = None
+        self._read_orders(now)
 
     def end(self) -> None:
         """Forget everything; another daemon goes on."""
@@ -82,8 +99,35 @@
         self._list_due = 0.0
 
     def may_act(self, now: float) -> bool:
-        """Tell whether an earlier holder's orders are long enough ago."""
-        return now >= self._began + self._handover_s() + HANDOVER_MARGIN_S
+        """Tell whether the orders of an earlier holder are known; read them where they are not."""
+        if self._free_at is None and now >= self._read_due:
+            self._read_orders(now)
+        return self._free_at is not None
+
+    def is_free(self, machine: str, now: float) -> bool:
+        """Tell whether an earlier holder's last order for a machine is long enough ago."""
+        return self._free_at is not None and now >= self._free_at.get(machine, 0.0)
+
+    def _read_orders(self, now: float) -> None:
+        self._read_due = now + READ_AGAIN_S
+        token = self._token
+
+        def read() -> None:
+            try:
+                ages = self._log.ages()
+            except StateError as exc:
+                event(
+                    logger, Event.STATE_UNAVAILABLE, logging.WARNING, code=exc.code, step="orders"
+                )
+                return
+            self.post(lambda: self._note_orders(token, ages, now))
+
+        self.tell(read)
+
+    def _note_orders(self, token: int, ages: Mapping[str, float], now: float) -> None:
+        if token == self._token and self._free_at is None:
+            wait_s = self._handover_s() + HANDOVER_MARGIN_S
+            self._free_at = {name: now + wait_s - age for name, age in ages.items()}
 
     def tell(self, work: Callable[[], None]) -> None:
         """Run a call in the thread for calls."""
@@ -148,6 +192,12 @@
             self.listed[machine] = replace(listed, state=state, pool=pool or listed.pool)
         outcome(failure)
 
+    def _note(self, machine: str) -> None:
+        try:
+            self._log.note(machine)
+        except StateError as exc:
+            raise MachineError(f"the order could not be noted: {exc.detail}") from exc
+
     def _order(self, machine: str, work: Callable[[], None], outcome: Outcome) -> None:
         self.calling.add(machine)
         token = self._token
@@ -155,6 +205,7 @@
         def call() -> None:
             failure: MachineError | None = None
             try:
+                self._note(machine)
                 if not self._may_order():
                     raise MachineError("the scheduler's lease is not provably held")
                 work()
--- a/gypsumplank/coordination/job/neighbour.py
+++ b/gypsumplank/coordination/job/neighbour.py
@@ -1,6 +1,7 @@
 """Keep a row for each daemon, so that all know where the others listen."""
 
 import logging
+import math
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -70,6 +71,7 @@
         self._speed = speed
         self._beat = 0
         self._looks = 0
+        self._looked_at = 0.0
         self._seen: dict[str, Seen] = {}
 
     def step(self) -> None:
@@ -90,6 +92,7 @@
                     logger, Event.ENTRY_DROPPED, logging.WARNING, code=exc.code, detail=exc.detail
                 )
         self._looks += 1
+        self._looked_at = self._looked_at or now
         if self._looks == 1 and not self._seen:
             self.wait(SECOND_ROUND_S)
             self.step()
@@ -112,4 +115,7 @@
         if not self._seen and self._looks < 2:
             return UNKNOWN_S
         fastest = max((row.speed for row in self._live()), default=0.0)
-        return YIELD_S if 0 < FASTER * self._speed <= fastest else 0.0
+        if not 0 < FASTER * self._speed <= fastest:
+            return 0.0
+        # Faster neighbours that have started with this one may still be looking.
+        return YIELD_S if self._clock.monotonic() >= self._looked_at + YIELD_S else math.inf
--- a/gypsumplank/coordination/job/pool.py
+++ b/gypsumplank/coordination/job/pool.py
@@ -1,8 +1,8 @@
 """Size each service's pool of machines to its demand by moves to and from standby."""
 
 import logging
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import asdict, dataclass, field
 from typing import Protocol
 
 from gypsumplank.coordination.job.demand import Demand, floors, machines_for, open_rooms
@@ -22,6 +22,8 @@
 PLAN_S = 0.2
 # Pause before a machine whose move failed is moved again, seconds.
 AGAIN_S = 3.0
+# Time between log lines about one pool, seconds.
+TELL_S = 1.0
 # Pause before the pools' first sizes are asked for again, seconds.
 SIZES_AGAIN_S = 1.0
 
@@ -44,6 +46,15 @@
     life: str
 
 
+@dataclass(frozen=True)
+class PoolSize:
+    """Hold how many machines a pool has or will have, asks for by its tasks, and keeps."""
+
+    size: int
+    asks: int
+    keeps: int
+
+
 @dataclass(frozen=True)
 class Balance:
     """Hold counts of machines by pool in one round of planning.
@@ -86,6 +97,8 @@
         self._not_before: dict[str, float] = {}
         self._due = 0.0
         self._sizes_due = 0.0
+        self._told: dict[str, PoolSize] = {}
+        self._tell_due = 0.0
 
     def clear(self) -> None:
         """Forget everything."""
@@ -137,15 +150,12 @@
 
     def _measure(self, jobs: Iterable[Job], members: dict[str, list[Site]], now: float) -> None:
         jobs = list(jobs)
+        anywhere = [site.entry.room for sites in members.values() for site in sites]
         for service, sites in members.items():
-            rooms = [site.entry.room for site in sites]
+            rooms = [site.entry.room for site in sites] or anywhere
             if not rooms:
-                continue
-            size = Room(
-                min(room.cpu for room in rooms),
-                min(room.memory_mb for room in rooms),
-                min(room.accelerators for room in rooms),
-            )
+                return
+            size = _least(rooms)
             total, passing = open_rooms(jobs, service)
             self._demands[service].update(
                 machines_for(total, size), machines_for(passing, size), now
@@ -189,8 +199,20 @@
             balance.lacks[name] = max(kept[name], demand.present) - count
             balance.spare[name] = count - max(kept[name], demand.level)
             balance.lent[name] = 0 if demand.is_busy(now) else count - demand.low
+        self._tell(balance, kept, now)
         return balance
 
+    def _tell(self, balance: Balance, kept: Mapping[str, int], now: float) -> None:
+        """Log the pools that have changed, each at most once in a while."""
+        if now < self._tell_due:
+            return
+        self._tell_due = now + TELL_S
+        for name, demand in self._demands.items():
+            size = PoolSize(demand.present - balance.asks.get(name, 0), demand.present, kept[name])
+            if name in balance.asks and self._told.get(name) != size:
+                self._told[name] = size
+                event(logger, Event.POOL_CHANGED, pool=name, **asdict(size))
+
     def _recall(self, members: list[Site], most: int) -> int:
         """Keep machines that were about to leave a pool; return how many."""
         leaving = [one for one in members if one.entry.machine in self._leaving]
@@ -224,7 +246,8 @@
 
     def _is_free(self, machine: str, now: float) -> bool:
         taken = machine in self._desk.reserved or machine in self._desk.calling
-        return not (taken or machine in self._leaving or now < self._not_before.get(machine, 0.0))
+        waits = now < self._not_before.get(machine, 0.0) or not self._desk.is_free(machine, now)
+        return not (taken or waits or machine in self._leaving)
 
     def _count(self, service: str, members: list[Site], sites: dict[str, Site]) -> int:
         """Return how many machines a pool has, or will have once all orders are done."""
@@ -298,6 +321,14 @@
             site.leaving = False
 
 
+def _least(rooms: Sequence[Room]) -> Room:
+    return Room(
+        min(room.cpu for room in rooms),
+        min(room.memory_mb for room in rooms),
+        min(room.accelerators for room in rooms),
+    )
+
+
 def _members(service: str, sites: dict[str, Site]) -> list[Site]:
     return [
         site
--- a/gypsumplank/coordination/job/upkeep.py
+++ b/gypsumplank/coordination/job/upkeep.py
@@ -151,7 +151,7 @@
                 if progress.busy >= progress.wave.cap:
                     break
                 site = sites.get(machine)
-                if site is None or not site.tasks:
+                if self._desk.is_free(machine, now) and (site is None or not site.tasks):
                     self._order(scheduler, progress, machine, site)
             self._tell_state(progress)
 
--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -78,6 +78,7 @@
     SCHEDULER_LEFT = "scheduler-left", "This daemon no longer runs the jobs."
     ROUND_FAILED = "round-failed", "A round's changes were not stored; they come again."
     UPKEEP_ORDERED = "upkeep-ordered", "A machine's upkeep was ordered."
+    POOL_CHANGED = "pool-changed", "A pool's size, or what it asks for or keeps, changed."
     MACHINE_MOVED = "move-ordered", "A machine's move to another pool was ordered."
     MACHINE_FAILED = "machine-failed", "A call about machines failed."
     RELOADED = "reloaded", "The settings file changed and was read again."
--- a/tests/coordination/job/test_neighbour.py
+++ b/tests/coordination/job/test_neighbour.py
@@ -1,3 +1,4 @@
+import math
 import random
 import threading
 
@@ -42,6 +43,8 @@
         one.step()
     for one in (large, small, alike):
         one.step()
+    assert small.patience_s() == math.inf
+    town.clock.advance(YIELD_S)
     assert [one.patience_s() for one in (large, small, alike)] == [0.0, YIELD_S, 0.0]
 
 
--- a/tests/coordination/job/world.py
+++ b/tests/coordination/job/world.py
@@ -19,6 +19,7 @@
 from gypsumplank.state.feed import MemoryFeedTable
 from gypsumplank.state.job import JobStore
 from gypsumplank.state.lease import LeaseStore
+from gypsumplank.state.machine import MachineOrders
 from standins.farm import Farm
 from tests.faulty import FaultyTable
 
@@ -236,6 +237,7 @@
             lambda: 3.0,
             lambda: True,
             lambda work: self.chief.post(work),  # noqa: PLW0108
+            MachineOrders(self.table, lambda: int(world.clock.now * 1000)),
             _AtOnce,
         )
         care = Care(desk, Upkeep(self.directory, desk), Pools(desk, store))
