Pace waves over their time, hand the lease to faster daemons, and stop looking for room that is not there

Change: machines that run nothing have their upkeep first; others as many at once as the wave's time demands; lasting tasks prefer machines that are through. The wave's first sight and each order's wave are stored, so a successor keeps the pace and leaves alone what was ordered. A holder with live neighbours 1.5 times as fast gives the lease up, at most every 10 s. A round remembers which need found no room. Ruled out: the store's rate (two 429 in a slow spell only).

--- a/gypsumplank/composition/platform.py
+++ b/gypsumplank/composition/platform.py
@@ -123,7 +123,7 @@
             lambda: min(TASK_LEASE_S, self._boot.max_lease_s),
             care,
             heartbeat_s=boot.heartbeat_s,
-            patience_s=self._neighbours.patience_s,
+            rivals=self._neighbours,
         )
 
     def _make_listeners(self) -> None:
--- a/gypsumplank/coordination/job/chief.py
+++ b/gypsumplank/coordination/job/chief.py
@@ -10,7 +10,7 @@
 from gypsumplank.coordination.job.permit import Permits
 from gypsumplank.coordination.job.scheduler import Scheduler
 from gypsumplank.coordination.job.survey import Sighted
-from gypsumplank.coordination.job.term import Care, Crew, Ports, Term, ThreadCrew
+from gypsumplank.coordination.job.term import Care, Crew, NoRivals, Ports, Rivals, Term, ThreadCrew
 from gypsumplank.errors import (
     GypsumplankError,
     JobMissingError,
@@ -38,6 +38,9 @@
 # Time after an outage of the store in which workers' entries may still be missing, seconds; the
 # platform states about two.
 ENTRIES_BACK_S = 2.5
+# Least time of holding the lease before it is handed to a faster daemon, seconds; as long as a
+# daemon that ended may be taken for live.
+YIELD_AFTER_S = 10.0
 # Longest pause between rounds, seconds; bounds how late a timer fires.
 ROUND_S = 0.2
 
@@ -56,9 +59,9 @@
         care: Care,
         crew: Crew | None = None,
         heartbeat_s: float = 1.5,
-        patience_s: Callable[[], float] = lambda: 0.0,
+        rivals: Rivals | None = None,
     ) -> None:
-        self._patience_s = patience_s
+        self._rivals = rivals or NoRivals()
         self._heartbeat_s = heartbeat_s
         self._ports = ports
         self._crew = crew or ThreadCrew(ports, clock, max_lease_s)
@@ -73,6 +76,7 @@
         self._lease_due = 0.0
         self._must_renew = False
         self._store_lost = False
+        self._yield_due = 0.0
         self._regained_at = -ENTRIES_BACK_S
 
     @property
@@ -128,6 +132,10 @@
         leases = self._ports.leases
         self._lease_due = self._clock.monotonic() + LEASE_TICK_S
         if self._term is not None and leases.fence(LEASE) is not None:
+            if self._yields():
+                self._resign("yield")
+                leases.close()
+                return
             if self._renew() or self._store_lost:
                 return
             self._lease_due = self._clock.monotonic() + LEASE_TICK_S
@@ -143,6 +151,14 @@
         if self._term is None and epoch is not None and leases.fence(LEASE) is not None:
             self._take_over(epoch)
 
+    def _yields(self) -> bool:
+        """Tell whether a faster daemon should run the scheduler."""
+        now = self._clock.monotonic()
+        if now < self._yield_due or self._store_lost or not self._rivals.are_faster():
+            return False
+        self._yield_due = now + YIELD_AFTER_S
+        return True
+
     def _note_store(self, exc: StateError | None) -> None:
         if (exc is not None) == self._store_lost:
             return
@@ -156,7 +172,7 @@
     def _patience(self) -> float:
         """Return for how long a free lease is left to others, seconds."""
         regained = self._clock.monotonic() < self._regained_at + 2 * REGAIN_S
-        return max(self._patience_s(), REGAIN_S if regained or self._store_lost else 0.0)
+        return max(self._rivals.patience_s(), REGAIN_S if regained or self._store_lost else 0.0)
 
     def _take_over(self, epoch: int) -> None:
         if self._manifest() is None:
@@ -190,6 +206,7 @@
         for watch in term.watches:
             watch.start()
         self._term = term
+        self._yield_due = max(self._yield_due, now + LEASE_TICK_S)
         self._care.begin(epoch, now)
         event(
             logger,
--- a/gypsumplank/coordination/job/machine.py
+++ b/gypsumplank/coordination/job/machine.py
@@ -10,7 +10,7 @@
 from gypsumplank.coordination.job.port import Machines
 from gypsumplank.errors import MachineError, StateError
 from gypsumplank.log import Event, event
-from gypsumplank.protocol.queue import Machine, MachineState
+from gypsumplank.protocol.queue import Machine, MachineState, OrderNote
 
 # Time between reads of the list of machines, seconds; below the time of a move.
 LIST_S = 0.6
@@ -28,11 +28,17 @@
 class OrderLog(Protocol):
     """Keep when each machine was last ordered about; every call may raise StateError."""
 
-    def note(self, machine: str) -> None:
-        """Note that an order for a machine is about to be given."""
+    def note(self, machine: str, wave: int = 0) -> None:
+        """Note that an order for a machine is about to be given, for a wave if it is one's."""
 
-    def ages(self) -> Mapping[str, float]:
-        """Return how long ago each machine was ordered about, in seconds."""
+    def notes(self) -> Mapping[str, OrderNote]:
+        """Return the last order of each machine."""
+
+    def age_s(self, note: OrderNote) -> float:
+        """Return how long ago an order was noted, in seconds."""
+
+    def begun(self, wave: int) -> float:
+        """Return how long ago a wave was first seen by any daemon, in seconds."""
 
 
 class Caller(pykka.ThreadingActor):
@@ -49,7 +55,10 @@
 
 
 class MachineDesk:
-    """Hold the list of machines, and which of them an order is under way for."""
+    """Hold the list of machines, and which of them an order is under way for.
+
+    `serviced` tells for which wave an earlier holder ordered a machine's upkeep last, 0 for none.
+    """
 
     def __init__(
         self,
@@ -61,7 +70,7 @@
         log: OrderLog,
         caller: type[Any] = Caller,
     ) -> None:
-        self._log = log
+        self.log = log
         self._caller_type = caller
         self._machines = machines
         self._holder = holder
@@ -76,6 +85,7 @@
         self._listing = False
         self.listed: dict[str, Machine] = {}
         self.listed_at = 0.0
+        self.serviced: dict[str, int] = {}
         self.calling: set[str] = set()
         self.reserved: set[str] = set()
 
@@ -93,6 +103,7 @@
             self._caller.stop(block=False)
             self._caller = None
         self.listed.clear()
+        self.serviced.clear()
         self.calling.clear()
         self.reserved.clear()
         self._listing = False
@@ -114,20 +125,25 @@
 
         def read() -> None:
             try:
-                ages = self._log.ages()
+                notes = self.log.notes()
+                ages = {name: self.log.age_s(note) for name, note in notes.items()}
             except StateError as exc:
                 event(
                     logger, Event.STATE_UNAVAILABLE, logging.WARNING, code=exc.code, step="orders"
                 )
                 return
-            self.post(lambda: self._note_orders(token, ages, now))
+            waves = {name: note.wave for name, note in notes.items()}
+            self.post(lambda: self._note_orders(token, ages, waves, now))
 
         self.tell(read)
 
-    def _note_orders(self, token: int, ages: Mapping[str, float], now: float) -> None:
+    def _note_orders(
+        self, token: int, ages: Mapping[str, float], waves: dict[str, int], now: float
+    ) -> None:
         if token == self._token and self._free_at is None:
             wait_s = self._handover_s() + HANDOVER_MARGIN_S
             self._free_at = {name: now + wait_s - age for name, age in ages.items()}
+            self.serviced = waves
 
     def tell(self, work: Callable[[], None]) -> None:
         """Run a call in the thread for calls."""
@@ -167,6 +183,7 @@
             machine,
             lambda: self._machines.upkeep(machine, wave, self._holder, token),
             lambda failure: self._tell(failure, machine, outcome, MachineState.UPKEEP),
+            wave,
         )
 
     def move(self, machine: str, pool: str, outcome: Outcome) -> None:
@@ -192,20 +209,22 @@
             self.listed[machine] = replace(listed, state=state, pool=pool or listed.pool)
         outcome(failure)
 
-    def _note(self, machine: str) -> None:
+    def _note(self, machine: str, wave: int) -> None:
         try:
-            self._log.note(machine)
+            self.log.note(machine, wave)
         except StateError as exc:
             raise MachineError(f"the order could not be noted: {exc.detail}") from exc
 
-    def _order(self, machine: str, work: Callable[[], None], outcome: Outcome) -> None:
+    def _order(
+        self, machine: str, work: Callable[[], None], outcome: Outcome, wave: int = 0
+    ) -> None:
         self.calling.add(machine)
         token = self._token
 
         def call() -> None:
             failure: MachineError | None = None
             try:
-                self._note(machine)
+                self._note(machine, wave)
                 if not self._may_order():
                     raise MachineError("the scheduler's lease is not provably held")
                 work()
--- a/gypsumplank/coordination/job/neighbour.py
+++ b/gypsumplank/coordination/job/neighbour.py
@@ -107,6 +107,11 @@
         live = [row.address for row in self._live()]
         return self._rng.sample(live, len(live))
 
+    def are_faster(self) -> bool:
+        """Tell whether a live neighbour is the better scheduler."""
+        fastest = max((row.speed for row in self._live()), default=0.0)
+        return 0 < FASTER * self._speed <= fastest
+
     def patience_s(self) -> float:
         """Return for how long this daemon leaves a free lease to others, seconds.
 
@@ -114,8 +119,7 @@
         """
         if not self._seen and self._looks < 2:
             return UNKNOWN_S
-        fastest = max((row.speed for row in self._live()), default=0.0)
-        if not 0 < FASTER * self._speed <= fastest:
+        if not self.are_faster():
             return 0.0
         # Faster neighbours that have started with this one may still be looking.
         return YIELD_S if self._clock.monotonic() >= self._looked_at + YIELD_S else math.inf
--- a/gypsumplank/coordination/job/placing.py
+++ b/gypsumplank/coordination/job/placing.py
@@ -69,6 +69,7 @@
         self._now = now
         self._sites: dict[str, list[Site]] = {}
         self._free: dict[str, Room] = {}
+        self._refused: dict[str, list[Room]] = {}
         for site in sites:
             if site.takes_work(now):
                 self._sites.setdefault(site.entry.service, []).append(site)
@@ -92,6 +93,7 @@
         if order.gang and len(placed) < len(waiting.step.tasks):
             for one in placed:
                 self._free[one.site.id] = self._free[one.site.id] + counted(order)
+            self._refused.clear()
             return []
         return placed
 
@@ -103,6 +105,9 @@
     ) -> Site | None:
         order = task.step.order
         need = counted(order)
+        service = waiting.job.service
+        if any(need.holds(refused) for refused in self._refused.get(service, ())):
+            return None
         able = self._able(waiting, task)
         fitting = (
             site
@@ -110,7 +115,12 @@
             if self._free[site.id].holds(need)
             and (not order.max_per_worker or held[site.id] < order.max_per_worker)
         )
-        return min(fitting, key=lambda site: self._rank(site, order, held, racks), default=None)
+        site = min(fitting, key=lambda one: self._rank(one, order, held, racks), default=None)
+        everywhere = len(able) == len(self._sites.get(service, ()))
+        if site is None and everywhere and not order.max_per_worker:
+            # Room only shrinks within a round, so as much or more finds none either.
+            self._refused.setdefault(service, []).append(need)
+        return site
 
     def _able(self, waiting: Waiting, task: Task) -> list[Site]:
         """Return the sites to consider, without those where the task or others failed."""
@@ -132,7 +142,8 @@
             others = [one.step.order for one in site.tasks.values() if one.step.order.lasting]
             clash = sum(1 for one in others if one.fills != order.fills)
             crowd = held[site.id] // TOGETHER
-            return (clash, crowd, racks[site.rack] // TOGETHER, -len(others), -free.cpu)
+            spread = racks[site.rack] // TOGETHER
+            return (clash, site.due, crowd, spread, -len(others), -free.cpu)
         far = float(bool(order.preferred_rack) and site.rack != order.preferred_rack)
         together = -racks[site.rack] if order.same_rack else 0
         return (far, together, free.cpu)
--- a/gypsumplank/coordination/job/site.py
+++ b/gypsumplank/coordination/job/site.py
@@ -50,7 +50,8 @@
     """Hold what this daemon knows of one worker life; times are monotonic seconds.
 
     `refreshed_at` is when its entry was last seen to change, `covered_until` when every lease
-    that was given is over at the latest, `noted` and `acked` the ends taken in and confirmed.
+    that was given is over at the latest, `noted` and `acked` the ends taken in and confirmed, `due`
+    that its machine's upkeep is still to come.
     """
 
     entry: WorkerEntry
@@ -66,6 +67,7 @@
     failures: int = 0
     last_failed_job: str = ""
     leaving: bool = False
+    due: bool = False
     noted: int = 0
     acked: int = 0
     tasks: dict[str, Task] = field(default_factory=dict)
--- a/gypsumplank/coordination/job/term.py
+++ b/gypsumplank/coordination/job/term.py
@@ -58,6 +58,28 @@
             self._pools.act(scheduler, manifest, now)
 
 
+class Rivals(Protocol):
+    """Tell of other daemons that may run the scheduler."""
+
+    def are_faster(self) -> bool:
+        """Tell whether a live one is the better scheduler."""
+
+    def patience_s(self) -> float:
+        """Return for how long this daemon leaves a free lease to others, seconds."""
+
+
+class NoRivals:
+    """Leave the lease to nobody."""
+
+    def are_faster(self) -> bool:
+        """Tell that there is no other."""
+        return False
+
+    def patience_s(self) -> float:
+        """Return no time."""
+        return 0.0
+
+
 class Crew(Protocol):
     """Make what works beside the scheduler's thread during one term."""
 
--- a/gypsumplank/coordination/job/upkeep.py
+++ b/gypsumplank/coordination/job/upkeep.py
@@ -1,8 +1,9 @@
 """Bring every machine of a wave through its upkeep, within the wave's cap and steps' budgets."""
 
 import logging
+import math
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
 from gypsumplank.coordination.job.eviction import may_take
@@ -17,6 +18,11 @@
 
 # Time between looks for waves, seconds; far below a wave's duration.
 LOOK_S = 1.0
+# Share of a wave's time after which all its machines should have begun; the rest is for those that
+# cannot be emptied sooner.
+DONE_SHARE = 0.75
+# Time from choosing a machine that is at work to the end of its upkeep, seconds.
+CYCLE_S = 6.0
 # Machines that drain ahead of a free place under the cap.
 AHEAD = 1
 # Longest wait for tasks that cannot save their progress, seconds.
@@ -33,11 +39,12 @@
 class WaveProgress:
     """Hold one wave's progress.
 
-    `draining` and `down` map machines to since when; `told` is whether completion was reported
-    last, None where nothing was.
+    `began` is when the wave was first seen, `draining` and `down` map machines to since when;
+    `told` is whether completion was reported last, None where nothing was.
     """
 
     wave: UpkeepWave
+    began: float = 0.0
     told: bool | None = None
     draining: dict[str, float] = field(default_factory=dict)
     calling: set[str] = field(default_factory=set)
@@ -55,6 +62,12 @@
         """Return how many machines are down for the wave or may be."""
         return len(self.down) + len(self.calling)
 
+    def pace(self, now: float) -> int:
+        """Return how many machines that are at work have to be on their way at once."""
+        left = len(self.wave.machines) - len(self.done.intersection(self.wave.machines))
+        left_s = self.began + DONE_SHARE * self.wave.duration_s - now
+        return math.ceil(left * CYCLE_S / max(CYCLE_S, left_s))
+
     def waits(self, machine: str, now: float) -> bool:
         """Tell whether a machine's upkeep has yet to be prepared."""
         taken = machine in self.done or machine in self.draining or machine in self.calling
@@ -89,23 +102,35 @@
         self._look_due = now + LOOK_S
 
         def look() -> None:
+            ages: dict[int, float] = {}
             waves: Sequence[UpkeepWave] = ()
-            completed: frozenset[int] = frozenset()
             try:
-                waves = self._directory.waves()
                 completed = self._directory.completed_waves()
+                waves = [one for one in self._directory.waves() if one.number not in completed]
+                known = self._waves.keys()
+                ages = {
+                    one.number: self._desk.log.begun(one.number)
+                    for one in waves
+                    if one.number not in known
+                }
             except StateError as exc:
                 event(logger, Event.STATE_UNAVAILABLE, logging.WARNING, code=exc.code, step="wave")
-            self._desk.post(lambda: self._looked(waves, completed))
+            self._desk.post(lambda: self._looked(waves, ages, now))
 
         self._desk.tell(look)
 
-    def _looked(self, waves: Sequence[UpkeepWave], completed: frozenset[int]) -> None:
+    def _looked(self, waves: Sequence[UpkeepWave], ages: Mapping[int, float], now: float) -> None:
         self._looking = False
         for wave in waves:
-            if wave.number not in completed and wave.number not in self._waves:
-                self._waves[wave.number] = WaveProgress(wave)
-                event(logger, Event.WAVE_CHANGED, wave=wave.number, machines=len(wave.machines))
+            if wave.number in ages and wave.number not in self._waves:
+                self._waves[wave.number] = WaveProgress(wave, now - ages[wave.number])
+                event(
+                    logger,
+                    Event.WAVE_CHANGED,
+                    wave=wave.number,
+                    machines=len(wave.machines),
+                    age_s=round(ages[wave.number], 1),
+                )
 
     def plan(self, scheduler: Scheduler, now: float) -> None:
         """Choose machines to empty and ask for their tasks to stop."""
@@ -116,6 +141,11 @@
         for progress in self._waves.values():
             self._note_back(progress)
             self._choose(progress, sites, now)
+            for machine in progress.wave.machines:
+                site = sites.get(machine)
+                if site is not None:
+                    serviced = self._desk.serviced.get(machine) == progress.wave.number
+                    site.due = machine not in progress.done and not serviced
             for machine, since in progress.draining.items():
                 site = sites.get(machine)
                 if site is not None:
@@ -129,18 +159,33 @@
                 del progress.down[machine]
 
     def _choose(self, progress: WaveProgress, sites: dict[str, Site], now: float) -> None:
-        wanted = progress.wave.cap + AHEAD - progress.busy - len(progress.draining)
-        if wanted <= 0 or not self._desk.listed:
+        room = progress.wave.cap + AHEAD - progress.busy - len(progress.draining)
+        if room <= 0 or not self._desk.listed:
             return
         left = [
             machine
             for machine in progress.wave.machines
             if progress.waits(machine, now) and machine not in self._desk.reserved
         ]
-        for machine in sorted(left, key=lambda one: _load(sites.get(one)))[:wanted]:
+        idle = [one for one in left if not self._runs(sites.get(one))]
+        at_work = [one for one in left if self._runs(sites.get(one))]
+        # What an earlier holder ordered is probably done; to make sure ends what runs there if not.
+        doubtful = [one for one in at_work if self._desk.serviced.get(one) == progress.wave.number]
+        if len(doubtful) < len(at_work):
+            at_work = [one for one in at_work if one not in set(doubtful)]
+        if idle:
+            # Lasting tasks should find machines whose upkeep is over.
+            at_work = [one for one in at_work if not _load(sites.get(one))[0]]
+        at_work.sort(key=lambda one: _load(sites.get(one)))
+        paced = max(0, progress.pace(now) - progress.busy - len(progress.draining))
+        for machine in [*idle, *at_work[:paced]][:room]:
             progress.draining[machine] = now
             self._desk.reserved.add(machine)
 
+    @staticmethod
+    def _runs(site: Site | None) -> bool:
+        return site is not None and bool(site.tasks)
+
     def act(self, scheduler: Scheduler, now: float) -> None:
         """Order the upkeep of machines that are empty."""
         if not self._desk.may_act(now):
--- a/gypsumplank/protocol/queue.py
+++ b/gypsumplank/protocol/queue.py
@@ -68,6 +68,14 @@
     cap: int
 
 
+@dataclass(frozen=True)
+class OrderNote:
+    """Hold when a machine was last ordered about, ms of the store's clock, and for which wave."""
+
+    at_ms: int
+    wave: int = 0
+
+
 class MachineState(StrEnum):
     """Tell what a machine does."""
 
--- a/tests/coordination/job/test_chief.py
+++ b/tests/coordination/job/test_chief.py
@@ -291,3 +291,36 @@
     world.submit("b" * 16)
     world.run(2.0)
     assert world.state("b" * 16) == "completed"
+
+
+class FasterRivals:
+    def are_faster(self):
+        return True
+
+    def patience_s(self):
+        return 0.8
+
+
+def test_a_slow_holder_hands_the_lease_to_a_faster_daemon_once():
+    world = World(1)
+    world.run(1.0)
+    slow = world.leader()
+    (fast,) = (one for one in world.daemons if one is not slow)
+    slow.chief._rivals = FasterRivals()
+    world.run(2.0)
+    assert world.leader() is fast
+    assert not slow.chief.leads
+
+
+def test_a_slow_holder_goes_on_if_no_faster_daemon_takes_the_lease():
+    world = World(1)
+    world.run(1.0)
+    slow = world.leader()
+    for one in world.daemons:
+        one.asleep = one is not slow
+    slow.chief._rivals = FasterRivals()
+    world.run(4.0)
+    assert slow.chief.leads
+    epoch = slow.leases.epoch("scheduler")
+    world.run(4.0)
+    assert slow.leases.epoch("scheduler") == epoch
--- a/tests/coordination/job/test_machines.py
+++ b/tests/coordination/job/test_machines.py
@@ -5,7 +5,7 @@
 from gypsumplank.coordination.job.machine import MachineDesk
 from gypsumplank.errors import StateUnavailableError
 from gypsumplank.protocol.job import Room, StepOrder
-from gypsumplank.protocol.queue import Manifest, Queue, ServicePolicy, UpkeepWave
+from gypsumplank.protocol.queue import Manifest, OrderNote, Queue, ServicePolicy, UpkeepWave
 from tests.coordination.job.world import (
     MANIFEST,
     QUEUE,
@@ -71,12 +71,15 @@
     def __init__(self, ages):
         self.kept, self.noted, self.out = ages, [], False
 
-    def ages(self):
+    def notes(self):
         if self.out:
             raise StateUnavailableError("out")
-        return self.kept
+        return {name: OrderNote(-round(age * 1000)) for name, age in self.kept.items()}
 
-    def note(self, machine):
+    def age_s(self, note):
+        return -note.at_ms / 1000
+
+    def note(self, machine, wave=0):
         if self.out:
             raise StateUnavailableError("out")
         self.noted.append(machine)
@@ -229,3 +232,42 @@
     world.run(20.0)
     assert told(world) == [True]
     assert not [one for one in world.machines.orders if one[0] == "move"]
+
+
+def test_a_machine_at_work_is_left_alone_while_a_wave_has_time(world):
+    for number in range(24):
+        world.submit(f"{number:016x}", (StepOrder(2, Room(4000, 100), 4000),), spec="3")
+    world.run(0.5)
+    machines = tuple(one.entry.machine for one in world.farm.workers.values())
+    world.waves.append(UpkeepWave(1, machines, 120.0, 6))
+    world.run(6.0)
+    assert len(world.machines.orders) <= 2
+    world.run(100.0)
+    assert told(world) == [True]
+
+
+def test_a_successor_does_not_empty_machines_whose_upkeep_was_ordered(world):
+    wave(world, cap=6)
+    world.run(2.2)
+    assert len(world.machines.orders) == 6
+    world.run(3.0)
+    for number in range(12):
+        world.submit(f"{number:016x}", (StepOrder(2, Room(4000, 100), 4000),), spec="4")
+    world.run(0.5)
+    world.leader().boot()
+    world.run(3.0)
+    assert len(world.machines.orders) <= 7
+    assert not any(
+        one.kind is not None and one.kind.value == "stopped" for one in world.farm.history
+    )
+
+
+def test_a_lasting_task_goes_to_a_machine_whose_upkeep_is_over(world):
+    world.submit("a" * 16, (lasting(4, 1),), spec="100000")
+    world.run(2.0)
+    machines = wave(world, cap=2)
+    world.run(40.0)
+    assert told(world) == [True]
+    starts = [one for one in world.farm.history if one.run > 2]
+    assert len(machines) == 6
+    assert not starts
--- a/tests/coordination/job/test_neighbour.py
+++ b/tests/coordination/job/test_neighbour.py
@@ -33,6 +33,7 @@
 def test_a_daemon_yields_until_it_has_looked_for_others(town):
     one = town.daemon("a", 1.0)
     assert one.patience_s() == UNKNOWN_S
+    assert not one.are_faster()
     one.step()
     assert one.patience_s() == 0.0
 
@@ -44,6 +45,7 @@
     for one in (large, small, alike):
         one.step()
     assert small.patience_s() == math.inf
+    assert [one.are_faster() for one in (large, small, alike)] == [False, True, False]
     town.clock.advance(YIELD_S)
     assert [one.patience_s() for one in (large, small, alike)] == [0.0, YIELD_S, 0.0]
 
