Carry waits and waves over a take-over, make room at one worker, and begin waves with lasting tasks

While a lasting task waited, room was made for it at another worker every round (up to 40 runs stopped a second). Change: worker lives that a holder can't reach are put on record with the time of its take-over; their wait goes on from there, and they get no longer lease before they are off the record. Machines that were ordered for a wave count as down until that order is old enough. Room is made at one worker until a stop goes unanswered. Of a wave's machines that are at work, those with lasting tasks begin as their steps' budgets allow; half of the wave's time is planned for all. The stand-in counted a machine that was ordered twice as two that are down; it counts machines now.

--- a/gypsumplank/composition/platform.py
+++ b/gypsumplank/composition/platform.py
@@ -105,7 +105,8 @@
         )
         advisor = HttpAdvisor(Client(boot.advice, ADVICE_TIMEOUT_S, 1)) if boot.advice else None
         store = JobStore(self._rows)
-        ports = Ports(store, self._rows, self._directory, HttpWorkers(), leases, advisor)
+        clock_ms = self._rows.clock_ms
+        ports = Ports(store, self._rows, self._directory, HttpWorkers(), leases, advisor, clock_ms)
         machines = HttpMachines(Client(boot.machines, MACHINES_TIMEOUT_S, 1))
         desk = MachineDesk(
             machines,
@@ -113,7 +114,7 @@
             lambda: self._boot.handover_s,
             lambda: leases.fence(LEASE) is not None,
             lambda work: self._chief.post(work),  # noqa: PLW0108
-            MachineOrders(self._rows, self._rows.clock_ms),
+            MachineOrders(self._rows, clock_ms),
         )
         care = Care(desk, Upkeep(self._directory, desk), Pools(desk, store))
         self._chief = Chief(
--- a/gypsumplank/coordination/job/chief.py
+++ b/gypsumplank/coordination/job/chief.py
@@ -9,6 +9,7 @@
 from gypsumplank.coordination.job.model import Job
 from gypsumplank.coordination.job.permit import Permits
 from gypsumplank.coordination.job.scheduler import Scheduler
+from gypsumplank.coordination.job.silence import Silences
 from gypsumplank.coordination.job.survey import Sighted
 from gypsumplank.coordination.job.term import Care, Crew, NoRivals, Ports, Rivals, Term, ThreadCrew
 from gypsumplank.errors import (
@@ -73,6 +74,7 @@
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._run, name="chief", daemon=True)
         self._term: Term | None = None
+        self._silences = Silences(ports.store, ports.store_ms)
         self._lease_due = 0.0
         self._must_renew = False
         self._store_lost = False
@@ -188,6 +190,8 @@
         )
         scheduler.load(jobs, entries)
         now = self._clock.monotonic()
+        cover_s = HOLD_ON_S + self._max_lease_s()
+        self._silences.begin(scheduler.sites.values(), cover_s, now)
         scheduler.workload.ended.update(dict.fromkeys(ended, now))
         post = self._post_for(epoch)
         courier = self._crew.courier(epoch, post, self._may_extend, scheduler.hear)
@@ -284,7 +288,7 @@
             return
         self._care.upkeep.plan(scheduler, self._clock.monotonic())
         scheduler.plan()
-        if self._commit(term):
+        if self._commit(term) and self._note_silences(scheduler):
             scheduler.dispatch()
             self._care.act(scheduler, self._manifest(), self._clock.monotonic())
         if scheduler.fenced:
@@ -329,6 +333,21 @@
                 term.scheduler.workload.stored(jobs[id(unit)], unit, version, now)
         return True
 
+    def _note_silences(self, scheduler: Scheduler) -> bool:
+        fence = self._ports.leases.fence(LEASE)
+        if fence is None:
+            return False
+        try:
+            self._silences.step(fence, scheduler.sites.values(), self._clock.monotonic())
+        except StateConflictError:
+            self._tick_lease()
+            return False
+        except StateError as exc:
+            self._must_renew = isinstance(exc, StateUnknownError)
+            event(logger, Event.ROUND_FAILED, logging.WARNING, code=exc.code, detail=exc.detail)
+            return False
+        return True
+
     def _note_failed(self, exc: StateError, batch: list[Unit]) -> None:
         event(
             logger,
--- a/gypsumplank/coordination/job/courier.py
+++ b/gypsumplank/coordination/job/courier.py
@@ -15,6 +15,8 @@
 
 # Longest wait of a hold for an end, seconds; a silent channel shows after this and a timeout.
 HOLD_WAIT_S = 1.0
+# Longest wait while a lasting task starts, seconds; its start frees its step's budget.
+STARTING_WAIT_S = 0.3
 # Longest wait for the scheduler to store ends before the next hold, seconds.
 STORED_WAIT_S = 0.5
 # Orders under way at once; those without an answer keep a thread until their time is over.
@@ -155,9 +157,12 @@
 
     def _look(self, site: Site, longest_s: float) -> Heard:
         sent_at = self._clock.monotonic()
-        extends = bool(site.tasks) and not site.missed and self._may_extend()
+        wants = bool(site.tasks) and not site.missed and not site.held_back
+        extends = wants and self._may_extend()
         until_ms = site.covers(sent_at, self._lease_s()) if extends else None
-        wait_s = longest_s if site.contacted_at and not site.missed else 0.0
+        wait_s = min(longest_s, STARTING_WAIT_S) if site.has_starting() else longest_s
+        if not site.contacted_at or site.missed:
+            wait_s = 0.0
         report = self._control.hold(site.entry, self._token, until_ms, site.acked, wait_s)
         answered_at = self._clock.monotonic()
         site.clock.learn(report.clock_ms, answered_at)
--- a/gypsumplank/coordination/job/eviction.py
+++ b/gypsumplank/coordination/job/eviction.py
@@ -4,19 +4,20 @@
 
 from gypsumplank.coordination.job.model import Task
 from gypsumplank.coordination.job.placing import counted
-from gypsumplank.coordination.job.site import Site
+from gypsumplank.coordination.job.site import AT_WORK, Site
 from gypsumplank.protocol.job import Room, StepOrder, TaskPhase
 from gypsumplank.protocol.worker import WorkerState
 
-# Percent of its capacity at which a lasting task is at work.
-AT_WORK = 100
 # Age of the last sight of a run up to which it counts as at work, seconds; under the time after
 # which the platform counts a task as away.
 SEEN_S = 2.0
-# Wait of a lasting task after which others make room for it, seconds; a third of the platform's.
-ROOM_WAIT_S = 1.0
+# Wait of a lasting task after which others make room for it, seconds; a sixth of the platform's.
+ROOM_WAIT_S = 0.5
 # Time without progress after which a run counts as stalled, seconds; several looks fit into it.
 STALL_S = 1.6
+# Time in which a stop frees its room unless the worker does not answer, seconds; a third over the
+# platform's longest.
+STOP_S = 1.2
 # Time that a leaving worker needs to save what it runs, milliseconds.
 SAVE_MS = 900
 
@@ -58,13 +59,21 @@
 
 
 def make_room(task: Task, sites: Sequence[Site], now: float) -> list[Task]:
-    """Return the runs whose stop frees a worker's room for a waiting lasting task."""
+    """Return the runs whose stop frees a worker's room for a waiting lasting task.
+
+    Returns none where the runs that are being stopped leave room enough.
+    """
+    need = counted(task.step.order)
     best: list[Task] = []
     for site in sites:
         if not _suits(site, task, now):
             continue
-        found = _victims(site, counted(task.step.order))
-        if found and (not best or _cost(found, now) < _cost(best, now)):
+        found = _victims(site, need, now)
+        if found is None:
+            continue
+        if not found:
+            return []
+        if not best or _cost(found, now) < _cost(best, now):
             best = found
     return best
 
@@ -81,11 +90,12 @@
     )
 
 
-def _victims(site: Site, need: Room) -> list[Task]:
-    """Return the fewest runs to stop at a site, those that lose least first."""
+def _victims(site: Site, need: Room, now: float) -> list[Task] | None:
+    """Return the fewest runs to stop at a site, those that lose least first; None if none do."""
     room = site.free()
     found: list[Task] = []
-    leaving = [one for one in site.tasks.values() if not one.wanted]
+    stopping = (one for one in site.tasks.values() if not one.wanted)
+    leaving = [one for one in stopping if now - one.unwanted_at < STOP_S]
     for one in leaving:
         room = room + counted(one.step.order)
     stoppable = [one for one in site.tasks.values() if one.wanted and not one.step.order.lasting]
@@ -94,7 +104,7 @@
             break
         found.append(one)
         room = room + counted(one.step.order)
-    return found if room.holds(need) else []
+    return found if room.holds(need) else None
 
 
 def _cost(tasks: Sequence[Task], now: float) -> float:
--- a/gypsumplank/coordination/job/fleet.py
+++ b/gypsumplank/coordination/job/fleet.py
@@ -96,6 +96,7 @@
         if unlisted is not None:
             site.tasks.update(unlisted.tasks)
             site.covered_until = unlisted.covered_until
+            site.held_back = unlisted.held_back
         event(
             logger,
             Event.WORKER_FOUND,
--- a/gypsumplank/coordination/job/model.py
+++ b/gypsumplank/coordination/job/model.py
@@ -21,7 +21,8 @@
 
     `answered_at` is when the worker confirmed the start, `lost_at` when a start's answer was
     found missing, `stopping_at` when the last stop was sent, `stopped_at` when one was confirmed.
-    `wanted` is False while the run has to stop, `moved_at` is when its progress last changed.
+    `wanted` is False while the run has to stop, `unwanted_at` is since when; `moved_at` is when its
+    progress last changed.
     """
 
     step: "Step"
@@ -47,6 +48,7 @@
     paced_at: float = 0.0
     permit: str = ""
     wanted: bool = True
+    unwanted_at: float = 0.0
     waiting_since: float = 0.0
     up_since: float = 0.0
     away_since: float = 0.0
@@ -93,6 +95,7 @@
         self.pace = 100
         self.paced_at = 0.0
         self.wanted = True
+        self.unwanted_at = 0.0
 
 
 class Step:
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -334,8 +334,10 @@
 
     def stop(self, tasks: Collection[Task]) -> None:
         """Ask for runs to be stopped; their checkpoints are kept."""
+        now = self._clock.monotonic()
         for task in tasks:
-            task.wanted = False
+            if task.wanted:
+                task.wanted, task.unwanted_at = False, now
 
 
 def _must_stop(task: Task, site: Site) -> bool:
--- a/gypsumplank/coordination/job/site.py
+++ b/gypsumplank/coordination/job/site.py
@@ -7,6 +7,8 @@
 from gypsumplank.protocol.job import Room
 from gypsumplank.protocol.worker import WorkerEntry, WorkerState
 
+# Percent of its capacity at which a lasting task is at work.
+AT_WORK = 100
 # A worker's clock may be this share slow, as the platform states.
 CLOCK_RATE = 0.98
 # Pause after a lease's end before its tasks count as gone, seconds; covers rounding to ms.
@@ -51,7 +53,7 @@
 
     `refreshed_at` is when its entry was last seen to change, `covered_until` when every lease
     that was given is over at the latest, `noted` and `acked` the ends taken in and confirmed, `due`
-    that its machine's upkeep is still to come.
+    that its machine's upkeep is still to come, `held_back` that no lease is extended yet.
     """
 
     entry: WorkerEntry
@@ -68,6 +70,7 @@
     last_failed_job: str = ""
     leaving: bool = False
     due: bool = False
+    held_back: bool = False
     noted: int = 0
     acked: int = 0
     tasks: dict[str, Task] = field(default_factory=dict)
@@ -122,6 +125,13 @@
         """Tell whether tasks of several jobs failed here one after another."""
         return now < self.suspect_until
 
+    def has_starting(self) -> bool:
+        """Tell whether a lasting task was started here and is not at work yet."""
+        return any(
+            task.step.order.lasting and task.answered_at and task.percent < AT_WORK
+            for task in list(self.tasks.values())
+        )
+
     def used(self) -> Room:
         """Return the room that tasks take which count against the worker's room."""
         cpu = memory = accelerators = 0
--- a/gypsumplank/coordination/job/term.py
+++ b/gypsumplank/coordination/job/term.py
@@ -31,6 +31,7 @@
     control: WorkerControl
     leases: Leases
     advisor: Advisor | None = None
+    store_ms: Callable[[], int] = lambda: 0
 
 
 class Care:
--- a/gypsumplank/coordination/job/upkeep.py
+++ b/gypsumplank/coordination/job/upkeep.py
@@ -3,8 +3,9 @@
 import logging
 import math
 from collections import Counter
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
+from itertools import islice
 
 from gypsumplank.coordination.job.eviction import may_take
 from gypsumplank.coordination.job.machine import MachineDesk
@@ -20,9 +21,11 @@
 LOOK_S = 1.0
 # Share of a wave's time after which all its machines should have begun; the rest is for those that
 # cannot be emptied sooner.
-DONE_SHARE = 0.75
+DONE_SHARE = 0.5
 # Time from choosing a machine that is at work to the end of its upkeep, seconds.
 CYCLE_S = 6.0
+# Time between log lines about an open wave, seconds.
+TELL_S = 2.0
 # Machines that drain ahead of a free place under the cap.
 AHEAD = 1
 # Longest wait for tasks that cannot save their progress, seconds.
@@ -39,8 +42,9 @@
 class WaveProgress:
     """Hold one wave's progress.
 
-    `began` is when the wave was first seen, `draining` and `down` map machines to since when;
-    `told` is whether completion was reported last, None where nothing was.
+    `began` is when the wave was first seen, `draining` and `down` map machines to since when,
+    `inherited` are those that an earlier holder's order may still keep down; `told` is whether
+    completion was reported last, None where nothing was.
     """
 
     wave: UpkeepWave
@@ -51,6 +55,8 @@
     down: dict[str, float] = field(default_factory=dict)
     done: set[str] = field(default_factory=set)
     not_before: dict[str, float] = field(default_factory=dict)
+    inherited: set[str] = field(default_factory=set)
+    tell_due: float = 0.0
 
     @property
     def is_complete(self) -> bool:
@@ -60,7 +66,7 @@
     @property
     def busy(self) -> int:
         """Return how many machines are down for the wave or may be."""
-        return len(self.down) + len(self.calling)
+        return len(self.inherited.union(self.down, self.calling))
 
     def pace(self, now: float) -> int:
         """Return how many machines that are at work have to be on their way at once."""
@@ -68,6 +74,24 @@
         left_s = self.began + DONE_SHARE * self.wave.duration_s - now
         return math.ceil(left * CYCLE_S / max(CYCLE_S, left_s))
 
+    def tell(self, sites: Mapping[str, Site], now: float) -> None:
+        """Log the progress from time to time while the wave is open."""
+        if self.is_complete or now < self.tell_due:
+            return
+        self.tell_due = now + TELL_S
+        event(
+            logger,
+            Event.WAVE_PROGRESS,
+            wave=self.wave.number,
+            age_s=round(now - self.began, 1),
+            done=len(self.done),
+            down=self.busy,
+            draining=len(self.draining),
+            with_lasting=sum(1 for one in self.draining if _load(sites.get(one))[0]),
+            left=len(self.wave.machines) - len(self.done),
+            pace=self.pace(now),
+        )
+
     def waits(self, machine: str, now: float) -> bool:
         """Tell whether a machine's upkeep has yet to be prepared."""
         taken = machine in self.done or machine in self.draining or machine in self.calling
@@ -140,12 +164,14 @@
         sites = scheduler.fleet.by_machine()
         for progress in self._waves.values():
             self._note_back(progress)
+            self._inherit(progress, now)
             self._choose(progress, sites, now)
             for machine in progress.wave.machines:
                 site = sites.get(machine)
                 if site is not None:
                     serviced = self._desk.serviced.get(machine) == progress.wave.number
                     site.due = machine not in progress.done and not serviced
+            progress.tell(sites, now)
             for machine, since in progress.draining.items():
                 site = sites.get(machine)
                 if site is not None:
@@ -158,6 +184,15 @@
             if self._desk.listed_at > since and (listed is None or listed.state is MachineState.UP):
                 del progress.down[machine]
 
+    def _inherit(self, progress: WaveProgress, now: float) -> None:
+        """Find the machines that may be down by an order of an earlier holder."""
+        number = progress.wave.number
+        progress.inherited = {
+            machine
+            for machine in progress.wave.machines
+            if self._desk.serviced.get(machine) == number and not self._desk.is_free(machine, now)
+        }
+
     def _choose(self, progress: WaveProgress, sites: dict[str, Site], now: float) -> None:
         room = progress.wave.cap + AHEAD - progress.busy - len(progress.draining)
         if room <= 0 or not self._desk.listed:
@@ -167,21 +202,37 @@
             for machine in progress.wave.machines
             if progress.waits(machine, now) and machine not in self._desk.reserved
         ]
+        # What an earlier holder ordered is probably done; to make sure ends what runs there if not.
+        number = progress.wave.number
+        doubtful = {one for one in left if self._desk.serviced.get(one) == number}
+        if len(doubtful) < len(left):
+            left = [one for one in left if one not in doubtful]
         idle = [one for one in left if not self._runs(sites.get(one))]
         at_work = [one for one in left if self._runs(sites.get(one))]
-        # What an earlier holder ordered is probably done; to make sure ends what runs there if not.
-        doubtful = [one for one in at_work if self._desk.serviced.get(one) == progress.wave.number]
-        if len(doubtful) < len(at_work):
-            at_work = [one for one in at_work if one not in set(doubtful)]
-        if idle:
+        if idle and not progress.done:
             # Lasting tasks should find machines whose upkeep is over.
             at_work = [one for one in at_work if not _load(sites.get(one))[0]]
-        at_work.sort(key=lambda one: _load(sites.get(one)))
+        # Steps' budgets make lasting tasks the longest part of a wave.
+        at_work.sort(key=lambda one: (-_load(sites.get(one))[0], _load(sites.get(one))[1]))
         paced = max(0, progress.pace(now) - progress.busy - len(progress.draining))
-        for machine in [*idle, *at_work[:paced]][:room]:
+        ready = islice(self._takeable(at_work, sites, now), paced)
+        for machine in [*idle, *ready][:room]:
             progress.draining[machine] = now
             self._desk.reserved.add(machine)
 
+    @staticmethod
+    def _takeable(machines: Sequence[str], sites: Mapping[str, Site], now: float) -> Iterator[str]:
+        """Yield the machines that can begin to lose their lasting tasks now."""
+        taken: Counter[Step] = Counter()
+        for machine in machines:
+            lasting = {}
+            for task in sites[machine].tasks.values():
+                if task.step.order.lasting:
+                    lasting[task.step] = task
+            if all(may_take(task, now, taken[step]) for step, task in lasting.items()):
+                taken.update(lasting.keys())
+                yield machine
+
     @staticmethod
     def _runs(site: Site | None) -> bool:
         return site is not None and bool(site.tasks)
--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -82,6 +82,7 @@
     MACHINE_MOVED = "move-ordered", "A machine's move to another pool was ordered."
     MACHINE_FAILED = "machine-failed", "A call about machines failed."
     RELOADED = "reloaded", "The settings file changed and was read again."
+    WAVE_PROGRESS = "wave-progress", "How many machines of an open wave are in which state."
     WAVE_CHANGED = "wave-changed", "A wave started, paused, ended or was aborted."
 
 
--- a/gypsumplank/state/job.py
+++ b/gypsumplank/state/job.py
@@ -21,6 +21,7 @@
 TABLE_STEPS = "steps"
 TABLE_CANCELS = "cancels"
 TABLE_POOLS = "pools"
+TABLE_SILENCES = "silences"
 
 # Entries of one transaction; the platform takes 100.
 MAX_ENTRIES = 90
@@ -187,6 +188,19 @@
             known[pool] = size
         return known
 
+    def silences(self) -> dict[str, int]:
+        """Return since when each silent worker life is so, in ms of the store's clock."""
+        return {row.key: decode(row.value, int) for row in scan_all(self._table, TABLE_SILENCES)}
+
+    def write_silences(self, fence: Check, since: Mapping[str, int], ended: Iterable[str]) -> None:
+        """Add silent lives and remove others, under the fence."""
+        writes = [
+            *(Write(TABLE_SILENCES, life, msgspec.json.encode(at)) for life, at in since.items()),
+            *(Write(TABLE_SILENCES, life, None) for life in ended),
+        ]
+        for first in range(0, len(writes), MAX_ENTRIES):
+            self._table.commit(Txn((fence,), tuple(writes[first : first + MAX_ENTRIES])))
+
     def load(self, between: Callable[[], None] = lambda: None) -> tuple[list[LoadedJob], list[str]]:
         """Return all jobs that are not cleaned up, and the identifiers of ended ones.
 
--- a/tests/coordination/job/test_chief.py
+++ b/tests/coordination/job/test_chief.py
@@ -324,3 +324,52 @@
     epoch = slow.leases.epoch("scheduler")
     world.run(4.0)
     assert slow.leases.epoch("scheduler") == epoch
+
+
+def silence(world, names):
+    for name in names:
+        world.farm.workers[name].reachable = False
+
+
+def test_a_wait_for_a_silent_worker_goes_on_at_the_next_take_over(world):
+    world.submit("a" * 16, (lasting(1),), spec="100000")
+    world.run(2.0)
+    (lost,) = {one.worker for one in world.farm.history}
+    world.farm.crash(lost)
+    entries = world.farm.entries
+    world.farm.entries = lambda: [one for one in entries() if one.id != lost]
+    at = world.clock.now
+    for _ in range(4):
+        world.leader().boot()
+        world.run(4.0)
+    again = [one.begun for one in world.farm.history if one.begun > at]
+    assert len(again) == 1
+    # The first successor's 9 s, with margins for clocks and rounds.
+    assert max(again) < at + 11.0
+    assert not world.judge()
+
+
+def test_a_worker_on_record_as_silent_is_extended_only_once_it_is_off_the_record(world):
+    world.submit("a" * 16, (lasting(1),), spec="100000")
+    world.run(2.0)
+    (worker,) = {one.worker for one in world.farm.history}
+    silence(world, [worker])
+    world.leader().boot()
+    world.run(3.5)
+    (life,) = world.leader().store.silences()
+    sites = world.leader().chief._term.scheduler.sites.values()
+    (site,) = (one for one in sites if one.tasks)
+    assert life == site.life
+    assert site.held_back
+    world.farm.workers[worker].reachable = True
+    world.leader().table.script = ["dropped"] * 1000
+    world.run(0.3)
+    assert site.contacted_at
+    assert site.held_back
+    world.leader().table.script = []
+    world.run(2.0)
+    assert world.leader().store.silences() == {}
+    assert not site.held_back
+    world.run(20.0)
+    assert len(world.farm.history) == 1
+    assert not world.judge()
--- a/tests/coordination/job/test_machines.py
+++ b/tests/coordination/job/test_machines.py
@@ -271,3 +271,15 @@
     starts = [one for one in world.farm.history if one.run > 2]
     assert len(machines) == 6
     assert not starts
+
+
+def test_a_successor_counts_machines_that_an_earlier_holder_took_down(world):
+    wave(world, cap=2)
+    world.run(1.2)
+    for _ in range(6):
+        if world.leader():
+            world.leader().boot()
+        world.run(1.2)
+    world.run(30.0)
+    assert told(world) == [True]
+    assert world.machines.most_down <= 2
--- a/tests/coordination/job/world.py
+++ b/tests/coordination/job/world.py
@@ -85,7 +85,8 @@
     def look(self, *only):
         for site in only or list(self.sites):
             now = self.clock.monotonic()
-            extends = site.tasks and not site.missed and self.may_extend()
+            wants = site.tasks and not site.missed and not site.held_back
+            extends = wants and self.may_extend()
             until_ms = site.covers(now, LEASE_S) if extends else None
             try:
                 report = self.control.hold(site.entry, self.token, until_ms, site.acked, 0.0)
@@ -167,7 +168,7 @@
         pool = STANDBY if machine in self.off else self._leave(machine)
         self.off.pop(machine, None)
         self._send(machine, pool, ("upkeep", wave, token), 2.0)
-        down = [one for one in self.orders if one[0] == "upkeep" and one[1] in self.away]
+        down = {one[1] for one in self.orders if one[0] == "upkeep" and one[1] in self.away}
         self.most_down = max(self.most_down, len(down))
 
     def move(self, machine, pool, holder, token):
@@ -241,7 +242,14 @@
             _AtOnce,
         )
         care = Care(desk, Upkeep(self.directory, desk), Pools(desk, store))
-        ports = Ports(store, None, self.directory, world.farm, self.leases)
+        ports = Ports(
+            store,
+            None,
+            self.directory,
+            world.farm,
+            self.leases,
+            store_ms=lambda: int(world.clock.now * 1000),
+        )
         self.chief = Chief(
             ports, world.clock, lambda: world.manifest, lambda: LEASE_S, care, self.crew
         )
