--- a/gypsumplank/coordination/job/upkeep.py
+++ b/gypsumplank/coordination/job/upkeep.py
@@ -209,8 +209,8 @@
             left = [one for one in left if one not in doubtful]
         idle = [one for one in left if not self._runs(sites.get(one))]
         at_work = [one for one in left if self._runs(sites.get(one))]
-        if idle and not progress.done:
-            # Lasting tasks should find machines whose upkeep is over.
+        if idle and not progress.done and not set(sites).difference(progress.wave.machines):
+            # Lasting tasks should find machines whose upkeep is over or not due.
             at_work = [one for one in at_work if not _load(sites.get(one))[0]]
         # Steps' budgets make lasting tasks the longest part of a wave.
         at_work.sort(key=lambda one: (-_load(sites.get(one))[0], _load(sites.get(one))[1]))
