--- a/demo/job.py
+++ b/demo/job.py
@@ -40,11 +40,16 @@
         port = int(peers.rpartition(":")[2])
         path = self.folder / f"{name}.json"
         path.write_text(json.dumps(self._settings(name, ip, front, ready, port)), encoding="utf-8")
-        self.start_module(name, "gypsumplank.platformd", env={ENV_SETTINGS: str(path)})
+        self.restart_entry(name)
         self.wait_http(f"http://{ready}/api/readyz")
         self.callers_of[name] = front
         return front
 
+    def restart_entry(self, name: str) -> None:
+        """Start a daemon that has settings, without waiting until it is ready."""
+        env = {ENV_SETTINGS: str(self.folder / f"{name}.json")}
+        self.start_module(name, "gypsumplank.platformd", env=env)
+
     def __enter__(self) -> "JobCluster":
         return self
 
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -50,6 +50,10 @@
         with self.lock:
             self.farm.advance(time.monotonic() - self._began - self.farm.now)
 
+    def now_ms(self) -> int:
+        """Return the store's steady clock."""
+        return int((time.monotonic() - self._began) * 1000) + 1
+
     def beat(self) -> None:
         """Write every worker's entry."""
         with self.lock:
@@ -150,7 +154,12 @@
         ]
         found = [wire_row(table, part, row.key, row.version, row.value) for row in rows[:limit]]
         newest = self.users.table.newest
-        return {"rows": found, "has-more": len(rows) > limit, "ver": newest, "now-ms": 1}
+        return {
+            "rows": found,
+            "has-more": len(rows) > limit,
+            "ver": newest,
+            "now-ms": self.users.now_ms(),
+        }
 
     def _feed(self, query: dict[str, str]) -> None:
         rows: list[dict[str, Any]] = []
@@ -168,7 +177,14 @@
             rows += [
                 {"table": table, "part": part, "key": key, "deleted": True} for key in one.dropped
             ]
-        self._json(200, {"rows": rows, "ver": max(changes.version, other.version), "now-ms": 1})
+        self._json(
+            200,
+            {
+                "rows": rows,
+                "ver": max(changes.version, other.version),
+                "now-ms": self.users.now_ms(),
+            },
+        )
 
     def _commit(self, body: dict[str, Any]) -> None:
         checks = tuple(
@@ -190,7 +206,7 @@
         except StateConflictError:
             self._json(412, {"rows": []})
             return
-        self._json(200, {"ver": version, "now-ms": 1})
+        self._json(200, {"ver": version, "now-ms": self.users.now_ms()})
 
     def _machines(self) -> list[dict[str, Any]]:
         return [
--- a/tests/coordination/job/world.py
+++ b/tests/coordination/job/world.py
@@ -21,6 +21,7 @@
 from gypsumplank.state.lease import LeaseStore
 from gypsumplank.state.machine import MachineOrders
 from standins.farm import Farm
+from standins.judge import judge
 from tests.faulty import FaultyTable
 
 STEP_S = 0.05
@@ -318,43 +319,7 @@
 
     def judge(self):
         """Return what the rules forbid."""
-        return [*self._overlaps(), *self._after_done(), *self._out_of_order()]
-
-    def _by_task(self):
-        found = {}
-        for one in self.farm.history:
-            found.setdefault(one.name, []).append(one)
-        return found
-
-    def _overlaps(self):
-        for name, runs in self._by_task().items():
-            for i, first in enumerate(runs):
-                for second in runs[i + 1 :]:
-                    end = first.ended if first.ended is not None else float("inf")
-                    if second.begun < end:
-                        yield f"{name}: run {second.run} begins while run {first.run} is at work"
-
-    def _after_done(self):
-        for name, runs in self._by_task().items():
-            for first in runs:
-                if first.kind is None or first.kind.value != "done" or not first.noted:
-                    continue
-                if any(one.begun > first.ended for one in runs):
-                    yield f"{name}: started again after an end that was noted as done"
-
-    def _out_of_order(self):
-        done = {}
-        for one in self.farm.history:
-            if one.kind is not None and one.kind.value == "done":
-                done[one.name] = min(done.get(one.name, one.ended), one.ended)
-        for one in self.farm.history:
-            job, _, step, _ = one.name.split(".")
-            order = self.submitted[job]
-            for before in order.steps[int(step)].after:
-                for index in range(order.steps[before].tasks):
-                    ended = done.get(f"{job}.0.{before}.{index}")
-                    if ended is None or ended > one.begun:
-                        yield f"{one.name}: started before step {before} was done"
+        return judge(self.farm.history, self.submitted)
 
 
 def lasting(tasks=2, may_miss=1):
