Split the take-over, wake on SIGHUP, and bound callers' connections by the descriptors

Cause: the take-over had grown to 44 lines; SIGHUP set an event that nobody waited for, so a changed file was read up to a second later; the limit of connections was a constant although the settings name the descriptors. Change: loading and beginning a term are two functions; one event wakes the main loop for SIGHUP and SIGTERM; callers may take half of the descriptors. Behaviour meant unchanged otherwise.

--- a/gypsumplank/composition/platform.py
+++ b/gypsumplank/composition/platform.py
@@ -30,7 +30,7 @@
 from gypsumplank.state.job import JobStore
 from gypsumplank.state.lease import LeaseStore
 from gypsumplank.state.machine import MachineOrders
-from gypsumplank.transport.listener import ClosingDispatcher, Listener
+from gypsumplank.transport.listener import CONNECTION_LIMIT, ClosingDispatcher, Listener
 from gypsumplank.transport.relay import RelayServer, RelayTable
 
 # The part of the store that holds everything that is committed together.
@@ -55,6 +55,9 @@
 # Life of tasks' leases where the platform allows more, seconds; a take-over fits in twice.
 TASK_LEASE_S = 6.0
 METRICS_PORT = 9464
+# Share of the descriptors that callers' connections may take; files, workers, the store and other
+# daemons have the rest.
+CALLER_SHARE = 0.5
 # Pause between looks at the settings file, seconds.
 SETTINGS_S = 1.0
 
@@ -70,8 +73,8 @@
         self._clock = SystemClock()
         self._metrics = Metrics()
         logging.getLogger().addHandler(EventCounter(self._metrics))
-        self._stop = threading.Event()
-        self._reload = threading.Event()
+        self._wake = threading.Event()
+        self._stop = False
         self._stopping = False
         self._make_state()
         self._make_chief()
@@ -131,14 +134,22 @@
         boot = self._boot
         desk = JobDesk(JobStore(self._detour), self._clock, lambda: self._watch.current)
         app = JobApp(desk, self._metrics.request, log_refusal)
-        self._callers = self._listener(app, boot.callers, CALLER_THREADS, "callers")
+        connections = int(boot.max_descriptors * CALLER_SHARE)
+        self._callers = self._listener(app, boot.callers, CALLER_THREADS, "callers", connections)
         self._balancer = self._listener(ReadyApp(self._is_ready), boot.balancer, 1, "balancer")
         address = f"{boot.ip}:{METRICS_PORT}"
         self._scraper = self._listener(MetricsApp(self._metrics.render), address, 1, "metrics")
 
     @staticmethod
-    def _listener(app: Callable[..., object], address: str, threads: int, name: str) -> Listener:
-        return Listener(app, address, ClosingDispatcher(threads), MAX_BODY_BYTES, name)  # type: ignore[arg-type]
+    def _listener(
+        app: Callable[..., object],
+        address: str,
+        threads: int,
+        name: str,
+        connections: int = CONNECTION_LIMIT,
+    ) -> Listener:
+        dispatcher = ClosingDispatcher(threads)
+        return Listener(app, address, dispatcher, MAX_BODY_BYTES, name, connections)  # type: ignore[arg-type]
 
     def _is_ready(self) -> bool:
         fresh = is_fresh(self._watch, self._clock, READY_AGE_S)
@@ -146,8 +157,8 @@
 
     def run(self) -> int:
         """Serve until told to stop; return the exit status."""
-        signal.signal(signal.SIGTERM, lambda *_: self._stop.set())
-        signal.signal(signal.SIGHUP, lambda *_: self._reload.set())
+        signal.signal(signal.SIGTERM, lambda *_: self._end())
+        signal.signal(signal.SIGHUP, lambda *_: self._wake.set())
         for listener in (self._callers, self._balancer, self._scraper):
             listener.start()
         self._relay.start()
@@ -155,10 +166,16 @@
         self._watch.start()
         self._chief.start()
         event(logger, Event.STARTED, daemon=self._boot.daemon, zone=self._boot.zone)
-        while not self._stop.wait(SETTINGS_S):
+        while not self._stop:
+            self._wake.wait(SETTINGS_S)
+            self._wake.clear()
             self._read_settings()
         return self._shut_down()
 
+    def _end(self) -> None:
+        self._stop = True
+        self._wake.set()
+
     def _read_settings(self) -> None:
         """Read the settings file again; a file that cannot be used changes nothing."""
         try:
--- a/gypsumplank/coordination/job/chief.py
+++ b/gypsumplank/coordination/job/chief.py
@@ -179,20 +179,10 @@
     def _take_over(self, epoch: int) -> None:
         if self._manifest() is None:
             return
-        jobs, ended = self._ports.store.load(self._keep_lease)
-        entries = self._ports.directory.workers()
-        self._keep_lease()
+        scheduler = self._load(epoch)
         fence = self._ports.leases.fence(LEASE)
         if fence is None:
             return
-        scheduler = Scheduler(
-            self._clock, self._manifest, epoch, self._max_lease_s(), self._heartbeat_s
-        )
-        scheduler.load(jobs, entries)
-        now = self._clock.monotonic()
-        cover_s = HOLD_ON_S + self._max_lease_s()
-        self._silences.begin(scheduler.sites.values(), cover_s, now)
-        scheduler.workload.ended.update(dict.fromkeys(ended, now))
         post = self._post_for(epoch)
         courier = self._crew.courier(epoch, post, self._may_extend, scheduler.hear)
         scheduler.attach(courier)
@@ -209,6 +199,7 @@
         )
         for watch in term.watches:
             watch.start()
+        now = self._clock.monotonic()
         self._term = term
         self._yield_due = max(self._yield_due, now + LEASE_TICK_S)
         self._care.begin(epoch, now)
@@ -216,11 +207,26 @@
             logger,
             Event.SCHEDULER_LOADED,
             epoch=epoch,
-            jobs=len(jobs),
-            workers=len(entries),
+            jobs=len(scheduler.workload.jobs),
+            workers=len(scheduler.sites),
             version=fence.version,
         )
 
+    def _load(self, epoch: int) -> Scheduler:
+        """Read what earlier holders have stored, renewing the lease meanwhile; raise StateError."""
+        jobs, ended = self._ports.store.load(self._keep_lease)
+        entries = self._ports.directory.workers()
+        self._keep_lease()
+        scheduler = Scheduler(
+            self._clock, self._manifest, epoch, self._max_lease_s(), self._heartbeat_s
+        )
+        scheduler.load(jobs, entries)
+        now = self._clock.monotonic()
+        cover_s = HOLD_ON_S + self._max_lease_s()
+        self._silences.begin(scheduler.sites.values(), cover_s, now)
+        scheduler.workload.ended.update(dict.fromkeys(ended, now))
+        return scheduler
+
     def _keep_lease(self) -> None:
         """Renew the lease if that is due; raise StateError where it is lost."""
         if self._clock.monotonic() >= self._lease_due:
--- a/gypsumplank/transport/listener.py
+++ b/gypsumplank/transport/listener.py
@@ -56,6 +56,7 @@
         dispatcher: ClosingDispatcher,
         max_body_bytes: int,
         name: str,
+        connection_limit: int = CONNECTION_LIMIT,
     ) -> None:
         self._dispatcher = dispatcher
         self._server = create_server(
@@ -64,7 +65,7 @@
             _dispatcher=self._dispatcher,
             max_request_body_size=max_body_bytes,
             channel_request_lookahead=LOOKAHEAD,
-            connection_limit=CONNECTION_LIMIT,
+            connection_limit=connection_limit,
             backlog=BACKLOG,
             asyncore_use_poll=True,
             ident=None,
