--- a/gypsumplank/composition/platform.py
+++ b/gypsumplank/composition/platform.py
@@ -35,6 +35,8 @@
 
 # The part of the store that holds everything that is committed together.
 PART = "fleet"
+# The part that holds what stands alone; each part has a rate of its own.
+PART_ASIDE = "aside"
 # Time to answer of a store call, seconds; covers a store that is 60 times slower than usual.
 STORE_TIMEOUT_S = 1.2
 # Connections kept to the store.
@@ -84,8 +86,9 @@
         boot = self._boot
         store = Client(boot.store, STORE_TIMEOUT_S, STORE_CONNECTIONS)
         self._rows = RowTable(store, PART)
+        self._aside = RowTable(store, PART_ASIDE)
         neighbours = Neighbours(
-            self._rows, boot.daemon, boot.peers, self._clock, random.Random(), boot.speed
+            self._aside, boot.daemon, boot.peers, self._clock, random.Random(), boot.speed
         )
         self._neighbours = neighbours
         self._relay = RelayServer(self._rows, boot.peers)
@@ -117,9 +120,9 @@
             lambda: self._boot.handover_s,
             lambda: leases.fence(LEASE) is not None,
             lambda work: self._chief.post(work),  # noqa: PLW0108
-            MachineOrders(self._rows, clock_ms),
+            MachineOrders(self._aside, clock_ms),
         )
-        care = Care(desk, Upkeep(self._directory, desk), Pools(desk, store))
+        care = Care(desk, Upkeep(self._directory, desk), Pools(desk, JobStore(self._aside)))
         self._chief = Chief(
             ports,
             self._clock,
--- a/gypsumplank/coordination/job/term.py
+++ b/gypsumplank/coordination/job/term.py
@@ -45,7 +45,7 @@
     def begin(self, token: int, now: float) -> None:
         """Start under a new token."""
         self._desk.begin(token, now)
-        self.upkeep.clear()
+        self.upkeep.begin(now)
         self._pools.clear()
 
     def end(self) -> None:
--- a/gypsumplank/coordination/job/upkeep.py
+++ b/gypsumplank/coordination/job/upkeep.py
@@ -26,6 +26,9 @@
 CYCLE_S = 6.0
 # Time between log lines about an open wave, seconds.
 TELL_S = 2.0
+# Time after a take-over in which an earlier holder's stops may still end tasks, seconds; half over
+# the platform's longest stop.
+STOPS_OVER_S = 1.5
 # Machines that drain ahead of a free place under the cap.
 AHEAD = 1
 # Longest wait for tasks that cannot save their progress, seconds.
@@ -105,11 +108,13 @@
         self._directory = directory
         self._desk = desk
         self._look_due = 0.0
+        self._plan_due = 0.0
         self._looking = False
         self._waves: dict[int, WaveProgress] = {}
 
-    def clear(self) -> None:
+    def begin(self, now: float) -> None:
         """Forget everything; what is open is read again."""
+        self._plan_due = now + STOPS_OVER_S
         self._waves.clear()
         self._looking = False
         self._look_due = 0.0
@@ -159,6 +164,8 @@
     def plan(self, scheduler: Scheduler, now: float) -> None:
         """Choose machines to empty and ask for their tasks to stop."""
         self._look(now)
+        if now < self._plan_due:
+            return
         if self.is_open:
             self._desk.refresh(now)
         sites = scheduler.fleet.by_machine()
--- a/gypsumplank/state/machine.py
+++ b/gypsumplank/state/machine.py
@@ -48,5 +48,7 @@
         return {row.key: decode(row.value, OrderNote) for row in rows}
 
     def age_s(self, note: OrderNote) -> float:
-        """Return how long ago an order was noted, in seconds."""
+        """Return how long ago an order was noted, in seconds; 0 where that is not known."""
+        if not note.at_ms:
+            return 0.0
         return max(0.0, (self._clock_ms() - note.at_ms) / MS)
--- a/tests/coordination/job/test_machines.py
+++ b/tests/coordination/job/test_machines.py
@@ -283,3 +283,20 @@
     world.run(30.0)
     assert told(world) == [True]
     assert world.machines.most_down <= 2
+
+
+def test_a_successor_stops_no_lasting_task_while_earlier_stops_may_be_under_way():
+    world = World(1, workers=4)
+    world.run(5.0)
+    world.submit("a" * 16, (lasting(8, 1),), spec="100000")
+    world.run(2.0)
+    wave(world, cap=4)
+    world.run(1.5)
+    world.leader().boot()
+    for _ in range(26):
+        world.run(0.05)
+        leader = world.leader()
+        sites = leader.chief._term.scheduler.sites.values() if leader else ()
+        assert all(task.wanted for site in sites for task in site.tasks.values())
+    world.run(60.0)
+    assert told(world) == [True]
