--- a/soak/jobs.py
+++ b/soak/jobs.py
@@ -1,6 +1,7 @@
 """Run jobs through real daemons on a stand-in of the users' platform while faults befall them.
 
     python -m soak.jobs --seed 1 --phases 6
+    python -m soak.jobs --failed              # the seeds that ever failed
 
 Exit 1 on a broken promise. The same seed gives the same faults; timing is the machine's.
 """
@@ -43,6 +44,8 @@
 # Time after a confirmed cancellation from which nothing of the job may start, seconds.
 CANCEL_S = 3.0
 REFUSED = (404, 429, 503)
+# Seeds that ever failed, with their phases; their causes are in docs/measurements/soak.md.
+FAILED_SEEDS = ((126, 4),)
 ACCEPTED = 200
 
 
@@ -278,7 +281,9 @@
         one = sent[job]
         if one.statuses and all(status in REFUSED for status in one.statuses):
             yield Breach("a refused job never runs", start.name)
-        if one.cancel_at is not None and start.begun > one.cancel_at + CANCEL_S:
+        # An order that a worker carries out late was given before the job was cancelled.
+        in_time = one.cancel_at is None or start.begun <= one.cancel_at + CANCEL_S
+        if not in_time and not start.late:
             yield Breach("nothing of a cancelled job starts", start.name)
 
 
@@ -317,11 +322,13 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1, help="how many seeds in a row")
     parser.add_argument("--phases", type=int, default=6)
+    parser.add_argument("--failed", action="store_true", help="play the seeds that ever failed")
     args = parser.parse_args()
+    drawn = [(seed, args.phases) for seed in range(args.seed, args.seed + args.seeds)]
     broken = 0
-    for seed in range(args.seed, args.seed + args.seeds):
+    for seed, phases in FAILED_SEEDS if args.failed else drawn:
         with tempfile.TemporaryDirectory() as folder:
-            found, text = run(seed, args.phases, Path(folder))
+            found, text = run(seed, phases, Path(folder))
         sys.stdout.write(f"{text}\n")
         sys.stdout.writelines(f"  BREACH {one.promise}: {one.detail}\n" for one in found)
         sys.stdout.flush()
--- a/tests/soak/test_jobs.py
+++ b/tests/soak/test_jobs.py
@@ -33,6 +33,9 @@
     sent = Sent(ORDER, [200], cancel_sent=True, cancel_at=1.0)
     assert promises(history(2.0), sent) == []
     assert promises(history(9.0), sent) == ["nothing of a cancelled job starts"]
+    late = history(9.0)
+    late.farm.history[0].late = True
+    assert promises(late, sent) == []
 
 
 def test_a_seed_gives_the_same_faults():
