Keep workers whose upkeep was ordered before, and take the lease's renewal out of the rounds again

Cause: a successor orders the upkeep of a wave's machines again to be sure; the platform answers 200 without doing anything, and the scheduler took the worker's life for ended: after a take-over in a wave its machines took no task any more. Of two lives of one machine (an entry that lingers) any could be taken for the present one. Change: a worker is kept where the order was a repetition; the newest life of a machine counts.

--- a/gypsumplank/coordination/job/chief.py
+++ b/gypsumplank/coordination/job/chief.py
@@ -322,9 +322,8 @@
             fence = self._ports.leases.fence(LEASE)
             if fence is None:
                 return False
-            renewal = self._ports.leases.renewal(LEASE)
             try:
-                version = self._ports.store.commit(fence, batch, renewal.write)
+                version = self._ports.store.commit(fence, batch)
             except StateConflictError:
                 self._recheck(term, [jobs[id(unit)] for unit in batch])
                 return False
@@ -335,9 +334,7 @@
             except StateError as exc:
                 self._note_failed(exc, batch)
                 return False
-            self._ports.leases.renewed(renewal, version)
             now = self._clock.monotonic()
-            self._lease_due = now + LEASE_TICK_S
             for unit in batch:
                 term.scheduler.workload.stored(jobs[id(unit)], unit, version, now)
         return True
--- a/gypsumplank/coordination/job/fleet.py
+++ b/gypsumplank/coordination/job/fleet.py
@@ -153,8 +153,9 @@
             self.courier.detach(site)
 
     def by_machine(self) -> dict[str, Site]:
-        """Return the present worker life of each machine that has one."""
-        return {site.entry.machine: site for site in self.sites.values() if not site.gone}
+        """Return the newest worker life of each machine that has one; older entries may linger."""
+        sites = sorted(self.sites.values(), key=lambda site: site.born)
+        return {site.entry.machine: site for site in sites if not site.gone}
 
     def end(self, site: Site) -> None:
         """Note that a worker's life was ended by an order for its machine."""
--- a/gypsumplank/coordination/job/upkeep.py
+++ b/gypsumplank/coordination/job/upkeep.py
@@ -286,8 +286,12 @@
         if failure is None:
             progress.done.add(machine)
             progress.down[machine] = scheduler.now()
-            if site is not None:
+            repeated = self._desk.serviced.get(machine) == progress.wave.number
+            if site is not None and not repeated:
                 scheduler.fleet.end(site)
+            elif site is not None:
+                # An order that was carried out before has no effect, so the worker lives on.
+                site.leaving = False
             return
         if reason in {"missing", "wave"}:
             progress.done.add(machine)
--- a/gypsumplank/coordination/lease.py
+++ b/gypsumplank/coordination/lease.py
@@ -9,7 +9,7 @@
 from gypsumplank.log import Event, event
 from gypsumplank.state.clock import Clock
 from gypsumplank.state.lease import Lease, LeaseRow, LeaseStore
-from gypsumplank.state.table import Check, Write
+from gypsumplank.state.table import Check
 
 RENEWALS_A_LEASE = 3
 MARGIN_SHARE = 0.5
@@ -25,15 +25,6 @@
     at: float
 
 
-@dataclass(frozen=True)
-class Renewal:
-    """Hold a lease as renewed, its row's write, and when it was drawn up, in monotonic seconds."""
-
-    lease: Lease
-    write: Write
-    started: float
-
-
 def preferred(name: str, daemons: Iterable[str]) -> str:
     """Return the daemon that should hold a lease, by rendezvous hashing."""
     return max(daemons, key=lambda daemon: hashlib.blake2b(f"{daemon}\0{name}".encode()).digest())
@@ -97,19 +88,6 @@
         started = self._clock.monotonic()
         self._put(replace(row.lease, beat=row.lease.beat + 1), row, started)
 
-    def renewal(self, name: str) -> Renewal:
-        """Return the write that renews a held lease, to be committed with what its fence guards."""
-        row = self._mine[name]
-        started = self._clock.monotonic()
-        lease = self._timed(replace(row.lease, beat=row.lease.beat + 1))
-        return Renewal(lease, row.write(lease), started)
-
-    def renewed(self, renewal: Renewal, version: int) -> None:
-        """Note that a renewal was committed and which version the row now has."""
-        lease = renewal.lease
-        self._mine[lease.name] = LeaseRow(lease, version)
-        self._until[lease.name] = renewal.started + self._life_s
-
     def tick(self, names: Iterable[str], live: Collection[str], patience_s: float = 0.0) -> None:
         """Renew or give up what is held, take what has been free for a time; raise StateError."""
         started = self._clock.monotonic()
@@ -170,16 +148,13 @@
 
     def _put(self, lease: Lease, row: LeaseRow, now: float) -> None:
         """Write a lease; an answer that is lost leaves the row to be recognised when read."""
-        lease = self._timed(lease)
+        store_ms = self._store_ms()
+        lease = replace(lease, until_ms=store_ms + int(self._life_s * 1000) if store_ms else 0)
         self._mine[lease.name] = LeaseRow(lease, row.version)
         self._mine[lease.name] = self._store.put(lease, row.version)
         self._until[lease.name] = now + self._life_s
         self.holders[lease.name] = self._daemon
 
-    def _timed(self, lease: Lease) -> Lease:
-        store_ms = self._store_ms()
-        return replace(lease, until_ms=store_ms + int(self._life_s * 1000) if store_ms else 0)
-
     def _lapsed(self, row: LeaseRow, now: float) -> bool:
         if 0 < row.lease.until_ms < self._store_ms():
             return True
--- a/gypsumplank/state/job.py
+++ b/gypsumplank/state/job.py
@@ -236,8 +236,7 @@
         ended = (key for key in states.keys() - live if _is_final(states[key]))
         return loaded, list(ended)
 
-    def commit(self, fence: Check, units: Sequence[Unit], *also: Write) -> int:
-        """Write units and more under the fence; return the version that their rows now have."""
+    def commit(self, fence: Check, units: Sequence[Unit]) -> int:
+        """Write units under the fence; return the version that their rows now have."""
         checks = (fence, *(check for unit in units for check in unit.checks))
-        writes = (*also, *(write for unit in units for write in unit.writes))
-        return self._table.commit(Txn(checks, writes))
+        return self._table.commit(Txn(checks, tuple(w for unit in units for w in unit.writes)))
--- a/gypsumplank/state/lease.py
+++ b/gypsumplank/state/lease.py
@@ -35,11 +35,6 @@
         """Return the check that the lease is still the same."""
         return Check(TABLE_LEASES, self.lease.name, self.version)
 
-    @staticmethod
-    def write(lease: Lease) -> Write:
-        """Return the write of a lease's row."""
-        return Write(TABLE_LEASES, lease.name, msgspec.json.encode(lease))
-
 
 class LeaseStore:
     """Read and write lease rows."""
@@ -56,4 +51,5 @@
     def put(self, lease: Lease, version: int) -> LeaseRow:
         """Write a lease over this version; raise StateError."""
         check = Check(TABLE_LEASES, lease.name, version)
-        return LeaseRow(lease, self._table.commit(Txn((check,), (LeaseRow.write(lease),))))
+        write = Write(TABLE_LEASES, lease.name, msgspec.json.encode(lease))
+        return LeaseRow(lease, self._table.commit(Txn((check,), (write,))))
--- a/tests/coordination/job/test_machines.py
+++ b/tests/coordination/job/test_machines.py
@@ -300,3 +300,16 @@
         assert all(task.wanted for site in sites for task in site.tasks.values())
     world.run(60.0)
     assert told(world) == [True]
+
+
+def test_workers_whose_upkeep_is_ordered_again_take_tasks(world):
+    wave(world, cap=6)
+    world.run(4.0)
+    world.leader().boot()
+    world.run(8.0)
+    assert told(world) == [True]
+    assert len(world.machines.orders) == 6
+    for number in range(6):
+        world.submit(f"{number:016x}", (StepOrder(2, Room(4000, 100), 1000),), spec="1")
+    world.run(0.6)
+    assert len({one.worker for one in world.farm.history}) == 6
--- a/tests/coordination/job/world.py
+++ b/tests/coordination/job/world.py
@@ -148,6 +148,7 @@
         self.off = {}
         self.away = {}
         self.orders = []
+        self.serviced = set()
         self.most_down = 0
         self.count = 0
 
@@ -166,6 +167,9 @@
         ]
 
     def upkeep(self, machine, wave, holder, token):
+        if (wave, machine) in self.serviced:
+            return
+        self.serviced.add((wave, machine))
         pool = STANDBY if machine in self.off else self._leave(machine)
         self.off.pop(machine, None)
         self._send(machine, pool, ("upkeep", wave, token), 2.0)
--- a/tests/coordination/test_lease.py
+++ b/tests/coordination/test_lease.py
@@ -141,31 +141,3 @@
     assert again.epoch("a") == epoch + 1
     with pytest.raises(StateConflictError):
         held.of["x"].renew("a")
-
-
-def test_a_renewal_is_committed_with_what_its_fence_guards():
-    held = Holders("x", "y")
-    one = held.of["x"]
-    one.tick(("a",), ())
-    held.clock.advance(4.0)
-    renewal = one.renewal("a")
-    version = held.rows.commit(Txn((one.fence("a"),), (renewal.write, Write("t", "k", b"1"))))
-    one.renewed(renewal, version)
-    held.clock.advance(4.0)
-    assert one.held() == ("a",)
-    held.rows.commit(Txn((one.fence("a"),), (Write("t", "k", b"2"),)))
-    assert one.proven_until("a") == renewal.started + LIFE_S
-
-
-def test_a_renewal_of_unknown_outcome_lets_no_earlier_fence_pass():
-    held = Holders("x", "y")
-    one = held.of["x"]
-    one.tick(("a",), ())
-    stale, renewal = one.fence("a"), one.renewal("a")
-    held.rows.commit(Txn((stale,), (renewal.write,)))
-    with pytest.raises(StateConflictError):
-        one.renew("a")
-    one.tick(("a",), ())
-    assert one.held() == ("a",)
-    with pytest.raises(StateConflictError):
-        held.rows.commit(Txn((stale,), (Write("t", "k", b"1"),)))
