Keep a machine that is about to move out of waves

Change: a machine is reserved from the decision to move it; a recall gives it free. Ruled out: the lease's renewal in each round (it only writes one more row under the same check).

--- a/gypsumplank/coordination/job/pool.py
+++ b/gypsumplank/coordination/job/pool.py
@@ -179,13 +179,13 @@
         for name in sorted(members, key=lambda one: (-balance.asks[one], one)):
             while balance.lacks[name] > 0:
                 if idle:
-                    self._leaving[idle.pop()] = name
+                    self._leave(idle.pop(), name)
                 elif not self._give(members, balance, name, now):
                     break
                 balance.gain(name, 1)
         for name, found in members.items():
             for machine in self._idle(found, now)[: max(0, balance.spare[name])]:
-                self._leaving[machine] = standby
+                self._leave(machine, standby)
 
     def _balance(
         self, members: dict[str, list[Site]], sites: dict[str, Site], now: float
@@ -213,13 +213,22 @@
                 self._told[name] = size
                 event(logger, Event.POOL_CHANGED, pool=name, **asdict(size))
 
+    def _leave(self, machine: str, pool: str) -> None:
+        """Have a machine moved once it is empty; until then it is nobody else's."""
+        self._leaving[machine] = pool
+        self._desk.reserved.add(machine)
+
+    def _stay(self, site: Site) -> None:
+        del self._leaving[site.entry.machine]
+        self._desk.reserved.discard(site.entry.machine)
+        site.leaving = False
+
     def _recall(self, members: list[Site], most: int) -> int:
         """Keep machines that were about to leave a pool; return how many."""
         leaving = [one for one in members if one.entry.machine in self._leaving]
         kept = leaving[: max(0, most)]
         for site in kept:
-            del self._leaving[site.entry.machine]
-            site.leaving = False
+            self._stay(site)
         return len(kept)
 
     def _give(
@@ -230,7 +239,7 @@
             idle = self._idle(members[giver], now)
             if idle:
                 balance.gain(giver, -1)
-                self._leaving[idle[0]] = taker
+                self._leave(idle[0], taker)
                 return True
         return False
 
@@ -281,8 +290,7 @@
             if site is not None:
                 site.leaving = True
                 if any(task.step.order.lasting for task in site.tasks.values()):
-                    del self._leaving[machine]
-                    site.leaving = False
+                    self._stay(site)
                     continue
             if site is None or not site.tasks:
                 del self._leaving[machine]
--- a/tests/coordination/job/test_machines.py
+++ b/tests/coordination/job/test_machines.py
@@ -1,3 +1,4 @@
+import math
 from collections import Counter
 
 import pytest
@@ -313,3 +314,17 @@
         world.submit(f"{number:016x}", (StepOrder(2, Room(4000, 100), 1000),), spec="1")
     world.run(0.6)
     assert len({one.worker for one in world.farm.history}) == 6
+
+
+def test_a_machine_that_is_to_move_is_not_taken_for_a_wave(world):
+    two_services(world)
+    world.submit("a" * 16, (StepOrder(6, Room(8000, 100), 9000),), spec="9")
+    world.run(1.0)
+    care = world.leader().chief._care
+    care._pools._leave("w0", SECOND)
+    care._pools._due = math.inf
+    wave(world, cap=6)
+    world.run(2.0)
+    taken = [one for each in care.upkeep._waves.values() for one in (*each.draining, *each.calling)]
+    assert taken
+    assert "w0" not in taken
