Put jobs without a reserve of time behind those that can be in time

Cause: steps are ordered by their latest start, so a queue that is longer than its pool can serve made each job wait until its last moment; any delay of a round, a commit or a longer run then made it late.

Change: a step counts as in time only with 20% of its remaining path and 0.1 s to spare.

--- a/gypsumplank/coordination/job/placement.py
+++ b/gypsumplank/coordination/job/placement.py
@@ -12,6 +12,12 @@
 # Multiple of its objective up to which a late job still earns credit; the platform defines it.
 LATE_CREDIT_FACTOR = 3.0
 
+# Reserve for what delays a job beyond its estimate: a share of the remaining time for runs that
+# take longer, and a time for rounds, commits and reports before its next start, seconds. Without a
+# reserve, a queue that is longer than the pool can serve makes every job just too late.
+RESERVE_SHARE = 0.2
+START_DELAY_S = 0.1
+
 # Long-running tasks of one step that share a machine or rack before the next one is used. Packing
 # them leaves more machines free to move to other pools.
 TASKS_PER_GROUP = 2
@@ -42,7 +48,8 @@
 def urgency(pending: PendingStep, now: float, wall_ms: float) -> tuple[int, int, float]:
     """Return a sort key: long-running steps first, then by the latest start that meets a deadline.
 
-    Steps that can meet their objective come before those that can still earn late credit.
+    Steps that can meet their objective with a reserve come before those that can still earn late
+    credit.
     """
     job, queue = pending.job, pending.queue
     if pending.step.order.lasting:
@@ -52,7 +59,8 @@
     if job.has_schedule:
         eligible_at = now - (wall_ms - job.due_ms(pending.step.occurrence)) / 1000
     remaining_s = pending.step.remaining_path_ms() / 1000
-    if now + remaining_s <= eligible_at + objective_s:
+    needed_s = (1 + RESERVE_SHARE) * remaining_s + START_DELAY_S
+    if now + needed_s <= eligible_at + objective_s:
         return (1, queue.priority, eligible_at + objective_s - remaining_s)
     if now + remaining_s <= eligible_at + LATE_CREDIT_FACTOR * objective_s:
         return (2, queue.priority, eligible_at + LATE_CREDIT_FACTOR * objective_s - remaining_s)
--- a/tests/coordination/job/test_placement.py
+++ b/tests/coordination/job/test_placement.py
@@ -1,9 +1,15 @@
+from dataclasses import replace
+
+import pytest
+
 from gypsumplank.coordination.job.instance import WorkerClock, WorkerInstance
 from gypsumplank.coordination.job.model import Job
-from gypsumplank.coordination.job.placement import PendingStep, PlacementRound
+from gypsumplank.coordination.job.placement import PendingStep, PlacementRound, urgency
 from gypsumplank.protocol.job import JobDefinition, Resources, StepDefinition, StoredJob
 from gypsumplank.protocol.queue import Queue
 from gypsumplank.protocol.worker import WorkerEntry, WorkerState
+from tests.coordination.job.replay import QUEUE as PROOFS
+from tests.coordination.job.replay import WORKER_ROOM, LoadReplay, Turn, offered_cores
 
 QUEUE = Queue("proofs", "h.example", "/p/", "desk")
 
@@ -47,3 +53,30 @@
     placement_round = PlacementRound([make_instance("a"), make_instance("b")], 1.0)
     assert not placement_round.place(make_pending_step("gang", 3000, tasks=3, gang=True))
     assert placement_round.place(make_pending_step("plain", 4000))
+
+
+# A queue's turn as logged on the large site: short tasks, twice as many as the pool has room for.
+OVERLOAD = Turn(89, 5.0, 0.64, 9000, 13_000, 8)
+OVERLOADED_WORKERS = 50
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_overloaded_pool_finishes_in_time_what_it_has_room_for(seed):
+    replay = LoadReplay(OVERLOAD, seed, OVERLOADED_WORKERS)
+    replay.run(12.0)
+    slack_s = (PROOFS.stretch - 1) * OVERLOAD.task_s + PROOFS.objective_ms / 1000
+    capacity = OVERLOADED_WORKERS * WORKER_ROOM.cpu / 1000 * (OVERLOAD.length_s + slack_s)
+    share = capacity / (offered_cores(OVERLOAD) * OVERLOAD.length_s)
+    assert share < 1
+    assert replay.outcome.in_time / replay.outcome.jobs >= share
+
+
+def test_job_without_reserve_comes_after_one_that_can_still_be_in_time():
+    now, objective_s = 10.0, (PROOFS.stretch * 1000 + PROOFS.objective_ms) / 1000
+    steps = []
+    for name, arrived_at in (("tight", now + 1.05 - objective_s), ("fresh", now)):
+        pending = make_pending_step(name, 1000, estimate_ms=1000)
+        pending.job.arrived_at = arrived_at
+        steps.append(replace(pending, queue=PROOFS))
+    tight, fresh = steps
+    assert urgency(fresh, now, 0.0) < urgency(tight, now, 0.0)
