Send orders for different machines concurrently

Cause: one thread sent all moves and maintenance orders, each a store call and a call to the machine service, 20 ms together: about 50 a second, where the large site's platform takes 310. A turn of a queue moves 50 to 150 machines, so they arrived when the turn was over. Ruled out: the processor (rounds of 40 ms, 30 a second) and the sender threads (queue of 0 to 67).

Change: six threads; orders for one machine keep their sequence. The test for concurrency fails on the code before.

--- a/gypsumplank/composition/platform.py
+++ b/gypsumplank/composition/platform.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 from gypsumplank.coordination.job.leader import LEASE_DURATION_S, SCHEDULER_LEASE, SchedulerLeader
-from gypsumplank.coordination.job.machine import MachineController
+from gypsumplank.coordination.job.machine import ORDER_SENDERS, MachineController
 from gypsumplank.coordination.job.maintenance import MaintenancePlanner
 from gypsumplank.coordination.job.manifest import ManifestWatch, has_recent_contact
 from gypsumplank.coordination.job.registry import DaemonRegistry
@@ -41,6 +41,8 @@
 STORE_TIMEOUT_S = 1.2
 STORE_CONNECTIONS = 24
 MACHINE_SERVICE_TIMEOUT_S = 1.0
+# One for each sender of orders, one for the list of machines.
+MACHINE_SERVICE_CONNECTIONS = ORDER_SENDERS + 1
 # The placement advisor's response time grows with the number of workers in the request.
 ADVICE_TIMEOUT_S = 2.0
 # Each call blocks its thread for some milliseconds while it waits for the store.
@@ -124,7 +126,9 @@
             job_store, self._fleet_rows, self._directory, HttpWorkers(), leases, advisor, clock_ms
         )
         machine_client = HttpMachines(
-            Client(settings.machine_api_address, MACHINE_SERVICE_TIMEOUT_S, 1)
+            Client(
+                settings.machine_api_address, MACHINE_SERVICE_TIMEOUT_S, MACHINE_SERVICE_CONNECTIONS
+            )
         )
         machine_controller = MachineController(
             machine_client,
--- a/gypsumplank/coordination/job/machine.py
+++ b/gypsumplank/coordination/job/machine.py
@@ -1,6 +1,11 @@
-"""List machines and order their moves and maintenance, in a thread apart from the scheduler's."""
+"""List machines and order their moves and maintenance, in threads apart from the scheduler's.
+
+Orders for different machines are sent concurrently, as a turn of a queue moves dozens of machines
+at once and each order takes two calls.
+"""
 
 import logging
+import zlib
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
 from typing import Any, Protocol
@@ -20,6 +25,10 @@
 # Delay before the order log is read again after a failure, seconds.
 ORDER_LOG_RETRY_S = 0.5
 
+# Threads that send orders. An order takes a call to the store and one to the machine service, some
+# 20 ms, so that these send up to 300 a second; large fleets may order about as many.
+ORDER_SENDERS = 6
+
 ResultCallback = Callable[[MachineError | None], None]
 
 logger = logging.getLogger(__name__)
@@ -80,6 +89,7 @@
         self._may_order = may_order
         self.post = post
         self._actor: Any = None
+        self._order_senders: list[Any] = []
         self._token = 0
         self._handover_ends_at: dict[str, float] | None = None
         self._next_order_log_at = 0.0
@@ -96,14 +106,17 @@
         self.end_term()
         self._token = token
         self._actor = self._actor_type.start()
+        self._order_senders = [self._actor_type.start() for _ in range(ORDER_SENDERS)]
         self._handover_ends_at = None
         self._request_order_log(now)
 
     def end_term(self) -> None:
         """End the leadership term and discard its state; another daemon takes over."""
         if self._actor is not None:
-            self._actor.stop(block=False)
+            for actor in (self._actor, *self._order_senders):
+                actor.stop(block=False)
             self._actor = None
+            self._order_senders = []
         self.machines.clear()
         self.last_wave.clear()
         self.in_flight.clear()
@@ -256,4 +269,7 @@
                 )
             on_result(failure)
 
-        self.run_async(call)
+        if self._order_senders:
+            # Orders for one machine keep their sequence.
+            sender = zlib.crc32(machine.encode()) % len(self._order_senders)
+            self._order_senders[sender].tell(call)
--- a/tests/coordination/job/test_machines.py
+++ b/tests/coordination/job/test_machines.py
@@ -1,9 +1,11 @@
 import math
+import queue
+import threading
 from collections import Counter
 
 import pytest
 
-from gypsumplank.coordination.job.machine import MachineController
+from gypsumplank.coordination.job.machine import ORDER_SENDERS, MachineController
 from gypsumplank.errors import StateUnavailableError
 from gypsumplank.protocol.job import Resources, StepDefinition
 from gypsumplank.protocol.queue import (
@@ -24,6 +26,9 @@
     long_running_step,
 )
 
+# Far longer than any wait in these tests; reached only if an expected event never comes.
+JOIN_TIMEOUT_S = 10.0
+
 
 @pytest.fixture
 def cluster():
@@ -154,6 +159,46 @@
     assert results[1].code == "machine"
 
 
+class RendezvousLog(FakeOrderLog):
+    """Let no order be recorded before another one is about to be."""
+
+    def __init__(self):
+        super().__init__({})
+        self.barrier = threading.Barrier(2)
+
+    def record(self, machine, wave=0):
+        self.barrier.wait(JOIN_TIMEOUT_S)
+        super().record(machine, wave)
+
+
+def test_orders_for_different_machines_are_sent_concurrently():
+    log, results = RendezvousLog(), queue.SimpleQueue()
+    controller = MachineController(
+        FakeMachines(), "d", lambda: 3.0, lambda: True, lambda work: work(), log
+    )
+    controller.start_term(7, 100.0)
+    for number in range(2 * ORDER_SENDERS):
+        controller.order_move(f"m{number}", "p", results.put)
+    # Orders that share a sender wait for each other, so only the first ones are sure to meet.
+    assert results.get(timeout=JOIN_TIMEOUT_S) is None
+    log.barrier.abort()
+    controller.end_term()
+
+
+def test_orders_for_one_machine_keep_their_sequence():
+    machines, done = FakeMachines(), threading.Semaphore(0)
+    controller = MachineController(
+        machines, "d", lambda: 3.0, lambda: True, lambda work: work(), FakeOrderLog({})
+    )
+    controller.start_term(7, 100.0)
+    pools = [f"p{number}" for number in range(20)]
+    for pool in pools:
+        controller.order_move("a", pool, lambda _failure: done.release())
+    assert all(done.acquire(timeout=JOIN_TIMEOUT_S) for _ in pools)
+    assert [pool for _, pool, _ in machines.moved] == pools
+    controller.end_term()
+
+
 def submit_backlog(cluster):
     cluster.manifest = Manifest(
         2,
@@ -218,6 +263,20 @@
     cluster.run(3.0)
 
 
+def test_workers_that_have_yet_to_register_are_not_replaced():
+    cluster = SimulatedCluster(1, workers=6)
+    cluster.manifest = Manifest(
+        2, (QUEUE,), {**MANIFEST.services, STANDBY: ServicePolicy(STANDBY, standby=True)}
+    )
+    for number in range(4):
+        cluster.machines.standby[f"m-{number}"] = True
+    for daemon in cluster.daemons:
+        registered = daemon.directory.workers
+        daemon.directory.workers = lambda registered=registered: registered()[:3]
+    cluster.run(5.0)
+    assert cluster.machines.orders == []
+
+
 def pool_sizes(cluster):
     return Counter(machine.pool for machine in cluster.machines.list_machines())
 
