Size pools by offered load, and count machines whose worker has yet to register

Cause: a pool asked for all its waiting tasks at once. In a turn of the large site that was up to 346 machines where about 100 were needed, so it emptied pools whose turn came next and kept machines long after. At start, machines whose workers had not registered were replaced: over 130 moves in flight before the traffic.

Change: a service asks for what the jobs that arrived within their critical path would keep busy, at least for what runs, and for overdue work spread over 2 s. A machine that is up and had no worker yet counts for its pool.

--- a/gypsumplank/coordination/job/demand.py
+++ b/gypsumplank/coordination/job/demand.py
@@ -1,8 +1,9 @@
 """Track the machines that each service's jobs demand, and derive minimum pool sizes."""
 
 import math
-from collections import deque
+from collections import defaultdict, deque
 from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 
 from gypsumplank.coordination.job.model import Job
 from gypsumplank.protocol.job import FINAL_JOB_STATES, Resources, TaskPhase
@@ -17,6 +18,12 @@
 # Share of its initial size that an idle pool keeps; reserved for sudden bursts of demand.
 IDLE_RESERVE_SHARE = 0.5
 
+# Time in which overdue work should be done, milliseconds; a machine that joins a pool for less than
+# this costs more in moves than it serves.
+BACKLOG_CLEARANCE_MS = 2000
+# Duration that is assumed for tasks without an estimate, milliseconds.
+DEFAULT_ESTIMATE_MS = 1000
+
 OPEN_PHASES = (TaskPhase.WAITING, TaskPhase.ASSIGNED)
 
 
@@ -76,21 +83,72 @@
     }
 
 
-def open_resource_demand(jobs: Iterable[Job], service: str) -> tuple[Resources, Resources]:
-    """Return the resources that a service's open tasks demand: all tasks, and batch tasks only."""
-    long_running = batch = Resources()
-    for job in jobs:
-        if job.service != service or job.state in FINAL_JOB_STATES:
-            continue
+@dataclass(frozen=True)
+class Load:
+    """Store the resources that a service's open tasks keep busy: long-running and batch tasks."""
+
+    long_running: Resources = Resources()
+    batch: Resources = Resources()
+
+    @property
+    def total(self) -> Resources:
+        """Return the resources of all tasks."""
+        return self.long_running + self.batch
+
+
+class LoadEstimator:
+    """Sum up the load of one service's jobs.
+
+    `offered` is what the batch jobs that arrived lately would keep busy if nothing had to wait,
+    `running` what is assigned, and `overdue_work` the work, in resources times ms, that waits
+    although its job would have ended by now.
+    """
+
+    def __init__(self) -> None:
+        self.long_running = Resources()
+        self.offered = Resources()
+        self.running = Resources()
+        self.overdue_work = Resources()
+
+    def add(self, job: Job, now: float, wall_ms: float) -> None:
+        """Add an open job; `now` is in monotonic seconds, `wall_ms` since 1970."""
+        path_ms = job.longest_path_ms or DEFAULT_ESTIMATE_MS
         for step in job.steps.values():
-            if step.order.fills or not job.is_ready(step, math.inf):
+            order = step.order
+            if order.fills:
+                continue
+            open_tasks = [task for task in step.tasks if task.phase in OPEN_PHASES]
+            if order.lasting:
+                self.long_running = self.long_running + order.need.scaled(len(open_tasks))
+                continue
+            age_ms = (now - job.arrived_at) * 1000
+            if job.has_schedule:
+                age_ms = wall_ms - job.due_ms(step.occurrence)
+            if age_ms < 0:
                 continue
-            count = sum(1 for task in step.tasks if task.phase in OPEN_PHASES)
-            if step.order.lasting:
-                long_running = long_running + step.order.need.scaled(count)
+            estimate_ms = order.estimate_ms or DEFAULT_ESTIMATE_MS
+            assigned = sum(1 for task in open_tasks if task.phase is TaskPhase.ASSIGNED)
+            self.running = self.running + order.need.scaled(assigned)
+            if age_ms < path_ms:
+                work = order.need.scaled(len(step.tasks) * estimate_ms)
+                self.offered = self.offered + work.divided(path_ms)
             else:
-                batch = batch + step.order.need.scaled(count)
-    return long_running + batch, batch
+                waiting = len(open_tasks) - assigned
+                self.overdue_work = self.overdue_work + order.need.scaled(waiting * estimate_ms)
+
+    def load(self) -> Load:
+        """Return the load, with the overdue work spread over BACKLOG_CLEARANCE_MS."""
+        batch = self.offered.at_least(self.running)
+        return Load(self.long_running, batch + self.overdue_work.divided(BACKLOG_CLEARANCE_MS))
+
+
+def estimate_loads(jobs: Iterable[Job], now: float, wall_ms: float) -> dict[str, Load]:
+    """Return the load of each service that has open jobs."""
+    estimators: defaultdict[str, LoadEstimator] = defaultdict(LoadEstimator)
+    for job in jobs:
+        if job.state not in FINAL_JOB_STATES:
+            estimators[job.service].add(job, now, wall_ms)
+    return {service: estimator.load() for service, estimator in estimators.items()}
 
 
 def machines_needed(resources: Resources, size: Resources) -> int:
--- a/gypsumplank/coordination/job/scaling.py
+++ b/gypsumplank/coordination/job/scaling.py
@@ -1,24 +1,24 @@
 """Scale each service's pool of machines with its demand, using standby machines and other pools."""
 
 import logging
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import asdict, dataclass, field
 from typing import Protocol
 
 from gypsumplank.coordination.job.demand import (
+    Load,
     ServiceDemand,
+    estimate_loads,
     machines_needed,
     minimum_sizes,
-    open_resource_demand,
 )
 from gypsumplank.coordination.job.instance import UNREACHABLE_AFTER_MISSED_POLLS, WorkerInstance
 from gypsumplank.coordination.job.machine import MachineController
-from gypsumplank.coordination.job.model import Job
 from gypsumplank.coordination.job.scheduler import Scheduler
 from gypsumplank.errors import MachineError, MachineRefusedError, StateError
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.job import Resources
-from gypsumplank.protocol.queue import MachineState, Manifest
+from gypsumplank.protocol.queue import Machine, MachineState, Manifest
 from gypsumplank.protocol.worker import WorkerState
 
 # Time after the order of a move until which a machine without a new worker counts as arriving in
@@ -107,6 +107,7 @@
         self._retry_at: dict[str, float] = {}
         self._next_plan_at = 0.0
         self._next_sizes_request_at = 0.0
+        self._machines_seen_with_worker: set[str] = set()
         self._logged_sizes: dict[str, PoolSize] = {}
         self._next_log_at = 0.0
 
@@ -115,6 +116,7 @@
         self._demands.clear()
         self._moves_in_flight.clear()
         self._planned_moves.clear()
+        self._machines_seen_with_worker.clear()
         self._next_sizes_request_at = 0.0
 
     def plan_and_move(self, scheduler: Scheduler, manifest: Manifest, now: float) -> None:
@@ -133,8 +135,10 @@
             self._request_initial_sizes(services, now)
             return
         instances = scheduler.fleet.by_machine()
+        self._machines_seen_with_worker.update(instances)
         members = {service: _active_members(service, instances) for service in services}
-        self._update_demands(scheduler.workload.jobs.values(), members, now)
+        loads = estimate_loads(scheduler.workload.jobs.values(), now, scheduler.wall_ms())
+        self._update_demands(loads, members, now)
         self._remove_arrived(instances, now)
         self._plan(members, standby, instances, now)
         self._execute_moves(scheduler, instances, now)
@@ -163,9 +167,8 @@
             self._demands.setdefault(service, ServiceDemand(size))
 
     def _update_demands(
-        self, jobs: Iterable[Job], members: dict[str, list[WorkerInstance]], now: float
+        self, loads: Mapping[str, Load], members: dict[str, list[WorkerInstance]], now: float
     ) -> None:
-        jobs = list(jobs)
         all_capacities = [
             instance.entry.room for instances in members.values() for instance in instances
         ]
@@ -174,9 +177,9 @@
             if not capacities:
                 return
             size = _smallest_capacity(capacities)
-            total, batch = open_resource_demand(jobs, service)
+            load = loads.get(service, Load())
             self._demands[service].update(
-                machines_needed(total, size), machines_needed(batch, size), now
+                machines_needed(load.total, size), machines_needed(load.batch, size), now
             )
 
     def _remove_arrived(self, instances: dict[str, WorkerInstance], now: float) -> None:
@@ -296,15 +299,19 @@
         leaving = sum(1 for instance in members if instance.entry.machine in self._planned_moves)
         arriving = sum(1 for move in self._moves_in_flight.values() if move.pool == service)
         planned = sum(1 for pool in self._planned_moves.values() if pool == service)
-        in_maintenance = sum(
+        expected = sum(
             1
             for machine in self._controller.machines.values()
-            if machine.pool == service
-            and machine.state is MachineState.UPKEEP
-            and machine.name not in instances
-            and machine.name not in self._moves_in_flight
+            if machine.pool == service and self._expects_worker(machine, instances)
         )
-        return len(members) - leaving + arriving + planned + in_maintenance
+        return len(members) - leaving + arriving + planned + expected
+
+    def _expects_worker(self, machine: Machine, instances: Mapping[str, WorkerInstance]) -> bool:
+        """Return whether a machine is in maintenance, or its first worker has yet to register."""
+        if machine.name in instances or machine.name in self._moves_in_flight:
+            return False
+        is_new = machine.name not in self._machines_seen_with_worker
+        return machine.state is MachineState.UPKEEP or (machine.state is MachineState.UP and is_new)
 
     def _drainable_machines(self, members: list[WorkerInstance], now: float) -> list[str]:
         """Return the machines without long-running tasks that may move, least CPU in use first."""
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -82,6 +82,10 @@
         """Return the monotonic time in seconds."""
         return self._clock.monotonic()
 
+    def wall_ms(self) -> float:
+        """Return the time of day in milliseconds since 1970."""
+        return self._clock.wall() * 1000
+
     @property
     def dispatcher(self) -> WorkerDispatcher:
         """Return the dispatcher of this term."""
@@ -154,7 +158,7 @@
         now = self._clock.monotonic()
         self._expire_leases(now)
         self.workload.update_job_states(now)
-        wall_ms = self._clock.wall() * 1000
+        wall_ms = self.wall_ms()
         pending = [
             pending_step
             for job in self.workload.jobs.values()
--- a/gypsumplank/protocol/job.py
+++ b/gypsumplank/protocol/job.py
@@ -43,6 +43,20 @@
         """Return the resources multiplied by a count."""
         return Resources(self.cpu * count, self.memory_mb * count, self.accelerators * count)
 
+    def divided(self, divisor: int) -> "Resources":
+        """Return the resources divided by a number, rounded down."""
+        return Resources(
+            self.cpu // divisor, self.memory_mb // divisor, self.accelerators // divisor
+        )
+
+    def at_least(self, other: "Resources") -> "Resources":
+        """Return the larger amount of each resource."""
+        return Resources(
+            max(self.cpu, other.cpu),
+            max(self.memory_mb, other.memory_mb),
+            max(self.accelerators, other.accelerators),
+        )
+
     def can_fit(self, other: "Resources") -> bool:
         """Return whether the other amount fits into this one."""
         return (
--- a/tests/coordination/job/test_demand.py
+++ b/tests/coordination/job/test_demand.py
@@ -1,10 +1,25 @@
+import pytest
+
 from gypsumplank.coordination.job.demand import (
+    BACKLOG_CLEARANCE_MS,
     PEAK_WINDOW_S,
+    USABLE_SHARE,
+    Load,
     ServiceDemand,
+    estimate_loads,
     machines_needed,
     minimum_sizes,
 )
-from gypsumplank.protocol.job import Resources
+from gypsumplank.coordination.job.model import Job
+from gypsumplank.protocol.job import (
+    JobDefinition,
+    Resources,
+    Schedule,
+    StepDefinition,
+    StoredJob,
+    TaskPhase,
+)
+from tests.coordination.job.replay import SERVICE, WORKER_ROOM, LoadReplay, Turn, offered_cores
 
 
 def demand_busy_at(initial_size, at):
@@ -58,3 +73,68 @@
     demands = {"a": demand_busy_at(6, 10.0), "b": demand_busy_at(6, None)}
     demands["a"].update(0, 0, 20.0)
     assert minimum_sizes(demands, 20.0) == {"a": 3, "b": 6}
+
+
+STEP = StepDefinition(4, Resources(1000, 100), 500)
+CHAIN = (STEP, StepDefinition(4, Resources(1000, 100), 500, after=(0,)))
+
+
+def make_job(steps, arrived_at=0.0, schedule=None):
+    order = JobDefinition("", steps, schedule or Schedule())
+    return Job(StoredJob("a" * 16, "proofs", SERVICE, 0, order), SERVICE, arrived_at=arrived_at)
+
+
+def load_of(job, now, wall_ms=0.0):
+    return estimate_loads([job], now, wall_ms)[SERVICE]
+
+
+def test_new_job_offers_its_work_spread_over_its_critical_path():
+    assert load_of(make_job(CHAIN), 0.9).batch == Resources(4000, 400)
+
+
+def test_waiting_work_of_an_overdue_job_is_spread_over_the_clearance_time():
+    share = 2 * STEP.estimate_ms / BACKLOG_CLEARANCE_MS
+    assert load_of(make_job(CHAIN), 1.1).batch == Resources(int(4000 * share), int(400 * share))
+
+
+def test_running_tasks_count_as_long_as_they_run():
+    job = make_job((STEP,))
+    for task in job.tasks():
+        task.phase = TaskPhase.ASSIGNED
+    assert load_of(job, 30.0).batch == Resources(4000, 400)
+
+
+def test_occurrence_counts_from_its_due_time():
+    job = make_job((STEP,), schedule=Schedule(2, 10_000, 60_000))
+    assert load_of(job, 30.0, 9_900.0).batch == Resources()
+    assert load_of(job, 30.0, 10_100.0).batch == Resources(4000, 400)
+
+
+def test_long_running_tasks_are_no_batch_load():
+    load = load_of(make_job((StepDefinition(3, Resources(1000, 100), 500, lasting=True),)), 30.0)
+    assert load == Load(Resources(3000, 300), Resources())
+    assert load.total == Resources(3000, 300)
+
+
+def test_job_without_estimates_counts_as_running_for_a_second():
+    assert load_of(make_job((StepDefinition(2, Resources(1000, 100)),)), 0.5).batch.cpu == 2000
+
+
+# A queue's turn as logged on the large site, beyond what its pool of 60 has room for. Machines that
+# are asked for arrive after the turn is half over; asking for all that waits at once empties the
+# pools whose turn comes next.
+TURN = Turn(82, 4.0, 0.64, 9000, 13_000, 8)
+POOL = 60
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_turn_asks_for_its_offered_load_and_not_for_its_whole_backlog(seed):
+    replay, asked = LoadReplay(TURN, seed, POOL), []
+    needed = machines_needed(Resources(int(1000 * offered_cores(TURN))), WORKER_ROOM)
+    while replay.clock.monotonic() < TURN.length_s:
+        replay.run(0.2)
+        load = estimate_loads(replay.scheduler.workload.jobs.values(), replay.clock.monotonic(), 0)
+        asked.append(machines_needed(load.get(SERVICE, Load()).total, WORKER_ROOM))
+    after_first_second = asked[len(asked) // 4 :]
+    assert min(after_first_second) > POOL
+    assert max(asked) <= needed / USABLE_SHARE
