Wait out the lease of a start that may arrive at a worker's next instance

Its log: the start of run 1 was on its way to w1 when w1's next instance was found; the start passed to that instance, whose leases counted as over since none had been granted, so the task was started on w2 4 ms later while w1 ran it. Ruled out: load alone (the log shows the order of events), two leaders (one epoch throughout).

Change: an instance that takes over an unconfirmed start counts as having granted a full lease. The new test fails on the code before.

--- a/gypsumplank/coordination/job/fleet.py
+++ b/gypsumplank/coordination/job/fleet.py
@@ -149,6 +149,8 @@
             task.unconfirmed_since = task.unconfirmed_since or now
             task.step.dirty = True
             successor.tasks[task.name] = task
+            # A delayed start begins a full lease on the successor.
+            successor.extend_leases(now, self.max_lease_s)
 
     def requeue_all(self, instance: WorkerInstance, now: float, reason: str) -> None:
         """Requeue every task of an instance that has ended; `reason` is logged."""
--- /dev/null
+++ b/tests/coordination/job/test_fleet.py
@@ -0,0 +1,49 @@
+from dataclasses import replace
+
+from gypsumplank.coordination.job.scheduler import Scheduler
+from gypsumplank.protocol.job import (
+    JobDefinition,
+    JobState,
+    Resources,
+    StepDefinition,
+    StoredJob,
+    TaskPhase,
+)
+from gypsumplank.protocol.queue import Manifest
+from gypsumplank.protocol.worker import WorkerEntry, WorkerState
+from gypsumplank.state.clock import ManualClock
+from gypsumplank.state.job import LoadedJob
+from tests.coordination.job.replay import QUEUE, SERVICE, WORKER_ROOM
+
+LEASE_S = 6.0
+
+
+def make_scheduler(clock):
+    scheduler = Scheduler(clock, lambda: Manifest(1, (QUEUE,)), 1, LEASE_S)
+    entry = WorkerEntry("w", SERVICE, "w:80", "z", WorkerState.READY, WORKER_ROOM, born=1)
+    scheduler.fleet.apply_entries([entry])
+    for instance in scheduler.instances.values():
+        instance.last_contact_at = clock.monotonic()
+    return scheduler, entry
+
+
+def test_unconfirmed_start_is_not_repeated_when_its_worker_restarts():
+    clock = ManualClock()
+    clock.advance(10.0)
+    scheduler, entry = make_scheduler(clock)
+    order = JobDefinition("", (StepDefinition(1, Resources(1000, 100), 500),))
+    stored = StoredJob("a" * 16, QUEUE.name, SERVICE, 0, order)
+    job = scheduler.workload.add(LoadedJob(stored, JobState.QUEUED, 1, False, {}), 10.0)
+    scheduler.plan()
+    (task,) = job.tasks()
+    assert (task.phase, task.run) == (TaskPhase.ASSIGNED, 1)
+    task.sent_at = clock.monotonic()
+    scheduler.fleet.apply_entries([replace(entry, born=2)])
+    scheduler.plan()
+    assert (task.phase, task.run, task.incarnation) == (TaskPhase.ASSIGNED, 1, 2)
+    clock.advance(LEASE_S - 0.1)
+    scheduler.plan()
+    assert (task.phase, task.run) == (TaskPhase.ASSIGNED, 1)
+    clock.advance(1.0)
+    scheduler.plan()
+    assert task.phase is TaskPhase.WAITING
