Drop orders for machines that were queued in an earlier term

Cause: an order waits in its sender's queue; if the daemon loses the lease and takes it again meanwhile, the check of the lease passes and the order goes out with the earlier term's token, beside those of the new term. Ruled out: the wait after a hand-over covers it (it goes by recorded orders, and this one is recorded only when it is sent).

Change: the term is checked with the lease, right before the order is sent. The test fails on the code before.

--- a/gypsumplank/coordination/job/machine.py
+++ b/gypsumplank/coordination/job/machine.py
@@ -247,8 +247,8 @@
             failure: MachineError | None = None
             try:
                 self._record_order(machine, wave)
-                if not self._may_order():
-                    raise MachineError("the scheduler's lease may have expired")
+                if token != self._token or not self._may_order():
+                    raise MachineError("the scheduler's term may have ended")
                 work()
             except MachineError as exc:
                 failure = exc
--- a/tests/coordination/job/test_machines.py
+++ b/tests/coordination/job/test_machines.py
@@ -185,6 +185,29 @@
     controller.end_term()
 
 
+class HeldRunner(ImmediateRunner):
+    """Hold a controller's calls until the test runs them."""
+
+    held = []
+
+    def tell(self, work):
+        self.held.append(work)
+
+
+def test_order_of_an_earlier_term_is_not_sent(monkeypatch):
+    monkeypatch.setattr(HeldRunner, "held", [])
+    machines = FakeMachines()
+    controller = MachineController(
+        machines, "d", lambda: 3.0, lambda: True, lambda work: work(), FakeOrderLog({}), HeldRunner
+    )
+    controller.start_term(7, 100.0)
+    controller.order_move("a", "p", lambda _failure: None)
+    controller.start_term(8, 101.0)
+    for work in HeldRunner.held:
+        work()
+    assert machines.moved == []
+
+
 def test_orders_for_one_machine_keep_their_sequence():
     machines, done = FakeMachines(), threading.Semaphore(0)
     controller = MachineController(
