--- a/gypsumplank/coordination/job/demand.py
+++ b/gypsumplank/coordination/job/demand.py
@@ -1,4 +1,9 @@
-"""Track the machines that each service's jobs demand, and derive minimum pool sizes."""
+"""Track the machines that each service's jobs demand, and derive minimum pool sizes.
+
+Answers queues that take turns: for a few seconds one asks for more than its pool holds, and
+machines that are moved there arrive when part of the turn is over. So a service asks for the load
+that its arriving jobs offer, and not for all that waits.
+"""
 
 import math
 from collections import defaultdict, deque
@@ -99,9 +104,9 @@
 class LoadEstimator:
     """Sum up the load of one service's jobs.
 
-    `offered` is what the batch jobs that arrived lately would keep busy if nothing had to wait,
-    `running` what is assigned, and `overdue_work` the work, in resources times ms, that waits
-    although its job would have ended by now.
+    `offered` is what batch jobs would keep busy if none had to wait: the work of each job, spread
+    evenly over its critical path from its arrival on. `running` is what is assigned.
+    `overdue_work`, in resources times ms, waits although its job would have ended by now.
     """
 
     def __init__(self) -> None:
--- a/gypsumplank/coordination/job/placement.py
+++ b/gypsumplank/coordination/job/placement.py
@@ -1,4 +1,8 @@
-"""Choose which tasks start next and on which worker, within one scheduling round."""
+"""Choose which tasks start next and on which worker, within one scheduling round.
+
+Answers a queue that is longer than its pool can serve in time: the jobs that can still be in time
+come first, so that those that can't do not make the others late too.
+"""
 
 from collections import Counter
 from collections.abc import Iterable, Mapping
