--- a/gypsumplank/coordination/job/demand.py
+++ b/gypsumplank/coordination/job/demand.py
@@ -23,8 +23,7 @@
 # Share of its initial size that an idle pool keeps; reserved for sudden bursts of demand.
 IDLE_RESERVE_SHARE = 0.5
 
-# Time in which overdue work should be done, milliseconds; a machine that joins a pool for less than
-# this costs more in moves than it serves.
+# Time in which overdue work should be done, milliseconds.
 BACKLOG_CLEARANCE_MS = 2000
 # Duration that is assumed for tasks without an estimate, milliseconds.
 DEFAULT_ESTIMATE_MS = 1000
--- a/gypsumplank/coordination/job/machine.py
+++ b/gypsumplank/coordination/job/machine.py
@@ -25,8 +25,7 @@
 # Delay before the order log is read again after a failure, seconds.
 ORDER_LOG_RETRY_S = 0.5
 
-# Threads that send orders. An order takes a call to the store and one to the machine service, some
-# 20 ms, so that these send up to 300 a second; large fleets may order about as many.
+# Threads that send orders; each order takes a call to the store and one to the machine service.
 ORDER_SENDERS = 6
 
 ResultCallback = Callable[[MachineError | None], None]
