Keep the server's wake-up pipe open until its threads have ended

Cause: waitress's `pull_trigger` first queues the callback, then writes a byte to the server thread's pipe. `_close_channels` closed that pipe in the server thread. If the thread was already awake through another thread's byte, it ran the callback between the two steps, and the write met a closed descriptor, or one that had been opened anew for something else.

Ruled out: load alone; the new test replays the order of the two steps with an idle machine and fails on the code before with the same traceback.

Change: the callback only takes the pipe out of the server's poll set, which ends its loop. The descriptors are closed once the server thread and the request threads have ended; if a request outlives the grace period, they stay open until the process ends, as its thread still writes to them.

Before: test_server_that_ends_before_its_wake_up_is_written_closes_cleanly fails. After: passes.

--- a/gypsumplank/transport/listener.py
+++ b/gypsumplank/transport/listener.py
@@ -17,6 +17,8 @@
 CONNECTION_LIMIT = 2000
 CLOSE_POLL_INTERVAL_S = 0.02
 JOIN_TIMEOUT_S = 5.0
+# Longest wait at a close for the exit of threads that have no request, seconds.
+THREAD_EXIT_TIMEOUT_S = 1.0
 
 
 class ClosingDispatcher(ThreadedTaskDispatcher):
@@ -93,7 +95,8 @@
         idle = not self._has_requests()
         self._server.trigger.pull_trigger(self._close_channels)
         self._thread.join(JOIN_TIMEOUT_S)
-        self._dispatcher.shutdown(timeout=0)
+        self._dispatcher.shutdown(timeout=THREAD_EXIT_TIMEOUT_S if idle else 0.0)
+        self._close_trigger()
         return idle
 
     def _has_requests(self) -> bool:
@@ -110,4 +113,10 @@
     def _close_channels(self) -> None:
         for channel in list(self._server.active_channels.values()):
             channel.handle_close()
-        self._server.trigger.close()
+        # The server thread ends as soon as nothing is left to poll.
+        self._server.trigger.del_channel()
+
+    def _close_trigger(self) -> None:
+        # Every thread that still runs writes to the trigger, so its descriptors must stay open.
+        if not self._thread.is_alive() and not self._dispatcher.threads:
+            self._server.trigger.close()
