--- a/gypsumplank/composition/platform.py
+++ b/gypsumplank/composition/platform.py
@@ -113,7 +113,7 @@
             settings.daemon,
             LEASE_DURATION_S,
             LEASE_MARGIN_SHARE,
-            self._fleet_rows.clock_ms,
+            self._fleet_rows.clock_range,
         )
         advisor = (
             HttpAdvisor(Client(settings.advisor_address, ADVICE_TIMEOUT_S, 1))
@@ -121,9 +121,15 @@
             else None
         )
         job_store = JobStore(self._fleet_rows)
-        clock_ms = self._fleet_rows.clock_ms
+        store_clock = self._fleet_rows.clock_range
         ports = PlatformPorts(
-            job_store, self._fleet_rows, self._directory, HttpWorkers(), leases, advisor, clock_ms
+            job_store,
+            self._fleet_rows,
+            self._directory,
+            HttpWorkers(),
+            leases,
+            advisor,
+            store_clock,
         )
         machine_client = HttpMachines(
             Client(
@@ -136,7 +142,7 @@
             lambda: self._settings.lease_handover_s,
             lambda: leases.fence(SCHEDULER_LEASE) is not None,
             lambda work: self._leader.post(work),  # noqa: PLW0108
-            MachineOrderLog(self._independent_rows, clock_ms),
+            MachineOrderLog(self._independent_rows, store_clock),
         )
         maintenance = MachineManager(
             machine_controller,
--- a/gypsumplank/coordination/job/dispatcher.py
+++ b/gypsumplank/coordination/job/dispatcher.py
@@ -94,7 +94,9 @@
         def send() -> None:
             if not instance.is_reachable:
                 raise WorkerRefusedError(StartRefusal.UNREACHABLE, f"{instance.id} is unreachable")
-            until_ms = instance.extend_leases(self._clock.monotonic(), self._lease_s())
+            until_ms = instance.try_extend_leases(self._clock.monotonic(), self._lease_s())
+            if until_ms is None:
+                raise WorkerRefusedError(StartRefusal.UNREACHABLE, f"{instance.id} is silent")
             command = make_order(until_ms)
             if command is None:
                 return
@@ -181,11 +183,9 @@
 
     def _request_report(self, instance: WorkerInstance, max_wait_s: float) -> ReceivedReport:
         sent_at = self._clock.monotonic()
-        has_leased_tasks = (
-            bool(instance.tasks) and not instance.missed_polls and not instance.extension_suspended
-        )
+        has_leased_tasks = bool(instance.tasks) and not instance.missed_polls
         extend = has_leased_tasks and self._may_extend_leases()
-        until_ms = instance.extend_leases(sent_at, self._lease_s()) if extend else None
+        until_ms = instance.try_extend_leases(sent_at, self._lease_s()) if extend else None
         wait_s = (
             min(max_wait_s, STARTUP_LONG_POLL_S) if instance.has_starting_task() else max_wait_s
         )
--- a/gypsumplank/coordination/job/instance.py
+++ b/gypsumplank/coordination/job/instance.py
@@ -81,6 +81,7 @@
     tasks: dict[str, Task] = field(default_factory=dict)
     wake: threading.Event = field(default_factory=threading.Event)
     detached: bool = False
+    _lease_lock: threading.Lock = field(default_factory=threading.Lock, repr=False)
 
     @property
     def id(self) -> str:
@@ -102,6 +103,16 @@
         self.leased_until = max(self.leased_until, now + lease_s / MIN_CLOCK_RATE)
         return self.clock.lower_bound_ms(now) + int(lease_s * 1000)
 
+    def try_extend_leases(self, now: float, lease_s: float) -> int | None:
+        """Extend the leases as `extend_leases` does; return None if that is suspended."""
+        with self._lease_lock:
+            return None if self.extension_suspended else self.extend_leases(now, lease_s)
+
+    def suspend_extension(self) -> None:
+        """Stop the extension of leases; `leased_until` does not change from then on."""
+        with self._lease_lock:
+            self.extension_suspended = True
+
     def leases_have_expired(self, now: float) -> bool:
         """Return whether every task that was started here has ended, as its lease has expired."""
         return now > self.leased_until + LEASE_EXPIRY_MARGIN_S
@@ -125,6 +136,7 @@
             not self.detached
             and self.registered
             and not self.cordoned
+            and not self.extension_suspended
             and self.is_reachable
             and self.entry.state is WorkerState.READY
             and now >= self.refused_until
--- a/gypsumplank/coordination/job/leader.py
+++ b/gypsumplank/coordination/job/leader.py
@@ -85,7 +85,7 @@
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._run, name="chief", daemon=True)
         self._term: Term | None = None
-        self._silent_workers = SilentWorkers(ports.store, ports.store_ms)
+        self._silent_workers = SilentWorkers(ports.store, ports.store_clock)
         self._next_lease_check_at = 0.0
         self._must_renew = False
         self._store_unavailable = False
--- a/gypsumplank/coordination/job/term.py
+++ b/gypsumplank/coordination/job/term.py
@@ -15,7 +15,7 @@
 from gypsumplank.coordination.job.watch import JobWatch, PeriodicThread, ResyncLoop, StoreSnapshot
 from gypsumplank.coordination.lease import LeaseManager
 from gypsumplank.protocol.queue import Manifest
-from gypsumplank.state.clock import Clock
+from gypsumplank.state.clock import Clock, ClockRange
 from gypsumplank.state.feed import ChangeFeed
 from gypsumplank.state.job import JobStore
 from gypsumplank.state.table import Row
@@ -25,7 +25,7 @@
 class PlatformPorts:
     """Store the interfaces through which the leader reaches the platform.
 
-    `store_ms` returns the reading of the store's clock in ms, 0 if that is unknown.
+    `store_clock` reads the store's clock.
     """
 
     store: JobStore
@@ -34,7 +34,7 @@
     control: WorkerControl
     leases: LeaseManager
     advisor: Advisor | None = None
-    store_ms: Callable[[], int] = lambda: 0
+    store_clock: Callable[[], ClockRange] = ClockRange
 
 
 class MachineManager:
--- a/gypsumplank/coordination/lease.py
+++ b/gypsumplank/coordination/lease.py
@@ -7,7 +7,7 @@
 
 from gypsumplank.errors import StateConflictError, StateError
 from gypsumplank.log import Event, event
-from gypsumplank.state.clock import Clock
+from gypsumplank.state.clock import Clock, ClockRange
 from gypsumplank.state.lease import Lease, LeaseRow, LeaseStore
 from gypsumplank.state.table import Check
 
@@ -36,7 +36,7 @@
     """Acquire, renew and release leases; this daemon's monotonic clock decides if one is held.
 
     Another daemon's lease is taken over once its row stayed unchanged for longer than its duration
-    and a margin, or once it expired on the table service's clock, if `store_ms` reads that clock.
+    and a margin, or once it expired on the table service's clock, if `store_clock` knows that.
     After a gap between reads longer than a lease, a row counts as unchanged only from the next
     read on. The clocks of two daemons are never compared.
     """
@@ -48,9 +48,9 @@
         daemon: str,
         duration_s: float,
         margin_share: float = TAKEOVER_MARGIN_SHARE,
-        store_ms: Callable[[], int] = lambda: 0,
+        store_clock: Callable[[], ClockRange] = ClockRange,
     ) -> None:
-        self._store_ms = store_ms
+        self._store_clock = store_clock
         self._store = store
         self._clock = clock
         self._daemon = daemon
@@ -161,15 +161,16 @@
 
     def _write(self, lease: Lease, row: LeaseRow, now: float) -> None:
         """Write a lease; store it in memory first to recognise it if the response is lost."""
-        store_ms = self._store_ms()
-        lease = replace(lease, until_ms=store_ms + int(self._duration_s * 1000) if store_ms else 0)
+        latest_ms = self._store_clock().latest_ms
+        until_ms = latest_ms + int(self._duration_s * 1000) if latest_ms else 0
+        lease = replace(lease, until_ms=until_ms)
         self._own_rows[lease.name] = LeaseRow(lease, row.version)
         self._own_rows[lease.name] = self._store.put(lease, row.version)
         self._held_until[lease.name] = now + self._duration_s
         self.holders[lease.name] = self._daemon
 
     def _has_expired(self, row: LeaseRow, now: float) -> bool:
-        if 0 < row.lease.until_ms < self._store_ms():
+        if 0 < row.lease.until_ms < self._store_clock().earliest_ms:
             return True
         return now - self._observed[row.lease.name].first_read_at > self._takeover_after_s
 
--- a/gypsumplank/platform/table.py
+++ b/gypsumplank/platform/table.py
@@ -1,8 +1,10 @@
 """Store the product's tables as rows of the platform's store, all in one partition."""
 
+import math
 import time
 from base64 import b64decode, b64encode
 from binascii import Error as Base64Error
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import urlencode
 
@@ -15,6 +17,7 @@
     StateUnknownError,
 )
 from gypsumplank.platform.client import Client, Response
+from gypsumplank.state.clock import ClockRange
 from gypsumplank.state.feed import Changes
 from gypsumplank.state.table import SCAN_LIMIT, Row, Txn
 
@@ -22,6 +25,7 @@
 PATH_GET = "/api/rows-get"
 PATH_FEED = "/api/rows-feed"
 MAX_PAGE_ROWS = 500
+MS_PER_S = 1000.0
 STATUS_OK = 200
 STATUS_GONE = 410
 STATUS_CONFLICT = 412
@@ -30,25 +34,37 @@
 STATUSES_NOT_APPLIED = (429, 503)
 
 
+@dataclass(frozen=True)
+class ClockSample:
+    """Store a reading of the store's clock that a call returned; times in monotonic seconds."""
+
+    reading_ms: int
+    sent_at: float
+    answered_at: float
+
+
 class RowTable:
     """Access the rows of one partition; implements Table and ChangeFeed."""
 
     def __init__(self, client: Client, partition: str) -> None:
         self._client = client
         self._partition = partition
-        self._clock_sample: tuple[int, float] | None = None
-
-    def clock_ms(self) -> int:
-        """Return a lower bound of the store's monotonic clock, in ms; 0 before any response."""
-        if self._clock_sample is None:
-            return 0
-        clock_ms, read_at = self._clock_sample
-        return clock_ms + int((time.monotonic() - read_at) * 1000)
-
-    def _update_clock(self, body: dict[str, Any]) -> None:
-        clock_ms = body.get("now-ms")
-        if isinstance(clock_ms, int):
-            self._clock_sample = (clock_ms, time.monotonic())
+        self._clock_sample: ClockSample | None = None
+
+    def clock_range(self) -> ClockRange:
+        """Return bounds of the store's monotonic clock; unknown before any response."""
+        sample, now = self._clock_sample, time.monotonic()
+        if sample is None:
+            return ClockRange()
+        return ClockRange(
+            sample.reading_ms + int((now - sample.answered_at) * MS_PER_S),
+            sample.reading_ms + math.ceil((now - sample.sent_at) * MS_PER_S),
+        )
+
+    def _update_clock(self, body: dict[str, Any], sent_at: float) -> None:
+        reading_ms = body.get("now-ms")
+        if isinstance(reading_ms, int):
+            self._clock_sample = ClockSample(reading_ms, sent_at, time.monotonic())
 
     def get(self, table: str, key: str) -> Row | None:
         """Return one row."""
@@ -95,12 +111,13 @@
             if write.value is None
         ]
         body = {"expected-rev": checks, "writes": writes, "remove": deletes}
+        sent_at = time.monotonic()
         try:
             resp = self._client.call("POST", PATH_TX, body)
         except CallError as exc:
             error = StateUnknownError if exc.sent else StateUnavailableError
             raise error(exc.detail) from exc
-        return self._commit_version(resp)
+        return self._commit_version(resp, sent_at)
 
     def changes(self, table: str, after: int, wait_s: float) -> Changes:
         """Return the changes after a version; wait up to `wait_s` seconds for the first one."""
@@ -126,6 +143,7 @@
         return [_decode_row(raw) for raw in body["rows"]], bool(body.get("has-more"))
 
     def _read(self, path: str, wait_s: float, table: str) -> dict[str, Any]:
+        sent_at = time.monotonic()
         try:
             resp = self._client.call("GET", path, extra_timeout_s=wait_s)
         except CallError as exc:
@@ -137,14 +155,16 @@
             )
         if resp.status != STATUS_OK or not isinstance(body.get("rows"), list):
             raise StateUnavailableError(f"status {resp.status} for {table}")
-        self._update_clock(body)
+        # The response of a call that waits for a change tells little about the present reading.
+        if not wait_s:
+            self._update_clock(body, sent_at)
         return body
 
-    def _commit_version(self, resp: Response) -> int:
+    def _commit_version(self, resp: Response, sent_at: float) -> int:
         if resp.status == STATUS_OK and isinstance(resp.body, dict):
             version = resp.body.get("ver")
             if isinstance(version, int):
-                self._update_clock(resp.body)
+                self._update_clock(resp.body, sent_at)
                 return version
         if resp.status == STATUS_CONFLICT:
             raise StateConflictError("a checked row has a different version")
--- a/gypsumplank/state/clock.py
+++ b/gypsumplank/state/clock.py
@@ -1,9 +1,22 @@
 """Define a clock interface, with a system clock and a manual clock for tests."""
 
 import time
+from dataclasses import dataclass
 from typing import Protocol
 
 
+@dataclass(frozen=True)
+class ClockRange:
+    """Bound the present reading of a remote clock, in ms; both bounds are 0 if it is unknown.
+
+    A time that others wait for is written as the latest, and waited for by the earliest reading;
+    so a response that was slow to arrive makes no wait too short.
+    """
+
+    earliest_ms: int = 0
+    latest_ms: int = 0
+
+
 class Clock(Protocol):
     """Provide monotonic and wall-clock time in seconds."""
 
--- a/gypsumplank/state/machine.py
+++ b/gypsumplank/state/machine.py
@@ -6,6 +6,7 @@
 
 from gypsumplank.errors import StateConflictError
 from gypsumplank.protocol.queue import MachineOrderEntry
+from gypsumplank.state.clock import ClockRange
 from gypsumplank.state.job import decode
 from gypsumplank.state.table import ABSENT, Check, Table, Txn, Write, scan_all
 
@@ -17,22 +18,22 @@
 class MachineOrderLog:
     """Record machine orders before they are sent; every method may raise StateError.
 
-    `clock_ms` returns the table service's monotonic clock in ms, 0 if it is not known.
+    `store_clock` reads the table service's monotonic clock.
     """
 
-    def __init__(self, table: Table, clock_ms: Callable[[], int]) -> None:
+    def __init__(self, table: Table, store_clock: Callable[[], ClockRange]) -> None:
         self._table = table
-        self._clock_ms = clock_ms
+        self._store_clock = store_clock
 
     def record(self, machine: str, wave: int = 0) -> None:
         """Record that an order for a machine is about to be sent; `wave` is 0 outside waves."""
-        value = msgspec.json.encode(MachineOrderEntry(self._clock_ms(), wave))
+        value = msgspec.json.encode(MachineOrderEntry(self._store_clock().latest_ms, wave))
         self._table.commit(Txn((), (Write(TABLE_MACHINES, machine, value),)))
 
     def wave_age_s(self, wave: int) -> float:
         """Return the seconds since any daemon first saw a wave."""
         row = self._table.get(TABLE_WAVES, str(wave))
-        now_ms = self._clock_ms()
+        now_ms = self._store_clock().earliest_ms
         if row is not None:
             return max(0.0, (now_ms - decode(row.value, int)) / MS_PER_S)
         write = Write(TABLE_WAVES, str(wave), msgspec.json.encode(now_ms))
@@ -51,4 +52,4 @@
         """Return the seconds since an order was recorded; 0 if that is not known."""
         if not entry.at_ms:
             return 0.0
-        return max(0.0, (self._clock_ms() - entry.at_ms) / MS_PER_S)
+        return max(0.0, (self._store_clock().earliest_ms - entry.at_ms) / MS_PER_S)
--- a/tests/coordination/job/cluster.py
+++ b/tests/coordination/job/cluster.py
@@ -12,10 +12,11 @@
 from gypsumplank.coordination.job.term import MachineManager, PlatformPorts
 from gypsumplank.coordination.job.watch import StoreSnapshot
 from gypsumplank.coordination.lease import LeaseManager
-from gypsumplank.errors import GypsumplankError, StateError, WorkerError
+from gypsumplank.errors import GypsumplankError, StateError, WorkerError, WorkerRefusedError
 from gypsumplank.protocol.job import JobDefinition, Resources, StepDefinition
 from gypsumplank.protocol.queue import Machine, MachineState, Manifest, Queue, ServicePolicy
-from gypsumplank.state.clock import ManualClock
+from gypsumplank.protocol.worker import StartRefusal
+from gypsumplank.state.clock import ClockRange, ManualClock
 from gypsumplank.state.feed import MemoryFeedTable
 from gypsumplank.state.job import JobStore
 from gypsumplank.state.lease import LeaseStore
@@ -59,7 +60,9 @@
 
     def start(self, instance, make_order, on_result):
         def send():
-            until_ms = instance.extend_leases(self.clock.monotonic(), LEASE_S)
+            until_ms = instance.try_extend_leases(self.clock.monotonic(), LEASE_S)
+            if until_ms is None:
+                raise WorkerRefusedError(StartRefusal.UNREACHABLE, f"{instance.id} is silent")
             instance.clock.observe(
                 self.control.start(instance.entry, make_order(until_ms)), self.clock.monotonic()
             )
@@ -90,11 +93,8 @@
     def poll_now(self, *selected):
         for instance in selected or list(self.instances):
             now = self.clock.monotonic()
-            has_leased_tasks = (
-                instance.tasks and not instance.missed_polls and not instance.extension_suspended
-            )
-            extend = has_leased_tasks and self.may_extend_leases()
-            until_ms = instance.extend_leases(now, LEASE_S) if extend else None
+            extend = instance.tasks and not instance.missed_polls and self.may_extend_leases()
+            until_ms = instance.try_extend_leases(now, LEASE_S) if extend else None
             try:
                 report = self.control.poll(
                     instance.entry, self.token, until_ms, instance.last_acked_end, 0.0
@@ -258,7 +258,9 @@
         self.suspended = False
         store = JobStore(self.table)
         self.term_factory = SteppedTermFactory(cluster.simulated_workers, cluster.clock)
-        self.leases = LeaseManager(LeaseStore(self.table), cluster.clock, self.name, 2.0, 0.1)
+        self.leases = LeaseManager(
+            LeaseStore(self.table), cluster.clock, self.name, 2.0, 0.1, cluster.store_clock
+        )
         self.directory = SimulatedDirectory(cluster.simulated_workers, cluster.waves)
         controller = MachineController(
             cluster.machines,
@@ -266,7 +268,7 @@
             lambda: 3.0,
             lambda: True,
             lambda work: self.scheduler_leader.post(work),  # noqa: PLW0108
-            MachineOrderLog(self.table, lambda: int(cluster.clock.now * 1000)),
+            MachineOrderLog(self.table, cluster.store_clock),
             ImmediateRunner,
         )
         machine_manager = MachineManager(
@@ -280,7 +282,7 @@
             self.directory,
             cluster.simulated_workers,
             self.leases,
-            store_ms=lambda: int(cluster.clock.now * 1000),
+            store_clock=cluster.store_clock,
         )
         self.scheduler_leader = SchedulerLeader(
             ports,
@@ -334,6 +336,10 @@
         self.daemons = [Daemon(self, f"d{index}") for index in range(daemons)]
         self.submitted = {}
 
+    def store_clock(self):
+        now_ms = int(self.clock.now * 1000)
+        return ClockRange(now_ms, now_ms)
+
     def run(self, seconds):
         for _ in range(round(seconds / STEP_S)):
             self.clock.advance(STEP_S)
--- a/tests/coordination/test_lease.py
+++ b/tests/coordination/test_lease.py
@@ -4,7 +4,7 @@
 
 from gypsumplank.coordination.lease import LeaseManager, preferred_holder
 from gypsumplank.errors import StateConflictError, StateUnavailableError, StateUnknownError
-from gypsumplank.state.clock import ManualClock
+from gypsumplank.state.clock import ClockRange, ManualClock
 from gypsumplank.state.lease import LeaseStore
 from gypsumplank.state.table import MemoryTable, Txn, Write
 from standins.fleet import FaultyTable
@@ -141,3 +141,29 @@
     assert restarted.epoch("a") == epoch + 1
     with pytest.raises(StateConflictError):
         daemons.leases["x"].renew("a")
+
+
+def test_lease_renewed_after_a_slow_response_is_not_taken_while_it_is_held():
+    rows, clock = MemoryTable(), ManualClock(100.0)
+    lag_ms = {"slow": 0, "x": 0}
+
+    def make_manager(name):
+        def store_clock():
+            now_ms = int(clock.now * 1000)
+            return ClockRange(now_ms - lag_ms[name], now_ms)
+
+        return LeaseManager(LeaseStore(rows), clock, name, LEASE_S, store_clock=store_clock)
+
+    holder, other = make_manager("slow"), make_manager("x")
+    holder.tick(["a"], ())
+    lag_ms["slow"] = 1200
+    holder.renew("a")
+    for _ in range(49):
+        clock.advance(0.1)
+        other.tick(["a"], ())
+        assert holder.fence("a") is not None
+        assert other.fence("a") is None
+    clock.advance(0.3)
+    other.tick(["a"], ())
+    assert other.fence("a") is not None
+    assert holder.fence("a") is None
--- a/tests/platform/test_table.py
+++ b/tests/platform/test_table.py
@@ -1,5 +1,7 @@
 """Test the platform's row table and its in-memory variant against one contract."""
 
+import time
+
 import pytest
 
 from gypsumplank.errors import (
@@ -9,7 +11,9 @@
     StateUnavailableError,
     StateUnknownError,
 )
+from gypsumplank.platform.client import Response
 from gypsumplank.platform.table import RowTable
+from gypsumplank.state.clock import ClockRange
 from gypsumplank.state.feed import MemoryFeedTable
 from gypsumplank.state.job import JobStore, StoredJob
 from gypsumplank.state.table import ABSENT, Check, Row, Txn, Write, scan_all
@@ -121,3 +125,40 @@
     loaded, ended = store.load()
     assert [stored.cancelled for stored in loaded] == [True]
     assert ended == []
+
+
+class SlowClient:
+    """Answer with the store's clock as it is half-way through a call of `call_s` seconds."""
+
+    def __init__(self):
+        self.call_s = 0.0
+
+    def call(self, method, path, body=None, extra_timeout_s=0.0):
+        time.sleep(self.call_s / 2)
+        reading_ms = int(time.monotonic() * 1000)
+        time.sleep(self.call_s / 2)
+        return Response(200, {"rows": [], "ver": 7, "now-ms": reading_ms}, {})
+
+
+def assert_contains_present(clock_range):
+    now_ms = time.monotonic() * 1000
+    assert clock_range.earliest_ms - 1 <= now_ms <= clock_range.latest_ms + 2
+
+
+@pytest.mark.parametrize("call", [lambda t: t.scan("t"), lambda t: t.commit(Txn())])
+def test_clock_range_contains_the_stores_clock_after_a_slow_response(call):
+    client = SlowClient()
+    table = RowTable(client, "fleet")
+    assert table.clock_range() == ClockRange()
+    client.call_s = 0.2
+    call(table)
+    clock_range = table.clock_range()
+    assert_contains_present(clock_range)
+    assert clock_range.latest_ms - clock_range.earliest_ms >= 200
+
+
+def test_call_that_waits_for_a_change_leaves_the_clock_range_as_it_is():
+    client = SlowClient()
+    table = RowTable(client, "fleet")
+    table.changes("t", 1, 0.5)
+    assert table.clock_range() == ClockRange()
