Start tasks only under a lease that still holds, and trust only complete entries

- "A process that had been paused acted on a permission that had run out": polls checked the leader's lease before they extended task leases, starts did not.
A daemon paused between its commit and the start sent it with a lease counted from after the pause, while a successor may already have counted the run as over; the worker's fencing token stops that only if the successor has reached this worker.
Starts now check the lease as polls do, with a time read before the check.
- "A machine that was only silent had its work started elsewhere": in the 2.5 s after a store outage, in which entries may still be missing, a draining worker that is silent and has no entry counted as having left cleanly, and its runs were requeued at once.
Now that is concluded from complete entries only; otherwise the runs wait for their leases.

Ruled out: a check in the scheduler's round alone, as sender threads run later.

Tests: test_nothing_is_started_once_the_leaders_lease_has_expired and test_silent_draining_worker_without_entry_keeps_its_run_while_entries_are_ incomplete fail on the code before; test_pause_after_the_check_of_the_leaders_ lease_does_not_prolong_a_task_lease guards the order of the two reads.

--- a/gypsumplank/coordination/job/dispatcher.py
+++ b/gypsumplank/coordination/job/dispatcher.py
@@ -40,8 +40,9 @@
 class WorkerDispatcher:
     """Run a polling thread per worker instance and a pool of sender threads.
 
-    All calls carry the fencing token of one leadership term. A command's `on_result` gets its error
-    or None, and when the command ended, in monotonic seconds.
+    All calls carry the fencing token of one leadership term. Tasks are started, and their leases
+    extended, only while `may_extend_leases` returns true. A command's `on_result` gets its error or
+    None, and when the command ended, in monotonic seconds.
     """
 
     def __init__(
@@ -94,7 +95,11 @@
         def send() -> None:
             if not instance.is_reachable:
                 raise WorkerRefusedError(StartRefusal.UNREACHABLE, f"{instance.id} is unreachable")
-            until_ms = instance.try_extend_leases(self._clock.monotonic(), self._lease_s())
+            # The time is read before the check, so that no pause between them prolongs the lease.
+            now = self._clock.monotonic()
+            if not self._may_extend_leases():
+                raise WorkerRefusedError(StartRefusal.FENCED, "this leader's lease has expired")
+            until_ms = instance.try_extend_leases(now, self._lease_s())
             if until_ms is None:
                 raise WorkerRefusedError(StartRefusal.UNREACHABLE, f"{instance.id} is silent")
             command = make_order(until_ms)
--- a/gypsumplank/coordination/job/fleet.py
+++ b/gypsumplank/coordination/job/fleet.py
@@ -80,7 +80,7 @@
                 continue
             if entry is None and not complete and instance.is_in_contact(now):
                 continue
-            if instance.registered and self._left_cleanly(instance, now):
+            if complete and instance.registered and self._left_cleanly(instance, now):
                 self.requeue_all(instance, now, "left")
             instance.registered = False
             successor = machines.get(instance.entry.machine)
--- a/tests/coordination/job/cluster.py
+++ b/tests/coordination/job/cluster.py
@@ -60,12 +60,15 @@
 
     def start(self, instance, make_order, on_result):
         def send():
+            if not self.may_extend_leases():
+                raise WorkerRefusedError(StartRefusal.FENCED, "this leader's lease has expired")
             until_ms = instance.try_extend_leases(self.clock.monotonic(), LEASE_S)
             if until_ms is None:
                 raise WorkerRefusedError(StartRefusal.UNREACHABLE, f"{instance.id} is silent")
-            instance.clock.observe(
-                self.control.start(instance.entry, make_order(until_ms)), self.clock.monotonic()
-            )
+            command = make_order(until_ms)
+            if command is not None:
+                clock_ms = self.control.start(instance.entry, command)
+                instance.clock.observe(clock_ms, self.clock.monotonic())
 
         self._send(instance, send, on_result)
 
--- a/tests/coordination/job/test_dispatcher.py
+++ b/tests/coordination/job/test_dispatcher.py
@@ -8,7 +8,7 @@
 from gypsumplank.coordination.job.watch import PeriodicThread
 from gypsumplank.errors import StateUnavailableError, WorkerUnknownError
 from gypsumplank.protocol.job import JobState, StoredJob
-from gypsumplank.protocol.worker import WorkerEntry, WorkerReport, WorkerState
+from gypsumplank.protocol.worker import StartRefusal, WorkerEntry, WorkerReport, WorkerState
 from gypsumplank.state.clock import ManualClock, SystemClock
 from gypsumplank.state.job import LoadedJob
 from tests.coordination.job.cluster import CHAIN_ORDER, LEASE_S, MANIFEST, ROOM, SERVICE
@@ -47,6 +47,54 @@
     dispatcher.close()
 
 
+class RecordingWorkers(FlakyWorkers):
+    """Record the starts that are sent."""
+
+    def __init__(self):
+        super().__init__()
+        self.started = []
+
+    def start(self, worker, order):
+        self.started.append(order)
+        return 5
+
+
+def start_once(is_held, lease_s=LEASE_S):
+    """Start a task under a lease that `is_held` tells of; return the starts sent and the error."""
+    workers, ended, failures = RecordingWorkers(), threading.Event(), []
+    clock = ManualClock(100.0)
+
+    def check_lease():
+        held = is_held()
+        clock.advance(lease_s)
+        return held
+
+    def handle_result(failure, at):
+        failures.append(failure)
+        ended.set()
+
+    dispatcher = WorkerDispatcher(
+        workers, clock, lambda work: work(), 1, lambda: lease_s, check_lease, None
+    )
+    instance = WorkerInstance(ENTRY, 1, WorkerClock(0, 100.0), last_contact_at=100.0)
+    dispatcher.start(instance, lambda until_ms: until_ms, handle_result)
+    assert ended.wait(10.0)
+    dispatcher.close()
+    return workers.started, failures[0]
+
+
+def test_nothing_is_started_once_the_leaders_lease_has_expired():
+    started, failure = start_once(lambda: False)
+    assert started == []
+    assert failure.reason == StartRefusal.FENCED
+
+
+def test_pause_after_the_check_of_the_leaders_lease_does_not_prolong_a_task_lease():
+    started, failure = start_once(lambda: True)
+    assert failure is None
+    assert started == [int(LEASE_S * 1000)]
+
+
 @pytest.mark.parametrize("failure", [StateUnavailableError("out"), RuntimeError("bug")])
 def test_periodic_thread_continues_after_any_error(failure):
     recovered = threading.Event()
--- a/tests/coordination/job/test_fleet.py
+++ b/tests/coordination/job/test_fleet.py
@@ -47,3 +47,22 @@
     clock.advance(1.0)
     scheduler.plan()
     assert task.phase is TaskPhase.WAITING
+
+
+def test_silent_draining_worker_without_entry_keeps_its_run_while_entries_are_incomplete():
+    clock = ManualClock()
+    clock.advance(10.0)
+    scheduler, entry = make_scheduler(clock)
+    order = JobDefinition("", (StepDefinition(1, Resources(1000, 100), 500),))
+    stored = StoredJob("a" * 16, QUEUE.name, SERVICE, 0, order)
+    job = scheduler.workload.add(LoadedJob(stored, JobState.QUEUED, 1, False, {}), 10.0)
+    scheduler.plan()
+    (task,) = job.tasks()
+    scheduler.fleet.apply_entries([replace(entry, state=WorkerState.DRAINING, seq=1)])
+    (instance,) = scheduler.instances.values()
+    instance.missed_polls = 2
+    instance.extend_leases(clock.monotonic(), LEASE_S)
+    clock.advance(1.0)
+    scheduler.fleet.apply_entries([], complete=False)
+    scheduler.fleet.apply_entries([])
+    assert (task.phase, task.run) == (TaskPhase.ASSIGNED, 1)
