Leave out a job with an unreadable row instead of failing the whole load

Our rows are written by us alone, but an older or newer build may write them during a roll.

Change: such a job is logged (entry-dropped, with its id) and left out of the term. It is not run from what is left, as its tasks may have run before.

Ruled out: treating a missing or unreadable step as not begun, which could run tasks twice.

Tests, all failing on the code before: test_job_with_an_unreadable_row_stops_no_other_job (orders, states, steps), test_unreadable_new_job_stops_no_other_job.

--- a/gypsumplank/coordination/job/leader.py
+++ b/gypsumplank/coordination/job/leader.py
@@ -21,6 +21,7 @@
 )
 from gypsumplank.coordination.job.watch import StoreSnapshot
 from gypsumplank.errors import (
+    EntryInvalidError,
     GypsumplankError,
     JobMissingError,
     StateConflictError,
@@ -296,7 +297,18 @@
                 self._add_job(term, row)
 
     def _add_job(self, term: Term, row: Row) -> None:
-        stored = decode(row.value, StoredJob)
+        try:
+            stored = decode(row.value, StoredJob)
+        except EntryInvalidError as exc:
+            event(
+                logger,
+                Event.ENTRY_DROPPED,
+                logging.ERROR,
+                job=row.key,
+                code=exc.code,
+                detail=exc.detail,
+            )
+            return
         workload = term.scheduler.workload
         if stored.id in workload.ended_at:
             return
--- a/gypsumplank/state/job.py
+++ b/gypsumplank/state/job.py
@@ -1,5 +1,7 @@
 """Store jobs, their states and the progress of their steps in the table service."""
 
+import logging
+from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 from typing import TypeVar
@@ -12,6 +14,7 @@
     StateConflictError,
     StateUnknownError,
 )
+from gypsumplank.log import Event, event
 from gypsumplank.protocol.job import FINAL_JOB_STATES, JobState, StepRecord, StoredJob
 from gypsumplank.state.table import ABSENT, Check, Row, Table, Txn, Write, scan_all
 
@@ -25,14 +28,16 @@
 
 # Entries per transaction; the platform accepts 100.
 MAX_TXN_ENTRIES = 90
-# Rows that a load decodes between two checks of the lease; a slow daemon decodes them in less time
+# Jobs that a load decodes between two checks of the lease; a slow daemon decodes them in less time
 # than passes between two renewals.
-LOAD_CHUNK_ROWS = 20
+LOAD_CHUNK_JOBS = 10
 # Attempts to cancel a job while its state changes concurrently.
 MAX_CANCEL_ATTEMPTS = 6
 
 T = TypeVar("T")
 
+logger = logging.getLogger(__name__)
+
 
 @dataclass(frozen=True)
 class StateValue:
@@ -110,14 +115,28 @@
 
 
 def _is_final(row: Row) -> bool:
-    return decode(row.value, StateValue).state in FINAL_JOB_STATES
+    try:
+        return decode(row.value, StateValue).state in FINAL_JOB_STATES
+    except EntryInvalidError:
+        return False
+
+
+def _decode_job(row: Row, state: Row | None, cancelled: bool, steps: Iterable[Row]) -> LoadedJob:
+    value = decode(state.value, StateValue) if state else None
+    return LoadedJob(
+        decode(row.value, StoredJob),
+        value.state if value else JobState.QUEUED,
+        state.version if state else row.version,
+        cancelled,
+        {step.key: decode(step.value, StepRecord) for step in steps},
+    )
 
 
 def _in_chunks(rows: Iterable[Row], on_chunk: Callable[[], None]) -> Iterator[Row]:
-    """Yield the rows; call `on_chunk` after each LOAD_CHUNK_ROWS of them."""
+    """Yield the rows; call `on_chunk` after each LOAD_CHUNK_JOBS of them."""
     for number, row in enumerate(rows, 1):
         yield row
-        if number % LOAD_CHUNK_ROWS == 0:
+        if number % LOAD_CHUNK_JOBS == 0:
             on_chunk()
 
 
@@ -224,7 +243,8 @@
     ) -> tuple[list[LoadedJob], list[str]]:
         """Return all jobs that are not cleaned up, and the ids of the ended jobs that are.
 
-        Calls `on_progress` after each page and each LOAD_CHUNK_ROWS decoded rows; an error that it
+        A job with a row that cannot be decoded is logged and left out, as its tasks may have run.
+        Calls `on_progress` after each page and each LOAD_CHUNK_JOBS decoded jobs; an error that it
         raises ends the load.
         """
         # States are read first, so that a job submitted meanwhile is read as new, never as ended.
@@ -233,25 +253,27 @@
         steps = scan_all(self._table, TABLE_STEPS, on_page=on_progress)
         cancelled = self.cancelled_jobs()
         on_progress()
-        steps_by_job: dict[str, dict[str, StepRecord]] = {}
-        for row in _in_chunks(steps, on_progress):
-            steps_by_job.setdefault(row.key.partition(".")[0], {})[row.key] = decode(
-                row.value, StepRecord
-            )
+        steps_by_job: defaultdict[str, list[Row]] = defaultdict(list)
+        for row in steps:
+            steps_by_job[row.key.partition(".")[0]].append(row)
         loaded = []
         for row in _in_chunks(orders, on_progress):
-            state = states.get(row.key)
-            value = decode(state.value, StateValue) if state else None
-            loaded.append(
-                LoadedJob(
-                    decode(row.value, StoredJob),
-                    value.state if value else JobState.QUEUED,
-                    state.version if state else row.version,
-                    row.key in cancelled,
-                    steps_by_job.get(row.key, {}),
+            try:
+                loaded.append(
+                    _decode_job(
+                        row, states.get(row.key), row.key in cancelled, steps_by_job[row.key]
+                    )
                 )
-            )
-        live = {loaded_job.job.id for loaded_job in loaded}
+            except EntryInvalidError as exc:
+                event(
+                    logger,
+                    Event.ENTRY_DROPPED,
+                    logging.ERROR,
+                    job=row.key,
+                    code=exc.code,
+                    detail=exc.detail,
+                )
+        live = {row.key for row in orders}
         ended = (key for key in states.keys() - live if _is_final(states[key]))
         return loaded, list(ended)
 
--- a/tests/coordination/job/test_leader.py
+++ b/tests/coordination/job/test_leader.py
@@ -6,6 +6,7 @@
 from gypsumplank.errors import StateError, WorkerUnknownError
 from gypsumplank.protocol.job import StoredJob
 from gypsumplank.state.job import StateValue, decode
+from gypsumplank.state.table import Txn, Write
 from tests.coordination.job.cluster import CHAIN, SimulatedCluster, long_running_step
 
 
@@ -275,6 +276,33 @@
     assert slow.leases.epoch("scheduler") == 2
 
 
+@pytest.mark.parametrize("table", ["orders", "states", "steps"])
+def test_job_with_an_unreadable_row_stops_no_other_job(cluster, table):
+    cluster.submit("a" * 16, CHAIN, spec="30")
+    cluster.run(1.0)
+    key = "a" * 16 + (".0.0" if table == "steps" else "")
+    cluster.table.commit(Txn((), (Write(table, key, b"{"),)))
+    cluster.leader().suspended = True
+    cluster.run(5.0)
+    cluster.submit("b" * 16, daemon=1)
+    cluster.run(3.0)
+    assert cluster.state("b" * 16) == "completed"
+    assert not cluster.violations()
+
+
+def test_unreadable_new_job_stops_no_other_job(cluster):
+    writes = (Write("orders", "a" * 16, b"{"), Write("pending", "proofs/" + "a" * 16, b"1"))
+    cluster.table.commit(Txn((), writes))
+    cluster.submit("b" * 16, spec="1000")
+    cluster.submit("c" * 16)
+    cluster.run(1.0)
+    cluster.daemons[0].job_service.cancel("b" * 16)
+    cluster.run(3.0)
+    assert cluster.state("b" * 16) == "cancelled"
+    assert cluster.state("c" * 16) == "completed"
+    assert not any(worker.running for worker in cluster.simulated_workers.workers.values())
+
+
 def run_outage(cluster, seconds):
     for daemon in cluster.daemons:
         daemon.table.unavailable = True
