Reject a worker's report or entry that lacks a field, instead of assuming one

Change: reports are converted into a typed struct; a malformed one leaves the poll's outcome unknown, so that leases decide. `born` is required in entries.

Ruled out: ignoring a report's `born` of 0, which would apply an unknown incarnation's list of runs.

Tests: tests/platform/test_worker.py (an object for a list, no `born`) and test_invalid_worker_entry_is_skipped without `born` fail on the code before.

--- a/gypsumplank/platform/directory.py
+++ b/gypsumplank/platform/directory.py
@@ -28,6 +28,7 @@
 RUNNING = "running"
 
 NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
+PositiveInt = Annotated[int, msgspec.Meta(gt=0)]
 NonEmptyStr = Annotated[str, msgspec.Meta(min_length=1)]
 
 T = TypeVar("T")
@@ -54,10 +55,10 @@
     address: NonEmptyStr
     state: WorkerState
     capacity: WireCapacity
+    born: PositiveInt
     zone: str = ""
     labels: tuple[str, ...] = ()
     machine: str = ""
-    born: NonNegativeInt = 0
     clock_ms: NonNegativeInt = 0
     remaining_ms: NonNegativeInt = 0
     seq: NonNegativeInt = 0
--- a/gypsumplank/platform/worker.py
+++ b/gypsumplank/platform/worker.py
@@ -3,6 +3,8 @@
 import threading
 from typing import Any
 
+import msgspec
+
 from gypsumplank.errors import CallError, WorkerRefusedError, WorkerUnknownError
 from gypsumplank.platform.client import Client, Response
 from gypsumplank.protocol.worker import (
@@ -33,6 +35,15 @@
 CONNECTIONS_PER_WORKER = 16
 
 
+class WireReport(msgspec.Struct, rename="kebab"):
+    """Represent a worker's report; the rows are positional."""
+
+    born: int
+    clock_ms: int
+    running: list[list[Any]]
+    finished: list[list[Any]]
+
+
 class HttpWorkers:
     """Send orders to workers, each over its own connection pool.
 
@@ -55,7 +66,7 @@
         resp = self._call(worker, PATH_HOLD, body, HOLD_TIMEOUT_S - ORDER_TIMEOUT_S + wait_s)
         try:
             return _decode_report(resp.body)
-        except (KeyError, TypeError, ValueError, IndexError) as exc:
+        except (msgspec.MsgspecError, TypeError, ValueError, IndexError) as exc:
             raise WorkerUnknownError(f"malformed report from {worker.id}: {exc}") from exc
 
     def start(self, worker: WorkerEntry, order: StartCommand) -> int:
@@ -124,15 +135,16 @@
 def _decode_report(body: Any) -> WorkerReport:
     # Running rows are [name, run, checkpoint, percent, load]; ended rows are
     # [number, name, run, kind, checkpoint].
+    wire = msgspec.convert(body, WireReport)
     running = tuple(
         RunningTask(str(row[0]), int(row[1]), str(row[2]), int(row[3]), _decode_load(row))
-        for row in body["running"]
+        for row in wire.running
     )
     ended = tuple(
         EndedTask(int(row[0]), str(row[1]), int(row[2]), EndKind(row[3]), str(row[4]))
-        for row in body["finished"]
+        for row in wire.finished
     )
-    return WorkerReport(int(body.get("born", 0)), int(body["clock-ms"]), running, ended)
+    return WorkerReport(wire.born, wire.clock_ms, running, ended)
 
 
 def _decode_load(row: list[Any]) -> int:
--- a/tests/platform/test_directory.py
+++ b/tests/platform/test_directory.py
@@ -55,6 +55,7 @@
         {**ENTRY, "capacity": None},
         {**ENTRY, "seq": "x"},
         {key: value for key, value in ENTRY.items() if key != "address"},
+        {key: value for key, value in ENTRY.items() if key != "born"},
     ],
 )
 def test_invalid_worker_entry_is_skipped(invalid):
--- a/tests/platform/test_worker.py
+++ b/tests/platform/test_worker.py
@@ -3,6 +3,7 @@
 import pytest
 
 from gypsumplank.errors import WorkerRefusedError, WorkerUnknownError
+from gypsumplank.platform.client import Response
 from gypsumplank.platform.worker import HttpWorkers
 from gypsumplank.protocol.job import Resources
 from gypsumplank.protocol.worker import StartCommand, WorkerEntry, WorkerState
@@ -69,3 +70,37 @@
         headers["X-Gypsumplank-Expected-Instance"] == "w"
         for _, _, headers in platform_server[0].orders
     )
+
+
+REPORT = {"born": 7, "clock-ms": 5, "running": [["a.0.0.0", 1, "", 50, None]], "finished": []}
+
+
+class FixedClient:
+    def __init__(self, body):
+        self.body = body
+
+    def call(self, method, path, body, headers, extra_timeout_s):
+        return Response(200, self.body, {})
+
+
+def poll_response(worker, body):
+    workers = HttpWorkers()
+    workers._clients[worker.address] = FixedClient(body)
+    return workers.poll(worker, 1, None, 0, 0.0)
+
+
+def test_report_is_decoded(worker):
+    assert poll_response(worker, REPORT).born == 7
+
+
+@pytest.mark.parametrize("field", REPORT)
+@pytest.mark.parametrize("value", [None, "x", [7], {}, [[]], [None]])
+def test_malformed_report_leaves_the_outcome_unknown(worker, field, value):
+    with pytest.raises(WorkerUnknownError):
+        poll_response(worker, REPORT | {field: value})
+
+
+@pytest.mark.parametrize("field", REPORT)
+def test_report_without_a_field_leaves_the_outcome_unknown(worker, field):
+    with pytest.raises(WorkerUnknownError):
+        poll_response(worker, {key: value for key, value in REPORT.items() if key != field})
