Search for a worker once a round for steps that fit nowhere

Each of about 95 waiting steps walked all workers for the racks in use; steps with a label and gangs also tried every worker again, as what fits nowhere was remembered only for steps that any worker may run, and forgotten whenever a gang failed. Each round also built a list of all tasks of all jobs twice.

Change: the workers of one service and label form a group that is listed once a round and remembers the needs that fit nowhere; racks come from the step's own tasks; a gang that placed nothing clears nothing; after the placement only the states of jobs that got tasks are updated.

--- a/gypsumplank/coordination/job/placement.py
+++ b/gypsumplank/coordination/job/placement.py
@@ -77,22 +77,37 @@
     return Resources(0, need.memory_mb, need.accelerators) if order.fills else need
 
 
+class CandidateGroup:
+    """Hold the workers of one service that have one label, for one round.
+
+    `unplaceable` lists needs that fit on none of them. Free resources only shrink while tasks are
+    placed, so equal or larger needs won't fit either.
+    """
+
+    def __init__(self, instances: list[WorkerInstance], now: float) -> None:
+        self.instances = instances
+        self.not_suspect = [each for each in instances if not each.is_suspect(now)] or instances
+        self.unplaceable: list[Resources] = []
+
+    def is_unplaceable(self, need: Resources) -> bool:
+        """Return whether a need is known to fit on no worker."""
+        return any(need.can_fit(unplaceable) for unplaceable in self.unplaceable)
+
+
 class PlacementRound:
     """Place tasks on workers and track the resources that remain free in this round."""
 
     def __init__(self, instances: Iterable[WorkerInstance], now: float) -> None:
         self._now = now
-        self._instances: dict[str, list[WorkerInstance]] = {}
-        self._free: dict[str, Resources] = {}
-        self._unplaceable: dict[str, list[Resources]] = {}
-        for instance in instances:
-            if instance.accepts_tasks(now):
-                self._instances.setdefault(instance.entry.service, []).append(instance)
-                self._free[instance.id] = instance.free()
+        self._instances = {each.id: each for each in instances if each.accepts_tasks(now)}
+        self._free = {name: instance.free() for name, instance in self._instances.items()}
+        self._groups: dict[tuple[str, str], CandidateGroup] = {}
 
     def place(self, pending: PendingStep) -> list[Placement]:
         """Return placements of as many tasks as fit; a gang is placed as a whole or not at all."""
         order = pending.step.order
+        if self._group(pending).is_unplaceable(resource_need(order)):
+            return []
         active = [task for task in pending.step.tasks if task.phase is TaskPhase.ASSIGNED]
         per_worker = Counter(task.worker for task in active)
         racks = self._racks(pending.job.service, per_worker)
@@ -108,27 +123,38 @@
         if order.gang and len(placed) < len(pending.step.tasks):
             for item in placed:
                 self._free[item.instance.id] = self._free[item.instance.id] + resource_need(order)
-            # The resources that were just released may be enough for earlier needs.
-            self._unplaceable.clear()
+            if placed:
+                # The resources that were just released may be enough for earlier needs.
+                for group in self._groups.values():
+                    group.unplaceable.clear()
             return []
         return placed
 
+    def _group(self, pending: PendingStep) -> CandidateGroup:
+        service, label = pending.job.service, pending.step.order.label
+        if (service, label) not in self._groups:
+            instances = [
+                instance
+                for instance in self._instances.values()
+                if instance.entry.service == service
+                and (not label or label in instance.entry.labels)
+            ]
+            self._groups[service, label] = CandidateGroup(instances, self._now)
+        return self._groups[service, label]
+
     def _racks(self, service: str, per_worker: Counter[str]) -> Counter[str]:
-        return Counter(
-            instance.rack
-            for instance in self._instances.get(service, ())
-            if per_worker[instance.id]
-        )
+        used = (self._instances[worker] for worker in per_worker if worker in self._instances)
+        return Counter(instance.rack for instance in used if instance.entry.service == service)
 
     def _choose(
         self, pending: PendingStep, task: Task, per_worker: Counter[str], racks: Counter[str]
     ) -> WorkerInstance | None:
         order = task.step.order
         need = resource_need(order)
-        service = pending.job.service
-        if any(need.can_fit(unplaceable) for unplaceable in self._unplaceable.get(service, ())):
+        group = self._group(pending)
+        if group.is_unplaceable(need):
             return None
-        candidates = self._candidate_instances(pending, task)
+        candidates = _candidates(group, pending, task, self._now)
         fitting = (
             instance
             for instance in candidates
@@ -140,28 +166,11 @@
             key=lambda candidate: self._rank(candidate, order, per_worker, racks),
             default=None,
         )
-        tried_all = len(candidates) == len(self._instances.get(service, ()))
+        tried_all = len(candidates) == len(group.instances)
         if instance is None and tried_all and not order.max_per_worker:
-            # Free resources only shrink within a round, so equal or larger needs won't fit either.
-            self._unplaceable.setdefault(service, []).append(need)
+            group.unplaceable.append(need)
         return instance
 
-    def _candidate_instances(self, pending: PendingStep, task: Task) -> list[WorkerInstance]:
-        """Return the workers to consider; avoid those where this or several other tasks failed."""
-        label = task.step.order.label
-        candidates = [
-            instance
-            for instance in self._instances.get(pending.job.service, ())
-            if (not label or label in instance.entry.labels)
-            and (pending.permits is None or instance.id in pending.permits)
-        ]
-        not_failed = [
-            instance for instance in candidates if instance.id not in task.failed_on
-        ] or candidates
-        return [
-            instance for instance in not_failed if not instance.is_suspect(self._now)
-        ] or not_failed
-
     def _rank(
         self,
         instance: WorkerInstance,
@@ -189,3 +198,20 @@
         outside_rack = float(bool(order.preferred_rack) and instance.rack != order.preferred_rack)
         same_rack_rank = -racks[instance.rack] if order.same_rack else 0
         return (outside_rack, same_rack_rank, free.cpu)
+
+
+def _candidates(
+    group: CandidateGroup, pending: PendingStep, task: Task, now: float
+) -> list[WorkerInstance]:
+    """Return the workers to consider; avoid those where this or several other tasks failed."""
+    if pending.permits is None and not task.failed_on:
+        return group.not_suspect
+    candidates = [
+        instance
+        for instance in group.instances
+        if pending.permits is None or instance.id in pending.permits
+    ]
+    not_failed = [
+        instance for instance in candidates if instance.id not in task.failed_on
+    ] or candidates
+    return [instance for instance in not_failed if not instance.is_suspect(now)] or not_failed
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -157,7 +157,7 @@
         """Requeue tasks whose leases have expired, and assign queued tasks to workers."""
         now = self._clock.monotonic()
         self._expire_leases(now)
-        self.workload.update_job_states(now)
+        self.workload.update_job_states(self.workload.jobs.values(), now)
         wall_ms = self.wall_ms()
         pending = [
             pending_step
@@ -166,11 +166,13 @@
         ]
         self._evict(pending, now)
         placement_round = PlacementRound(self.instances.values(), now)
+        assigned_jobs: dict[str, Job] = {}
         for pending_step in sorted(pending, key=lambda each: urgency(each, now, wall_ms)):
             placed = placement_round.place(pending_step)
             if placed:
                 self._assign(pending_step, placed)
-        self.workload.update_job_states(now)
+                assigned_jobs[pending_step.job.id] = pending_step.job
+        self.workload.update_job_states(assigned_jobs.values(), now)
 
     def _pending_steps(self, job: Job, wall_ms: float) -> list[PendingStep]:
         if job.state in FINAL_JOB_STATES or job.cancelled:
--- a/gypsumplank/coordination/job/workload.py
+++ b/gypsumplank/coordination/job/workload.py
@@ -1,7 +1,7 @@
 """Keep all jobs that have not ended, and collect their changes for commits to the store."""
 
 import logging
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 
 from gypsumplank.coordination.job.model import Job, Step, Task
 from gypsumplank.errors import EntryInvalidError
@@ -80,17 +80,17 @@
             job.state_dirty = False
             event(logger, Event.JOB_CANCELLED, job=job_id, at_work=len(job.assigned_tasks()))
 
-    def update_job_states(self, now: float) -> None:
-        """Update each job's state from the phases of its tasks."""
-        for job in self.jobs.values():
+    def update_job_states(self, jobs: Iterable[Job], now: float) -> None:
+        """Update the jobs' states from the phases of their tasks."""
+        for job in jobs:
             if job.state in FINAL_JOB_STATES:
                 continue
-            tasks = list(job.tasks())
-            if any(task.phase is TaskPhase.FAILED for task in tasks):
+            phases = {task.phase for task in job.tasks()}
+            if TaskPhase.FAILED in phases:
                 self._set_state(job, JobState.FAILED, now)
-            elif all(task.phase is TaskPhase.DONE for task in tasks):
+            elif phases == {TaskPhase.DONE}:
                 self._set_state(job, JobState.COMPLETED, now)
-            elif not job.started and any(task.run for task in tasks):
+            elif not job.started and any(task.run for task in job.tasks()):
                 job.started = True
                 self._set_state(job, JobState.RUNNING, now)
 
--- a/tests/coordination/job/test_placement.py
+++ b/tests/coordination/job/test_placement.py
@@ -80,3 +80,37 @@
         steps.append(replace(pending, queue=PROOFS))
     tight, fresh = steps
     assert urgency(fresh, now, 0.0) < urgency(tight, now, 0.0)
+
+
+# More steps wait than a full pool has room for, as in the second half of an overloaded turn.
+WAITING_STEPS = 100
+FULL_WORKERS = 120
+
+
+@pytest.mark.parametrize("kind", [{}, {"label": "ssd"}, {"gang": True}])
+def test_steps_that_fit_nowhere_cost_no_search_of_all_workers_each(monkeypatch, kind):
+    instances = [make_instance(f"w{n}", labels=("ssd", "r1")[n % 2 :]) for n in range(FULL_WORKERS)]
+    placement_round = PlacementRound(instances, 1.0)
+    waiting = [
+        make_pending_step(f"{number:016x}", 5000, tasks=2, **kind)
+        for number in range(WAITING_STEPS)
+    ]
+    examined = []
+    can_fit = Resources.can_fit
+
+    def counting_can_fit(self, other):
+        examined.append(other)
+        return can_fit(self, other)
+
+    monkeypatch.setattr(Resources, "can_fit", counting_can_fit)
+    assert not any(placement_round.place(pending) for pending in waiting)
+    assert len(examined) <= FULL_WORKERS + 2 * WAITING_STEPS
+
+
+def test_gang_that_is_rolled_back_leaves_room_for_needs_that_failed_before():
+    placement_round = PlacementRound([make_instance("a"), make_instance("b")], 1.0)
+    filler = placement_round.place(make_pending_step("filler", 1000, tasks=2, max_per_worker=1))
+    assert len(filler) == 2
+    assert not placement_round.place(make_pending_step("large", 3500))
+    assert not placement_round.place(make_pending_step("gang", 3000, tasks=3, gang=True))
+    assert placement_round.place(make_pending_step("plain", 3000))
