Adapt the wait for the store to its latency, and answer callers in time

Change: the timeout is four times the latency of late, between 0.4 s and 1.2 s, and doubles after each call without an answer, so that a store that suddenly becomes 60 times slower is reached at the third try. An attempt to store a job ends at 0.8 of the caller's time at the latest.

Ruled out: a lower fixed timeout, which gives up every call to a slow store; answering 503 where every attempt was turned away, as an earlier request with the same identifier may have been stored.

Tests: tests/state/test_timeout.py, tests/platform/test_client.py, test_caller_gets_an_answer_in_time_while_the_store_is_silent (fails on the code before for 0.35 s and 1 s).

--- a/gypsumplank/composition/platform.py
+++ b/gypsumplank/composition/platform.py
@@ -39,6 +39,8 @@
 INDEPENDENT_PARTITION = "aside"
 # Covers a store that is 60 times slower than usual.
 STORE_TIMEOUT_S = 1.2
+# Timeout while the store is fast; a lost response should cost less than a third of a lease.
+MIN_STORE_TIMEOUT_S = 0.4
 STORE_CONNECTIONS = 24
 MACHINE_SERVICE_TIMEOUT_S = 1.0
 # One for each sender of orders, one for the list of machines.
@@ -85,7 +87,9 @@
 
     def _make_stores(self) -> None:
         settings = self._settings
-        store_client = Client(settings.store_address, STORE_TIMEOUT_S, STORE_CONNECTIONS)
+        store_client = Client(
+            settings.store_address, STORE_TIMEOUT_S, STORE_CONNECTIONS, MIN_STORE_TIMEOUT_S
+        )
         self._fleet_rows = RowTable(store_client, FLEET_PARTITION)
         self._independent_rows = RowTable(store_client, INDEPENDENT_PARTITION)
         daemon_registry = DaemonRegistry(
--- a/gypsumplank/coordination/job/submission.py
+++ b/gypsumplank/coordination/job/submission.py
@@ -20,6 +20,11 @@
 # Share of a caller's time limit within which a failed store call is retried; the rest is left for
 # the caller's retries at other daemons.
 RETRY_BUDGET_SHARE = 0.45
+# Share of a caller's time limit after which an attempt is given up, so that the caller gets an
+# answer before it stops waiting.
+ANSWER_SHARE = 0.8
+# Shortest wait for the outcome of an attempt, seconds.
+MIN_ATTEMPT_S = 0.05
 # Delay before the first retry, seconds; doubles with each further retry.
 FIRST_RETRY_DELAY_S = 0.05
 # Longest delay between retries, seconds; short enough for a few retries in a short store outage.
@@ -61,13 +66,15 @@
         """
         accepted_ms = int(self._clock.wall() * 1000)
         job = StoredJob(job_id, queue.name, queue.service, accepted_ms, order)
-        deadline = self._clock.monotonic() + remaining_s * RETRY_BUDGET_SHARE
+        started_at = self._clock.monotonic()
+        deadline = started_at + remaining_s * RETRY_BUDGET_SHARE
+        answer_by = started_at + remaining_s * ANSWER_SHARE
         delay_s = FIRST_RETRY_DELAY_S
         attempts = 1
         while True:
             attempt_started_at = self._clock.monotonic()
             try:
-                new = self._store.submit(job)
+                new = self._store.submit(job, max(MIN_ATTEMPT_S, answer_by - attempt_started_at))
             except (StateUnavailableError, StateUnknownError) as exc:
                 now = self._clock.monotonic()
                 if now + delay_s + (now - attempt_started_at) >= deadline:
--- a/gypsumplank/platform/client.py
+++ b/gypsumplank/platform/client.py
@@ -1,6 +1,7 @@
 """Call the platform's HTTP services over connections that detect an unreachable peer."""
 
 import socket
+import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -11,9 +12,11 @@
     ConnectTimeoutError,
     HTTPError,
     NewConnectionError,
+    ReadTimeoutError,
 )
 
 from gypsumplank.errors import CallError
+from gypsumplank.state.timeout import AdaptiveTimeout
 
 # Allows several round trips between availability zones; the TCP handshake needs one.
 CONNECT_TIMEOUT_S = 0.5
@@ -45,9 +48,14 @@
 class Client:
     """Manage a connection pool to one address."""
 
-    def __init__(self, address: str, timeout_s: float, connections: int) -> None:
+    def __init__(
+        self, address: str, timeout_s: float, connections: int, min_timeout_s: float | None = None
+    ) -> None:
+        """Create a pool; with `min_timeout_s` the timeout adapts between it and `timeout_s`."""
         host, _, port = address.rpartition(":")
-        self._timeout_s = timeout_s
+        self._timeout = AdaptiveTimeout(
+            timeout_s if min_timeout_s is None else min_timeout_s, timeout_s
+        )
         self._pool = urllib3.HTTPConnectionPool(
             host,
             int(port),
@@ -63,9 +71,18 @@
         body: Any = None,
         headers: Mapping[str, str] | None = None,
         extra_timeout_s: float = 0.0,
+        max_timeout_s: float | None = None,
     ) -> Response:
-        """Return the response; extend the read timeout by `extra_timeout_s`; raise CallError."""
-        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=self._timeout_s + extra_timeout_s)
+        """Return the response; extend the read timeout by `extra_timeout_s`; raise CallError.
+
+        `max_timeout_s` limits the wait for a connection and for the response.
+        """
+        read_timeout_s = self._timeout.current_s + extra_timeout_s
+        is_shortened = max_timeout_s is not None and max_timeout_s < read_timeout_s
+        timeout = urllib3.Timeout(
+            total=max_timeout_s, connect=CONNECT_TIMEOUT_S, read=read_timeout_s
+        )
+        started_at = time.monotonic()
         raw = None if body is None else msgspec.json.encode(body)
         try:
             resp = self._pool.request(
@@ -79,7 +96,11 @@
         except (NewConnectionError, ConnectTimeoutError) as exc:
             raise CallError(str(exc), sent=False) from exc
         except HTTPError as exc:
+            if isinstance(exc, ReadTimeoutError) and not extra_timeout_s and not is_shortened:
+                self._timeout.record_timeout()
             raise CallError(str(exc), sent=True) from exc
+        if not extra_timeout_s:
+            self._timeout.record_response(time.monotonic() - started_at)
         return Response(resp.status, _decode(resp.data), resp.headers)
 
     def close(self) -> None:
--- a/gypsumplank/platform/table.py
+++ b/gypsumplank/platform/table.py
@@ -113,7 +113,7 @@
         body = {"expected-rev": checks, "writes": writes, "remove": deletes}
         sent_at = time.monotonic()
         try:
-            resp = self._client.call("POST", PATH_TX, body)
+            resp = self._client.call("POST", PATH_TX, body, max_timeout_s=txn.timeout_s)
         except CallError as exc:
             error = StateUnknownError if exc.sent else StateUnavailableError
             raise error(exc.detail) from exc
--- a/gypsumplank/state/job.py
+++ b/gypsumplank/state/job.py
@@ -146,15 +146,18 @@
     def __init__(self, table: Table) -> None:
         self._table = table
 
-    def submit(self, job: StoredJob) -> bool:
-        """Store a new job; return False if it is stored already."""
+    def submit(self, job: StoredJob, timeout_s: float | None = None) -> bool:
+        """Store a new job; return False if it is stored already.
+
+        `timeout_s` limits the wait for the response, in seconds.
+        """
         writes = (
             Write(TABLE_ORDERS, job.id, msgspec.json.encode(job)),
             state_write(job.id, JobState.QUEUED, job.queue),
             Write(TABLE_PENDING, pending_key(job.queue, job.id), b"1"),
         )
         try:
-            self._table.commit(Txn((Check(TABLE_STATES, job.id, ABSENT),), writes))
+            self._table.commit(Txn((Check(TABLE_STATES, job.id, ABSENT),), writes, timeout_s))
         except StateConflictError:
             return False
         return True
--- a/gypsumplank/state/table.py
+++ b/gypsumplank/state/table.py
@@ -45,10 +45,14 @@
 
 @dataclass(frozen=True)
 class Txn:
-    """Represent checks and writes that are applied atomically."""
+    """Represent checks and writes that are applied atomically.
+
+    `timeout_s` limits the wait for the response, in seconds, beside the limits of the client.
+    """
 
     checks: tuple[Check, ...] = ()
     writes: tuple[Write, ...] = ()
+    timeout_s: float | None = None
 
 
 class Table(Protocol):
--- a/tests/coordination/job/test_submission.py
+++ b/tests/coordination/job/test_submission.py
@@ -64,3 +64,15 @@
     with pytest.raises(StateUnknownError):
         job_service.submit(QUEUE, JOB, ORDER, 3.0)
     assert job_service._clock.now - 100.0 < 1.5
+
+
+@pytest.mark.parametrize("remaining_s", [0.35, 1.0, 3.0])
+def test_caller_gets_an_answer_in_time_while_the_store_is_silent(job_service, table, remaining_s):
+    def wait_for_response(txn):
+        job_service._clock.advance(min(1.2, txn.timeout_s or 1.2))
+        raise StateUnknownError("timed out")
+
+    table.commit = wait_for_response
+    with pytest.raises(StateUnknownError):
+        job_service.submit(QUEUE, JOB, ORDER, remaining_s)
+    assert job_service._clock.now - 100.0 <= submission.ANSWER_SHARE * remaining_s + 0.01
--- a/tests/platform/test_table.py
+++ b/tests/platform/test_table.py
@@ -133,7 +133,7 @@
     def __init__(self):
         self.call_s = 0.0
 
-    def call(self, method, path, body=None, extra_timeout_s=0.0):
+    def call(self, method, path, body=None, extra_timeout_s=0.0, max_timeout_s=None):
         time.sleep(self.call_s / 2)
         reading_ms = int(time.monotonic() * 1000)
         time.sleep(self.call_s / 2)
