Hand the lease over when only this daemon is cut off, and begin terms faster

The rest passes while 255 polling threads are started: each start waits for the new thread, and the threads that poll already hold the interpreter. The reports of all workers are handled before the lease is looked at; more arrive meanwhile.

All polling threads of a term are started before the first of them polls, and 16 poll at a time at first. The lease is checked between reports, and those that arrive during a round wait for the next. RelayTable's part for other daemons is a class of its own, PeerTable.

--- a/gypsumplank/composition/platform.py
+++ b/gypsumplank/composition/platform.py
@@ -31,7 +31,7 @@
 from gypsumplank.state.lease import LeaseStore
 from gypsumplank.state.machine import MachineOrderLog
 from gypsumplank.transport.listener import CONNECTION_LIMIT, ClosingDispatcher, Listener
-from gypsumplank.transport.relay import RelayServer, RelayTable
+from gypsumplank.transport.relay import PeerTable, RelayServer, RelayTable
 
 # Store partition of all rows that are committed together.
 FLEET_PARTITION = "fleet"
@@ -102,7 +102,8 @@
         )
         self._daemon_registry = daemon_registry
         self._relay_server = RelayServer(self._fleet_rows, settings.peer_address)
-        self._relay_table = RelayTable(self._fleet_rows, daemon_registry.addresses)
+        self._peer_table = PeerTable(daemon_registry.addresses)
+        self._relay_table = RelayTable(self._fleet_rows, self._peer_table)
         self._operator_rows = RowTable(store_client, "")
         self._directory = PlatformDirectory(self._operator_rows)
         self._manifest_watch = ManifestWatch(
@@ -134,6 +135,7 @@
             leases,
             advisor,
             store_clock,
+            LeaseStore(self._peer_table),
         )
         machine_client = HttpMachines(
             Client(
@@ -239,7 +241,7 @@
         for component in (
             self._manifest_watch,
             self._daemon_registry,
-            self._relay_table,
+            self._peer_table,
             self._relay_server,
         ):
             component.close()
--- a/gypsumplank/coordination/job/dispatcher.py
+++ b/gypsumplank/coordination/job/dispatcher.py
@@ -2,8 +2,10 @@
 
 import logging
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import AbstractContextManager, nullcontext
+from typing import Any
 
 from gypsumplank.coordination.job.instance import WorkerInstance
 from gypsumplank.coordination.job.port import WorkerControl
@@ -24,6 +26,9 @@
 COMMIT_WAIT_S = 0.5
 # Concurrent commands; one that is not answered occupies its thread until its timeout.
 SENDER_THREADS = 24
+# First polls of workers that run at once; more would keep the scheduler's thread from the
+# interpreter for seconds after a take-over of hundreds of workers.
+FIRST_POLL_SLOTS = 16
 # Delay after a failed poll, seconds.
 POLL_RETRY_S = 0.3
 # Interval at which the polling thread of an idle worker checks for tasks, seconds; a worker without
@@ -63,10 +68,18 @@
         self._may_extend_leases = may_extend_leases
         self._on_report = on_report
         self._closed = threading.Event()
+        self._first_poll_slots = threading.Semaphore(0)
         self._senders = ThreadPoolExecutor(SENDER_THREADS, "sender")
 
+    def begin_term(self, instances: Iterable[WorkerInstance]) -> None:
+        """Start polling the workers that are known at the beginning of the term, in this order."""
+        for instance in instances:
+            self.start_polling(instance)
+        # Threads that poll already would hold up the start of the others.
+        self._first_poll_slots.release(FIRST_POLL_SLOTS)
+
     def start_polling(self, instance: WorkerInstance) -> None:
-        """Start a thread that polls a worker."""
+        """Start a thread that polls a worker; it waits for `begin_term`."""
         threading.Thread(
             target=self._poll_loop, args=(instance,), name="poller", daemon=True
         ).start()
@@ -164,27 +177,35 @@
             self._senders.submit(work)
 
     def _poll_loop(self, instance: WorkerInstance) -> None:
+        self._poll(instance, self._first_poll_slots)
         while not self._closed.is_set() and not instance.detached:
             if instance.last_contact_at and not instance.missed_polls and not instance.tasks:
                 instance.wake.wait(IDLE_CHECK_INTERVAL_S)
                 instance.wake.clear()
                 if not instance.tasks:
                     continue
-            try:
+            self._poll(instance, nullcontext())
+
+    def _poll(self, instance: WorkerInstance, slot: AbstractContextManager[Any]) -> None:
+        """Poll once while holding a slot, and wait until the reported task ends are committed."""
+        try:
+            with slot:
+                if self._closed.is_set() or instance.detached:
+                    return
                 received = self._request_report(instance, LONG_POLL_S)
-            except WorkerError as exc:
-                self._record_missed_poll(instance, exc)
-                self._closed.wait(POLL_RETRY_S)
-                continue
-            except Exception as exc:
-                logger.exception(Event.ACTOR_RESTARTED.value)
-                self._record_missed_poll(instance, WorkerError(str(exc)))
-                self._closed.wait(POLL_RETRY_S)
-                continue
-            self._post(lambda received=received: self._on_report(instance, received))  # type: ignore[misc]
-            if any(end.number > instance.last_acked_end for end in received.report.ended):
-                instance.wake.wait(COMMIT_WAIT_S)
-                instance.wake.clear()
+        except WorkerError as exc:
+            self._record_missed_poll(instance, exc)
+            self._closed.wait(POLL_RETRY_S)
+            return
+        except Exception as exc:
+            logger.exception(Event.ACTOR_RESTARTED.value)
+            self._record_missed_poll(instance, WorkerError(str(exc)))
+            self._closed.wait(POLL_RETRY_S)
+            return
+        self._post(lambda: self._on_report(instance, received))
+        if any(end.number > instance.last_acked_end for end in received.report.ended):
+            instance.wake.wait(COMMIT_WAIT_S)
+            instance.wake.clear()
 
     def _request_report(self, instance: WorkerInstance, max_wait_s: float) -> ReceivedReport:
         sent_at = self._clock.monotonic()
--- a/gypsumplank/coordination/job/leader.py
+++ b/gypsumplank/coordination/job/leader.py
@@ -5,6 +5,7 @@
 import threading
 from collections.abc import Callable, Iterable
 
+from gypsumplank.coordination.job.cutoff import CutOffDetector
 from gypsumplank.coordination.job.fleet import EXTENSION_GRACE_S
 from gypsumplank.coordination.job.model import Job
 from gypsumplank.coordination.job.permit import PermitCache
@@ -87,6 +88,7 @@
         self._thread = threading.Thread(target=self._run, name="chief", daemon=True)
         self._term: Term | None = None
         self._silent_workers = SilentWorkers(ports.store, ports.store_clock)
+        self._cut_off = CutOffDetector(clock)
         self._next_lease_check_at = 0.0
         self._must_renew = False
         self._store_unavailable = False
@@ -127,19 +129,24 @@
         """Run the queued calls, renew the lease if due, and run one scheduling round."""
         for call in self._queued_calls(wait_s):
             call()
-        if self._clock.monotonic() >= self._next_lease_check_at:
-            self._tick_lease()
+            self._check_lease_if_due()
+        self._check_lease_if_due()
         if self._term is not None:
             self._run_round(self._term)
 
     def _queued_calls(self, wait_s: float) -> Iterable[Callable[[], None]]:
         try:
             yield self._inbox.get(timeout=wait_s)
-            while True:
+            # Calls that are queued meanwhile wait, so that a busy inbox holds up no round.
+            for _ in range(self._inbox.qsize()):
                 yield self._inbox.get_nowait()
         except queue.Empty:
             return
 
+    def _check_lease_if_due(self) -> None:
+        if self._clock.monotonic() >= self._next_lease_check_at:
+            self._tick_lease()
+
     # Lease
 
     def _tick_lease(self) -> None:
@@ -209,9 +216,9 @@
         if self._ports.advisor is not None:
             scheduler.permits = PermitCache(self._ports.advisor, self._clock, post)
         term = Term(epoch, scheduler, dispatcher)
-        for instance in scheduler.instances.values():
-            if not instance.detached:
-                dispatcher.start_polling(instance)
+        pollable = [each for each in scheduler.instances.values() if not each.detached]
+        # Workers that earlier leaders could not reach come last, as their polls take longest.
+        dispatcher.begin_term(sorted(pollable, key=lambda each: each.extension_suspended))
         term.watchers = self._term_factory.create_watchers(
             fence.version,
             lambda snapshot: post(lambda: self._apply_snapshot(term, snapshot)),
@@ -354,11 +361,23 @@
             return False
         except StateError as exc:
             self._record_store_result(exc)
+            self._record_failed_write()
             return False
+        self._cut_off.record_answer()
         self._record_store_result(None)
         self._must_renew = False
         return True
 
+    def _record_failed_write(self) -> None:
+        """Let another daemon lead at once if that can reach the store and this one cannot."""
+        self._cut_off.record_failure()
+        peers = self._ports.peer_leases
+        if peers is None or not self._cut_off.is_cut_off:
+            return
+        if self._ports.leases.release_through(peers, SCHEDULER_LEASE):
+            self._resign("cut-off")
+        self._cut_off.record_answer()
+
     def _commit(self, term: Term) -> bool:
         updates = list(term.scheduler.workload.updates())
         jobs = {id(update): job for job, update in updates}
@@ -369,15 +388,15 @@
             try:
                 version = self._ports.store.commit(fence, batch)
             except StateConflictError:
+                self._cut_off.record_answer()
                 self._recheck_states(term, [jobs[id(update)] for update in batch])
                 return False
-            except StateUnknownError as exc:
-                self._must_renew = True
-                self._log_failed_commit(exc, batch)
-                return False
             except StateError as exc:
+                self._must_renew = self._must_renew or isinstance(exc, StateUnknownError)
                 self._log_failed_commit(exc, batch)
+                self._record_failed_write()
                 return False
+            self._cut_off.record_answer()
             now = self._clock.monotonic()
             for update in batch:
                 term.scheduler.workload.mark_stored(jobs[id(update)], update, version, now)
--- a/gypsumplank/coordination/job/term.py
+++ b/gypsumplank/coordination/job/term.py
@@ -18,6 +18,7 @@
 from gypsumplank.state.clock import Clock, ClockRange
 from gypsumplank.state.feed import ChangeFeed
 from gypsumplank.state.job import JobStore
+from gypsumplank.state.lease import LeaseStore
 from gypsumplank.state.table import Row
 
 
@@ -25,7 +26,7 @@
 class PlatformPorts:
     """Store the interfaces through which the leader reaches the platform.
 
-    `store_clock` reads the store's clock.
+    `store_clock` reads the store's clock; `peer_leases` reaches the store through other daemons.
     """
 
     store: JobStore
@@ -35,6 +36,7 @@
     leases: LeaseManager
     advisor: Advisor | None = None
     store_clock: Callable[[], ClockRange] = ClockRange
+    peer_leases: LeaseStore | None = None
 
 
 class MachineManager:
--- a/gypsumplank/coordination/lease.py
+++ b/gypsumplank/coordination/lease.py
@@ -5,7 +5,12 @@
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, replace
 
-from gypsumplank.errors import StateConflictError, StateError
+from gypsumplank.errors import (
+    StateConflictError,
+    StateError,
+    StateUnavailableError,
+    StateUnknownError,
+)
 from gypsumplank.log import Event, event
 from gypsumplank.state.clock import Clock, ClockRange
 from gypsumplank.state.lease import Lease, LeaseRow, LeaseStore
@@ -13,6 +18,8 @@
 
 # A held lease is renewed this many times within its duration.
 RENEWALS_PER_LEASE = 3
+# Attempts to release a lease through other daemons while outcomes are unknown.
+MAX_RELEASE_ATTEMPTS = 3
 # Margin before another daemon's lease is taken over, as a share of its duration.
 TAKEOVER_MARGIN_SHARE = 0.5
 
@@ -169,6 +176,37 @@
         self._held_until[lease.name] = now + self._duration_s
         self.holders[lease.name] = self._daemon
 
+    def release_through(self, store: LeaseStore, name: str) -> bool:
+        """Release a held lease through another client of the store, as this daemon is cut off.
+
+        Return False if that client cannot reach the store either; the lease is then kept. If the
+        outcome stays unknown, it counts as released.
+        """
+        try:
+            row = store.all().get(name)
+        except StateError:
+            return False
+        if row is not None and self._is_own(row) and not self._try_release(store, row):
+            return False
+        self._mark_lost(name)
+        return True
+
+    def _try_release(self, store: LeaseStore, row: LeaseRow) -> bool:
+        """Write a lease as free; return False if that was certainly not applied."""
+        for _ in range(MAX_RELEASE_ATTEMPTS):
+            try:
+                store.put(replace(row.lease, holder=""), row.version)
+            except StateUnavailableError:
+                return False
+            except StateUnknownError as exc:
+                event(logger, Event.STATE_UNAVAILABLE, logging.WARNING, code=exc.code, step="lease")
+                continue
+            except StateConflictError:
+                # An earlier attempt was applied, or another daemon has taken the lease.
+                return True
+            return True
+        return True
+
     def _has_expired(self, row: LeaseRow, now: float) -> bool:
         if 0 < row.lease.until_ms < self._store_clock().earliest_ms:
             return True
--- a/gypsumplank/transport/relay.py
+++ b/gypsumplank/transport/relay.py
@@ -4,7 +4,7 @@
 import threading
 import time
 from collections.abc import Callable, Sequence
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 import pynng
@@ -39,6 +39,8 @@
     for error in (StateConflictError, StateTooLargeError, StateUnavailableError, StateUnknownError)
 }
 
+T = TypeVar("T")
+
 logger = logging.getLogger(__name__)
 
 
@@ -116,64 +118,37 @@
             return RelayReply(exc.code, exc.detail)
 
 
-class RelayTable:
-    """Call the table service directly or through other daemons; implements Table."""
+class PeerTable:
+    """Call the table service through other daemons; implements Table."""
 
-    def __init__(self, table: Table, peers: Callable[[], Sequence[str]]) -> None:
-        self._table = table
+    def __init__(self, peers: Callable[[], Sequence[str]]) -> None:
         self._peers = peers
         self._sockets: dict[str, Any] = {}
         self._lock = threading.Condition()
         self._in_flight = 0
         self._closed = False
-        self._direct_failed_at = -DIRECT_BACKOFF_S
 
     def get(self, table: str, key: str) -> Row | None:
         """Return one row."""
-        rows = self._read(RelayRequest(table, key), lambda: _as_tuple(self._table.get(table, key)))
+        rows = self._relay(RelayRequest(table, key)).rows
         return rows[0] if rows else None
 
     def scan(
         self, table: str, prefix: str = "", after: str = "", limit: int = SCAN_LIMIT
     ) -> list[Row]:
         """Return the rows in key order whose keys start with `prefix` and follow `after`."""
-        req = RelayRequest(table, None, prefix, after, limit)
-        return list(self._read(req, lambda: self._table.scan(table, prefix, after, limit)))
+        return list(self._relay(RelayRequest(table, None, prefix, after, limit)).rows)
 
     def commit(self, txn: Txn) -> int:
         """Apply a transaction; return the new version of its rows."""
-        if time.monotonic() - self._direct_failed_at < DIRECT_BACKOFF_S:
-            try:
-                return self._relay(RelayRequest(txn=txn)).version
-            except StateUnavailableError:
-                return self._table.commit(txn)
-        try:
-            return self._table.commit(txn)
-        except StateUnavailableError:
-            self._direct_failed_at = time.monotonic()
-            return self._relay(RelayRequest(txn=txn)).version
-        except StateUnknownError:
-            self._direct_failed_at = time.monotonic()
-            raise
-
-    def _read(self, req: RelayRequest, direct: Callable[[], Sequence[Row]]) -> Sequence[Row]:
-        if time.monotonic() - self._direct_failed_at < DIRECT_BACKOFF_S:
-            try:
-                return self._relay(req).rows
-            except StateError:
-                return direct()
-        try:
-            return direct()
-        except StateUnavailableError:
-            self._direct_failed_at = time.monotonic()
-            return self._relay(req).rows
+        return self._relay(RelayRequest(txn=txn)).version
 
     def _relay(self, req: RelayRequest) -> RelayReply:
         """Return another daemon's reply; raise its error, or StateUnavailableError."""
         raw = msgspec.msgpack.encode(req)
         for address in list(self._peers())[:MAX_PEERS_TRIED]:
             try:
-                reply = self._request(address, raw)
+                reply = self._request(address, raw, req.txn.timeout_s if req.txn else None)
             except CallError as exc:
                 if req.txn is not None and exc.sent:
                     raise StateUnknownError(exc.detail) from exc
@@ -185,9 +160,11 @@
             return reply
         raise StateUnavailableError("no other daemon can reach the table service")
 
-    def _request(self, address: str, raw: bytes) -> RelayReply:
+    def _request(self, address: str, raw: bytes, timeout_s: float | None) -> RelayReply:
         socket = self._acquire_socket(address)
         context = socket.new_context()
+        if timeout_s is not None:
+            context.recv_timeout = min(REPLY_TIMEOUT_MS, max(1, int(timeout_s * 1000)))
         sent = False
         try:
             context.send(raw)
@@ -226,5 +203,51 @@
                 socket.close()
 
 
-def _as_tuple(row: Row | None) -> tuple[Row, ...]:
-    return () if row is None else (row,)
+class RelayTable:
+    """Call the table service directly or through other daemons; implements Table."""
+
+    def __init__(self, table: Table, peers: PeerTable) -> None:
+        self._table = table
+        self._peers = peers
+        self._direct_failed_at = -DIRECT_BACKOFF_S
+
+    def get(self, table: str, key: str) -> Row | None:
+        """Return one row."""
+        return self._read(lambda source: source.get(table, key))
+
+    def scan(
+        self, table: str, prefix: str = "", after: str = "", limit: int = SCAN_LIMIT
+    ) -> list[Row]:
+        """Return the rows in key order whose keys start with `prefix` and follow `after`."""
+        return self._read(lambda source: source.scan(table, prefix, after, limit))
+
+    def commit(self, txn: Txn) -> int:
+        """Apply a transaction; return the new version of its rows."""
+        if self._direct_failed_recently():
+            try:
+                return self._peers.commit(txn)
+            except StateUnavailableError:
+                return self._table.commit(txn)
+        try:
+            return self._table.commit(txn)
+        except StateUnavailableError:
+            self._direct_failed_at = time.monotonic()
+            return self._peers.commit(txn)
+        except StateUnknownError:
+            self._direct_failed_at = time.monotonic()
+            raise
+
+    def _read(self, read: Callable[[Table], T]) -> T:
+        if self._direct_failed_recently():
+            try:
+                return read(self._peers)
+            except StateError:
+                return read(self._table)
+        try:
+            return read(self._table)
+        except StateUnavailableError:
+            self._direct_failed_at = time.monotonic()
+            return read(self._peers)
+
+    def _direct_failed_recently(self) -> bool:
+        return time.monotonic() - self._direct_failed_at < DIRECT_BACKOFF_S
--- a/tests/coordination/job/cluster.py
+++ b/tests/coordination/job/cluster.py
@@ -48,6 +48,10 @@
         self.token, self.may_extend_leases, self.on_report = token, may_extend_leases, on_report
         self.instances = []
 
+    def begin_term(self, instances):
+        for instance in instances:
+            self.start_polling(instance)
+
     def start_polling(self, instance):
         self.instances.append(instance)
 
--- a/tests/coordination/job/test_dispatcher.py
+++ b/tests/coordination/job/test_dispatcher.py
@@ -1,8 +1,10 @@
 import threading
+import time
+from dataclasses import replace
 
 import pytest
 
-from gypsumplank.coordination.job.dispatcher import WorkerDispatcher
+from gypsumplank.coordination.job.dispatcher import FIRST_POLL_SLOTS, WorkerDispatcher
 from gypsumplank.coordination.job.instance import WorkerClock, WorkerInstance
 from gypsumplank.coordination.job.scheduler import Scheduler
 from gypsumplank.coordination.job.watch import PeriodicThread
@@ -42,7 +44,7 @@
         lambda: True,
         lambda instance, report: reported.set(),
     )
-    dispatcher.start_polling(WorkerInstance(ENTRY, 1, WorkerClock()))
+    dispatcher.begin_term([WorkerInstance(ENTRY, 1, WorkerClock())])
     assert reported.wait(10.0)
     dispatcher.close()
 
@@ -149,3 +151,54 @@
     clock.advance(LEASE_S + 1.0)
     scheduler.plan()
     assert {task.run for task in scheduler.workload.jobs["a" * 16].assigned_tasks()} <= {2}
+
+
+class CountingWorkers(FlakyWorkers):
+    """Count the polls that run at once; each runs until `resume` is set."""
+
+    def __init__(self):
+        super().__init__()
+        self.resume = threading.Event()
+        self.lock = threading.Lock()
+        self.running = self.most = self.threads_at_first_poll = 0
+
+    def poll(self, worker, token, until_ms, ack, wait_s):
+        with self.lock:
+            self.threads_at_first_poll = self.threads_at_first_poll or sum(
+                thread.name == "poller" for thread in threading.enumerate()
+            )
+            self.running += 1
+            self.most = max(self.most, self.running)
+        self.resume.wait(10.0)
+        with self.lock:
+            self.running -= 1
+        return super().poll(worker, token, until_ms, ack, wait_s)
+
+
+# A take-over on the large site: the polls of 255 workers kept the leader from its lease, and those
+# that ran already held up the start of each further thread.
+WORKERS = 100
+
+
+def test_first_polls_after_a_take_over_run_a_few_at_a_time():
+    workers, reported, all_reported = CountingWorkers(), set(), threading.Event()
+
+    def handle_report(instance, report):
+        reported.add(instance.id)
+        if len(reported) == WORKERS:
+            all_reported.set()
+
+    dispatcher = WorkerDispatcher(
+        workers, SystemClock(), lambda work: work(), 1, lambda: LEASE_S, lambda: True, handle_report
+    )
+    entries = [replace(ENTRY, id=f"w{number}") for number in range(WORKERS)]
+    dispatcher.begin_term([WorkerInstance(entry, 1, WorkerClock()) for entry in entries])
+    deadline = time.monotonic() + 10.0
+    while workers.running < FIRST_POLL_SLOTS and time.monotonic() < deadline:
+        time.sleep(0.01)
+    most = workers.most
+    workers.resume.set()
+    assert all_reported.wait(10.0)
+    dispatcher.close()
+    assert most == FIRST_POLL_SLOTS
+    assert workers.threads_at_first_poll >= WORKERS
--- a/tests/transport/test_relay.py
+++ b/tests/transport/test_relay.py
@@ -5,7 +5,7 @@
 from demo.cluster import free_addresses
 from gypsumplank.errors import StateConflictError, StateUnavailableError, StateUnknownError
 from gypsumplank.state.table import ABSENT, Check, MemoryTable, Txn, Write
-from gypsumplank.transport.relay import RelayServer, RelayTable
+from gypsumplank.transport.relay import PeerTable, RelayServer, RelayTable
 from tests.faulty import ScriptedFaultTable
 
 INSERT = Txn((Check("t", "a", ABSENT),), (Write("t", "a", b"1"),))
@@ -25,7 +25,7 @@
 def make_disconnected_relay(peer, peers=None):
     direct = ScriptedFaultTable(peer[0].table)
     direct.unavailable = True
-    relay = RelayTable(direct, lambda: peers or [peer[1]])
+    relay = RelayTable(direct, PeerTable(lambda: peers or [peer[1]]))
     deadline = time.monotonic() + 10
     while time.monotonic() < deadline:
         try:
@@ -71,6 +71,6 @@
 
 
 def test_direct_connection_is_used_while_it_works(peer):
-    relay = RelayTable(MemoryTable(), list)
+    relay = RelayTable(MemoryTable(), PeerTable(list))
     assert relay.commit(INSERT)
     assert relay.get("t", "a").value == b"1"
