Send callers' jobs over daemons that reach the store, without trying one that does not

Change: the table client tells whether its last call failed, whatever thread made it (each daemon reads the lease every 0.4 s). While it does, calls go to peers first, and a daemon whose own calls fail tells its peers so at once; up to four peers are tried instead of two. If no peer reaches the store, the direct connection is still tried.

Ruled out: a longer time without direct calls, which would go on after the connection works again.

Tests: test_call_skips_a_direct_connection_that_fails_for_other_threads and test_peer_that_is_cut_off_too_replies_without_a_call fail on the code before (by its interface, is_failing does not exist there); test_direct_connection_is_tried_if_no_peer_reaches_the_store.

--- a/gypsumplank/platform/table.py
+++ b/gypsumplank/platform/table.py
@@ -50,6 +50,12 @@
         self._client = client
         self._partition = partition
         self._clock_sample: ClockSample | None = None
+        self._is_failing = False
+
+    @property
+    def is_failing(self) -> bool:
+        """Return whether the last call was not answered, or turned away."""
+        return self._is_failing
 
     def clock_range(self) -> ClockRange:
         """Return bounds of the store's monotonic clock; unknown before any response."""
@@ -115,8 +121,10 @@
         try:
             resp = self._client.call("POST", PATH_TX, body, max_timeout_s=txn.timeout_s)
         except CallError as exc:
+            self._is_failing = True
             error = StateUnknownError if exc.sent else StateUnavailableError
             raise error(exc.detail) from exc
+        self._is_failing = resp.status in STATUSES_NOT_APPLIED
         return self._commit_version(resp, sent_at)
 
     def changes(self, table: str, after: int, wait_s: float) -> Changes:
@@ -147,7 +155,9 @@
         try:
             resp = self._client.call("GET", path, extra_timeout_s=wait_s)
         except CallError as exc:
+            self._is_failing = True
             raise StateUnavailableError(exc.detail) from exc
+        self._is_failing = resp.status in STATUSES_NOT_APPLIED
         body = resp.body if isinstance(resp.body, dict) else {}
         if resp.status == STATUS_GONE:
             raise StateHistoryLostError(
--- a/gypsumplank/transport/relay.py
+++ b/gypsumplank/transport/relay.py
@@ -4,7 +4,7 @@
 import threading
 import time
 from collections.abc import Callable, Sequence
-from typing import Any, TypeVar
+from typing import Any, Protocol, TypeVar
 
 import msgspec
 import pynng
@@ -30,8 +30,8 @@
 STOP_POLL_INTERVAL_MS = 1000
 # Time after a failed direct call in which the relay is tried before the direct connection.
 DIRECT_BACKOFF_S = 1.0
-# Daemons tried before a call fails.
-MAX_PEERS_TRIED = 2
+# Daemons tried before a call fails; those that know that they are cut off reply at once.
+MAX_PEERS_TRIED = 4
 RECONNECT_MAX_MS = 500
 
 ERRORS_BY_CODE: dict[str, type[StateError]] = {
@@ -64,10 +64,18 @@
     version: int = 0
 
 
+class DirectTable(Table, Protocol):
+    """Call the table service directly, and tell whether that works."""
+
+    @property
+    def is_failing(self) -> bool:
+        """Return whether the last call of any thread was not answered, or turned away."""
+
+
 class RelayServer:
-    """Execute table service calls for other daemons."""
+    """Execute table service calls for other daemons, unless they fail here too."""
 
-    def __init__(self, table: Table, address: str) -> None:
+    def __init__(self, table: DirectTable, address: str) -> None:
         self._table = table
         self._socket = pynng.Rep0(listen=f"tcp://{address}", recv_timeout=STOP_POLL_INTERVAL_MS)
         self._closed = threading.Event()
@@ -106,6 +114,8 @@
         except msgspec.MsgspecError as exc:
             event(logger, Event.PEER_DROPPED, logging.WARNING, detail=str(exc))
             return RelayReply(StateUnavailableError.code, "malformed request")
+        if self._table.is_failing:
+            return RelayReply(StateUnavailableError.code, "this daemon is cut off too")
         try:
             if req.txn is not None:
                 return RelayReply(version=self._table.commit(req.txn))
@@ -204,9 +214,12 @@
 
 
 class RelayTable:
-    """Call the table service directly or through other daemons; implements Table."""
+    """Call the table service directly or, if that fails, through other daemons; implements Table.
+
+    Other threads' direct calls tell when the direct connection fails, and when it works again.
+    """
 
-    def __init__(self, table: Table, peers: PeerTable) -> None:
+    def __init__(self, table: DirectTable, peers: PeerTable) -> None:
         self._table = table
         self._peers = peers
         self._direct_failed_at = -DIRECT_BACKOFF_S
@@ -250,4 +263,5 @@
             return read(self._peers)
 
     def _direct_failed_recently(self) -> bool:
-        return time.monotonic() - self._direct_failed_at < DIRECT_BACKOFF_S
+        backs_off = time.monotonic() - self._direct_failed_at < DIRECT_BACKOFF_S
+        return backs_off or self._table.is_failing
--- a/tests/platform/test_table.py
+++ b/tests/platform/test_table.py
@@ -1,10 +1,12 @@
 """Test the platform's row table and its in-memory variant against one contract."""
 
+import contextlib
 import time
 
 import pytest
 
 from gypsumplank.errors import (
+    CallError,
     StateConflictError,
     StateHistoryLostError,
     StateTooLargeError,
@@ -162,3 +164,31 @@
     table = RowTable(client, "fleet")
     table.changes("t", 1, 0.5)
     assert table.clock_range() == ClockRange()
+
+
+class FixedClient:
+    def __init__(self, status):
+        self.status = status
+
+    def call(self, method, path, body=None, extra_timeout_s=0.0, max_timeout_s=None):
+        if not self.status:
+            raise CallError("timed out", sent=True)
+        return Response(self.status, {"rows": [], "ver": 7}, {})
+
+
+@pytest.mark.parametrize("call", [lambda t: t.scan("t"), lambda t: t.commit(Txn())])
+@pytest.mark.parametrize(("status", "failing"), [(0, True), (429, True), (503, True), (200, False)])
+def test_table_is_failing_after_a_call_that_was_not_answered_or_turned_away(call, status, failing):
+    table = RowTable(FixedClient(status), "fleet")
+    assert not table.is_failing
+    with contextlib.suppress(StateUnavailableError, StateUnknownError):
+        call(table)
+    assert table.is_failing == failing
+
+
+def test_conflict_is_an_answer():
+    table = RowTable(FixedClient(412), "fleet")
+    table._is_failing = True
+    with pytest.raises(StateConflictError):
+        table.commit(Txn())
+    assert not table.is_failing
--- a/tests/transport/test_relay.py
+++ b/tests/transport/test_relay.py
@@ -8,13 +8,20 @@
 from gypsumplank.transport.relay import PeerTable, RelayServer, RelayTable
 from tests.faulty import ScriptedFaultTable
 
+
+class DirectTable(ScriptedFaultTable):
+    """Reach the store directly; `is_failing` is what other threads have seen."""
+
+    is_failing = False
+
+
 INSERT = Txn((Check("t", "a", ABSENT),), (Write("t", "a", b"1"),))
 
 
 @pytest.fixture
 def peer():
     """Return the table of a peer daemon and the address of its relay server."""
-    table = ScriptedFaultTable(MemoryTable())
+    table = DirectTable(MemoryTable())
     (address,) = free_addresses(1)
     server = RelayServer(table, address)
     server.start()
@@ -23,7 +30,7 @@
 
 
 def make_disconnected_relay(peer, peers=None):
-    direct = ScriptedFaultTable(peer[0].table)
+    direct = DirectTable(peer[0].table)
     direct.unavailable = True
     relay = RelayTable(direct, PeerTable(lambda: peers or [peer[1]]))
     deadline = time.monotonic() + 10
@@ -71,6 +78,36 @@
 
 
 def test_direct_connection_is_used_while_it_works(peer):
-    relay = RelayTable(MemoryTable(), PeerTable(list))
+    relay = RelayTable(DirectTable(MemoryTable()), PeerTable(list))
     assert relay.commit(INSERT)
     assert relay.get("t", "a").value == b"1"
+
+
+def test_call_skips_a_direct_connection_that_fails_for_other_threads(peer):
+    relay = make_disconnected_relay(peer)
+    direct = relay._table
+    direct.unavailable, direct.is_failing = False, True
+    relay._direct_failed_at = float("-inf")
+    direct.commit_faults = ["dropped"]
+    assert relay.commit(INSERT)
+    assert direct.commits == 0
+    direct.is_failing, direct.commit_faults = False, []
+    relay.commit(Txn((), (Write("t", "b", b"1"),)))
+    assert direct.commits == 1
+
+
+def test_peer_that_is_cut_off_too_replies_without_a_call(peer):
+    relay = make_disconnected_relay(peer)
+    peer[0].is_failing = True
+    commits = peer[0].commits
+    with pytest.raises(StateUnavailableError):
+        relay.commit(INSERT)
+    assert peer[0].commits == commits
+
+
+def test_direct_connection_is_tried_if_no_peer_reaches_the_store(peer):
+    relay = make_disconnected_relay(peer)
+    peer[0].is_failing = True
+    relay._table.unavailable, relay._table.is_failing = False, True
+    assert relay.commit(INSERT)
+    assert relay._table.commits == 1
