Record accepted maintenance, so that a successor does not order it again

The record of a wave was also overwritten by a later move of the machine.

Change: once the platform has accepted a machine's maintenance, its row says so, and later orders keep that. A successor counts such machines as done. Waves are planned only when the rows are read.

Ruled out: telling from a worker's incarnation, as a crash changes that too; trusting the record of an order, which may not have been sent.

If the second record fails, the order is repeated as before.

--- a/gypsumplank/coordination/job/machine.py
+++ b/gypsumplank/coordination/job/machine.py
@@ -36,8 +36,11 @@
 class OrderLog(Protocol):
     """Persist when the last order for each machine was given; every call may raise StateError."""
 
-    def record(self, machine: str, wave: int = 0) -> None:
-        """Record that an order for a machine is about to be given, as part of a wave if not 0."""
+    def record(self, machine: str, wave: int = 0, maintained_wave: int = 0) -> None:
+        """Record an order for a machine, as part of a wave if not 0.
+
+        `maintained_wave` is the last wave for which the machine's maintenance was accepted.
+        """
 
     def entries(self) -> Mapping[str, MachineOrderEntry]:
         """Return the last order of each machine."""
@@ -67,7 +70,8 @@
 
     `in_flight` names the machines with an unanswered order, `reserved` those that are planned for a
     move or maintenance. `last_wave` maps machines to the wave for which an earlier leader last
-    ordered their maintenance, 0 for none. `list_read_at` is in monotonic seconds.
+    ordered their maintenance, 0 for none, and `maintained_wave` to the last one for which any
+    leader's order was accepted. `list_read_at` is in monotonic seconds.
     """
 
     def __init__(
@@ -97,6 +101,7 @@
         self.machines: dict[str, Machine] = {}
         self.list_read_at = 0.0
         self.last_wave: dict[str, int] = {}
+        self.maintained_wave: dict[str, int] = {}
         self.in_flight: set[str] = set()
         self.reserved: set[str] = set()
 
@@ -118,6 +123,7 @@
             self._order_senders = []
         self.machines.clear()
         self.last_wave.clear()
+        self.maintained_wave.clear()
         self.in_flight.clear()
         self.reserved.clear()
         self._list_pending = False
@@ -151,18 +157,24 @@
                     logger, Event.STATE_UNAVAILABLE, logging.WARNING, code=exc.code, step="orders"
                 )
                 return
-            waves = {name: entry.wave for name, entry in entries.items()}
-            self.post(lambda: self._apply_order_log(token, ages, waves, now))
+            self.post(lambda: self._apply_order_log(token, entries, ages, now))
 
         self.run_async(read)
 
     def _apply_order_log(
-        self, token: int, ages: Mapping[str, float], waves: dict[str, int], now: float
+        self,
+        token: int,
+        entries: Mapping[str, MachineOrderEntry],
+        ages: Mapping[str, float],
+        now: float,
     ) -> None:
         if token == self._token and self._handover_ends_at is None:
             wait_s = self._handover_s() + HANDOVER_MARGIN_S
             self._handover_ends_at = {name: now + wait_s - age for name, age in ages.items()}
-            self.last_wave = waves
+            self.last_wave = {name: entry.wave for name, entry in entries.items()}
+            self.maintained_wave = {
+                name: entry.maintained_wave for name, entry in entries.items()
+            } | self.maintained_wave
 
     def run_async(self, work: Callable[[], None]) -> None:
         """Run a call in the actor's thread; drop it outside a term."""
@@ -198,12 +210,17 @@
     def order_maintenance(self, machine: str, wave: int, on_result: ResultCallback) -> None:
         """Order a machine's maintenance; it terminates the worker."""
         token = self._token
-        self._submit_order(
-            machine,
-            lambda: self._machines.start_maintenance(machine, wave, self._holder, token),
-            lambda failure: self._apply_result(failure, machine, on_result, MachineState.UPKEEP),
-            wave,
-        )
+
+        def work() -> None:
+            self._machines.start_maintenance(machine, wave, self._holder, token)
+            self._record_acceptance(machine, wave)
+
+        def finish(failure: MachineError | None) -> None:
+            if failure is None:
+                self.maintained_wave[machine] = wave
+            self._apply_result(failure, machine, on_result, MachineState.UPKEEP)
+
+        self._submit_order(machine, work, finish, wave)
 
     def order_move(self, machine: str, pool: str, on_result: ResultCallback) -> None:
         """Order a machine's move to another pool; it terminates the worker."""
@@ -232,10 +249,17 @@
 
     def _record_order(self, machine: str, wave: int) -> None:
         try:
-            self.order_log.record(machine, wave)
+            self.order_log.record(machine, wave, self.maintained_wave.get(machine, 0))
         except StateError as exc:
             raise MachineError(f"the order could not be recorded: {exc.detail}") from exc
 
+    def _record_acceptance(self, machine: str, wave: int) -> None:
+        """Record that maintenance was accepted; without a record, a successor orders it again."""
+        try:
+            self.order_log.record(machine, wave, wave)
+        except StateError as exc:
+            event(logger, Event.STATE_UNAVAILABLE, logging.WARNING, code=exc.code, step="orders")
+
     def _submit_order(
         self, machine: str, work: Callable[[], None], on_result: ResultCallback, wave: int = 0
     ) -> None:
--- a/gypsumplank/coordination/job/maintenance.py
+++ b/gypsumplank/coordination/job/maintenance.py
@@ -169,7 +169,7 @@
     def plan(self, scheduler: Scheduler, now: float) -> None:
         """Choose machines to drain and stop their tasks."""
         self._poll_waves(now)
-        if now < self._plan_suspended_until:
+        if now < self._plan_suspended_until or not self._controller.can_order(now):
             return
         if self.has_open_wave:
             self._controller.refresh_list(now)
@@ -177,6 +177,7 @@
         for progress in self._waves.values():
             self._remove_recovered(progress)
             self._find_inherited(progress, now)
+            self._add_maintained(progress)
             self._choose_machines(progress, instances, now)
             for machine in progress.wave.machines:
                 instance = instances.get(machine)
@@ -212,6 +213,15 @@
             and not self._controller.is_handover_over(machine, now)
         }
 
+    def _add_maintained(self, progress: MachineWaveProgress) -> None:
+        """Count the machines whose maintenance was accepted for this wave, by any leader."""
+        number = progress.wave.number
+        progress.ordered.update(
+            machine
+            for machine in progress.wave.machines
+            if self._controller.maintained_wave.get(machine) == number
+        )
+
     def _choose_machines(
         self, progress: MachineWaveProgress, instances: dict[str, WorkerInstance], now: float
     ) -> None:
@@ -225,8 +235,9 @@
             for machine in progress.wave.machines
             if progress.needs_drain(machine, now) and machine not in self._controller.reserved
         ]
-        # Maintenance that an earlier leader ordered has probably been carried out. If it has not, a
-        # repeated order terminates running tasks, so these machines come last.
+        # Maintenance that an earlier leader ordered has probably been carried out, even if its
+        # acceptance is not recorded. If it has not, a repeated order terminates running tasks, so
+        # these machines come last.
         number = progress.wave.number
         possibly_done = {
             machine for machine in pending if self._controller.last_wave.get(machine) == number
--- a/gypsumplank/protocol/queue.py
+++ b/gypsumplank/protocol/queue.py
@@ -73,10 +73,14 @@
 
 @dataclass(frozen=True)
 class MachineOrderEntry:
-    """Represent a machine's last order: its time in ms of the store's clock, and its wave."""
+    """Represent a machine's last order: its time in ms of the store's clock, and its wave.
+
+    `maintained_wave` is the last wave for which the platform accepted the machine's maintenance.
+    """
 
     at_ms: int
     wave: int = 0
+    maintained_wave: int = 0
 
 
 class MachineState(StrEnum):
--- a/gypsumplank/state/machine.py
+++ b/gypsumplank/state/machine.py
@@ -25,9 +25,13 @@
         self._table = table
         self._store_clock = store_clock
 
-    def record(self, machine: str, wave: int = 0) -> None:
-        """Record that an order for a machine is about to be sent; `wave` is 0 outside waves."""
-        value = msgspec.json.encode(MachineOrderEntry(self._store_clock().latest_ms, wave))
+    def record(self, machine: str, wave: int = 0, maintained_wave: int = 0) -> None:
+        """Record an order for a machine; `wave` is 0 outside waves.
+
+        `maintained_wave` is the last wave for which the machine's maintenance was accepted.
+        """
+        entry = MachineOrderEntry(self._store_clock().latest_ms, wave, maintained_wave)
+        value = msgspec.json.encode(entry)
         self._table.commit(Txn((), (Write(TABLE_MACHINES, machine, value),)))
 
     def wave_age_s(self, wave: int) -> float:
--- a/tests/coordination/job/cluster.py
+++ b/tests/coordination/job/cluster.py
@@ -168,6 +168,7 @@
         self.unavailable = {}
         self.orders = []
         self.maintained = set()
+        self.maintenance_calls = []
         self.max_down = 0
         self.started_workers = 0
 
@@ -191,6 +192,7 @@
         ]
 
     def start_maintenance(self, machine, wave, holder, token):
+        self.maintenance_calls.append(machine)
         if (wave, machine) in self.maintained:
             return
         self.maintained.add((wave, machine))
@@ -269,13 +271,14 @@
             LeaseStore(self.table), cluster.clock, self.name, 2.0, 0.1, cluster.store_clock
         )
         self.directory = SimulatedDirectory(cluster.simulated_workers, cluster.waves)
+        self.machine_orders = MachineOrderLog(self.table, cluster.store_clock)
         controller = MachineController(
             cluster.machines,
             self.name,
             lambda: 3.0,
             lambda: True,
             lambda work: self.scheduler_leader.post(work),  # noqa: PLW0108
-            MachineOrderLog(self.table, cluster.store_clock),
+            self.machine_orders,
             ImmediateRunner,
         )
         machine_manager = MachineManager(
--- a/tests/coordination/job/test_machines.py
+++ b/tests/coordination/job/test_machines.py
@@ -15,6 +15,9 @@
     Queue,
     ServicePolicy,
 )
+from gypsumplank.state.clock import ClockRange
+from gypsumplank.state.machine import MachineOrderLog
+from gypsumplank.state.table import MemoryTable
 from tests.coordination.job.cluster import (
     MANIFEST,
     QUEUE,
@@ -96,7 +99,7 @@
     def order_age_s(self, note):
         return -note.at_ms / 1000
 
-    def record(self, machine, wave=0):
+    def record(self, machine, wave=0, maintained_wave=0):
         if self.out:
             raise StateUnavailableError("out")
         self.recorded.append(machine)
@@ -106,6 +109,9 @@
     def __init__(self):
         self.moved = []
 
+    def start_maintenance(self, machine, wave, holder, token):
+        pass
+
     def move(self, machine, pool, holder, token):
         self.moved.append((machine, pool, token))
 
@@ -166,7 +172,7 @@
         super().__init__({})
         self.barrier = threading.Barrier(2)
 
-    def record(self, machine, wave=0):
+    def record(self, machine, wave=0, maintained_wave=0):
         self.barrier.wait(JOIN_TIMEOUT_S)
         super().record(machine, wave)
 
@@ -372,6 +378,48 @@
     )
 
 
+def test_new_leader_orders_no_maintenance_again_that_was_accepted(cluster):
+    machines = start_wave(cluster, cap=2)
+    while len(cluster.machines.maintenance_calls) < 4:
+        cluster.run(0.1)
+    cluster.run(0.2)
+    cluster.leader().restart()
+    cluster.run(30.0)
+    assert reported_states(cluster) == [True]
+    assert sorted(cluster.machines.maintenance_calls) == sorted(machines)
+    assert cluster.machines.max_down <= 2
+
+
+def test_move_keeps_the_record_of_accepted_maintenance():
+    controller = make_controller(
+        log := MachineOrderLog(MemoryTable(), lambda: ClockRange(5000, 5000)), FakeMachines()
+    )
+    controller.order_maintenance("a", 3, lambda failure: None)
+    controller.order_move("a", "p", lambda failure: None)
+    assert log.entries() == {"a": MachineOrderEntry(5000, 0, 3)}
+
+
+def test_maintenance_whose_acceptance_is_not_recorded_is_ordered_again(cluster):
+    start_wave(cluster, cap=6)
+    leader = cluster.leader()
+    record = leader.machine_orders.record
+
+    def record_orders_only(machine, wave=0, maintained_wave=0):
+        if not maintained_wave:
+            record(machine, wave)
+        else:
+            raise StateUnavailableError("out")
+
+    leader.machine_orders.record = record_orders_only
+    cluster.run(4.0)
+    assert len(cluster.machines.maintenance_calls) == 6
+    leader.restart()
+    cluster.run(10.0)
+    assert reported_states(cluster) == [True]
+    assert len(cluster.machines.maintenance_calls) == 12
+    assert len(cluster.machines.orders) == 6
+
+
 def test_long_running_tasks_move_to_maintained_machines(cluster):
     cluster.submit("a" * 16, (long_running_step(4, 1),), spec="100000")
     cluster.run(2.0)
