Report an unexpected error in a machine order as a failed order

Cause: an error other than MachineError ended the call in its sender thread without a result, so the machine counted as ordered about for the rest of the term and was left out of moves and waves.

Test: test_machine_can_be_ordered_about_after_an_unexpected_error fails on the code before.

--- a/gypsumplank/coordination/job/machine.py
+++ b/gypsumplank/coordination/job/machine.py
@@ -275,6 +275,9 @@
                 work()
             except MachineError as exc:
                 failure = exc
+            except Exception as exc:
+                logger.exception(Event.ACTOR_RESTARTED.value)
+                failure = MachineError(str(exc))
             self.post(lambda: finish(failure))
 
         def finish(failure: MachineError | None) -> None:
--- a/tests/coordination/job/test_machines.py
+++ b/tests/coordination/job/test_machines.py
@@ -489,3 +489,12 @@
     ]
     assert chosen
     assert "w0" not in chosen
+
+
+def test_machine_can_be_ordered_about_after_an_unexpected_error():
+    machines, results = FakeMachines(), []
+    controller = make_controller(FakeOrderLog({}), machines)
+    machines.move = lambda *order: {}["missing"]
+    controller.order_move("a", "p", results.append)
+    assert results[0].code == "machine"
+    assert controller.in_flight == set()
