Log when a later life of a machine shows that a worker crashed

The logs could not tell a worker that crashed from one that is silent (hypothesis 4 in docs/incidents/crashing-task.md), nor how many tasks it had. worker-crashed names the worker, its machine, the successor and the number of tasks; task-missing has why=restarted where a worker came back under its own id. No decision is changed.

--- a/gypsumplank/coordination/job/fleet.py
+++ b/gypsumplank/coordination/job/fleet.py
@@ -100,6 +100,10 @@
         return draining and age_s < CLEAN_EXIT_MAX_AGE_HEARTBEATS * self._heartbeat_s
 
     def _add_instance(self, entry: WorkerEntry, now: float) -> WorkerInstance:
+        for other in self.instances.values():
+            is_same_machine = entry.machine and other.entry.machine == entry.machine
+            if is_same_machine and other.incarnation < entry.born:
+                _log_crash(other, entry)
         instance = WorkerInstance(entry, entry.born, WorkerClock(entry.clock_ms, now))
         self.instances[entry.id] = instance
         placeholder = self.instances.pop(format_instance_id(entry.id, entry.born), None)
@@ -137,12 +141,20 @@
         delayed start may still arrive there.
         """
         tasks = list(instance.tasks.values())
+        _log_crash(instance, entry)
         self._remove(key, instance)
         successor = self._add_instance(entry, now)
         for task in tasks:
             instance.tasks.pop(task.name, None)
             if task.start_confirmed_at and not task.unconfirmed_since:
-                event(logger, Event.RUN_MISSING, task=task.name, run=task.run, worker=instance.id)
+                event(
+                    logger,
+                    Event.RUN_MISSING,
+                    task=task.name,
+                    run=task.run,
+                    worker=instance.id,
+                    why="restarted",
+                )
                 requeue_task(instance, task, now)
                 continue
             task.incarnation = entry.born
@@ -187,3 +199,15 @@
         self._ended_instance_ids.add(instance.instance_id)
         self.requeue_all(instance, self._clock.monotonic(), "machine")
         self._remove(instance.id, instance)
+
+
+def _log_crash(instance: WorkerInstance, successor: WorkerEntry) -> None:
+    """Log that the machine of a worker instance runs a later one, with the tasks that it had."""
+    event(
+        logger,
+        Event.WORKER_CRASHED,
+        worker=instance.id,
+        machine=instance.entry.machine,
+        successor=successor.id,
+        tasks=len(instance.tasks),
+    )
