--- a/standins/simulator.py
+++ b/standins/simulator.py
@@ -19,6 +19,10 @@
 STOP_DELAY_S = 0.2
 MAX_LEASE_S = 6.0
 HEARTBEAT_INTERVAL_S = 1.5
+# Time for which a worker's registration outlives its crash, seconds.
+ENTRY_TTL_S = 3 * HEARTBEAT_INTERVAL_S
+# Time between a worker's crash under a deadly task and its return, seconds.
+RETURN_DELAY_S = 3.2
 # A start order whose response is lost may still be applied up to this much later.
 MAX_START_DELAY_S = 8.0
 
@@ -61,7 +65,7 @@
 
     `highest_closed_run` keeps, per task, the highest run that has ended or been stopped; a start
     of that run or an older one is refused. `expired_ends` keeps the numbers of the ends that were
-    unacknowledged while the lease was expired.
+    unacknowledged while the lease was expired. A `doomed` worker crashes in the next step.
     """
 
     entry: WorkerEntry
@@ -75,13 +79,27 @@
     last_end_number: int = 0
     expired_ends: set[int] = field(default_factory=set)
     booted_at: float = 0.0
+    crashed_at: float = 0.0
+    doomed: bool = False
+
+
+@dataclass(frozen=True)
+class RoomChange:
+    """Record the capacity that a worker has from a simulated time on."""
+
+    worker: str
+    born: int
+    at: float
+    room: Resources
 
 
 class SimulatedWorkers:
     """Simulate a set of workers; implement the scheduler's WorkerControl port.
 
     `response_loss_share` is the share of calls (0 to 1) whose response is lost; `failure_share` is
-    the share of runs that fail.
+    the share of runs that fail. A worker that starts one of `deadly_tasks` crashes; it returns
+    after `return_delay_s`, under its old id if `keeps_id` is set. `entry_ttl_s` is the time for
+    which the entry of a crashed worker remains. `room_changes` records the workers' capacity.
     """
 
     def __init__(self, rng: random.Random) -> None:
@@ -92,6 +110,12 @@
         self.response_loss_share = 0.0
         self.failure_share = 0.0
         self.delayed_starts: list[tuple[float, SimulatedWorker, StartCommand]] = []
+        self.deadly_tasks: set[str] = set()
+        self.return_delay_s = RETURN_DELAY_S
+        self.keeps_id = False
+        self.entry_ttl_s = 0.0
+        self.room_changes: list[RoomChange] = []
+        self._returns: list[tuple[float, str]] = []
 
     def add(self, name: str, service: str, room: Resources, machine: str = "") -> SimulatedWorker:
         """Add a worker and return it."""
@@ -100,20 +124,32 @@
         )
         worker = SimulatedWorker(replace(entry, born=int(self.now * 1000) + 1), booted_at=self.now)
         self.workers[name] = worker
+        self._record_room(worker)
         return worker
 
     def entries(self) -> list[WorkerEntry]:
-        """Return the registrations of all workers that are up."""
+        """Return the registrations of all workers that are up, or crashed lately."""
         return [
             replace(
                 worker.entry,
-                clock_ms=self._clock_ms(worker),
-                seq=int(self.now / HEARTBEAT_INTERVAL_S),
+                clock_ms=self._clock_ms(worker, reported_at),
+                seq=int(reported_at / HEARTBEAT_INTERVAL_S),
             )
             for worker in self.workers.values()
-            if worker.up
+            if worker.up or self.now < worker.crashed_at + self.entry_ttl_s
+            for reported_at in (self.now if worker.up else worker.crashed_at,)
         ]
 
+    def set_room(self, name: str, room: Resources) -> None:
+        """Change a worker's capacity; what runs goes on."""
+        worker = self.workers[name]
+        worker.entry = replace(worker.entry, room=room)
+        self._record_room(worker)
+
+    def _record_room(self, worker: SimulatedWorker) -> None:
+        entry = worker.entry
+        self.room_changes.append(RoomChange(entry.id, entry.born, self.now, entry.room))
+
     def drain(self, name: str) -> None:
         """Mark a worker as draining."""
         worker = self.workers[name]
@@ -124,13 +160,27 @@
         worker = self.workers[name]
         for run in list(worker.running.values()):
             self._end_run(worker, run, None)
-        worker.up = False
+        worker.up, worker.doomed = False, False
+        worker.crashed_at = self.now
+
+    def crash_and_return(self, name: str) -> None:
+        """Crash a worker; its machine runs the worker again after `return_delay_s`."""
+        self.crash(name)
+        self._returns.append((self.now + self.return_delay_s, name))
+
+    def _return(self, name: str) -> None:
+        if self.keeps_id:
+            self.restart(name)
+            return
+        old = self.workers[name].entry
+        self.add(f"{old.machine}-{len(self.workers)}", old.service, old.room, old.machine)
 
     def restart(self, name: str) -> None:
         """Restart a worker under its old name, with none of its former state."""
         old = self.workers[name].entry
         entry = replace(old, born=int(self.now * 1000) + 1, state=WorkerState.READY)
         self.workers[name] = SimulatedWorker(entry, booted_at=self.now)
+        self._record_room(self.workers[name])
 
     def advance(self, seconds: float) -> None:
         """Advance the simulated clock, apply delayed starts and end the runs that are due."""
@@ -141,8 +191,13 @@
             # A delayed order is lost if the worker process has crashed.
             if worker.up:
                 self._start_without_response(worker, order)
-        for worker in self.workers.values():
-            if worker.up:
+        for name in [name for at, name in self._returns if at <= self.now]:
+            self._return(name)
+        self._returns = [one for one in self._returns if one[0] > self.now]
+        for name, worker in list(self.workers.items()):
+            if worker.doomed:
+                self.crash_and_return(name)
+            elif worker.up:
                 self._end_due_runs(worker)
 
     def _start_without_response(self, worker: SimulatedWorker, order: StartCommand) -> None:
@@ -181,8 +236,8 @@
             worker.last_end_number += 1
             worker.ended.append(EndedTask(worker.last_end_number, run.name, run.run, kind))
 
-    def _clock_ms(self, worker: SimulatedWorker) -> int:
-        return int((self.now - worker.booted_at) * 1000)
+    def _clock_ms(self, worker: SimulatedWorker, at: float | None = None) -> int:
+        return int(((self.now if at is None else at) - worker.booted_at) * 1000)
 
     def _find_reachable(self, worker: WorkerEntry) -> SimulatedWorker:
         target = self.workers.get(worker.id)
@@ -265,6 +320,7 @@
             raise WorkerRefusedError(StartRefusal.OLD)
         if order.until_ms < self._clock_ms(worker):
             raise WorkerRefusedError(StartRefusal.LATE)
+        worker.doomed = worker.doomed or order.name in self.deadly_tasks
         run_s = float(order.spec) * (0.5 + self.rng.random())
         kind = EndKind.FAILED if self.rng.random() < self.failure_share else EndKind.DONE
         worker.running[order.name] = ActiveRun(
--- a/standins/violations.py
+++ b/standins/violations.py
@@ -1,9 +1,16 @@
 """Check recorded starts of runs for violations that no injected fault may cause."""
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Container, Iterable, Iterator, Mapping
 
-from gypsumplank.protocol.job import JobDefinition
-from standins.simulator import StartRecord
+from gypsumplank.protocol.job import JobDefinition, Resources
+from standins.simulator import HEARTBEAT_INTERVAL_S, RoomChange, StartRecord
+
+# Time after which a worker's reduced capacity binds, seconds: the platform's stability window and
+# one heartbeat.
+SHRINK_GRACE_S = 3.0 + HEARTBEAT_INTERVAL_S
+# Starts that the platform permits after MAX_CRASHES workers have crashed under a task.
+MAX_CRASHES = 3
+MAX_STARTS_AFTER_CRASHES = 2
 
 
 def find_violations(
@@ -25,6 +32,73 @@
     ]
 
 
+def find_overfull_starts(
+    history: Iterable[StartRecord],
+    submitted: Mapping[str, JobDefinition],
+    changes: Iterable[RoomChange],
+) -> list[str]:
+    """Return a description of each start that exceeded its worker's capacity.
+
+    A run counts until it has ended, also while it is being stopped. Reduced capacity binds
+    SHRINK_GRACE_S later.
+    """
+    starts, rooms = list(history), list(changes)
+    return [
+        f"{start.name}: run {start.run} exceeds the capacity of {start.worker}"
+        for start in starts
+        if not _binding_room(start, rooms).can_fit(_used_with(start, starts, submitted))
+    ]
+
+
+def _used_with(
+    start: StartRecord, starts: Iterable[StartRecord], submitted: Mapping[str, JobDefinition]
+) -> Resources:
+    """Return what the worker's runs use once a start has been carried out."""
+    used = Resources()
+    for other in starts:
+        is_same_worker = (other.worker, other.born) == (start.worker, start.born)
+        is_active = other.ended is None or other.ended > start.started_at
+        if is_same_worker and other.started_at <= start.started_at and is_active:
+            job, _, step, _ = other.name.split(".")
+            used = used + submitted[job].steps[int(step)].need
+    return used
+
+
+def _binding_room(start: StartRecord, changes: Iterable[RoomChange]) -> Resources:
+    """Return the largest capacity that a worker had within SHRINK_GRACE_S before a start."""
+    room, current = Resources(), Resources()
+    for change in changes:
+        if (change.worker, change.born) != (start.worker, start.born):
+            continue
+        if change.at > start.started_at:
+            break
+        if change.at <= start.started_at - SHRINK_GRACE_S:
+            room = change.room
+        else:
+            room = room.at_least(current).at_least(change.room)
+        current = change.room
+    return room
+
+
+def find_deadly_restarts(history: Iterable[StartRecord], deadly_tasks: Container[str]) -> list[str]:
+    """Return a description of each deadly task that was started too often."""
+    by_task: dict[str, list[StartRecord]] = {}
+    for start in history:
+        if start.name in deadly_tasks:
+            by_task.setdefault(start.name, []).append(start)
+    crashed = {
+        name: [run.ended for run in runs if run.ended is not None and run.kind is None]
+        for name, runs in by_task.items()
+    }
+    return [
+        f"{name}: started {late} times after {MAX_CRASHES} workers had crashed"
+        for name, ends in crashed.items()
+        if len(ends) >= MAX_CRASHES
+        for late in [sum(run.started_at >= ends[MAX_CRASHES - 1] for run in by_task[name])]
+        if late > MAX_STARTS_AFTER_CRASHES
+    ]
+
+
 def _overlapping_runs(by_task: Mapping[str, list[StartRecord]]) -> Iterator[str]:
     for name, runs in by_task.items():
         for i, first in enumerate(runs):
