Start tasks again on a worker that lost its tasks while it was silent

What callers saw: a worker that was silent until its leases had expired, and whose entry stayed, got no task for the rest of the leader's term, so its room was lost to the pool.

Cause: a silent worker's leases are not extended, and starting there is forbidden with it. The ban was lifted only for workers that still had tasks when they answered.

The new test failed before.

--- a/gypsumplank/coordination/job/silence.py
+++ b/gypsumplank/coordination/job/silence.py
@@ -78,7 +78,10 @@
         store_ms = self._store_clock().latest_ms
         if not store_ms:
             return
-        with_tasks = {instance.instance_id: instance for instance in instances if instance.tasks}
+        by_id = {instance.instance_id: instance for instance in instances}
+        with_tasks = {
+            instance_id: instance for instance_id, instance in by_id.items() if instance.tasks
+        }
         self._records.update(
             (instance.instance_id, self._record(instance, store_ms, now))
             for instance in with_tasks.values()
@@ -100,8 +103,8 @@
             self._records[instance_id].stored = True
         for instance_id in ended:
             del self._records[instance_id]
-            if instance_id in with_tasks:
-                with_tasks[instance_id].extension_suspended = False
+            if instance_id in by_id:
+                by_id[instance_id].extension_suspended = False
 
     def _is_silent(self, instance: WorkerInstance, now: float) -> bool:
         is_unanswered = bool(instance.missed_polls) or not instance.last_contact_at
--- a/tests/coordination/job/test_silence.py
+++ b/tests/coordination/job/test_silence.py
@@ -137,3 +137,13 @@
     terms.store.unavailable = False
     terms.run(0.1)
     assert list(terms.store.rows) == [terms.worker.instance_id]
+
+
+def test_worker_that_lost_its_tasks_while_silent_gets_tasks_again(terms):
+    terms.run(5.0, answering=True)
+    terms.run(SILENCE_TIMEOUT_S + 0.1)
+    terms.worker.tasks.clear()
+    terms.run(0.2, answering=True)
+    assert terms.store.rows == {}
+    assert not terms.worker.extension_suspended
+    assert terms.worker.accepts_tasks(terms.clock.now)
