Give up a task under which three workers have crashed, and start suspects alone

What callers saw: one task crashed worker after worker without end, each with up to 26 runs of other jobs, which then waited 3 to 6 s to run again.

Cause: only ends that a worker reports as failed were counted; a run that is lost with its worker was queued again without limit. Class: a retry without a budget, as the failure takes with it the one who would report it. A second one of the class was looked for: lost starts (unconfirmed) are retried only after the worker is asked; stalled runs are reported ends.

Change: a crash is counted in the task's row, with the end of the run, against the tasks that had just started at the crashed worker. Workers that fell silent are listed there until it is known whether they crashed, and don't count if they answer again or had announced to leave. After three crashes the task is given up and its job has failed. A task with a count starts on a worker where nothing was started for 0.25 s and which starts nothing else meanwhile, on at most half of a service's workers at a time.

Why three, though the platform permits two: a sound task may lose two workers to other causes.

--- /dev/null
+++ b/gypsumplank/coordination/job/crash.py
@@ -0,0 +1,133 @@
+"""Count the workers that crash under a task, so that it is not started without limit."""
+
+import logging
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from gypsumplank.coordination.job.instance import WorkerInstance
+from gypsumplank.coordination.job.model import Task
+from gypsumplank.log import Event, event
+from gypsumplank.protocol.job import FINAL_JOB_STATES, LostWorker, TaskPhase
+from gypsumplank.protocol.worker import WorkerEntry
+
+# Workers that have to crash under a task before it is given up. The platform permits giving up
+# after two, and two more starts after three.
+MAX_WORKER_CRASHES = 3
+# Time for which a task waits for proof if it would be given up should its silent workers have
+# crashed, seconds.
+CRASH_PROOF_WAIT_S = 4.0
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True)
+class CurrentWorkers:
+    """Store which workers exist: known instances by worker, and each machine's latest entry."""
+
+    instances: Mapping[str, WorkerInstance]
+    latest_by_machine: Mapping[str, WorkerEntry]
+
+
+def record_crash(tasks: Iterable[Task]) -> None:
+    """Count the crash of a worker that had these tasks against those that may be the cause."""
+    for task in _possible_causes(tasks):
+        task.crashes += 1
+        task.step.dirty = True
+
+
+def record_loss(tasks: Iterable[Task], worker: str) -> list[Task]:
+    """Note that a worker was silent until the leases of its tasks expired; it may have crashed.
+
+    Returns the tasks that may be the cause.
+    """
+    causes = _possible_causes(tasks)
+    for task in causes:
+        lost = LostWorker(worker, task.incarnation, task.machine)
+        task.lost_on = tuple(dict.fromkeys((*task.lost_on, lost)))
+    return causes
+
+
+def _possible_causes(tasks: Iterable[Task]) -> list[Task]:
+    """Return which tasks of a worker that ended may have crashed it.
+
+    These are the tasks that had just started, if any, and among them those under which most
+    workers have been lost before. A run that proved harmless clears its task.
+    """
+    begun = []
+    for task in tasks:
+        if task.has_proven_harmless:
+            task.crashes, task.lost_on = 0, ()
+            task.step.dirty = True
+        elif task.may_have_begun:
+            begun.append(task)
+    causes = [task for task in begun if not task.has_settled] or begun
+    most = max((task.losses for task in causes), default=0)
+    return [task for task in causes if task.losses == most]
+
+
+def is_withheld(task: Task, now: float) -> bool:
+    """Return whether a task must wait until it is known whether its silent workers crashed."""
+    is_undecided = bool(task.lost_on) and task.losses >= MAX_WORKER_CRASHES
+    return is_undecided and now < task.queued_since + CRASH_PROOF_WAIT_S
+
+
+def give_up_if_deadly(task: Task) -> None:
+    """Fail a queued task under which MAX_WORKER_CRASHES workers have crashed."""
+    if task.crashes < MAX_WORKER_CRASHES or task.phase is not TaskPhase.WAITING:
+        return
+    event(
+        logger,
+        Event.TASK_GIVEN_UP,
+        logging.WARNING,
+        task=task.name,
+        run=task.run,
+        crashes=task.crashes,
+    )
+    task.finish(TaskPhase.FAILED)
+
+
+class UndecidedLosses:
+    """Track the tasks that lost runs with silent workers, until it is known which crashed."""
+
+    def __init__(self) -> None:
+        self._tasks: set[Task] = set()
+
+    def add(self, task: Task) -> None:
+        """Track a task if it has lost a run with a silent worker."""
+        if task.lost_on:
+            self._tasks.add(task)
+
+    def decide(self, workers: CurrentWorkers, now: float) -> None:
+        """Count the silent workers that crashed, and forget those that answer again."""
+        for task in list(self._tasks):
+            if not task.lost_on or task.step.job.state in FINAL_JOB_STATES:
+                self._tasks.discard(task)
+                continue
+            crashed = [lost for lost in task.lost_on if _has_crashed(lost, workers)]
+            undecided = tuple(
+                lost
+                for lost in task.lost_on
+                if lost not in crashed and not _has_survived(lost, workers, now)
+            )
+            if undecided != task.lost_on:
+                task.crashes += len(crashed)
+                task.lost_on = undecided
+                task.step.dirty = True
+                give_up_if_deadly(task)
+
+
+def _has_crashed(lost: LostWorker, workers: CurrentWorkers) -> bool:
+    """Return whether the worker, or its machine, has started again."""
+    instance = workers.instances.get(lost.worker)
+    latest = workers.latest_by_machine.get(lost.machine)
+    has_restarted = instance is not None and instance.incarnation > lost.born
+    return has_restarted or (
+        latest is not None and latest.id != lost.worker and latest.born > lost.born
+    )
+
+
+def _has_survived(lost: LostWorker, workers: CurrentWorkers, now: float) -> bool:
+    instance = workers.instances.get(lost.worker)
+    return (
+        instance is not None and instance.incarnation == lost.born and instance.is_in_contact(now)
+    )
--- a/gypsumplank/coordination/job/dispatcher.py
+++ b/gypsumplank/coordination/job/dispatcher.py
@@ -18,8 +18,9 @@
 # Longest wait of a poll for the end of a task, seconds; a lost connection is noticed after this
 # wait plus the call's timeout.
 LONG_POLL_S = 1.0
-# Longest wait of a poll while a long-running task starts, seconds; short, as the step's disruption
-# budget allows another interruption only once the task is known to serve.
+# Longest wait of a poll while a long-running task or a suspect starts, seconds; short, as a step's
+# disruption budget allows another interruption only once the task is known to serve, and a worker
+# takes no other task until a suspect is known to run there.
 STARTUP_LONG_POLL_S = 0.3
 # Longest time for which the next poll waits for the scheduler to commit reported task ends,
 # seconds.
@@ -213,7 +214,9 @@
         extend = has_leased_tasks and self._may_extend_leases()
         until_ms = instance.try_extend_leases(sent_at, self._lease_s()) if extend else None
         wait_s = (
-            min(max_wait_s, STARTUP_LONG_POLL_S) if instance.has_starting_task() else max_wait_s
+            min(max_wait_s, STARTUP_LONG_POLL_S)
+            if instance.needs_frequent_reports()
+            else max_wait_s
         )
         if not instance.last_contact_at or instance.missed_polls:
             wait_s = 0.0
--- a/gypsumplank/coordination/job/fleet.py
+++ b/gypsumplank/coordination/job/fleet.py
@@ -1,8 +1,15 @@
 """Keep track of all worker instances, from registry entries and terminated machines."""
 
 import logging
+from collections import defaultdict
 from collections.abc import Sequence
 
+from gypsumplank.coordination.job.crash import (
+    CurrentWorkers,
+    UndecidedLosses,
+    record_crash,
+    record_loss,
+)
 from gypsumplank.coordination.job.dispatcher import WorkerDispatcher
 from gypsumplank.coordination.job.instance import WorkerClock, WorkerInstance, format_instance_id
 from gypsumplank.coordination.job.model import Task
@@ -35,13 +42,29 @@
         self.max_lease_s = max_lease_s
         self.dispatcher: WorkerDispatcher | None = None
         self.instances: dict[str, WorkerInstance] = {}
+        self.undecided_losses = UndecidedLosses()
 
-    def instance_for(self, task: Task, now: float) -> WorkerInstance:
+    def restore(self, tasks: Sequence[Task], now: float) -> None:
+        """Take up tasks that an earlier leader assigned; their runs may or may not exist."""
+        by_instance: defaultdict[tuple[str, int], list[Task]] = defaultdict(list)
+        for task in tasks:
+            task.unconfirmed_since = now
+            by_instance[task.worker, task.incarnation].append(task)
+        for (worker, incarnation), assigned in by_instance.items():
+            current = self.instances.get(worker)
+            if current is not None and current.incarnation > incarnation:
+                record_crash(assigned)
+            for task in assigned:
+                self._instance_for(task, now).tasks[task.name] = task
+
+    def _instance_for(self, task: Task, now: float) -> WorkerInstance:
         """Return the worker instance of an assigned task; create a placeholder if it is unknown."""
         instance = self.instances.get(task.worker)
         if instance is not None and instance.incarnation >= task.incarnation:
             # A start that was not confirmed may still be executed by a later instance.
-            task.incarnation = instance.incarnation
+            if task.incarnation != instance.incarnation:
+                task.incarnation = instance.incarnation
+                task.step.dirty = True
             return instance
         key = format_instance_id(task.worker, task.incarnation)
         if key not in self.instances:
@@ -99,6 +122,7 @@
             is_ended = format_instance_id(entry.id, entry.born) in self._ended_instance_ids
             if entry.id not in self.instances and not is_ended:
                 self._add_instance(entry, now)
+        self.undecided_losses.decide(CurrentWorkers(self.instances, latest_by_machine), now)
 
     def _end_replaced(
         self, key: str, instance: WorkerInstance, successor: WorkerEntry, now: float
@@ -106,6 +130,7 @@
         """End an instance whose machine runs a later worker; its entry may still exist."""
         _log_crash(instance, successor)
         self._ended_instance_ids.add(instance.instance_id)
+        _record_crash(instance)
         self.requeue_all(instance, now, "replaced")
         self._remove(key, instance)
 
@@ -154,6 +179,7 @@
         """
         tasks = list(instance.tasks.values())
         _log_crash(instance, entry)
+        _record_crash(instance)
         self._remove(key, instance)
         successor = self._add_instance(entry, now)
         for task in tasks:
@@ -166,6 +192,7 @@
                     run=task.run,
                     worker=instance.id,
                     why="restarted",
+                    crashes=task.crashes,
                 )
                 requeue_task(instance, task, now)
                 continue
@@ -186,9 +213,16 @@
                 run=task.run,
                 worker=instance.id,
                 why=reason,
+                crashes=task.crashes,
             )
             requeue_task(instance, task, now)
 
+    def requeue_expired(self, instance: WorkerInstance, now: float) -> None:
+        """Requeue every task of a silent instance whose leases have expired."""
+        for task in record_loss(instance.tasks.values(), instance.id):
+            self.undecided_losses.add(task)
+        self.requeue_all(instance, now, "lease-over")
+
     def remove_if_idle(self, key: str, instance: WorkerInstance) -> None:
         """Remove an instance that is not registered and has no tasks."""
         if not instance.registered and not instance.tasks:
@@ -222,6 +256,13 @@
     return is_later and not instance.is_in_contact(now)
 
 
+def _record_crash(instance: WorkerInstance) -> None:
+    """Count a crash against the tasks of an instance, unless it may have left as it announced."""
+    has_announced_exit = instance.entry.state is WorkerState.DRAINING and not instance.detached
+    if not has_announced_exit:
+        record_crash(instance.tasks.values())
+
+
 def _log_crash(instance: WorkerInstance, successor: WorkerEntry) -> None:
     """Log that the machine of a worker instance runs a later one, with the tasks that it had."""
     event(
--- a/gypsumplank/coordination/job/instance.py
+++ b/gypsumplank/coordination/job/instance.py
@@ -146,15 +146,27 @@
         """Return whether tasks of several jobs failed here in a row, or a run stalled here."""
         return now < self.suspect_until
 
-    def has_starting_task(self) -> bool:
-        """Return whether a long-running task was started here and does not serve yet."""
-        return any(
+    def needs_frequent_reports(self) -> bool:
+        """Return whether a task that may crash its workers, or a long-running one, is starting."""
+        return self.has_starting_suspect() or any(
             task.step.order.lasting
             and task.start_confirmed_at
             and task.percent < FULL_CAPACITY_PERCENT
             for task in list(self.tasks.values())
         )
 
+    def has_suspect(self) -> bool:
+        """Return whether a task is here that may crash its workers and has not proven harmless."""
+        return any(task.is_suspect and not task.has_proven_harmless for task in self.tasks.values())
+
+    def latest_start(self, now: float) -> float:
+        """Return when a run was last started here; `now` if a start is about to be sent."""
+        return max((task.sent_at or now for task in self.tasks.values()), default=0.0)
+
+    def has_starting_suspect(self) -> bool:
+        """Return whether a task that may crash its workers has just been started here."""
+        return any(task.is_suspect and not task.has_settled for task in list(self.tasks.values()))
+
     def used(self) -> Resources:
         """Return the resources that the assigned tasks take; best-effort tasks take no CPU."""
         cpu = memory = accelerators = 0
--- a/gypsumplank/coordination/job/model.py
+++ b/gypsumplank/coordination/job/model.py
@@ -5,6 +5,7 @@
 
 from gypsumplank.protocol.job import (
     JobState,
+    LostWorker,
     StepDefinition,
     StepRecord,
     StoredJob,
@@ -14,6 +15,11 @@
 from gypsumplank.protocol.worker import TaskName
 from gypsumplank.state.job import step_key
 
+# Time after which a run that goes on counts as started without harm to its worker, seconds.
+SETTLED_RUN_S = 0.25
+# Time after which a run that goes on counts as harmless to its worker, seconds.
+PROVEN_RUN_S = 10.0
+
 
 @dataclass(eq=False)
 class Task:
@@ -25,7 +31,8 @@
     once the run has to stop. `progressed_at` is when `percent` last changed. `percent` is the
     progress of a batch task; for a long-running task it is the share of its capacity that serves,
     and `load` its tail latency in ms. `failed_on` lists the workers on which a run failed or
-    stalled.
+    stalled. `crashes` counts the workers that crashed under a run, and `lost_on` lists those that
+    may have.
     """
 
     step: "Step"
@@ -39,6 +46,8 @@
     machine: str = ""
     checkpoint: str = ""
     failed_on: tuple[str, ...] = ()
+    crashes: int = 0
+    lost_on: tuple[LostWorker, ...] = ()
     sent_at: float = 0.0
     start_confirmed_at: float = 0.0
     unconfirmed_since: float = 0.0
@@ -69,8 +78,35 @@
             self.checkpoint,
             self.failed_on,
             self.machine,
+            self.crashes,
+            self.lost_on,
         )
 
+    @property
+    def is_suspect(self) -> bool:
+        """Return whether workers crashed, or may have crashed, under earlier runs."""
+        return bool(self.crashes or self.lost_on)
+
+    @property
+    def losses(self) -> int:
+        """Return the number of workers that crashed, or may have crashed, under earlier runs."""
+        return self.crashes + len(self.lost_on)
+
+    @property
+    def may_have_begun(self) -> bool:
+        """Return whether the current run may have been started on its worker."""
+        return bool(self.sent_at or self.start_confirmed_at or self.unconfirmed_since)
+
+    @property
+    def has_settled(self) -> bool:
+        """Return whether the current run was at work for SETTLED_RUN_S."""
+        return bool(self.sent_at) and self.last_reported_at - self.sent_at >= SETTLED_RUN_S
+
+    @property
+    def has_proven_harmless(self) -> bool:
+        """Return whether the current run was at work for PROVEN_RUN_S."""
+        return bool(self.sent_at) and self.last_reported_at - self.sent_at >= PROVEN_RUN_S
+
     def assign(self, worker: str, incarnation: int, run: int, machine: str = "") -> None:
         """Assign the task's next run to an instance of a worker."""
         self.phase = TaskPhase.ASSIGNED
@@ -137,6 +173,7 @@
             task.phase, task.run, task.failures = stored.phase, stored.run, stored.failures
             task.worker, task.incarnation = stored.worker, stored.born
             task.machine = stored.machine
+            task.crashes, task.lost_on = stored.crashes, stored.lost_on
             task.checkpoint, task.failed_on = stored.checkpoint, stored.failed_on
             task.queued_since = now
 
--- a/gypsumplank/coordination/job/placement.py
+++ b/gypsumplank/coordination/job/placement.py
@@ -5,11 +5,11 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from gypsumplank.coordination.job.instance import WorkerInstance
-from gypsumplank.coordination.job.model import Job, Step, Task
+from gypsumplank.coordination.job.model import SETTLED_RUN_S, Job, Step, Task
 from gypsumplank.protocol.job import Resources, StepDefinition, TaskPhase
 from gypsumplank.protocol.queue import Queue
 
@@ -22,6 +22,9 @@
 RESERVE_SHARE = 0.2
 START_DELAY_S = 0.1
 
+# Largest share of a service's workers that is reserved for the start of tasks that may crash them.
+MAX_RESERVED_SHARE = 0.5
+
 # Long-running tasks of one step that share a machine or rack before the next one is used. Packing
 # them leaves more machines free to move to other pools.
 TASKS_PER_GROUP = 2
@@ -40,6 +43,11 @@
     queue: Queue
     permits: Mapping[str, str] | None = None
 
+    @property
+    def has_suspects(self) -> bool:
+        """Return whether tasks of this step, other than a gang, may crash their workers."""
+        return not self.step.order.gang and any(task.is_suspect for task in self.tasks)
+
 
 @dataclass(frozen=True)
 class Placement:
@@ -53,9 +61,11 @@
     """Return a sort key: long-running steps first, then by the latest start that meets a deadline.
 
     Steps that can meet their objective with a reserve come before those that can still earn late
-    credit.
+    credit. Tasks that may crash their workers come first, while some worker starts nothing else.
     """
     job, queue = pending.job, pending.queue
+    if pending.has_suspects:
+        return (-1, queue.priority, pending.tasks[0].queued_since)
     if pending.step.order.lasting:
         return (0, queue.priority, job.arrived_at)
     objective_s = (queue.stretch * job.longest_path_ms + queue.objective_ms) / 1000
@@ -101,6 +111,12 @@
         self._now = now
         self._instances = {each.id: each for each in instances if each.accepts_tasks(now)}
         self._free = {name: instance.free() for name, instance in self._instances.items()}
+        self._with_suspects = {
+            name for name, instance in self._instances.items() if instance.has_suspect()
+        }
+        self._reserved_for_suspects = {
+            name for name in self._with_suspects if self._instances[name].has_starting_suspect()
+        }
         self._groups: dict[tuple[str, str], CandidateGroup] = {}
 
     def place(self, pending: PendingStep) -> list[Placement]:
@@ -119,6 +135,9 @@
             placed.append(Placement(task, instance))
             per_worker[instance.id] += 1
             racks[instance.rack] += 1
+            if task.is_suspect:
+                self._with_suspects.add(instance.id)
+                self._reserved_for_suspects.add(instance.id)
             self._free[instance.id] = self._free[instance.id] - resource_need(order)
         if order.gang and len(placed) < len(pending.step.tasks):
             for item in placed:
@@ -155,31 +174,60 @@
         if group.is_unplaceable(need):
             return None
         candidates = _candidates(group, pending, task, self._now)
-        fitting = (
+        fitting = [
             instance
             for instance in candidates
             if self._free[instance.id].can_fit(need)
+            and (order.gang or instance.id not in self._reserved_for_suspects)
             and (not order.max_per_worker or per_worker[instance.id] < order.max_per_worker)
-        )
-        instance = min(
+        ]
+        tried_all = len(candidates) == len(group.instances)
+        has_excluded = bool(order.max_per_worker or self._reserved_for_suspects)
+        if not fitting and tried_all and not has_excluded:
+            group.unplaceable.append(need)
+        if pending.has_suspects:
+            fitting = self._isolated(group, fitting)
+        return min(
             fitting,
-            key=lambda candidate: self._rank(candidate, order, per_worker, racks),
+            key=lambda candidate: self._rank(candidate, task, per_worker, racks),
             default=None,
         )
-        tried_all = len(candidates) == len(group.instances)
-        if instance is None and tried_all and not order.max_per_worker:
-            group.unplaceable.append(need)
-        return instance
+
+    def _isolated(
+        self, group: CandidateGroup, fitting: Sequence[WorkerInstance]
+    ) -> list[WorkerInstance]:
+        """Return the workers on which nothing was just started; reserve one if there is none.
+
+        If a task crashes such a worker, no other task can be taken for the cause.
+        """
+        reserved = sum(1 for each in group.instances if each.id in self._reserved_for_suspects)
+        if not fitting or reserved >= max(1, len(group.instances) * MAX_RESERVED_SHARE):
+            return []
+        latest_starts = {instance.id: instance.latest_start(self._now) for instance in fitting}
+        isolated = [
+            instance
+            for instance in fitting
+            if self._now - latest_starts[instance.id] >= SETTLED_RUN_S
+        ]
+        if not isolated:
+            self._reserved_for_suspects.add(min(latest_starts, key=latest_starts.__getitem__))
+        return isolated
 
     def _rank(
         self,
         instance: WorkerInstance,
-        order: StepDefinition,
+        task: Task,
         per_worker: Counter[str],
         racks: Counter[str],
     ) -> tuple[float, ...]:
-        """Return a sort key of a worker that fits a task; the lowest is preferred."""
-        free = self._free[instance.id]
+        """Return a sort key of a worker that fits a task; the lowest is preferred.
+
+        A task that may crash its worker goes where it would end the least work, and others are
+        kept away from it.
+        """
+        order, free = task.step.order, self._free[instance.id]
+        risk = int(instance.id in self._with_suspects)
+        packing = -1 if task.is_suspect else 1
         if order.lasting:
             others = [
                 task.step.order for task in instance.tasks.values() if task.step.order.lasting
@@ -188,16 +236,17 @@
             same_worker_groups = per_worker[instance.id] // TASKS_PER_GROUP
             same_rack_groups = racks[instance.rack] // TASKS_PER_GROUP
             return (
+                risk,
                 conflicts,
                 instance.maintenance_due,
                 same_worker_groups,
                 same_rack_groups,
-                -len(others),
+                -len(others) * packing,
                 -free.cpu,
             )
         outside_rack = float(bool(order.preferred_rack) and instance.rack != order.preferred_rack)
         same_rack_rank = -racks[instance.rack] if order.same_rack else 0
-        return (outside_rack, same_rack_rank, free.cpu)
+        return (risk, outside_rack, same_rack_rank, free.cpu * packing)
 
 
 def _candidates(
--- a/gypsumplank/coordination/job/report.py
+++ b/gypsumplank/coordination/job/report.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
+from gypsumplank.coordination.job.crash import give_up_if_deadly
 from gypsumplank.coordination.job.instance import WorkerInstance
 from gypsumplank.coordination.job.model import Task
 from gypsumplank.log import Event, event
@@ -58,11 +59,12 @@
 def requeue_task(instance: WorkerInstance, task: Task, now: float) -> None:
     """Return a task to the queue; its last run must be known to be over.
 
-    The other tasks of its gang are stopped.
+    The other tasks of its gang are stopped. A task that crashed too many workers fails instead.
     """
     instance.tasks.pop(task.name, None)
     run = task.run
     task.requeue(now)
+    give_up_if_deadly(task)
     _stop_gang(task, run)
 
 
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -1,9 +1,10 @@
 """Schedule all jobs while this daemon is the leader; used by the scheduler's thread only."""
 
 import logging
-from collections.abc import Callable, Collection, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterator, Mapping, Sequence
 from dataclasses import dataclass, replace
 
+from gypsumplank.coordination.job.crash import is_withheld
 from gypsumplank.coordination.job.dispatcher import WorkerDispatcher
 from gypsumplank.coordination.job.fleet import EXTENSION_GRACE_S, Fleet
 from gypsumplank.coordination.job.instance import (
@@ -101,11 +102,11 @@
         """Restore the state that an earlier leader has stored."""
         now = self._clock.monotonic()
         self.fleet.apply_entries(entries)
-        for loaded in jobs:
-            job = self.workload.add(loaded, now)
-            for task in job.assigned_tasks():
-                self.fleet.instance_for(task, now).tasks[task.name] = task
-                task.unconfirmed_since = now
+        restored = [self.workload.add(loaded, now) for loaded in jobs]
+        self.fleet.restore([task for job in restored for task in job.assigned_tasks()], now)
+        for job in restored:
+            for task in job.tasks():
+                self.fleet.undecided_losses.add(task)
         for instance in self.instances.values():
             instance.extend_leases(now, EXTENSION_GRACE_S + self.fleet.max_lease_s)
 
@@ -162,7 +163,7 @@
         pending = [
             pending_step
             for job in self.workload.jobs.values()
-            for pending_step in self._pending_steps(job, wall_ms)
+            for pending_step in self._pending_steps(job, now, wall_ms)
         ]
         self._evict(pending, now)
         placement_round = PlacementRound(self.instances.values(), now)
@@ -174,19 +175,27 @@
                 assigned_jobs[pending_step.job.id] = pending_step.job
         self.workload.update_job_states(assigned_jobs.values(), now)
 
-    def _pending_steps(self, job: Job, wall_ms: float) -> list[PendingStep]:
+    def _pending_steps(self, job: Job, now: float, wall_ms: float) -> list[PendingStep]:
         if job.state in FINAL_JOB_STATES or job.cancelled:
             return []
         queue = self._queue(job)
         if queue is None:
             queue = Queue(job.stored.queue, "", "", job.service)
-        pending = []
+        pending: list[PendingStep] = []
         for step in job.steps.values():
-            tasks = tuple(task for task in step.tasks if task.phase is TaskPhase.WAITING)
+            tasks = [
+                task
+                for task in step.tasks
+                if task.phase is TaskPhase.WAITING and not is_withheld(task, now)
+            ]
             if not tasks or (step.order.gang and len(tasks) < len(step.tasks)):
                 continue
             if job.is_ready(step, wall_ms):
-                pending.append(PendingStep(job, step, tasks, queue, self._permits_for(step, queue)))
+                permits = self._permits_for(step, queue)
+                pending.extend(
+                    PendingStep(job, step, group, queue, permits)
+                    for group in _placement_groups(step, tasks)
+                )
         return pending
 
     def _permits_for(self, step: Step, queue: Queue) -> Mapping[str, str] | None:
@@ -243,7 +252,7 @@
                 and not instance.is_in_contact(now)
                 and instance.leases_have_expired(now)
             ):
-                self.fleet.requeue_all(instance, now, "lease-over")
+                self.fleet.requeue_expired(instance, now)
             self.fleet.remove_if_idle(key, instance)
 
     def dispatch(self) -> None:
@@ -383,6 +392,17 @@
                 task.should_run, task.stop_requested_at = False, now
 
 
+def _placement_groups(step: Step, tasks: Sequence[Task]) -> Iterator[tuple[Task, ...]]:
+    """Yield the tasks that may crash their workers apart from the others; gangs as a whole."""
+    if step.order.gang:
+        yield tuple(tasks)
+        return
+    for is_suspect in (True, False):
+        group = tuple(task for task in tasks if task.is_suspect is is_suspect)
+        if group:
+            yield group
+
+
 def _must_stop(task: Task, instance: WorkerInstance) -> bool:
     job = task.step.job
     is_over = job.cancelled or job.state in FINAL_JOB_STATES
--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -60,6 +60,7 @@
     RUN_REFUSED = "task-refused", "A worker did not confirm the start of a run."
     RUN_ENDED = "task-ended", "A worker reported the end of a run; `how` gives the outcome."
     RUN_MISSING = "task-missing", "A run can no longer be active; its task is queued again."
+    TASK_GIVEN_UP = "task-given-up", "A task failed: `crashes` workers had crashed under it."
     RUN_STALLED = "task-stalled", "A run made no progress; it is stopped and retried elsewhere."
     RUN_UNASSIGNED = "task-unwanted", "A worker executes a run not assigned to it; it is stopped."
     WORKER_FOUND = "worker-found", "A new worker instance was registered."
--- a/gypsumplank/protocol/job.py
+++ b/gypsumplank/protocol/job.py
@@ -130,12 +130,23 @@
     FAILED = "f"
 
 
+@dataclass(frozen=True)
+class LostWorker:
+    """Identify a worker instance that fell silent under a run, and its machine."""
+
+    worker: str
+    born: int
+    machine: str = ""
+
+
 @dataclass(frozen=True)
 class TaskRecord:
     """Represent the stored state of one task.
 
     `run` numbers the starts from 1; `worker` and `born` identify the worker instance of the run,
-    `machine` is where that runs. Rows of earlier versions lack `machine`.
+    `machine` is where that runs. `crashes` counts the workers that crashed under the task, and
+    `lost_on` lists those that fell silent and may have crashed. Rows of earlier versions lack
+    these three.
     """
 
     phase: TaskPhase = TaskPhase.WAITING
@@ -146,6 +157,8 @@
     checkpoint: str = ""
     failed_on: tuple[str, ...] = ()
     machine: str = ""
+    crashes: int = 0
+    lost_on: tuple[LostWorker, ...] = ()
 
 
 @dataclass(frozen=True)
