Start nothing on a worker whose reported capacity is old, if it does not check it itself

What callers saw: nothing on today's deployments, where all workers check their capacity. Where they do not, tasks were started on a worker that had shrunk during a store outage, over its capacity (LIMIT: a shrunk capacity counts after the stability window and a beat).

Cause: the capacity in a worker's entry was relied on however old the entry was. After an outage the leader starts at once, while the worker's next heartbeat may be 1.5 s away. Class: acting on a copy of state without a bound on its age.

Change: an entry carries the worker's clock, so its age is known from the worker's reports. Beyond two heartbeats nothing is placed on such a worker, and a start that was held up until then is not sent (the task is queued again). Workers that check their capacity are used as before: they refuse what does not fit, and waiting would delay callers after each outage.

Evidence: the stand-in's workers now register capacity with their heartbeats, and not while the store is out. Two tests of what held already: a worker that shrank gets no more until it grew, and what is being stopped counts.

--- a/gypsumplank/coordination/job/fleet.py
+++ b/gypsumplank/coordination/job/fleet.py
@@ -37,7 +37,7 @@
 
     def __init__(self, clock: Clock, max_lease_s: float, heartbeat_s: float) -> None:
         self._clock = clock
-        self._heartbeat_s = heartbeat_s
+        self.heartbeat_s = heartbeat_s
         self._ended_instance_ids: set[str] = set()
         self.max_lease_s = max_lease_s
         self.dispatcher: WorkerDispatcher | None = None
@@ -138,7 +138,7 @@
         """Return whether a worker without an entry had drained and exited cleanly."""
         age_s = now - instance.entry_changed_at
         draining = instance.entry.state is WorkerState.DRAINING and instance.entry_changed_at > 0
-        return draining and age_s < CLEAN_EXIT_MAX_AGE_HEARTBEATS * self._heartbeat_s
+        return draining and age_s < CLEAN_EXIT_MAX_AGE_HEARTBEATS * self.heartbeat_s
 
     def _add_instance(self, entry: WorkerEntry, now: float) -> WorkerInstance:
         instance = WorkerInstance(entry, entry.born, WorkerClock(entry.clock_ms, now))
--- a/gypsumplank/coordination/job/instance.py
+++ b/gypsumplank/coordination/job/instance.py
@@ -181,6 +181,10 @@
         """Return the free resources."""
         return self.entry.room - self.used()
 
+    def entry_age_s(self, now: float) -> float:
+        """Return the least time since the worker wrote its entry, in seconds."""
+        return (self.clock.lower_bound_ms(now) - self.entry.clock_ms) / 1000
+
     def record_task_end(self, job: str, failed: bool, now: float) -> None:
         """Update from the end of a batch task's run whether the worker is suspect."""
         if not failed:
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -37,6 +37,9 @@
 from gypsumplank.state.clock import Clock
 from gypsumplank.state.job import LoadedJob
 
+# Age of a worker's entry up to which its capacity is relied on if the worker does not check it, in
+# heartbeats; the platform allows three.
+MAX_CAPACITY_AGE_HEARTBEATS = 2.0
 # Time after which an unconfirmed stop is sent again, seconds.
 STOP_RETRY_S = 0.6
 
@@ -165,8 +168,9 @@
             for job in self.workload.jobs.values()
             for pending_step in self._pending_steps(job, now, wall_ms)
         ]
-        self._evict(pending, now)
-        placement_round = PlacementRound(self.instances.values(), now)
+        instances = [each for each in self.instances.values() if self._is_capacity_known(each, now)]
+        self._evict(pending, instances, now)
+        placement_round = PlacementRound(instances, now)
         assigned_jobs: dict[str, Job] = {}
         for pending_step in sorted(pending, key=lambda each: urgency(each, now, wall_ms)):
             placed = placement_round.place(pending_step)
@@ -209,11 +213,23 @@
         ]
         return self.permits.get(step.key, candidates, queue.advice.valid_ms / 1000)
 
-    def _evict(self, pending: Sequence[PendingStep], now: float) -> None:
-        """Stop runs on draining workers, stalled runs, and runs that long-running tasks preempt."""
-        instances = list(self.instances.values())
-        self.request_stop(list(runs_to_evacuate(instances)))
-        for task in list(stalled_runs(instances, now)):
+    def _is_capacity_known(self, instance: WorkerInstance, now: float) -> bool:
+        """Return whether the worker checks its capacity itself, or has reported it lately."""
+        manifest = self._manifest()
+        policy = manifest.services.get(instance.entry.service) if manifest else None
+        if policy is None or policy.checks_capacity:
+            return True
+        return instance.entry_age_s(now) <= MAX_CAPACITY_AGE_HEARTBEATS * self.fleet.heartbeat_s
+
+    def _evict(
+        self, pending: Sequence[PendingStep], instances: Sequence[WorkerInstance], now: float
+    ) -> None:
+        """Stop runs on draining workers, stalled runs, and runs that long-running tasks preempt.
+
+        Runs are preempted on `instances` only.
+        """
+        self.request_stop(list(runs_to_evacuate(self.instances.values())))
+        for task in list(stalled_runs(self.instances.values(), now)):
             self._stop_stalled(task, now)
         for pending_step in pending:
             if not pending_step.step.order.lasting:
@@ -294,10 +310,17 @@
     def _start_command(
         self, start: PendingStart, until_ms: int, checkpoint: str
     ) -> StartCommand | None:
-        """Return the start command for a worker; None if the run was abandoned meanwhile."""
+        """Return the start command for a worker; None if the run was abandoned meanwhile.
+
+        Raises WorkerRefusedError if the worker's capacity is not known any more.
+        """
         task = start.task
         if task.run != start.run or start.instance.tasks.get(task.name) is not task:
             return None
+        if not self._is_capacity_known(start.instance, self._clock.monotonic()):
+            raise WorkerRefusedError(
+                StartRefusal.NO_CAPACITY, f"{start.instance.id} has not reported its capacity"
+            )
         spec = task.step.job.stored.order.spec
         return StartCommand(
             task.name, start.run, spec, until_ms, self._token, checkpoint, task.permit
--- a/standins/simulator.py
+++ b/standins/simulator.py
@@ -66,6 +66,7 @@
     `highest_closed_run` keeps, per task, the highest run that has ended or been stopped; a start
     of that run or an older one is refused. `expired_ends` keeps the numbers of the ends that were
     unacknowledged while the lease was expired. A `doomed` worker crashes in the next step.
+    `reported_room` is the capacity in its registration, as of `reported_at`.
     """
 
     entry: WorkerEntry
@@ -81,6 +82,9 @@
     booted_at: float = 0.0
     crashed_at: float = 0.0
     doomed: bool = False
+    reported_at: float = 0.0
+    reported_room: Resources = Resources()
+    next_report_at: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -99,7 +103,8 @@
     `response_loss_share` is the share of calls (0 to 1) whose response is lost; `failure_share` is
     the share of runs that fail. A worker that starts one of `deadly_tasks` crashes; it returns
     after `return_delay_s`, under its old id if `keeps_id` is set. `entry_ttl_s` is the time for
-    which the entry of a crashed worker remains. `room_changes` records the workers' capacity.
+    which the entry of a crashed worker remains. `room_changes` records the workers' capacity; a
+    change is registered with the next heartbeat, and none is while `registry_unavailable` is set.
     """
 
     def __init__(self, rng: random.Random) -> None:
@@ -115,6 +120,7 @@
         self.keeps_id = False
         self.entry_ttl_s = 0.0
         self.room_changes: list[RoomChange] = []
+        self.registry_unavailable = False
         self._returns: list[tuple[float, str]] = []
 
     def add(self, name: str, service: str, room: Resources, machine: str = "") -> SimulatedWorker:
@@ -125,6 +131,7 @@
         worker = SimulatedWorker(replace(entry, born=int(self.now * 1000) + 1), booted_at=self.now)
         self.workers[name] = worker
         self._record_room(worker)
+        self._report(worker)
         return worker
 
     def entries(self) -> list[WorkerEntry]:
@@ -132,12 +139,12 @@
         return [
             replace(
                 worker.entry,
-                clock_ms=self._clock_ms(worker, reported_at),
-                seq=int(reported_at / HEARTBEAT_INTERVAL_S),
+                room=worker.reported_room,
+                clock_ms=self._clock_ms(worker, worker.reported_at),
+                seq=int(worker.reported_at / HEARTBEAT_INTERVAL_S),
             )
             for worker in self.workers.values()
             if worker.up or self.now < worker.crashed_at + self.entry_ttl_s
-            for reported_at in (self.now if worker.up else worker.crashed_at,)
         ]
 
     def set_room(self, name: str, room: Resources) -> None:
@@ -146,6 +153,13 @@
         worker.entry = replace(worker.entry, room=room)
         self._record_room(worker)
 
+    def _report(self, worker: SimulatedWorker) -> None:
+        """Register the capacity if a heartbeat is due; one that fails is not repeated."""
+        if self.now >= worker.next_report_at:
+            worker.next_report_at = self.now + HEARTBEAT_INTERVAL_S
+            if not self.registry_unavailable or not worker.reported_at:
+                worker.reported_at, worker.reported_room = self.now, worker.entry.room
+
     def _record_room(self, worker: SimulatedWorker) -> None:
         entry = worker.entry
         self.room_changes.append(RoomChange(entry.id, entry.born, self.now, entry.room))
@@ -181,6 +195,7 @@
         entry = replace(old, born=int(self.now * 1000) + 1, state=WorkerState.READY)
         self.workers[name] = SimulatedWorker(entry, booted_at=self.now)
         self._record_room(self.workers[name])
+        self._report(self.workers[name])
 
     def advance(self, seconds: float) -> None:
         """Advance the simulated clock, apply delayed starts and end the runs that are due."""
@@ -199,6 +214,7 @@
                 self.crash_and_return(name)
             elif worker.up:
                 self._end_due_runs(worker)
+                self._report(worker)
 
     def _start_without_response(self, worker: SimulatedWorker, order: StartCommand) -> None:
         try:
--- /dev/null
+++ b/tests/coordination/job/test_capacity.py
@@ -0,0 +1,80 @@
+from dataclasses import replace
+
+import pytest
+
+from gypsumplank.protocol.job import Resources, StepDefinition
+from gypsumplank.protocol.queue import ServicePolicy
+from standins.simulator import HEARTBEAT_INTERVAL_S
+from standins.violations import SHRINK_GRACE_S, find_overfull_starts
+from tests.coordination.job.cluster import (
+    MANIFEST,
+    ROOM,
+    SERVICE,
+    SimulatedCluster,
+)
+
+SMALL_ROOM = Resources(1000, 8000)
+STEP = StepDefinition(1, Resources(1000, 100), 500)
+UNCHECKED = replace(MANIFEST, services={SERVICE: ServicePolicy(SERVICE, checks_capacity=False)})
+
+
+def make_cluster(seed=1, workers=1, daemons=2):
+    cluster = SimulatedCluster(seed, daemons, workers)
+    cluster.manifest = UNCHECKED
+    cluster.run(1.0)
+    return cluster
+
+
+def overfull_starts(cluster):
+    workers = cluster.simulated_workers
+    return find_overfull_starts(workers.history, cluster.submitted, workers.room_changes)
+
+
+def set_store_unavailable(cluster, unavailable):
+    cluster.simulated_workers.registry_unavailable = unavailable
+    for daemon in cluster.daemons:
+        daemon.table.unavailable = unavailable
+
+
+def test_worker_that_shrank_gets_no_task_over_its_capacity_and_more_once_it_grew():
+    cluster = make_cluster()
+    cluster.simulated_workers.set_room("w0", SMALL_ROOM)
+    cluster.run(HEARTBEAT_INTERVAL_S + 0.1)
+    for number in range(3):
+        cluster.submit(f"{number:016x}", (STEP,), spec="20")
+    cluster.run(5.0)
+    assert len(cluster.simulated_workers.history) == 1
+    cluster.simulated_workers.set_room("w0", ROOM)
+    cluster.run(HEARTBEAT_INTERVAL_S + 0.5)
+    assert len(cluster.simulated_workers.history) == 3
+
+
+def test_run_that_is_being_stopped_counts_against_a_worker_that_shrank():
+    cluster = make_cluster()
+    running = [f"{number:016x}" for number in range(8)]
+    for job in running:
+        cluster.submit(job, (STEP,), spec="60")
+    cluster.run(1.0)
+    cluster.simulated_workers.set_room("w0", Resources(4000, 8000))
+    cluster.run(SHRINK_GRACE_S + 0.5)
+    cluster.submit("a" * 16, (STEP,))
+    for job in running[:5]:
+        cluster.daemons[0].job_service.cancel(job)
+    cluster.run(1.0)
+    assert any(start.name.startswith("a" * 16) for start in cluster.simulated_workers.history)
+    assert not overfull_starts(cluster)
+
+
+@pytest.mark.parametrize("outage_s", [SHRINK_GRACE_S + tenths / 10 for tenths in range(0, 20, 2)])
+def test_worker_that_shrank_during_a_store_outage_is_not_overfilled_after_it(outage_s, caplog):
+    cluster = make_cluster()
+    cluster.submit("a" * 16, (STEP,), spec="60")
+    cluster.run(1.0)
+    set_store_unavailable(cluster, True)
+    cluster.simulated_workers.set_room("w0", SMALL_ROOM)
+    cluster.run(outage_s)
+    set_store_unavailable(cluster, False)
+    cluster.submit("c" * 16, (STEP,), spec="60")
+    cluster.run(5.0)
+    assert not overfull_starts(cluster)
+    assert "task-refused" not in caplog.text
