Queue an assignment again if its worker shrank before the start was sent

What callers saw: nothing today (all workers check their capacity and refuse).

Cause: capacity was compared when a task was assigned, not when its start was sent; a commit may lie between the two that fails for seconds. Class: check and act apart.

Change: before a start is sent, the assigned tasks are compared with the capacity that the worker reports now. A task that was never sent is queued again.

--- a/gypsumplank/coordination/job/instance.py
+++ b/gypsumplank/coordination/job/instance.py
@@ -181,6 +181,11 @@
         """Return the free resources."""
         return self.entry.room - self.used()
 
+    @property
+    def is_overfull(self) -> bool:
+        """Return whether the assigned tasks exceed the capacity, as the worker has shrunk."""
+        return not self.entry.room.can_fit(self.used())
+
     def entry_age_s(self, now: float) -> float:
         """Return the least time since the worker wrote its entry, in seconds."""
         return (self.clock.lower_bound_ms(now) - self.entry.clock_ms) / 1000
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -294,7 +294,8 @@
         task, instance = start.task, start.instance
         if task.run != start.run or task.phase is not TaskPhase.ASSIGNED:
             return
-        if task.step.job.cancelled or task.step.job.state in FINAL_JOB_STATES:
+        is_over = task.step.job.cancelled or task.step.job.state in FINAL_JOB_STATES
+        if is_over or instance.is_overfull:
             requeue_task(instance, task, now)
             return
         task.sent_at = now
--- a/tests/coordination/job/test_capacity.py
+++ b/tests/coordination/job/test_capacity.py
@@ -1,7 +1,9 @@
+import random
 from dataclasses import replace
 
 import pytest
 
+from gypsumplank.errors import StateUnavailableError
 from gypsumplank.protocol.job import Resources, StepDefinition
 from gypsumplank.protocol.queue import ServicePolicy
 from standins.simulator import HEARTBEAT_INTERVAL_S
@@ -11,6 +13,7 @@
     ROOM,
     SERVICE,
     SimulatedCluster,
+    long_running_step,
 )
 
 SMALL_ROOM = Resources(1000, 8000)
@@ -78,3 +81,51 @@
     cluster.run(5.0)
     assert not overfull_starts(cluster)
     assert "task-refused" not in caplog.text
+
+
+def test_assignment_that_was_stored_late_is_not_sent_to_a_worker_that_shrank(monkeypatch):
+    cluster = make_cluster()
+    cluster.submit("a" * 16, (STEP,), spec="60")
+    cluster.run(1.0)
+    store = cluster.leader().store
+    commit = store.commit
+
+    def fail(*_):
+        raise StateUnavailableError("out")
+
+    monkeypatch.setattr(store, "commit", fail)
+    cluster.submit("b" * 16, (STEP,), spec="60")
+    cluster.run(0.3)
+    cluster.simulated_workers.set_room("w0", SMALL_ROOM)
+    cluster.run(SHRINK_GRACE_S + 1.0)
+    monkeypatch.setattr(store, "commit", commit)
+    cluster.run(3.0)
+    assert not overfull_starts(cluster)
+    assert len(cluster.simulated_workers.history) == 1
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_workers_that_shrink_and_grow_are_not_overfilled(seed):
+    cluster = make_cluster(seed, workers=3)
+    rng = random.Random(seed)
+    for number in range(50):
+        cluster.simulated_workers.response_loss_share = rng.choice((0.0, 0.0, 0.2))
+        job = f"{number:016x}"
+        step = rng.choice((replace(STEP, tasks=3), STEP, long_running_step()))
+        cluster.submit(job, (step,), spec="100000" if step.lasting else rng.choice(("0.3", "3")))
+        for name in list(cluster.simulated_workers.workers):
+            if rng.random() < 0.3:
+                room = Resources(rng.randrange(1000, 9000, 500), 8000)
+                cluster.simulated_workers.set_room(name, room)
+        if rng.random() < 0.3:
+            cluster.daemons[0].job_service.cancel(f"{rng.randrange(number + 1):016x}")
+        if rng.random() < 0.1:
+            set_store_unavailable(cluster, True)
+            cluster.run(rng.uniform(0.5, 9.0))
+            set_store_unavailable(cluster, False)
+        if rng.random() < 0.1 and cluster.leader():
+            cluster.leader().restart()
+        cluster.run(rng.uniform(0.1, 1.0))
+    cluster.run(10.0)
+    assert not overfull_starts(cluster)
+    assert not cluster.violations()
