Count runs that are not assigned to their worker until they have ended

Cause: only assigned tasks were added up; a run that is stopped because nobody assigned it was forgotten until its end.

Change: a worker that reports such a run takes no task until it reports none, and is polled at short intervals meanwhile, also if it has no task of its own. What the run needs may not be known, so the whole worker counts as full.

Evidence: test_run_that_is_not_assigned_counts_until_it_has_ended fails without the change.

--- a/gypsumplank/coordination/job/dispatcher.py
+++ b/gypsumplank/coordination/job/dispatcher.py
@@ -180,10 +180,10 @@
     def _poll_loop(self, instance: WorkerInstance) -> None:
         self._poll(instance, self._first_poll_slots)
         while not self._closed.is_set() and not instance.detached:
-            if instance.last_contact_at and not instance.missed_polls and not instance.tasks:
+            if instance.last_contact_at and not instance.missed_polls and not instance.is_busy:
                 instance.wake.wait(IDLE_CHECK_INTERVAL_S)
                 instance.wake.clear()
-                if not instance.tasks:
+                if not instance.is_busy:
                     continue
             self._poll(instance, nullcontext())
 
--- a/gypsumplank/coordination/job/instance.py
+++ b/gypsumplank/coordination/job/instance.py
@@ -58,7 +58,8 @@
     end by `leased_until`; while `extension_suspended` is set, none is extended. `last_seen_end` and
     `last_acked_end` number the task ends that were processed and acknowledged. A `cordoned` worker
     gets no new tasks, one with `maintenance_due` gets long-running tasks last, and a `detached` one
-    is no longer polled. `wake` ends the wait of the polling thread before its next poll.
+    is no longer polled. `has_unassigned_runs` is set while the worker executes runs that are not
+    assigned to it. `wake` ends the wait of the polling thread before its next poll.
     """
 
     entry: WorkerEntry
@@ -81,6 +82,7 @@
     tasks: dict[str, Task] = field(default_factory=dict)
     wake: threading.Event = field(default_factory=threading.Event)
     detached: bool = False
+    has_unassigned_runs: bool = False
     _lease_lock: threading.Lock = field(default_factory=threading.Lock, repr=False)
 
     @property
@@ -137,18 +139,26 @@
             and self.registered
             and not self.cordoned
             and not self.extension_suspended
+            and not self.has_unassigned_runs
             and self.is_reachable
             and self.entry.state is WorkerState.READY
             and now >= self.refused_until
         )
 
+    @property
+    def is_busy(self) -> bool:
+        """Return whether tasks are assigned to the worker, or others run there."""
+        return bool(self.tasks) or self.has_unassigned_runs
+
     def is_suspect(self, now: float) -> bool:
         """Return whether tasks of several jobs failed here in a row, or a run stalled here."""
         return now < self.suspect_until
 
     def needs_frequent_reports(self) -> bool:
-        """Return whether a task that may crash its workers, or a long-running one, is starting."""
-        return self.has_starting_suspect() or any(
+        """Return whether a start or a stop here decides on what the worker can take next."""
+        if self.has_unassigned_runs or self.has_starting_suspect():
+            return True
+        return any(
             task.step.order.lasting
             and task.start_confirmed_at
             and task.percent < FULL_CAPACITY_PERCENT
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -132,9 +132,11 @@
         instance.last_contact_at = received.answered_at
         instance.missed_polls = 0
         max_attempts = {name: self._max_attempts(task) for name, task in instance.tasks.items()}
-        for unassigned in apply_report(
-            instance, received, lambda task: max_attempts.get(task.name, 1)
-        ):
+        unassigned_runs = list(
+            apply_report(instance, received, lambda task: max_attempts.get(task.name, 1))
+        )
+        instance.has_unassigned_runs = bool(unassigned_runs)
+        for unassigned in unassigned_runs:
             self._stop_unassigned(instance, unassigned)
 
     def _max_attempts(self, task: Task) -> int:
--- a/tests/coordination/job/test_capacity.py
+++ b/tests/coordination/job/test_capacity.py
@@ -4,8 +4,9 @@
 import pytest
 
 from gypsumplank.errors import StateUnavailableError
-from gypsumplank.protocol.job import Resources, StepDefinition
+from gypsumplank.protocol.job import JobDefinition, Resources, StepDefinition
 from gypsumplank.protocol.queue import ServicePolicy
+from gypsumplank.protocol.worker import StartCommand
 from standins.simulator import HEARTBEAT_INTERVAL_S
 from standins.violations import SHRINK_GRACE_S, find_overfull_starts
 from tests.coordination.job.cluster import (
@@ -104,6 +105,24 @@
     assert len(cluster.simulated_workers.history) == 1
 
 
+def test_run_that_is_not_assigned_counts_until_it_has_ended():
+    cluster = make_cluster()
+    unassigned = "e" * 16
+    cluster.submitted[unassigned] = JobDefinition("30", (replace(STEP, need=Resources(7000, 100)),))
+    worker = cluster.simulated_workers.workers["w0"]
+    token = worker.token
+    cluster.submit("a" * 16, (STEP,), spec="60")
+    cluster.run(0.5)
+    entry = worker.entry
+    cluster.simulated_workers.start(
+        entry, StartCommand(f"{unassigned}.0.0.0", 1, "30", 60_000, token, "", "")
+    )
+    cluster.submit("b" * 16, (STEP,), spec="60")
+    cluster.run(5.0)
+    assert len(cluster.simulated_workers.history) == 3
+    assert not overfull_starts(cluster)
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_workers_that_shrink_and_grow_are_not_overfilled(seed):
     cluster = make_cluster(seed, workers=3)
