Start nothing on a worker's next instance until its own capacity is known

What callers saw: nothing known.

Cause: the entry of the last instance was carried over with its capacity.

Change: until the entry of the new instance is read, its capacity is none.

Evidence: test_next_instance_of_a_worker_gets_no_task_until_its_capacity_is_known fails without the change.

--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -26,7 +26,7 @@
 from gypsumplank.coordination.job.workload import Workload
 from gypsumplank.errors import WorkerError, WorkerRefusedError
 from gypsumplank.log import Event, event
-from gypsumplank.protocol.job import FINAL_JOB_STATES, TaskPhase
+from gypsumplank.protocol.job import FINAL_JOB_STATES, Resources, TaskPhase
 from gypsumplank.protocol.queue import Manifest, Queue
 from gypsumplank.protocol.worker import (
     RunningTask,
@@ -118,8 +118,12 @@
         if instance.detached:
             return
         if received.report.born != instance.incarnation:
+            # The capacity of the new instance is known once it has an entry of its own.
             entry = replace(
-                instance.entry, born=received.report.born, clock_ms=received.report.clock_ms
+                instance.entry,
+                born=received.report.born,
+                clock_ms=received.report.clock_ms,
+                room=Resources(),
             )
             self.fleet.replace_incarnation(instance.id, instance, entry, received.answered_at)
             return
--- a/tests/coordination/job/test_capacity.py
+++ b/tests/coordination/job/test_capacity.py
@@ -13,6 +13,7 @@
     MANIFEST,
     ROOM,
     SERVICE,
+    Daemon,
     SimulatedCluster,
     long_running_step,
 )
@@ -105,6 +106,22 @@
     assert len(cluster.simulated_workers.history) == 1
 
 
+def test_next_instance_of_a_worker_gets_no_task_until_its_capacity_is_known(monkeypatch):
+    cluster = make_cluster()
+    cluster.submit("a" * 16, (replace(STEP, tasks=2),), spec="60")
+    cluster.run(1.0)
+    workers = cluster.simulated_workers
+    with monkeypatch.context() as patch:
+        patch.setattr(Daemon, "_send_snapshot", lambda _: None)
+        workers.crash("w0")
+        workers.set_room("w0", SMALL_ROOM)
+        workers.restart("w0")
+        cluster.run(1.0)
+    cluster.run(3.0)
+    assert not overfull_starts(cluster)
+    assert len(workers.history) == 3
+
+
 def test_run_that_is_not_assigned_counts_until_it_has_ended():
     cluster = make_cluster()
     unassigned = "e" * 16
