Give a task up sooner for crashes right after its start than for later ones

A task that crashes the workers that start it does so at its start.

Evidence: test_task_whose_workers_crash_of_something_else_is_not_given_up fails before.

--- a/gypsumplank/coordination/job/crash.py
+++ b/gypsumplank/coordination/job/crash.py
@@ -10,9 +10,11 @@
 from gypsumplank.protocol.job import FINAL_JOB_STATES, LostWorker, TaskPhase
 from gypsumplank.protocol.worker import WorkerEntry
 
-# Workers that have to crash under a task before it is given up. The platform permits giving up
-# after two, and two more starts after three.
-MAX_WORKER_CRASHES = 3
+# Workers that have to crash right after they started a task before it is given up.
+MAX_CRASHES_AT_START = 3
+# Workers that have to crash under a task, at any time, before it is given up; after three crashes,
+# the platform permits two more starts.
+MAX_CRASHES = 5
 # Time for which a task waits for proof if it would be given up should its silent workers have
 # crashed, seconds.
 CRASH_PROOF_WAIT_S = 4.0
@@ -32,6 +34,7 @@
     """Count the crash of a worker that had these tasks against those that may be the cause."""
     for task in _possible_causes(tasks):
         task.crashes += 1
+        task.crashes_at_start += not task.has_settled
         task.step.dirty = True
 
 
@@ -42,7 +45,7 @@
     """
     causes = _possible_causes(tasks)
     for task in causes:
-        lost = LostWorker(worker, task.incarnation, task.machine)
+        lost = LostWorker(worker, task.incarnation, task.machine, not task.has_settled)
         task.lost_on = tuple(dict.fromkeys((*task.lost_on, lost)))
     return causes
 
@@ -56,7 +59,7 @@
     begun = []
     for task in tasks:
         if task.has_proven_harmless:
-            task.crashes, task.lost_on = 0, ()
+            task.crashes, task.crashes_at_start, task.lost_on = 0, 0, ()
             task.step.dirty = True
         elif task.may_have_begun:
             begun.append(task)
@@ -65,15 +68,21 @@
     return [task for task in causes if task.losses == most]
 
 
+def _is_deadly(crashes_at_start: int, crashes: int) -> bool:
+    return crashes_at_start >= MAX_CRASHES_AT_START or crashes >= MAX_CRASHES
+
+
 def is_withheld(task: Task, now: float) -> bool:
     """Return whether a task must wait until it is known whether its silent workers crashed."""
-    is_undecided = bool(task.lost_on) and task.losses >= MAX_WORKER_CRASHES
+    lost_at_start = sum(1 for lost in task.lost_on if lost.at_start)
+    is_undecided = _is_deadly(task.crashes_at_start + lost_at_start, task.losses)
     return is_undecided and now < task.queued_since + CRASH_PROOF_WAIT_S
 
 
 def give_up_if_deadly(task: Task) -> None:
-    """Fail a queued task under which MAX_WORKER_CRASHES workers have crashed."""
-    if task.crashes < MAX_WORKER_CRASHES or task.phase is not TaskPhase.WAITING:
+    """Fail a queued task under which too many workers have crashed."""
+    is_deadly = _is_deadly(task.crashes_at_start, task.crashes)
+    if not is_deadly or task.phase is not TaskPhase.WAITING:
         return
     event(
         logger,
@@ -111,6 +120,7 @@
             )
             if undecided != task.lost_on:
                 task.crashes += len(crashed)
+                task.crashes_at_start += sum(1 for lost in crashed if lost.at_start)
                 task.lost_on = undecided
                 task.step.dirty = True
                 give_up_if_deadly(task)
--- a/gypsumplank/coordination/job/model.py
+++ b/gypsumplank/coordination/job/model.py
@@ -31,8 +31,8 @@
     once the run has to stop. `progressed_at` is when `percent` last changed. `percent` is the
     progress of a batch task; for a long-running task it is the share of its capacity that serves,
     and `load` its tail latency in ms. `failed_on` lists the workers on which a run failed or
-    stalled. `crashes` counts the workers that crashed under a run, and `lost_on` lists those that
-    may have.
+    stalled. `crashes` counts the workers that crashed under a run, `crashes_at_start` those that
+    did so right after its start, and `lost_on` lists those that may have crashed.
     """
 
     step: "Step"
@@ -47,6 +47,7 @@
     checkpoint: str = ""
     failed_on: tuple[str, ...] = ()
     crashes: int = 0
+    crashes_at_start: int = 0
     lost_on: tuple[LostWorker, ...] = ()
     sent_at: float = 0.0
     start_confirmed_at: float = 0.0
@@ -79,6 +80,7 @@
             self.failed_on,
             self.machine,
             self.crashes,
+            self.crashes_at_start,
             self.lost_on,
         )
 
@@ -173,7 +175,8 @@
             task.phase, task.run, task.failures = stored.phase, stored.run, stored.failures
             task.worker, task.incarnation = stored.worker, stored.born
             task.machine = stored.machine
-            task.crashes, task.lost_on = stored.crashes, stored.lost_on
+            task.crashes, task.crashes_at_start = stored.crashes, stored.crashes_at_start
+            task.lost_on = stored.lost_on
             task.checkpoint, task.failed_on = stored.checkpoint, stored.failed_on
             task.queued_since = now
 
--- a/gypsumplank/protocol/job.py
+++ b/gypsumplank/protocol/job.py
@@ -132,11 +132,15 @@
 
 @dataclass(frozen=True)
 class LostWorker:
-    """Identify a worker instance that fell silent under a run, and its machine."""
+    """Identify a worker instance that fell silent under a run, and its machine.
+
+    `at_start` tells whether the run had just started.
+    """
 
     worker: str
     born: int
     machine: str = ""
+    at_start: bool = False
 
 
 @dataclass(frozen=True)
@@ -144,9 +148,9 @@
     """Represent the stored state of one task.
 
     `run` numbers the starts from 1; `worker` and `born` identify the worker instance of the run,
-    `machine` is where that runs. `crashes` counts the workers that crashed under the task, and
-    `lost_on` lists those that fell silent and may have crashed. Rows of earlier versions lack
-    these three.
+    `machine` is where that runs. `crashes` counts the workers that crashed under the task,
+    `crashes_at_start` those that did so right after its start, and `lost_on` lists those that fell
+    silent and may have crashed. Rows of earlier versions lack these four.
     """
 
     phase: TaskPhase = TaskPhase.WAITING
@@ -158,6 +162,7 @@
     failed_on: tuple[str, ...] = ()
     machine: str = ""
     crashes: int = 0
+    crashes_at_start: int = 0
     lost_on: tuple[LostWorker, ...] = ()
 
 
--- a/tests/coordination/job/test_crash.py
+++ b/tests/coordination/job/test_crash.py
@@ -173,6 +173,21 @@
     assert cluster.state("a" * 16) == "completed"
 
 
+def test_task_whose_workers_crash_of_something_else_is_not_given_up(cluster):
+    cluster.submit("a" * 16, (replace(STEP, tasks=1),), spec="5")
+    workers = cluster.simulated_workers.workers
+    for _ in range(4):
+        for _ in range(100):
+            if any(worker.running for worker in workers.values()):
+                break
+            cluster.run(0.1)
+        cluster.run(1.0)
+        for name in [name for name, worker in workers.items() if worker.running]:
+            cluster.simulated_workers.crash_and_return(name)
+    cluster.run(20.0)
+    assert cluster.state("a" * 16) == "completed"
+
+
 def test_task_whose_workers_drain_and_leave_is_not_given_up(cluster):
     cluster.submit("a" * 16, spec="5")
     for _ in range(4):
