Restart the runs of a crashed worker once the platform lists its machine as down

Change: an instance whose machine is down in a list that was requested after its last report has ended. Its runs are queued again, but for those whose start is not confirmed: a worker that starts again under its id may still carry them out. The list is read too while a worker with tasks is silent. A state that is not known is no longer taken for down.

A task that a worker crashed under right after its start waits 3.5 s, as it did before by waiting for the worker: without that, retries followed within a second and emptied the pools. Crashes long after a start make a task a suspect only when there are two.

Tests: each new test of test_crash.py fails without its part of the change.

--- a/gypsumplank/coordination/job/crash.py
+++ b/gypsumplank/coordination/job/crash.py
@@ -15,6 +15,9 @@
 # Workers that have to crash under a task, at any time, before it is given up; after three crashes,
 # the platform permits two more starts.
 MAX_CRASHES = 5
+# Time from a crashed worker's last report to the next start of a task that may have crashed it,
+# seconds; about what a worker takes to return, so that retries do not empty a pool.
+CRASH_BACKOFF_S = 3.5
 # Time for which a task waits for proof if it would be given up should its silent workers have
 # crashed, seconds.
 CRASH_PROOF_WAIT_S = 4.0
@@ -30,11 +33,13 @@
     latest_by_machine: Mapping[str, WorkerEntry]
 
 
-def record_crash(tasks: Iterable[Task]) -> None:
+def record_crash(tasks: Iterable[Task], last_contact_at: float) -> None:
     """Count the crash of a worker that had these tasks against those that may be the cause."""
     for task in _possible_causes(tasks):
         task.crashes += 1
-        task.crashes_at_start += not task.has_settled
+        if not task.has_settled:
+            task.crashes_at_start += 1
+            task.retry_at = last_contact_at + CRASH_BACKOFF_S
         task.step.dirty = True
 
 
@@ -73,10 +78,10 @@
 
 
 def is_withheld(task: Task, now: float) -> bool:
-    """Return whether a task must wait until it is known whether its silent workers crashed."""
+    """Return whether a task must wait after a crash, or until its silent workers are known."""
     lost_at_start = sum(1 for lost in task.lost_on if lost.at_start)
     is_undecided = _is_deadly(task.crashes_at_start + lost_at_start, task.losses)
-    return is_undecided and now < task.queued_since + CRASH_PROOF_WAIT_S
+    return now < task.retry_at or (is_undecided and now < task.queued_since + CRASH_PROOF_WAIT_S)
 
 
 def give_up_if_deadly(task: Task) -> None:
--- a/gypsumplank/coordination/job/fleet.py
+++ b/gypsumplank/coordination/job/fleet.py
@@ -2,7 +2,7 @@
 
 import logging
 from collections import defaultdict
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from gypsumplank.coordination.job.crash import (
     CurrentWorkers,
@@ -15,6 +15,7 @@
 from gypsumplank.coordination.job.model import Task
 from gypsumplank.coordination.job.report import requeue_task
 from gypsumplank.log import Event, event
+from gypsumplank.protocol.queue import Machine, MachineState
 from gypsumplank.protocol.worker import WorkerEntry, WorkerState
 from gypsumplank.state.clock import Clock
 
@@ -53,7 +54,7 @@
         for (worker, incarnation), assigned in by_instance.items():
             current = self.instances.get(worker)
             if current is not None and current.incarnation > incarnation:
-                record_crash(assigned)
+                record_crash(assigned, 0.0)
             for task in assigned:
                 self._instance_for(task, now).tasks[task.name] = task
 
@@ -203,9 +204,49 @@
             # A delayed start begins a full lease on the successor.
             successor.extend_leases(now, self.max_lease_s)
 
+    def has_silent_tasks(self) -> bool:
+        """Return whether tasks are assigned to a worker that did not answer its last poll."""
+        return any(
+            instance.tasks and instance.missed_polls and not instance.is_down
+            for instance in self.instances.values()
+        )
+
+    def end_down(self, machines: Mapping[str, Machine], requested_at: float, now: float) -> None:
+        """End the instances whose machine was down in a list that was requested at `requested_at`.
+
+        An instance that answered before the request has ended if its machine was down after it.
+        """
+        for key, instance in list(self.instances.items()):
+            machine = machines.get(instance.entry.machine)
+            is_listed_down = machine is not None and machine.state is MachineState.DOWN
+            answered_before = 0 < instance.last_contact_at < requested_at
+            if is_listed_down and answered_before and not instance.is_down:
+                self._end_down(key, instance, requested_at, now)
+
+    def _end_down(
+        self, key: str, instance: WorkerInstance, requested_at: float, now: float
+    ) -> None:
+        """Requeue confirmed runs; others may still be executed by the worker's next instance."""
+        _log_crash(instance)
+        _record_crash(instance)
+        instance.is_down = True
+        confirmed = [
+            task
+            for task in instance.tasks.values()
+            if 0 < task.start_confirmed_at < requested_at and not task.unconfirmed_since
+        ]
+        self._requeue(instance, confirmed, now, "down")
+        if not instance.tasks:
+            self._ended_instance_ids.add(instance.instance_id)
+            self._remove(key, instance)
+
     def requeue_all(self, instance: WorkerInstance, now: float, reason: str) -> None:
         """Requeue every task of an instance that has ended; `reason` is logged."""
-        for task in list(instance.tasks.values()):
+        self._requeue(instance, list(instance.tasks.values()), now, reason)
+
+    @staticmethod
+    def _requeue(instance: WorkerInstance, tasks: Sequence[Task], now: float, reason: str) -> None:
+        for task in tasks:
             event(
                 logger,
                 Event.RUN_MISSING,
@@ -259,17 +300,17 @@
 def _record_crash(instance: WorkerInstance) -> None:
     """Count a crash against the tasks of an instance, unless it may have left as it announced."""
     has_announced_exit = instance.entry.state is WorkerState.DRAINING and not instance.detached
-    if not has_announced_exit:
-        record_crash(instance.tasks.values())
+    if not has_announced_exit and not instance.is_down:
+        record_crash(instance.tasks.values(), instance.last_contact_at)
 
 
-def _log_crash(instance: WorkerInstance, successor: WorkerEntry) -> None:
-    """Log that the machine of a worker instance runs a later one, with the tasks that it had."""
+def _log_crash(instance: WorkerInstance, successor: WorkerEntry | None = None) -> None:
+    """Log that a worker instance has ended, with its tasks; its machine may run a later one."""
     event(
         logger,
         Event.WORKER_CRASHED,
         worker=instance.id,
         machine=instance.entry.machine,
-        successor=successor.id,
+        successor=successor.id if successor else "",
         tasks=len(instance.tasks),
     )
--- a/gypsumplank/coordination/job/instance.py
+++ b/gypsumplank/coordination/job/instance.py
@@ -58,7 +58,8 @@
     end by `leased_until`; while `extension_suspended` is set, none is extended. `last_seen_end` and
     `last_acked_end` number the task ends that were processed and acknowledged. A `cordoned` worker
     gets no new tasks, one with `maintenance_due` gets long-running tasks last, and a `detached` one
-    is no longer polled. `has_unassigned_runs` is set while the worker executes runs that are not
+    is no longer polled. `is_down` is set once the platform lists its machine as down, and
+    `has_unassigned_runs` is set while the worker executes runs that are not
     assigned to it. `wake` ends the wait of the polling thread before its next poll.
     """
 
@@ -82,6 +83,7 @@
     tasks: dict[str, Task] = field(default_factory=dict)
     wake: threading.Event = field(default_factory=threading.Event)
     detached: bool = False
+    is_down: bool = False
     has_unassigned_runs: bool = False
     _lease_lock: threading.Lock = field(default_factory=threading.Lock, repr=False)
 
@@ -139,6 +141,7 @@
             and self.registered
             and not self.cordoned
             and not self.extension_suspended
+            and not self.is_down
             and not self.has_unassigned_runs
             and self.is_reachable
             and self.entry.state is WorkerState.READY
--- a/gypsumplank/coordination/job/model.py
+++ b/gypsumplank/coordination/job/model.py
@@ -64,6 +64,7 @@
     should_run: bool = True
     stop_requested_at: float = 0.0
     queued_since: float = 0.0
+    retry_at: float = 0.0
     running_since: float = 0.0
     unavailable_since: float = 0.0
 
@@ -86,8 +87,9 @@
 
     @property
     def is_suspect(self) -> bool:
-        """Return whether workers crashed, or may have crashed, under earlier runs."""
-        return bool(self.crashes or self.lost_on)
+        """Return whether a worker was lost right after it started the task, or two were at all."""
+        lost_at_start = any(lost.at_start for lost in self.lost_on)
+        return bool(self.crashes_at_start) or lost_at_start or self.losses > 1
 
     @property
     def losses(self) -> int:
--- a/gypsumplank/coordination/job/term.py
+++ b/gypsumplank/coordination/job/term.py
@@ -63,7 +63,10 @@
         self._controller.end_term()
 
     def run(self, scheduler: Scheduler, manifest: Manifest | None, now: float) -> None:
-        """Order the maintenance and moves that are due."""
+        """Apply the list of machines; order the maintenance and moves that are due."""
+        if scheduler.fleet.has_silent_tasks():
+            self._controller.refresh_list(now)
+        scheduler.fleet.end_down(self._controller.machines, self._controller.list_read_at, now)
         self.maintenance.order_ready_machines(scheduler, now)
         if manifest is not None:
             self._pools.plan_and_move(scheduler, manifest, now)
--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -66,7 +66,7 @@
     WORKER_FOUND = "worker-found", "A new worker instance was registered."
     WORKER_CHANGED = "worker-changed", "A worker's registered state changed."
     WORKER_LOST = "worker-lost", "A worker instance ended or is no longer registered."
-    WORKER_CRASHED = "worker-crashed", "A later life of a worker or its machine shows its crash."
+    WORKER_CRASHED = "worker-crashed", "A later life, or the list of machines, shows its crash."
     WORKER_SILENT = "worker-silent", "A worker did not respond; no lease is extended meanwhile."
     WORKER_RESPONDED = "worker-heard", "A worker that had stopped responding responds again."
     ENTRY_DROPPED = "entry-dropped", "A malformed row or name was ignored."
--- a/gypsumplank/platform/machine.py
+++ b/gypsumplank/platform/machine.py
@@ -105,8 +105,7 @@
 
 
 def _decode_state(raw: Any) -> MachineState:
-    """Return a machine's state; treat an unknown one as down."""
     try:
         return MachineState(raw)
     except ValueError:
-        return MachineState.DOWN
+        return MachineState.UNKNOWN
--- a/gypsumplank/protocol/queue.py
+++ b/gypsumplank/protocol/queue.py
@@ -90,6 +90,7 @@
     MOVING = "moving"
     UPKEEP = "upkeep"
     DOWN = "down"
+    UNKNOWN = "unknown"
 
 
 @dataclass(frozen=True)
--- a/tests/coordination/job/cluster.py
+++ b/tests/coordination/job/cluster.py
@@ -169,6 +169,7 @@
         self.orders = []
         self.maintained = set()
         self.maintenance_calls = []
+        self.lists_crashed = True
         self.max_down = 0
         self.started_workers = 0
 
@@ -181,12 +182,19 @@
             for worker in simulated_workers.workers.values()
             if worker.up
         ]
+        busy = {machine.name for machine in up} | self.unavailable.keys()
+        down = [
+            Machine(worker.entry.machine, worker.entry.service, MachineState.DOWN, "z", "")
+            for worker in simulated_workers.workers.values()
+            if self.lists_crashed and not worker.up and worker.entry.machine not in busy
+        ]
         unavailable_machines = [
             Machine(name, pool, state, "z", "")
             for name, (_, pool, state) in self.unavailable.items()
         ]
         return [
             *up,
+            *down,
             *unavailable_machines,
             *(Machine(name, STANDBY, MachineState.UP, "z", "") for name in self.standby),
         ]
--- a/tests/coordination/job/test_crash.py
+++ b/tests/coordination/job/test_crash.py
@@ -1,22 +1,39 @@
+import itertools
 import random
 from dataclasses import replace
 
 import pytest
 
+from gypsumplank.coordination.job.crash import CRASH_BACKOFF_S
+from gypsumplank.coordination.job.machine import LIST_INTERVAL_S
 from gypsumplank.coordination.job.model import SETTLED_RUN_S
-from gypsumplank.protocol.job import Resources, StepDefinition
+from gypsumplank.protocol.job import Resources, StepDefinition, TaskPhase
+from gypsumplank.protocol.queue import Machine, MachineState
 from standins.simulator import ENTRY_TTL_S
 from standins.violations import find_deadly_restarts
-from tests.coordination.job.cluster import ROOM, SERVICE, SimulatedCluster, long_running_step
+from tests.coordination.job.cluster import (
+    ROOM,
+    SERVICE,
+    STEP_S,
+    SimulatedCluster,
+    long_running_step,
+)
 
 DEADLY_JOB = "d" * 16
 DEADLY_TASK = f"{DEADLY_JOB}.0.0.0"
 STEP = StepDefinition(2, Resources(1000, 100), 500)
 
 
+@pytest.fixture(params=[True, False], ids=["listed", "unlisted"])
+def lists_crashed(request):
+    return request.param
+
+
 @pytest.fixture(params=[False, True], ids=["new-id", "same-id"])
-def cluster(request):
-    return make_cluster(keeps_id=request.param)
+def cluster(request, lists_crashed):
+    cluster = make_cluster(keeps_id=request.param)
+    cluster.machines.lists_crashed = lists_crashed
+    return cluster
 
 
 def make_cluster(keeps_id=False, workers=6, seed=1):
@@ -46,6 +63,14 @@
     assert cluster.state(DEADLY_JOB) == "failed"
 
 
+def test_retries_of_a_task_that_crashes_its_workers_do_not_follow_at_once(cluster):
+    cluster.submit(DEADLY_JOB)
+    cluster.run(60.0)
+    starts = deadly_starts(cluster)
+    pauses = [later.started_at - run.ended for run, later in itertools.pairwise(starts)]
+    assert all(pause >= CRASH_BACKOFF_S - STEP_S for pause in pauses)
+
+
 @pytest.mark.parametrize("step", [replace(STEP, gang=True), long_running_step()])
 def test_gang_or_long_running_task_that_crashes_its_workers_is_given_up(cluster, step):
     cluster.submit(DEADLY_JOB, (step,), spec="1000" if step.lasting else "8")
@@ -214,8 +239,75 @@
     assert any(worker.running for worker in cluster.simulated_workers.workers.values())
 
 
+def test_runs_of_a_crashed_worker_restart_once_its_machine_is_listed_as_down():
+    cluster = make_cluster()
+    cluster.submit("a" * 16, spec="30")
+    cluster.run(1.0)
+    (crashed,) = {start.worker for start in cluster.simulated_workers.history}
+    cluster.simulated_workers.crash_and_return(crashed)
+    cluster.run(LIST_INTERVAL_S + 0.2)
+    assert len(cluster.simulated_workers.history) == 4
+    assert not cluster.violations()
+
+
+def test_machine_that_was_down_before_its_worker_answered_ends_no_run():
+    cluster = make_cluster()
+    cluster.submit("a" * 16, spec="5")
+    cluster.run(1.0)
+    (worker,) = {start.worker for start in cluster.simulated_workers.history}
+    down = Machine(worker, SERVICE, MachineState.DOWN, "z", "")
+    now = cluster.clock.now
+    scheduler = cluster.leader().scheduler_leader._term.scheduler
+    scheduler.fleet.end_down({worker: down}, now - 0.5, now)
+    cluster.run(10.0)
+    assert cluster.state("a" * 16) == "completed"
+    assert len(cluster.simulated_workers.history) == 2
+
+
+def test_run_of_a_machine_that_is_down_restarts_only_if_its_start_was_confirmed():
+    cluster = make_cluster()
+    cluster.submit("a" * 16, spec="30")
+    cluster.run(1.0)
+    scheduler = cluster.leader().scheduler_leader._term.scheduler
+    (worker,) = {start.worker for start in cluster.simulated_workers.history}
+    instance = scheduler.instances[worker]
+    unconfirmed, confirmed = instance.tasks.values()
+    unconfirmed.unconfirmed_since = cluster.clock.now
+    now = cluster.clock.now + 0.5
+    scheduler.fleet.end_down(
+        {worker: Machine(worker, SERVICE, MachineState.DOWN, "z", "")}, now, now
+    )
+    assert list(instance.tasks.values()) == [unconfirmed]
+    assert confirmed.phase is TaskPhase.WAITING
+    assert (unconfirmed.crashes, confirmed.crashes) == (1, 1)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_runs_of_workers_that_crash_beside_lost_answers_do_not_overlap(seed):
+    cluster = make_cluster(keeps_id=bool(seed % 2), seed=seed)
+    cluster.simulated_workers.return_delay_s = 1.0
+    rng = random.Random(seed)
+    jobs = [f"{number:016x}" for number in range(40)]
+    for job in jobs:
+        cluster.simulated_workers.response_loss_share = rng.choice((0.0, 0.3))
+        cluster.submit(job, spec="3")
+        cluster.run(rng.uniform(0.1, 1.0))
+        if rng.random() < 0.2:
+            workers = cluster.simulated_workers.workers
+            cluster.simulated_workers.crash_and_return(
+                rng.choice([name for name, worker in workers.items() if worker.up])
+            )
+        if rng.random() < 0.1 and cluster.leader():
+            cluster.leader().restart()
+    cluster.simulated_workers.response_loss_share = 0.0
+    cluster.run(40.0)
+    assert rules_hold(cluster)
+    assert {cluster.state(job) for job in jobs} == {"completed"}
+
+
 def test_runs_of_a_crashed_worker_restart_once_its_machine_has_a_new_worker():
     cluster = make_cluster()
+    cluster.machines.lists_crashed = False
     cluster.submit("a" * 16, spec="30")
     cluster.run(1.0)
     (crashed,) = {start.worker for start in cluster.simulated_workers.history}
@@ -227,6 +319,7 @@
 
 def test_runs_restart_once_the_machine_has_a_new_worker_after_a_change_of_the_leader():
     cluster = make_cluster()
+    cluster.machines.lists_crashed = False
     cluster.simulated_workers.entry_ttl_s = 0.0
     cluster.submit("a" * 16, spec="30")
     cluster.run(1.0)
--- a/tests/platform/test_directory.py
+++ b/tests/platform/test_directory.py
@@ -2,11 +2,11 @@
 import pytest
 
 from gypsumplank.errors import EntryInvalidError, MachineRefusedError
-from gypsumplank.platform.client import Client
+from gypsumplank.platform.client import Client, Response
 from gypsumplank.platform.directory import PlatformDirectory, decode_manifest
 from gypsumplank.platform.machine import HttpMachines
 from gypsumplank.protocol.job import Resources
-from gypsumplank.protocol.queue import MaintenanceWave
+from gypsumplank.protocol.queue import MachineState, MaintenanceWave
 from gypsumplank.state.table import MemoryTable, Txn, Write
 from standins.users_platform import MANIFEST, encode_entry
 
@@ -91,6 +91,20 @@
     assert reader.completed_waves() == {1}
 
 
+class ListClient:
+    def __init__(self, *machines):
+        self.machines = machines
+
+    def call(self, *_):
+        return Response(200, {"machines": list(self.machines), "next-token": None}, {})
+
+
+def test_machine_in_a_state_that_is_not_known_is_not_listed_as_down():
+    client = ListClient({"machine": "m-1", "state": "repair"}, {"machine": "m-2", "state": "down"})
+    states = [machine.state for machine in HttpMachines(client).list_machines()]
+    assert states == [MachineState.UNKNOWN, MachineState.DOWN]
+
+
 def test_machines_are_listed_and_orders_carry_the_lease_headers(platform_server):
     platform, address = platform_server
     platform.simulated_workers.add("w", "desk", Resources(1, 1), "m-1")
