--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -224,10 +224,10 @@
             {
                 "machine": worker.entry.machine,
                 "pool": worker.entry.service,
-                "state": "up",
+                "state": "up" if worker.up else "down",
                 "zone": worker.entry.zone,
                 "labels": list(worker.entry.labels),
-                "id": worker.entry.id,
+                "id": worker.entry.id if worker.up else "",
             }
             for worker in self._workers()
         ]
