review: show that gangs leave resources counted as used for good

When a gang's job ends while one of its workers is cut off, that worker's member stays assigned to it in the leader's memory. After four cuts of 3 s, idle workers count as full and accepted jobs never start.

Run: review/4/run.sh, five times, and with TROUBLE=0.

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,4 @@
+#!/usr/bin/env bash
+# Exit 1 if the rule is broken, 0 if it holds, 2 if the case cannot run. TROUBLE=0: no disruption.
+cd "$(dirname "$0")" || exit 2
+exec python3 case.py
