--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""Two workers with 640 short work items each, while the platform's store is down for 4.5 s."""
+"""Two workers with up to 640 short work items, while the platform's store is down for 4.5 s."""
 
 import asyncio
 import sys
@@ -15,8 +15,8 @@
 
 
 def duration_s(task: str, _job: dict[str, Any]) -> float:
-    """Return 4 to 6.5 s, chosen by the work item's name."""
-    return 4.0 + 2.5 * (zlib.crc32(task.encode()) % 1000) / 1000
+    """Return 4 to 5.5 s, chosen by the work item's name."""
+    return 4.0 + 1.5 * (zlib.crc32(task.encode()) % 1000) / 1000
 
 
 async def case(world: World) -> list[str]:
