--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""80 jobs of 100 work items are at work while the platform's store is down for 4.5 s."""
+"""80 jobs of 120 work items are at work, 21 of each at once, while the store is down for 4.5 s."""
 
 import asyncio
 import sys
@@ -10,7 +10,7 @@
 
 from world import World, has_trouble, run_case
 
-JOBS, ITEMS = 80, 100
+JOBS, ITEMS, PER_SERVER = 80, 120, 3
 SMALL_JOBS = 10
 OUTAGE_S = 4.5
 # `finish_s` of the users' bounds, and the 3 s for which nothing of the job runs.
@@ -18,20 +18,26 @@
 
 
 def duration_s(task: str, job: dict[str, Any]) -> float:
-    """Return 0.3 s for the small jobs, 15 to 115 s by the work item's name for the others."""
+    """Return 0.3 s for the small jobs, 10 to 60 s by the work item's name for the others."""
     if job["steps"][0]["replicas"] == 1:
         return 0.3
-    return 15.0 + 100.0 * (zlib.crc32(task.encode()) % 1000) / 1000
+    return 10.0 + 50.0 * (zlib.crc32(task.encode()) % 1000) / 1000
 
 
 async def case(world: World) -> list[str]:
     await world.start(workers=7, cpu=64000, mem_mb=131072)
-    large = {"replicas": ITEMS, "cpu": 25, "mem-mb": 20, "estimate-ms": 90000}
+    large = {
+        "replicas": ITEMS,
+        "cpu": 25,
+        "mem-mb": 20,
+        "estimate-ms": 35000,
+        "max-per-server": PER_SERVER,
+    }
     small = {"replicas": 1, "cpu": 100, "mem-mb": 20, "estimate-ms": 300}
     for _ in range(JOBS):
         await world.submit([large])
         await asyncio.sleep(0.22)
-    await asyncio.sleep(18.0)
+    await asyncio.sleep(14.0)
     if has_trouble():
         world.store.set_mode("reset")
         await asyncio.sleep(OUTAGE_S)
