Log reports that list only some ends, and suspensions of the machine

The logs did not tell a run that was lost from one whose end was beyond a worker's full page of 500 ends, nor show that time had passed which the steady clock does not count. A report says whether its ends are complete, `task-missing` says why also for unlisted runs, and the leader logs each suspension. No decision changes.

--- a/gypsumplank/coordination/job/leader.py
+++ b/gypsumplank/coordination/job/leader.py
@@ -11,6 +11,7 @@
 from gypsumplank.coordination.job.permit import PermitCache
 from gypsumplank.coordination.job.scheduler import Scheduler
 from gypsumplank.coordination.job.silence import SilentWorkers
+from gypsumplank.coordination.job.suspension import SuspensionLog
 from gypsumplank.coordination.job.term import (
     LeaderCandidates,
     MachineManager,
@@ -89,6 +90,7 @@
         self._term: Term | None = None
         self._silent_workers = SilentWorkers(ports.store, ports.store_clock)
         self._cut_off = CutOffDetector(clock)
+        self._suspension_log = SuspensionLog()
         self._next_lease_check_at = 0.0
         self._must_renew = False
         self._store_unavailable = False
@@ -152,6 +154,7 @@
     def _tick_lease(self) -> None:
         leases = self._ports.leases
         self._next_lease_check_at = self._clock.monotonic() + LEASE_CHECK_INTERVAL_S
+        self._suspension_log.check()
         if self._term is not None and leases.fence(SCHEDULER_LEASE) is not None:
             if self._should_yield():
                 self._resign("yield")
--- a/gypsumplank/coordination/job/report.py
+++ b/gypsumplank/coordination/job/report.py
@@ -37,6 +37,8 @@
         (end.name, end.run): end for end in report.ended if end.number > instance.last_seen_end
     }
     running = {task.name: task for task in report.running}
+    if not report.ends_complete:
+        event(logger, Event.REPORT_CUT_OFF, worker=instance.id, last_end=report.ended[-1].number)
     for task in list(instance.tasks.values()):
         end = ended.get((task.name, task.run))
         running_task = running.get(task.name)
@@ -45,7 +47,14 @@
         elif running_task is not None and running_task.run == task.run:
             _update_run(task, running_task, received)
         elif _is_provably_stopped(task, received):
-            event(logger, Event.RUN_MISSING, task=task.name, run=task.run, worker=instance.id)
+            event(
+                logger,
+                Event.RUN_MISSING,
+                task=task.name,
+                run=task.run,
+                worker=instance.id,
+                why="unlisted",
+            )
             requeue_task(instance, task, received.answered_at)
     instance.last_seen_end = max(
         instance.last_seen_end, max((end.number for end in report.ended), default=0)
--- a/gypsumplank/platform/worker.py
+++ b/gypsumplank/platform/worker.py
@@ -31,6 +31,8 @@
 # Added to the requested wait; a healthy worker responds within milliseconds after it.
 HOLD_TIMEOUT_S = 0.8
 ORDER_TIMEOUT_S = 0.3
+# Ends that one report lists; the platform states it.
+MAX_LISTED_ENDS = 500
 # One connection carries the long poll for ended tasks, the others carry orders.
 CONNECTIONS_PER_WORKER = 16
 
@@ -144,7 +146,8 @@
         EndedTask(int(row[0]), str(row[1]), int(row[2]), EndKind(row[3]), str(row[4]))
         for row in wire.finished
     )
-    return WorkerReport(wire.born, wire.clock_ms, running, ended)
+    ends_complete = len(ended) < MAX_LISTED_ENDS
+    return WorkerReport(wire.born, wire.clock_ms, running, ended, ends_complete)
 
 
 def _decode_load(row: list[Any]) -> int:
--- a/gypsumplank/protocol/worker.py
+++ b/gypsumplank/protocol/worker.py
@@ -86,12 +86,16 @@
 
 @dataclass(frozen=True)
 class WorkerReport:
-    """Report all runs in progress at a worker, and the ends that it still stores."""
+    """Report all runs in progress at a worker, and the ends that it still stores.
+
+    `ends_complete` is False if there may be further ends that the report does not list.
+    """
 
     born: int
     clock_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
+    ends_complete: bool = True
 
 
 @dataclass(frozen=True)
--- a/gypsumplank/state/clock.py
+++ b/gypsumplank/state/clock.py
@@ -17,6 +17,11 @@
     latest_ms: int = 0
 
 
+def suspended_s() -> float:
+    """Return for how long this machine has been suspended since it booted, in seconds."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.clock_gettime(time.CLOCK_MONOTONIC)
+
+
 class Clock(Protocol):
     """Provide monotonic and wall-clock time in seconds."""
 
--- a/standins/simulator.py
+++ b/standins/simulator.py
@@ -23,6 +23,8 @@
 ENTRY_TTL_S = 3 * HEARTBEAT_INTERVAL_S
 # Time between a worker's crash under a deadly task and its return, seconds.
 RETURN_DELAY_S = 3.2
+# Ends that one report lists; the others follow once these are acknowledged.
+MAX_LISTED_ENDS = 500
 # A start order whose response is lost may still be applied up to this much later.
 MAX_START_DELAY_S = 8.0
 
@@ -105,6 +107,7 @@
     after `return_delay_s`, under its old id if `keeps_id` is set. `entry_ttl_s` is the time for
     which the entry of a crashed worker remains. `room_changes` records the workers' capacity; a
     change is registered with the next heartbeat, and none is while `registry_unavailable` is set.
+    A report lists the first `max_listed_ends` ends only.
     """
 
     def __init__(self, rng: random.Random) -> None:
@@ -121,6 +124,7 @@
         self.entry_ttl_s = 0.0
         self.room_changes: list[RoomChange] = []
         self.registry_unavailable = False
+        self.max_listed_ends = MAX_LISTED_ENDS
         self._returns: list[tuple[float, str]] = []
 
     def add(self, name: str, service: str, room: Resources, machine: str = "") -> SimulatedWorker:
@@ -297,7 +301,11 @@
             RunningTask(run.name, run.run, "", self._progress_percent(run))
             for run in target.running.values()
         )
-        return WorkerReport(target.entry.born, self._clock_ms(target), running, tuple(target.ended))
+        listed = tuple(target.ended[: self.max_listed_ends])
+        ends_complete = len(listed) < self.max_listed_ends
+        return WorkerReport(
+            target.entry.born, self._clock_ms(target), running, listed, ends_complete
+        )
 
     def _progress_percent(self, run: ActiveRun) -> int:
         if run.ends_at - run.begun > 1000:
