--- /dev/null
+++ b/tests/coordination/job/test_evidence.py
@@ -0,0 +1,59 @@
+from dataclasses import replace
+
+from gypsumplank.coordination.job.instance import WorkerClock, WorkerInstance
+from gypsumplank.coordination.job.model import Job
+from gypsumplank.coordination.job.report import ReceivedReport, apply_report
+from gypsumplank.protocol.job import StoredJob, TaskPhase
+from gypsumplank.protocol.worker import (
+    EndedTask,
+    EndKind,
+    WorkerEntry,
+    WorkerReport,
+    WorkerState,
+)
+from tests.coordination.job.cluster import (
+    CHAIN_ORDER,
+    QUEUE,
+    ROOM,
+    SERVICE,
+    SimulatedCluster,
+)
+
+ENTRY = WorkerEntry("w", SERVICE, "w:80", "z", WorkerState.READY, ROOM, born=1)
+
+
+def test_run_beyond_a_cut_off_list_of_ends_is_not_queued_again():
+    """Guard against TWICE: a worker lists a limited number of its ends at a time."""
+    job = Job(StoredJob("a" * 16, QUEUE.name, SERVICE, 0, CHAIN_ORDER), SERVICE)
+    instance = WorkerInstance(ENTRY, 1, WorkerClock())
+    first, second = job.steps[0, 0].tasks
+    for task in (first, second):
+        task.assign("w", 1, 1)
+        task.sent_at, task.start_confirmed_at = 1.0, 1.1
+        instance.tasks[task.name] = task
+    ends = (EndedTask(1, first.name, 1, EndKind.DONE),)
+    cut_off = WorkerReport(1, 500, (), ends, ends_complete=False)
+    assert not list(apply_report(instance, ReceivedReport(cut_off, 2.0, 2.1), lambda _: 3))
+    assert (first.phase, second.phase) == (TaskPhase.DONE, TaskPhase.ASSIGNED)
+    whole = replace(cut_off, ends_complete=True, ended=())
+    assert not list(apply_report(instance, ReceivedReport(whole, 3.0, 3.1), lambda _: 3))
+    assert second.phase is TaskPhase.WAITING
+
+
+def test_store_outage_with_more_ends_than_a_report_lists_repeats_no_run():
+    """Guard against TWICE: while nothing is committed, no end is acknowledged."""
+    cluster = SimulatedCluster(1, workers=2)
+    cluster.simulated_workers.max_listed_ends = 3
+    cluster.run(1.0)
+    jobs = [f"{number:016x}" for number in range(8)]
+    for job in jobs:
+        cluster.submit(job)
+    cluster.run(0.3)
+    for daemon in cluster.daemons:
+        daemon.table.unavailable = True
+    cluster.run(2.5)
+    for daemon in cluster.daemons:
+        daemon.table.unavailable = False
+    cluster.run(8.0)
+    assert not cluster.violations()
+    assert [cluster.state(job) for job in jobs] == ["completed"] * len(jobs)
--- a/tests/coordination/job/test_fleet.py
+++ b/tests/coordination/job/test_fleet.py
@@ -1,5 +1,6 @@
 from dataclasses import replace
 
+from gypsumplank.coordination.job.report import ReceivedReport
 from gypsumplank.coordination.job.scheduler import Scheduler
 from gypsumplank.protocol.job import (
     JobDefinition,
@@ -10,7 +11,7 @@
     TaskPhase,
 )
 from gypsumplank.protocol.queue import Manifest
-from gypsumplank.protocol.worker import WorkerEntry, WorkerState
+from gypsumplank.protocol.worker import RunningTask, WorkerEntry, WorkerReport, WorkerState
 from gypsumplank.state.clock import ManualClock
 from gypsumplank.state.job import LoadedJob
 from tests.coordination.job.replay import QUEUE, SERVICE, WORKER_ROOM
@@ -18,9 +19,37 @@
 LEASE_S = 6.0
 
 
-def make_scheduler(clock):
+ORDER = JobDefinition("", (StepDefinition(1, Resources(1000, 100), 500),))
+
+
+class RecordingDispatcher:
+    """Record the results that the scheduler waits for."""
+
+    def __init__(self):
+        self.start_results = []
+        self.stopped = []
+
+    def start(self, instance, make_order, on_result):
+        self.start_results.append(on_result)
+
+    def stop(self, instance, name, run, on_result):
+        self.stopped.append((name, run))
+
+    def poll_now(self, instance):
+        """Ignore the request; the test reports."""
+
+    def start_polling(self, instance):
+        """Poll nothing; the test reports."""
+
+    def stop_polling(self, instance):
+        instance.detached = True
+
+
+def make_scheduler(clock, machine=""):
     scheduler = Scheduler(clock, lambda: Manifest(1, (QUEUE,)), 1, LEASE_S)
-    entry = WorkerEntry("w", SERVICE, "w:80", "z", WorkerState.READY, WORKER_ROOM, born=1)
+    entry = WorkerEntry(
+        "w", SERVICE, "w:80", "z", WorkerState.READY, WORKER_ROOM, machine=machine, born=1
+    )
     scheduler.fleet.apply_entries([entry])
     for instance in scheduler.instances.values():
         instance.last_contact_at = clock.monotonic()
@@ -66,3 +95,114 @@
     scheduler.fleet.apply_entries([], complete=False)
     scheduler.fleet.apply_entries([])
     assert (task.phase, task.run) == (TaskPhase.ASSIGNED, 1)
+
+
+def start_task(scheduler, clock):
+    """Start a task on the only worker, which confirms the start; return the task."""
+    scheduler.use_dispatcher(RecordingDispatcher())
+    stored = StoredJob("a" * 16, QUEUE.name, SERVICE, 0, ORDER)
+    loaded = LoadedJob(stored, JobState.QUEUED, 1, False, {})
+    job = scheduler.workload.add(loaded, clock.monotonic())
+    scheduler.plan()
+    (task,) = job.tasks()
+    for step in job.steps.values():
+        step.dirty = False
+    scheduler.dispatch()
+    (on_result,) = scheduler.dispatcher.start_results
+    clock.advance(0.01)
+    on_result(None, clock.monotonic())
+    return task
+
+
+def report(scheduler, clock, received):
+    (instance,) = scheduler.instances.values()
+    sent_at = clock.monotonic()
+    clock.advance(0.01)
+    scheduler.handle_report(instance, ReceivedReport(received, sent_at, clock.monotonic()))
+    scheduler.plan()
+
+
+def test_start_confirmed_by_the_next_instance_is_not_repeated():
+    """Guard against TWICE: an idle worker restarts under its id and executes a start."""
+    clock = ManualClock(10.0)
+    scheduler, _ = make_scheduler(clock)
+    task = start_task(scheduler, clock)
+    report(scheduler, clock, WorkerReport(2, 500, (RunningTask(task.name, 1),), ()))
+    assert (task.phase, task.run, task.incarnation) == (TaskPhase.ASSIGNED, 1, 2)
+    report(scheduler, clock, WorkerReport(2, 510, (RunningTask(task.name, 1),), ()))
+    assert (task.phase, task.run, task.incarnation) == (TaskPhase.ASSIGNED, 1, 2)
+    assert not scheduler.dispatcher.stopped
+
+
+def test_run_that_the_crashed_instance_reported_is_queued_again_at_once():
+    clock = ManualClock(10.0)
+    scheduler, _ = make_scheduler(clock)
+    task = start_task(scheduler, clock)
+    report(scheduler, clock, WorkerReport(1, 500, (RunningTask(task.name, 1),), ()))
+    (instance,) = scheduler.instances.values()
+    received = ReceivedReport(WorkerReport(2, 5, (), ()), clock.monotonic(), clock.monotonic())
+    scheduler.handle_report(instance, received)
+    assert task.phase is TaskPhase.WAITING
+
+
+def test_stop_confirmed_by_the_last_instance_is_sent_to_the_next_one():
+    """Guard against TWICE: a restarted worker knows nothing of the starts it was to refuse."""
+    clock = ManualClock(10.0)
+    scheduler, entry = make_scheduler(clock)
+    task = start_task(scheduler, clock)
+    task.start_confirmed_at, task.unconfirmed_since = 0.0, clock.monotonic()
+    task.stop_sent_at = task.stop_confirmed_at = clock.monotonic()
+    clock.advance(0.01)
+    scheduler.fleet.apply_entries([replace(entry, born=2)])
+    report(scheduler, clock, WorkerReport(2, 500, (), ()))
+    assert (task.phase, task.run, task.incarnation) == (TaskPhase.ASSIGNED, 1, 2)
+    scheduler.dispatch()
+    assert scheduler.dispatcher.stopped == [(task.name, 1)]
+
+
+def test_draining_worker_that_answers_keeps_its_run_when_its_entry_vanishes():
+    """Guard against TWICE: entries expire while the store is down for the workers."""
+    clock = ManualClock(10.0)
+    scheduler, entry = make_scheduler(clock)
+    task = start_task(scheduler, clock)
+    scheduler.fleet.apply_entries([replace(entry, state=WorkerState.DRAINING, seq=1)])
+    running = WorkerReport(1, 500, (RunningTask(task.name, 1),), ())
+    report(scheduler, clock, running)
+    clock.advance(0.5)
+    scheduler.fleet.apply_entries([])
+    report(scheduler, clock, running)
+    assert (task.phase, task.run) == (TaskPhase.ASSIGNED, 1)
+    (instance,) = scheduler.instances.values()
+    instance.missed_polls = 1
+    scheduler.fleet.apply_entries([])
+    assert task.phase is TaskPhase.WAITING
+
+
+def test_silent_draining_worker_keeps_its_run_if_its_entry_may_have_expired():
+    """Guard against TWICE: an entry that was read late is older than it looks."""
+    clock = ManualClock(10.0)
+    scheduler, entry = make_scheduler(clock)
+    task = start_task(scheduler, clock)
+    clock.advance(2.0)
+    scheduler.fleet.apply_entries([replace(entry, state=WorkerState.DRAINING, seq=1)])
+    (instance,) = scheduler.instances.values()
+    instance.missed_polls = 2
+    clock.advance(2.5)
+    scheduler.fleet.apply_entries([])
+    assert (task.phase, task.run) == (TaskPhase.ASSIGNED, 1)
+
+
+def test_silent_worker_is_not_replaced_by_an_entry_that_answers_nothing():
+    """Guard against TWICE: any writer can leave an entry that names another worker's machine."""
+    clock = ManualClock(10.0)
+    scheduler, entry = make_scheduler(clock, machine="m")
+    task = start_task(scheduler, clock)
+    (instance,) = scheduler.instances.values()
+    instance.missed_polls = 2
+    other = replace(entry, id="odd", born=2, service="none")
+    for _ in range(3):
+        scheduler.fleet.apply_entries([entry, other])
+    assert (task.phase, task.run) == (TaskPhase.ASSIGNED, 1)
+    scheduler.instances["odd"].last_contact_at = clock.monotonic()
+    scheduler.fleet.apply_entries([entry, other])
+    assert task.phase is TaskPhase.WAITING
