Count the time in which the machine is suspended

Cause: the daemons' clock was CLOCK_MONOTONIC, which stands still while a machine is suspended. A leader that woke up counted its lease, the leases of its runs and its bounds of the store's clock as they had been, although its successor had waited them out. What callers would see: a start by the old leader on a worker that its successor could not reach, or that had restarted since and knew no fencing token: two runs of one task at a time. Change: CLOCK_BOOTTIME, also for the store's clock and for the arrival of requests, which are compared with it. Socket timeouts stay as they are, as they are not compared.

--- a/gypsumplank/platform/table.py
+++ b/gypsumplank/platform/table.py
@@ -1,7 +1,6 @@
 """Store the product's tables as rows of the platform's store, all in one partition."""
 
 import math
-import time
 from base64 import b64decode, b64encode
 from binascii import Error as Base64Error
 from dataclasses import dataclass
@@ -17,7 +16,7 @@
     StateUnknownError,
 )
 from gypsumplank.platform.client import Client, Response
-from gypsumplank.state.clock import ClockRange
+from gypsumplank.state.clock import ClockRange, steady_s
 from gypsumplank.state.feed import Changes
 from gypsumplank.state.table import SCAN_LIMIT, Row, Txn
 
@@ -59,7 +58,7 @@
 
     def clock_range(self) -> ClockRange:
         """Return bounds of the store's monotonic clock; unknown before any response."""
-        sample, now = self._clock_sample, time.monotonic()
+        sample, now = self._clock_sample, steady_s()
         if sample is None:
             return ClockRange()
         return ClockRange(
@@ -70,7 +69,7 @@
     def _update_clock(self, body: dict[str, Any], sent_at: float) -> None:
         reading_ms = body.get("now-ms")
         if isinstance(reading_ms, int):
-            self._clock_sample = ClockSample(reading_ms, sent_at, time.monotonic())
+            self._clock_sample = ClockSample(reading_ms, sent_at, steady_s())
 
     def get(self, table: str, key: str) -> Row | None:
         """Return one row."""
@@ -117,7 +116,7 @@
             if write.value is None
         ]
         body = {"expected-rev": checks, "writes": writes, "remove": deletes}
-        sent_at = time.monotonic()
+        sent_at = steady_s()
         try:
             resp = self._client.call("POST", PATH_TX, body, max_timeout_s=txn.timeout_s)
         except CallError as exc:
@@ -151,7 +150,7 @@
         return [_decode_row(raw) for raw in body["rows"]], bool(body.get("has-more"))
 
     def _read(self, path: str, wait_s: float, table: str) -> dict[str, Any]:
-        sent_at = time.monotonic()
+        sent_at = steady_s()
         try:
             resp = self._client.call("GET", path, extra_timeout_s=wait_s)
         except CallError as exc:
--- a/gypsumplank/state/clock.py
+++ b/gypsumplank/state/clock.py
@@ -17,9 +17,14 @@
     latest_ms: int = 0
 
 
+def steady_s() -> float:
+    """Return a monotonic time in seconds that goes on while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def suspended_s() -> float:
     """Return for how long this machine has been suspended since it booted, in seconds."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME) - time.clock_gettime(time.CLOCK_MONOTONIC)
+    return steady_s() - time.clock_gettime(time.CLOCK_MONOTONIC)
 
 
 class Clock(Protocol):
@@ -37,7 +42,7 @@
 
     def monotonic(self) -> float:
         """Return monotonic time in seconds, comparable only within this process."""
-        return time.monotonic()
+        return steady_s()
 
     def wall(self) -> float:
         """Return seconds since the epoch."""
--- a/gypsumplank/transport/admission.py
+++ b/gypsumplank/transport/admission.py
@@ -1,6 +1,5 @@
 """Keep requests out of waitress's threads until admission control grants them a slot."""
 
-import time
 from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
@@ -18,6 +17,7 @@
 from gypsumplank.protocol.header import parse_timeout_s, parse_urgency
 from gypsumplank.protocol.spec import ServiceSpec
 from gypsumplank.protocol.ticket import Ticket
+from gypsumplank.state.clock import steady_s
 from gypsumplank.transport.listener import ClosingDispatcher
 
 ENVIRON_TICKET = "gypsumplank.ticket"
@@ -141,7 +141,7 @@
     spec = services.get(service)
     if spec is None:
         return None
-    arrived = time.monotonic()
+    arrived = steady_s()
     headers = {
         name: request.headers[key]
         for name in (HEADER_TIMEOUT_MS, HEADER_TEAM, HEADER_PRIORITY)
--- a/gypsumplank/transport/caller.py
+++ b/gypsumplank/transport/caller.py
@@ -1,6 +1,5 @@
 """Serve callers' requests over HTTP."""
 
-import time
 import uuid
 from collections.abc import Callable, Iterable, Mapping
 from http import HTTPStatus
@@ -23,6 +22,7 @@
 from gypsumplank.protocol.problem import MEDIA_TYPE, encode_problem, from_refusal
 from gypsumplank.protocol.spec import DEFAULT_TIMEOUT_MS, ServiceSpec
 from gypsumplank.protocol.ticket import Ticket
+from gypsumplank.state.clock import steady_s
 from gypsumplank.transport.admission import ENVIRON_REFUSAL, ENVIRON_TICKET
 from gypsumplank.transport.listener import StartResponse
 
@@ -56,7 +56,7 @@
     def __call__(self, environ: dict[str, Any], start_response: StartResponse) -> Iterable[bytes]:
         """Handle one HTTP request."""
         ticket: Ticket | None = environ.get(ENVIRON_TICKET)
-        started = ticket.arrived_at if ticket else time.monotonic()
+        started = ticket.arrived_at if ticket else steady_s()
         headers = _request_headers(environ)
         request_id = headers.get(HEADER_REQUEST_ID) or uuid.uuid4().hex
         service = environ["PATH_INFO"].split("/", 2)[1]
@@ -70,7 +70,7 @@
                 reply = self._handler.handle(req)
         except RequestInvalidError as exc:
             reply = Refusal(exc.code, Outcome.NOT_RUN, exc.status, exc.detail)
-        ended = time.monotonic()
+        ended = steady_s()
         late = req is not None and ended > req.deadline
         disconnected = environ.get(ENVIRON_DISCONNECTED, _not_disconnected)()
         self._record_finish(
