Conclude nothing from a report that lists only some of a worker's ends

Cause: a worker lists 500 ends at a time. A run that had ended beyond these was in neither list of a report, which counted as proof that it was lost. What callers saw: after a store outage of 4.5 s, in which no end is acknowledged, work items ran again although they had ended done. Change: evidence.py decides when an unlisted run is over, and never from an incomplete list.

--- a/gypsumplank/coordination/job/dispatcher.py
+++ b/gypsumplank/coordination/job/dispatcher.py
@@ -7,9 +7,9 @@
 from contextlib import AbstractContextManager, nullcontext
 from typing import Any
 
+from gypsumplank.coordination.job.evidence import ReceivedReport
 from gypsumplank.coordination.job.instance import WorkerInstance
 from gypsumplank.coordination.job.port import WorkerControl
-from gypsumplank.coordination.job.report import ReceivedReport
 from gypsumplank.errors import WorkerError, WorkerRefusedError
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.worker import StartCommand, StartRefusal
--- a/gypsumplank/coordination/job/report.py
+++ b/gypsumplank/coordination/job/report.py
@@ -2,29 +2,20 @@
 
 import logging
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
 
 from gypsumplank.coordination.job.crash import give_up_if_deadly
+from gypsumplank.coordination.job.evidence import ReceivedReport, is_over_unlisted
 from gypsumplank.coordination.job.instance import WorkerInstance
 from gypsumplank.coordination.job.model import Task
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.job import TaskPhase
-from gypsumplank.protocol.worker import EndedTask, EndKind, RunningTask, WorkerReport
+from gypsumplank.protocol.worker import EndedTask, EndKind, RunningTask
 
 MaxAttempts = Callable[[Task], int]
 
 logger = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True)
-class ReceivedReport:
-    """Store a report and when its request was sent and answered, in monotonic seconds."""
-
-    report: WorkerReport
-    sent_at: float
-    answered_at: float
-
-
 def apply_report(
     instance: WorkerInstance, received: ReceivedReport, max_attempts: MaxAttempts
 ) -> Iterator[RunningTask]:
@@ -46,7 +37,7 @@
             _apply_end(instance, task, end, received.answered_at, max_attempts)
         elif running_task is not None and running_task.run == task.run:
             _update_run(task, running_task, received)
-        elif _is_provably_stopped(task, received):
+        elif is_over_unlisted(task, received):
             event(
                 logger,
                 Event.RUN_MISSING,
@@ -97,16 +88,6 @@
         task.unavailable_since = task.unavailable_since or received.answered_at
 
 
-def _is_provably_stopped(task: Task, received: ReceivedReport) -> bool:
-    """Return whether a run that the report does not list is over and can't start any more.
-
-    That is so if the report was requested after the worker confirmed its start or its stop.
-    """
-    if task.stop_confirmed_at:
-        return received.sent_at >= task.stop_confirmed_at
-    return bool(task.start_confirmed_at) and received.sent_at > task.start_confirmed_at
-
-
 def _apply_end(
     instance: WorkerInstance, task: Task, end: EndedTask, now: float, max_attempts: MaxAttempts
 ) -> None:
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -6,6 +6,7 @@
 
 from gypsumplank.coordination.job.crash import is_withheld
 from gypsumplank.coordination.job.dispatcher import WorkerDispatcher
+from gypsumplank.coordination.job.evidence import ReceivedReport
 from gypsumplank.coordination.job.fleet import EXTENSION_GRACE_S, Fleet
 from gypsumplank.coordination.job.instance import (
     REFUSAL_BACKOFF_S,
@@ -21,7 +22,7 @@
     runs_to_evacuate,
     stalled_runs,
 )
-from gypsumplank.coordination.job.report import ReceivedReport, apply_report, requeue_task
+from gypsumplank.coordination.job.report import apply_report, requeue_task
 from gypsumplank.coordination.job.throttle import SpeedChange, speed_changes
 from gypsumplank.coordination.job.workload import Workload
 from gypsumplank.errors import WorkerError, WorkerRefusedError
--- a/gypsumplank/coordination/job/term.py
+++ b/gypsumplank/coordination/job/term.py
@@ -5,11 +5,11 @@
 from typing import Protocol
 
 from gypsumplank.coordination.job.dispatcher import Post, WorkerDispatcher
+from gypsumplank.coordination.job.evidence import ReceivedReport
 from gypsumplank.coordination.job.instance import WorkerInstance
 from gypsumplank.coordination.job.machine import MachineController
 from gypsumplank.coordination.job.maintenance import MaintenancePlanner
 from gypsumplank.coordination.job.port import Advisor, Directory, WorkerControl
-from gypsumplank.coordination.job.report import ReceivedReport
 from gypsumplank.coordination.job.scaling import PoolScaler
 from gypsumplank.coordination.job.scheduler import Scheduler
 from gypsumplank.coordination.job.watch import JobWatch, PeriodicThread, ResyncLoop, StoreSnapshot
--- a/tests/coordination/job/test_evidence.py
+++ b/tests/coordination/job/test_evidence.py
@@ -1,8 +1,9 @@
 from dataclasses import replace
 
+from gypsumplank.coordination.job.evidence import ReceivedReport
 from gypsumplank.coordination.job.instance import WorkerClock, WorkerInstance
 from gypsumplank.coordination.job.model import Job
-from gypsumplank.coordination.job.report import ReceivedReport, apply_report
+from gypsumplank.coordination.job.report import apply_report
 from gypsumplank.protocol.job import StoredJob, TaskPhase
 from gypsumplank.protocol.worker import (
     EndedTask,
