Take no answer of one worker instance as proof about another

Cause: starts and stops name a worker by its id, which it keeps when it restarts. A start that the next instance had confirmed counted as a run of the last one; when a report named the next instance, the run was queued again while it was executed. And a stop that the last instance had confirmed counted at the next one, which would still execute a start that came late. What callers saw: two runs of one work item at the same time, where an idle worker restarts and is not heard of, such as behind a cut from the store: idle workers are not polled. Change: only a run that the last instance has reported ended with it. Any other goes over to the next instance, whose next report decides; if its start was never confirmed, it is stopped there first.

--- a/gypsumplank/coordination/job/evidence.py
+++ b/gypsumplank/coordination/job/evidence.py
@@ -26,3 +26,11 @@
     if task.stop_confirmed_at:
         return received.sent_at >= task.stop_confirmed_at
     return bool(task.start_confirmed_at) and received.sent_at > task.start_confirmed_at
+
+
+def was_reported(task: Task) -> bool:
+    """Return whether the worker instance that a task is assigned to has reported its run.
+
+    A confirmed start proves less, as the next instance of the worker may have confirmed it.
+    """
+    return task.last_reported_at > 0
--- a/gypsumplank/coordination/job/fleet.py
+++ b/gypsumplank/coordination/job/fleet.py
@@ -11,6 +11,7 @@
     record_loss,
 )
 from gypsumplank.coordination.job.dispatcher import WorkerDispatcher
+from gypsumplank.coordination.job.evidence import was_reported
 from gypsumplank.coordination.job.instance import WorkerClock, WorkerInstance, format_instance_id
 from gypsumplank.coordination.job.model import Task
 from gypsumplank.coordination.job.report import requeue_task
@@ -175,8 +176,8 @@
     ) -> None:
         """Replace an instance by the next one of the same worker.
 
-        Confirmed runs are requeued. Unconfirmed ones are assigned to the next instance, as a
-        delayed start may still arrive there.
+        Runs that the instance has reported ended with it. The next instance may have executed the
+        start of any other, or may still do so, as starts name the worker only.
         """
         tasks = list(instance.tasks.values())
         _log_crash(instance, entry)
@@ -185,7 +186,7 @@
         successor = self._add_instance(entry, now)
         for task in tasks:
             instance.tasks.pop(task.name, None)
-            if task.start_confirmed_at and not task.unconfirmed_since:
+            if was_reported(task):
                 event(
                     logger,
                     Event.RUN_MISSING,
@@ -198,7 +199,10 @@
                 requeue_task(instance, task, now)
                 continue
             task.incarnation = entry.born
-            task.unconfirmed_since = task.unconfirmed_since or now
+            if not task.start_confirmed_at:
+                task.unconfirmed_since = task.unconfirmed_since or now
+            # The next instance does not know of starts that the last one was told to refuse.
+            task.stop_sent_at = task.stop_confirmed_at = 0.0
             task.step.dirty = True
             successor.tasks[task.name] = task
             # A delayed start begins a full lease on the successor.
