Take a missing entry for an exit only if the worker does not answer

Cause: a draining worker whose entry vanished within 3.75 s of its last change counted as gone at once. Entries also vanish while the store is down for the workers, and the time of the change was that of the read that showed it, not of the change: after reads had failed for a while, an entry that expired counted as removed. What callers would see: the tasks of a worker that works on are started a second time. Change: the entry counts as changed after the last read that did not show the change, and the worker has left only if it also failed to answer two polls.

--- a/gypsumplank/coordination/job/fleet.py
+++ b/gypsumplank/coordination/job/fleet.py
@@ -45,6 +45,7 @@
         self.dispatcher: WorkerDispatcher | None = None
         self.instances: dict[str, WorkerInstance] = {}
         self.undecided_losses = UndecidedLosses()
+        self._entries_read_at = 0.0
 
     def restore(self, tasks: Sequence[Task], now: float) -> None:
         """Take up tasks that an earlier leader assigned; their runs may or may not exist."""
@@ -86,8 +87,13 @@
             self.instances[key] = placeholder
         return self.instances[key]
 
-    def apply_entries(self, entries: Sequence[WorkerEntry], complete: bool = True) -> None:
-        """Update the worker instances from the current registry entries.
+    def apply_entries(
+        self,
+        entries: Sequence[WorkerEntry],
+        complete: bool = True,
+        requested_at: float | None = None,
+    ) -> None:
+        """Update the worker instances from registry entries that were requested at a time.
 
         If the entries are not `complete`, a worker that responds is kept although it has no entry.
         """
@@ -114,9 +120,11 @@
                 continue
             if entry is None and not complete and instance.is_in_contact(now):
                 continue
-            if complete and instance.registered and self._left_cleanly(instance, now):
-                self.requeue_all(instance, now, "left")
+            if complete and instance.registered and self._was_removed_fresh(instance, now):
+                instance.has_deregistered = True
             instance.registered = False
+            if instance.has_deregistered and not instance.is_reachable:
+                self.requeue_all(instance, now, "left")
             if entry is not None and entry.born > instance.incarnation:
                 self.replace_incarnation(key, instance, entry, now)
             self.remove_if_idle(key, instance)
@@ -124,6 +132,7 @@
             is_ended = format_instance_id(entry.id, entry.born) in self._ended_instance_ids
             if entry.id not in self.instances and not is_ended:
                 self._add_instance(entry, now)
+        self._entries_read_at = now if requested_at is None else requested_at
         self.undecided_losses.decide(CurrentWorkers(self.instances, latest_by_machine), now)
 
     def _end_replaced(
@@ -136,10 +145,10 @@
         self.requeue_all(instance, now, "replaced")
         self._remove(key, instance)
 
-    def _left_cleanly(self, instance: WorkerInstance, now: float) -> bool:
-        """Return whether a worker without an entry had drained and exited cleanly."""
-        age_s = now - instance.entry_changed_at
-        draining = instance.entry.state is WorkerState.DRAINING and instance.entry_changed_at > 0
+    def _was_removed_fresh(self, instance: WorkerInstance, now: float) -> bool:
+        """Return whether a draining worker's entry is missing that can't have expired yet."""
+        age_s = now - instance.entry_changed_after
+        draining = instance.entry.state is WorkerState.DRAINING and instance.entry_changed_after > 0
         return draining and age_s < CLEAN_EXIT_MAX_AGE_HEARTBEATS * self.heartbeat_s
 
     def _add_instance(self, entry: WorkerEntry, now: float) -> WorkerInstance:
@@ -166,9 +175,10 @@
         if entry.state is not instance.entry.state or not instance.registered:
             event(logger, Event.WORKER_CHANGED, worker=instance.id, state=entry.state.value)
         instance.registered = True
+        instance.has_deregistered = False
         if entry.seq != instance.entry.seq:
             instance.clock.observe(entry.clock_ms, now)
-            instance.entry_changed_at = now
+            instance.entry_changed_after = self._entries_read_at
         instance.entry = entry
 
     def replace_incarnation(
--- a/gypsumplank/coordination/job/instance.py
+++ b/gypsumplank/coordination/job/instance.py
@@ -54,20 +54,22 @@
     """Represent one instance of a worker; times are monotonic seconds.
 
     `incarnation` is the worker's start in ms since 1970. `registered` tells whether the worker has
-    an entry, and `entry_changed_at` when that was last seen to change. All leases that were granted
-    end by `leased_until`; while `extension_suspended` is set, none is extended. `last_seen_end` and
-    `last_acked_end` number the task ends that were processed and acknowledged. A `cordoned` worker
-    gets no new tasks, one with `maintenance_due` gets long-running tasks last, and a `detached` one
-    is no longer polled. `is_down` is set once the platform lists its machine as down, and
-    `has_unassigned_runs` is set while the worker executes runs that are not
-    assigned to it. `wake` ends the wait of the polling thread before its next poll.
+    an entry, and `entry_changed_after` when it was last known not to have changed yet. A worker
+    that `has_deregistered` removed its entry on leaving, or that expired. All leases that were
+    granted end by `leased_until`; while `extension_suspended` is set, none is extended.
+    `last_seen_end` and `last_acked_end` number the task ends that were processed and acknowledged.
+    A `cordoned` worker gets no new tasks, one with `maintenance_due` gets long-running tasks last,
+    and a `detached` one is no longer polled. `is_down` is set once the platform lists its machine
+    as down, and `has_unassigned_runs` is set while the worker executes runs that are not assigned
+    to it. `wake` ends the wait of the polling thread before its next poll.
     """
 
     entry: WorkerEntry
     incarnation: int
     clock: WorkerClock
     registered: bool = True
-    entry_changed_at: float = 0.0
+    entry_changed_after: float = 0.0
+    has_deregistered: bool = False
     last_contact_at: float = 0.0
     missed_polls: int = 0
     leased_until: float = 0.0
--- a/gypsumplank/coordination/job/leader.py
+++ b/gypsumplank/coordination/job/leader.py
@@ -330,7 +330,7 @@
         workload = term.scheduler.workload
         complete = self._clock.monotonic() >= self._store_recovered_at + ENTRY_RECOVERY_S
         term.scheduler.fleet.apply_entries(
-            snapshot.entries, complete and not self._store_unavailable
+            snapshot.entries, complete and not self._store_unavailable, snapshot.requested_at
         )
         for job_id in snapshot.pending - workload.jobs.keys():
             row = self._ports.store.find_order(job_id)
--- a/gypsumplank/coordination/job/term.py
+++ b/gypsumplank/coordination/job/term.py
@@ -143,7 +143,7 @@
         on_new_jobs: Callable[[Sequence[Row]], None],
     ) -> Sequence[PeriodicThread]:
         """Create the threads that follow entries and new jobs after a version of the store."""
-        resync = ResyncLoop(self._ports.store, self._ports.directory, on_snapshot)
+        resync = ResyncLoop(self._ports.store, self._ports.directory, self._clock, on_snapshot)
         return (resync, JobWatch(self._ports.feed, after, on_new_jobs))
 
 
--- a/gypsumplank/coordination/job/watch.py
+++ b/gypsumplank/coordination/job/watch.py
@@ -9,6 +9,7 @@
 from gypsumplank.errors import StateError, StateHistoryLostError
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.worker import WorkerEntry
+from gypsumplank.state.clock import Clock
 from gypsumplank.state.feed import ChangeFeed
 from gypsumplank.state.job import TABLE_ORDERS, JobStore
 from gypsumplank.state.table import Row
@@ -25,8 +26,12 @@
 
 @dataclass(frozen=True)
 class StoreSnapshot:
-    """Store one full read: worker entries, and identifiers of pending and cancelled jobs."""
+    """Store one full read: worker entries, and identifiers of pending and cancelled jobs.
 
+    `requested_at` is when the read began, in monotonic seconds.
+    """
+
+    requested_at: float
     entries: tuple[WorkerEntry, ...]
     pending: frozenset[str]
     cancels: frozenset[str]
@@ -80,9 +85,14 @@
     """Read entries and jobs in full at intervals, in case the change feed misses changes."""
 
     def __init__(
-        self, store: JobStore, directory: Directory, publish: Callable[[StoreSnapshot], None]
+        self,
+        store: JobStore,
+        directory: Directory,
+        clock: Clock,
+        publish: Callable[[StoreSnapshot], None],
     ) -> None:
         super().__init__("survey", RESYNC_INTERVAL_S)
+        self._clock = clock
         self._store = store
         self._directory = directory
         self._publish = publish
@@ -91,6 +101,7 @@
         """Read once and publish the snapshot."""
         self._publish(
             StoreSnapshot(
+                self._clock.monotonic(),
                 tuple(self._directory.workers()),
                 frozenset(self._store.all_pending()),
                 frozenset(self._store.cancelled_jobs()),
--- a/tests/coordination/job/cluster.py
+++ b/tests/coordination/job/cluster.py
@@ -327,6 +327,7 @@
     def _send_snapshot(self):
         try:
             snapshot = StoreSnapshot(
+                self.cluster.clock.now,
                 tuple(self.directory.workers()),
                 frozenset(self.store.all_pending()),
                 frozenset(self.store.cancelled_jobs()),
--- a/tests/coordination/job/test_fleet.py
+++ b/tests/coordination/job/test_fleet.py
@@ -175,6 +175,9 @@
     (instance,) = scheduler.instances.values()
     instance.missed_polls = 1
     scheduler.fleet.apply_entries([])
+    assert (task.phase, task.run) == (TaskPhase.ASSIGNED, 1)
+    instance.missed_polls = 2
+    scheduler.fleet.apply_entries([])
     assert task.phase is TaskPhase.WAITING
 
 
