End a silent worker for a later one on its machine only once that has answered

Cause: any later entry that names a machine counted as proof that the machine's earlier worker was over, whoever had written the entry. What callers would see: the tasks of a worker that was out of touch for 3 s and works on are started a second time. Change: the later worker must have answered a poll, in which it is named by its id. Where the list of machines does not show the crash first, a restart comes one read of the entries, half a second, later.

--- a/gypsumplank/coordination/job/crash.py
+++ b/gypsumplank/coordination/job/crash.py
@@ -8,7 +8,6 @@
 from gypsumplank.coordination.job.model import Task
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.job import FINAL_JOB_STATES, LostWorker, TaskPhase
-from gypsumplank.protocol.worker import WorkerEntry
 
 # Workers that have to crash right after they started a task before it is given up.
 MAX_CRASHES_AT_START = 3
@@ -27,10 +26,10 @@
 
 @dataclass(frozen=True)
 class CurrentWorkers:
-    """Store which workers exist: known instances by worker, and each machine's latest entry."""
+    """Store known instances by worker, and the latest on each machine that has answered."""
 
     instances: Mapping[str, WorkerInstance]
-    latest_by_machine: Mapping[str, WorkerEntry]
+    latest_by_machine: Mapping[str, WorkerInstance]
 
 
 def record_crash(tasks: Iterable[Task], last_contact_at: float) -> None:
@@ -139,7 +138,7 @@
     latest = workers.latest_by_machine.get(lost.machine)
     has_restarted = instance is not None and instance.incarnation > lost.born
     return has_restarted or (
-        latest is not None and latest.id != lost.worker and latest.born > lost.born
+        latest is not None and latest.id != lost.worker and latest.incarnation > lost.born
     )
 
 
--- a/gypsumplank/coordination/job/fleet.py
+++ b/gypsumplank/coordination/job/fleet.py
@@ -104,16 +104,12 @@
             if format_instance_id(entry.id, entry.born) not in self._ended_instance_ids
         ]
         entries_by_id = {entry.id: entry for entry in entries}
-        latest_by_machine = {
-            entry.machine: entry
-            for entry in sorted(entries, key=lambda entry: entry.born)
-            if entry.machine
-        }
+        latest_by_machine = self._latest_answering()
         for key, instance in list(self.instances.items()):
             entry = entries_by_id.get(instance.id)
-            successor = latest_by_machine.get(instance.entry.machine)
-            if successor is not None and _is_replaced(instance, successor, now):
-                self._end_replaced(key, instance, successor, now)
+            latest = latest_by_machine.get(instance.entry.machine)
+            if latest is not None and _is_replaced(instance, latest, now):
+                self._end_replaced(key, instance, latest.entry, now)
                 continue
             if entry is not None and not instance.detached and entry.born == instance.incarnation:
                 self._update_entry(instance, entry, now)
@@ -135,6 +131,15 @@
         self._entries_read_at = now if requested_at is None else requested_at
         self.undecided_losses.decide(CurrentWorkers(self.instances, latest_by_machine), now)
 
+    def _latest_answering(self) -> dict[str, WorkerInstance]:
+        """Return the latest worker on each machine that has answered; an entry proves nothing."""
+        answering = (each for each in self.instances.values() if each.last_contact_at)
+        return {
+            instance.entry.machine: instance
+            for instance in sorted(answering, key=lambda each: each.incarnation)
+            if instance.entry.machine
+        }
+
     def _end_replaced(
         self, key: str, instance: WorkerInstance, successor: WorkerEntry, now: float
     ) -> None:
@@ -302,12 +307,12 @@
         self._remove(instance.id, instance)
 
 
-def _is_replaced(instance: WorkerInstance, latest: WorkerEntry, now: float) -> bool:
+def _is_replaced(instance: WorkerInstance, latest: WorkerInstance, now: float) -> bool:
     """Return whether the latest worker on an instance's machine shows that the instance is over.
 
     A worker that answers is never taken for replaced, whatever the order of the start times is.
     """
-    is_later = latest.id != instance.id and latest.born > instance.incarnation
+    is_later = latest.id != instance.id and latest.incarnation > instance.incarnation
     return is_later and not instance.is_in_contact(now)
 
 
