Play workers that restart unheard of in the simulated cluster

The simulation polled idle workers in each step, which the daemons do not, and showed each restart in the entries at once. It now leaves idle workers alone, and a worker can be cut from the registry.

--- a/standins/simulator.py
+++ b/standins/simulator.py
@@ -125,6 +125,7 @@
         self.room_changes: list[RoomChange] = []
         self.registry_unavailable = False
         self.max_listed_ends = MAX_LISTED_ENDS
+        self._cut_off_entries: dict[str, tuple[float, WorkerEntry]] = {}
         self._returns: list[tuple[float, str]] = []
 
     def add(self, name: str, service: str, room: Resources, machine: str = "") -> SimulatedWorker:
@@ -141,15 +142,33 @@
     def entries(self) -> list[WorkerEntry]:
         """Return the registrations of all workers that are up, or crashed lately."""
         return [
-            replace(
+            entry
+            for entry in map(self._registered_entry, self.workers.values())
+            if entry is not None
+        ]
+
+    def _registered_entry(self, worker: SimulatedWorker) -> WorkerEntry | None:
+        since, entry = self._cut_off_entries.get(worker.entry.id, (self.now, None))
+        if entry is not None:
+            return entry if self.now < since + ENTRY_TTL_S else None
+        if worker.up or self.now < worker.crashed_at + self.entry_ttl_s:
+            return replace(
                 worker.entry,
                 room=worker.reported_room,
                 clock_ms=self._clock_ms(worker, worker.reported_at),
                 seq=int(worker.reported_at / HEARTBEAT_INTERVAL_S),
             )
-            for worker in self.workers.values()
-            if worker.up or self.now < worker.crashed_at + self.entry_ttl_s
-        ]
+        return None
+
+    def cut_from_registry(self, name: str) -> None:
+        """Keep a worker's entry as it is until it expires; calls reach the worker."""
+        entry = self._registered_entry(self.workers[name])
+        if entry is not None:
+            self._cut_off_entries.setdefault(name, (self.now, entry))
+
+    def reconnect_registry(self, name: str) -> None:
+        """Let a worker write its entry again."""
+        self._cut_off_entries.pop(name, None)
 
     def set_room(self, name: str, room: Resources) -> None:
         """Change a worker's capacity; what runs goes on."""
--- a/tests/coordination/job/cluster.py
+++ b/tests/coordination/job/cluster.py
@@ -41,9 +41,13 @@
 
 
 class SteppedDispatcher:
-    """Send commands immediately, and poll every worker once per step."""
+    """Send commands immediately, and poll the workers once per step.
 
-    def __init__(self, control, clock, post, token, may_extend_leases, on_report):
+    Unless `polls_idle` is set, idle ones are left alone, as the real dispatcher does for 30 s.
+    """
+
+    def __init__(self, control, clock, post, token, may_extend_leases, on_report, polls_idle):
+        self.polls_idle = polls_idle
         self.control, self.clock, self.post = control, clock, post
         self.token, self.may_extend_leases, self.on_report = token, may_extend_leases, on_report
         self.instances = []
@@ -100,6 +104,9 @@
     def poll_now(self, *selected):
         for instance in selected or list(self.instances):
             now = self.clock.monotonic()
+            is_idle = instance.last_contact_at and not (instance.missed_polls or instance.is_busy)
+            if is_idle and not self.polls_idle and not selected:
+                continue
             extend = instance.tasks and not instance.missed_polls and self.may_extend_leases()
             until_ms = instance.try_extend_leases(now, LEASE_S) if extend else None
             try:
@@ -119,14 +126,20 @@
 class SteppedTermFactory:
     """Create dispatchers that the simulation steps."""
 
-    def __init__(self, control, clock):
-        self.control, self.clock = control, clock
+    def __init__(self, control, clock, polls_idle):
+        self.control, self.clock, self.polls_idle = control, clock, polls_idle
         self.dispatcher = None
         self.on_snapshot = None
 
     def create_dispatcher(self, token, post, may_extend_leases, on_report):
         self.dispatcher = SteppedDispatcher(
-            self.control, self.clock, post, token, may_extend_leases, on_report
+            self.control,
+            self.clock,
+            post,
+            token,
+            may_extend_leases,
+            on_report,
+            self.polls_idle,
         )
         return self.dispatcher
 
@@ -274,7 +287,9 @@
         cluster = self.cluster
         self.suspended = False
         store = JobStore(self.table)
-        self.term_factory = SteppedTermFactory(cluster.simulated_workers, cluster.clock)
+        self.term_factory = SteppedTermFactory(
+            cluster.simulated_workers, cluster.clock, cluster.polls_idle
+        )
         self.leases = LeaseManager(
             LeaseStore(self.table), cluster.clock, self.name, 2.0, 0.1, cluster.store_clock
         )
@@ -340,7 +355,8 @@
 class SimulatedCluster:
     """Simulate a whole cluster, and check the runs that its workers have seen."""
 
-    def __init__(self, seed, daemons=2, workers=3):
+    def __init__(self, seed, daemons=2, workers=3, polls_idle=True):
+        self.polls_idle = polls_idle
         self.rng = random.Random(seed)
         self.clock = ManualClock(100.0)
         self.table = MemoryFeedTable()
--- a/tests/coordination/job/test_evidence.py
+++ b/tests/coordination/job/test_evidence.py
@@ -1,5 +1,7 @@
 from dataclasses import replace
 
+import pytest
+
 from gypsumplank.coordination.job.evidence import ReceivedReport
 from gypsumplank.coordination.job.instance import WorkerClock, WorkerInstance
 from gypsumplank.coordination.job.model import Job
@@ -58,3 +60,29 @@
     cluster.run(8.0)
     assert not cluster.violations()
     assert [cluster.state(job) for job in jobs] == ["completed"] * len(jobs)
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_workers_that_restart_unheard_of_run_nothing_twice(seed):
+    """Guard against TWICE: idle workers are not polled, and a cut keeps their entries."""
+    cluster = SimulatedCluster(seed, workers=4, polls_idle=False)
+    workers, rng = cluster.simulated_workers, cluster.rng
+    cluster.run(1.0)
+    for number in range(40):
+        name = f"w{rng.randrange(4)}"
+        if rng.random() < 0.4:
+            workers.cut_from_registry(name)
+            workers.crash(name)
+            workers.restart(name)
+        for each in workers.workers:
+            if rng.random() < 0.1:
+                workers.reconnect_registry(each)
+        workers.response_loss_share = 0.2 if rng.random() < 0.2 else 0.0
+        cluster.submit(f"{number:016x}")
+        cluster.run(rng.random() * 1.5)
+    workers.response_loss_share = 0.0
+    for name in workers.workers:
+        workers.reconnect_registry(name)
+    cluster.run(20.0)
+    assert not cluster.violations()
+    assert {cluster.state(f"{number:016x}") for number in range(40)} == {"completed"}
