Judge stalled runs by their own pace, their estimate and the worker's other runs

Cause: a run counted as stalled once its whole percentage had stood still for 1.6 s. An item of over 160 s changes it less often, on a slow worker or on the wrong rack one of 7 s already.

Change: the time that a run may stand still is now at least 1.6 s, and 8 times the longest that one percent took in this run (a worker may turn slow by 8), or, while that is not known, 24 times what the estimate says. Beside a run that has gone on since, the factor for a slow worker is what that run shows. A task's further stalls double the time, so that a wrong estimate stops no item for ever. A run that is held at no speed is not judged, one at a part of its speed by that part.

--- a/gypsumplank/coordination/job/preemption.py
+++ b/gypsumplank/coordination/job/preemption.py
@@ -1,7 +1,9 @@
 """Choose runs to stop: on draining workers, in favour of long-running tasks, or stalled ones."""
 
+import math
 from collections.abc import Iterable, Iterator, Sequence
 
+from gypsumplank.coordination.job.demand import DEFAULT_ESTIMATE_MS
 from gypsumplank.coordination.job.instance import FULL_CAPACITY_PERCENT, WorkerInstance
 from gypsumplank.coordination.job.model import Task
 from gypsumplank.coordination.job.placement import resource_need
@@ -14,9 +16,19 @@
 # Time in the queue after which a long-running task preempts others, seconds; a sixth of what the
 # platform allows.
 PREEMPTION_WAIT_S = 0.5
-# Time without progress after which a run counts as stalled, seconds; longer than one long poll
-# (LONG_POLL_S in dispatcher.py, 1 s), after which a worker reports a run's progress at the latest.
-STALL_TIMEOUT_S = 1.6
+# Shortest time without progress after which a run counts as stalled, seconds; longer than one long
+# poll (LONG_POLL_S in dispatcher.py, 1 s), after which a worker reports a run's progress at the
+# latest.
+MIN_STALL_TIMEOUT_S = 1.6
+# Factor by which a sound worker may be slow, and turn slow during a run.
+SLOW_WORKER_FACTOR = 8.0
+# Factor by which a sound run may exceed its estimate at full speed: the platform's largest for a
+# run on the wrong rack.
+ESTIMATE_FACTOR = 3.0
+# Factor between the paces of runs on one worker up to which they tell of each other.
+SHARED_PACE_FACTOR = 3.0
+# Number of times for which the stall timeout of a task is doubled at most.
+MAX_STALL_DOUBLINGS = 20
 # Time after which a stop that freed no resources counts as failed, seconds; a third more than the
 # platform's longest stop.
 STOP_TIMEOUT_S = 1.2
@@ -65,10 +77,54 @@
             continue
         for task in instance.tasks.values():
             watched = task.should_run and not task.step.order.lasting and task.progressed_at
-            if watched and task.last_reported_at - task.progressed_at > STALL_TIMEOUT_S:
+            if not watched or not task.speed_limit_percent:
+                continue
+            still_since = max(task.progressed_at, task.speed_limit_set_at)
+            still_s = task.last_reported_at - still_since
+            if still_s > MIN_STALL_TIMEOUT_S and still_s > _stall_timeout_s(task, instance):
                 yield task
 
 
+def _stall_timeout_s(task: Task, instance: WorkerInstance) -> float:
+    """Return how long a run's whole percentage may stand still before it counts as stalled.
+
+    That follows from the run's own pace, or else from its estimate, and from how slow the worker
+    may be. It doubles with each stall of the task, so that a wrong estimate stops no run for ever.
+    """
+    percent_s = task.max_percent_s or ESTIMATE_FACTOR * _estimated_percent_s(task)
+    doublings = min(task.stalls, MAX_STALL_DOUBLINGS)
+    speed = task.speed_limit_percent / 100
+    return percent_s * _slowdown_bound(task, instance) * 2**doublings / speed
+
+
+def _slowdown_bound(task: Task, instance: WorkerInstance) -> float:
+    """Return the factor by which a worker may be slow, as its other runs show.
+
+    Only a run that has progressed since this one did shows it. The pace of a gang depends on other
+    workers too, that of a best-effort run on the capacity that is left.
+    """
+    if not _has_steady_pace(task):
+        return SLOW_WORKER_FACTOR
+    slowdowns = [
+        max(other.percent_s, other.last_reported_at - other.progressed_at)
+        / min(other.max_percent_s, _estimated_percent_s(other))
+        for other in instance.tasks.values()
+        if other.percent_s and other.progressed_at > task.progressed_at and _has_steady_pace(other)
+    ]
+    return min(SLOW_WORKER_FACTOR, SHARED_PACE_FACTOR * max(slowdowns, default=math.inf))
+
+
+def _has_steady_pace(task: Task) -> bool:
+    """Return whether a run's pace depends on the run and its worker only, as far as is known."""
+    order = task.step.order
+    return not (order.lasting or order.fills or order.gang) and order.estimate_ms > 0
+
+
+def _estimated_percent_s(task: Task) -> float:
+    """Return how long one percent of a run takes according to its estimate."""
+    return (task.step.order.estimate_ms or DEFAULT_ESTIMATE_MS) / 1000 / 100
+
+
 def choose_preemptions(task: Task, instances: Sequence[WorkerInstance], now: float) -> list[Task]:
     """Return the runs of one worker to stop so that a queued long-running task fits there.
 
--- a/gypsumplank/coordination/job/report.py
+++ b/gypsumplank/coordination/job/report.py
@@ -69,13 +69,11 @@
 
 
 def _update_run(task: Task, running: RunningTask, received: ReceivedReport) -> None:
-    if not task.progressed_at or running.percent != task.percent:
-        task.progressed_at = received.answered_at
+    task.record_progress(running.percent, received.answered_at)
     task.last_reported_at = received.answered_at
     task.sent_at = task.sent_at or received.sent_at
     task.start_confirmed_at = task.start_confirmed_at or received.answered_at
     task.unconfirmed_since = 0.0
-    task.percent = running.percent
     task.load = running.load
     if running.checkpoint:
         task.checkpoint = running.checkpoint
--- a/tests/coordination/job/test_preemption.py
+++ b/tests/coordination/job/test_preemption.py
@@ -1,6 +1,6 @@
 from gypsumplank.coordination.job.instance import WorkerClock, WorkerInstance
 from gypsumplank.coordination.job.model import Job
-from gypsumplank.coordination.job.preemption import choose_preemptions
+from gypsumplank.coordination.job.preemption import choose_preemptions, stalled_runs
 from gypsumplank.protocol.job import JobDefinition, Resources, StepDefinition, StoredJob
 from gypsumplank.protocol.worker import WorkerEntry, WorkerState
 
@@ -47,3 +47,80 @@
         assign_run(worker, task)
     (long_running,) = make_tasks("more", lasting=True)
     assert choose_preemptions(long_running, [worker], NOW) == []
+
+
+def start_run(instance, name, estimate_s, **kind):
+    (task,) = make_tasks(name, estimate_ms=int(estimate_s * 1000), **kind)
+    assign_run(instance, task)
+    return task
+
+
+def report_progress(instance, task, seconds_per_percent, until_s, start_s=NOW):
+    """Report the run's percentage each second until a time, and once at that time."""
+    for second in range(int(start_s), int(until_s) + 1):
+        task.record_progress(int((second - start_s) / seconds_per_percent), float(second))
+        task.last_reported_at = instance.last_contact_at = float(second)
+
+
+def stand_still(instance, tasks, until_s):
+    for task in tasks:
+        task.last_reported_at = float(until_s)
+    instance.last_contact_at = float(until_s)
+
+
+def stalled_at(instance, now):
+    return list(stalled_runs([instance], now))
+
+
+def test_run_that_is_held_at_no_speed_is_not_stalled():
+    worker = make_instance("a")
+    task = start_run(worker, "job", 1.0, fills=True)
+    report_progress(worker, task, 0.01, NOW + 1)
+    task.speed_limit_percent, task.speed_limit_set_at = 0, NOW + 1
+    stand_still(worker, [task], NOW + 60)
+    assert stalled_at(worker, NOW + 60) == []
+    task.speed_limit_percent, task.speed_limit_set_at = 100, NOW + 60
+    stand_still(worker, [task], NOW + 61)
+    assert stalled_at(worker, NOW + 61) == []
+    stand_still(worker, [task], NOW + 62)
+    assert stalled_at(worker, NOW + 62) == [task]
+
+
+def test_run_at_a_quarter_of_its_speed_is_not_stalled():
+    worker = make_instance("a")
+    task = start_run(worker, "job", 10.0, fills=True)
+    task.speed_limit_percent = 25
+    report_progress(worker, task, 5.0, NOW + 4)
+    assert stalled_at(worker, NOW + 4) == []
+
+
+def test_stuck_run_is_found_sooner_beside_runs_that_progress():
+    worker = make_instance("a")
+    stuck = start_run(worker, "stuck", 600.0, cpu=1000)
+    other = start_run(worker, "other", 600.0, cpu=1000)
+    report_progress(worker, stuck, 6.0, NOW + 60)
+    report_progress(worker, other, 6.0, NOW + 84)
+    stand_still(worker, [stuck], NOW + 84)
+    assert stalled_at(worker, NOW + 84) == [stuck]
+
+
+def test_run_that_slows_down_with_the_others_of_its_worker_is_not_stalled():
+    worker = make_instance("a")
+    runs = [start_run(worker, name, 600.0, cpu=1000) for name in ("b", "c")]
+    for run in runs:
+        report_progress(worker, run, 6.0, NOW + 60)
+    # The worker turns slow right after one of them has progressed once more.
+    runs[1].record_progress(11, NOW + 61)
+    for second in range(61, 100):
+        stand_still(worker, runs, NOW + second)
+        assert stalled_at(worker, NOW + second) == []
+
+
+def test_gang_that_waits_for_a_slow_worker_is_not_stalled():
+    worker = make_instance("a")
+    member = start_run(worker, "gang", 600.0, cpu=1000, gang=True)
+    other = start_run(worker, "other", 600.0, cpu=1000)
+    report_progress(worker, member, 6.0, NOW + 60)
+    report_progress(worker, other, 6.0, NOW + 100)
+    stand_still(worker, [member], NOW + 100)
+    assert stalled_at(worker, NOW + 100) == []
