Close the connections to workers that are gone

Cause: the connection pool of each worker address was kept for ever.

Change: a pool that was not used for 60 s is dropped. Its connections are closed once no call uses it any more, so that no call in flight is cut off. A worker that runs tasks is polled all the time.

--- a/gypsumplank/platform/worker.py
+++ b/gypsumplank/platform/worker.py
@@ -1,6 +1,8 @@
 """Send leases and task orders to workers over the platform's HTTP API."""
 
+import itertools
 import threading
+from collections import OrderedDict
 from typing import Any
 
 import msgspec
@@ -16,6 +18,7 @@
     WorkerEntry,
     WorkerReport,
 )
+from gypsumplank.state.clock import Clock, SystemClock
 
 PATH_HOLD = "/api/hold"
 PATH_START = "/api/run-start"
@@ -33,6 +36,9 @@
 ORDER_TIMEOUT_S = 0.3
 # One connection carries the long poll for ended tasks, the others carry orders.
 CONNECTIONS_PER_WORKER = 16
+# Time without calls after which the connections to a worker are closed, seconds; one that runs
+# tasks is polled all the time.
+IDLE_TIMEOUT_S = 60.0
 
 
 class WireReport(msgspec.Struct, rename="kebab"):
@@ -47,11 +53,14 @@
 class HttpWorkers:
     """Send orders to workers, each over its own connection pool.
 
-    Every method may raise WorkerRefusedError, or WorkerUnknownError if the outcome is unknown.
+    Every method may raise WorkerRefusedError, or WorkerUnknownError if the outcome is unknown. The
+    pools of workers that are gone are closed.
     """
 
-    def __init__(self) -> None:
-        self._clients: dict[str, Client] = {}
+    def __init__(self, clock: Clock | None = None) -> None:
+        self._clock = clock or SystemClock()
+        self._clients: OrderedDict[str, Client] = OrderedDict()
+        self._used_at: dict[str, float] = {}
         self._lock = threading.Lock()
 
     def poll(
@@ -114,10 +123,27 @@
         raise WorkerRefusedError(reason, f"{worker.id}{path}: {reason}")
 
     def _client(self, address: str) -> Client:
+        now = self._clock.monotonic()
         with self._lock:
-            if address not in self._clients:
-                self._clients[address] = Client(address, ORDER_TIMEOUT_S, CONNECTIONS_PER_WORKER)
-            return self._clients[address]
+            client = self._clients.get(address)
+            if client is None:
+                client = Client(address, ORDER_TIMEOUT_S, CONNECTIONS_PER_WORKER)
+                self._clients[address] = client
+            self._clients.move_to_end(address)
+            self._used_at[address] = now
+            self._drop_idle_clients(now)
+            return client
+
+    def _drop_idle_clients(self, now: float) -> None:
+        """Drop clients that were not used for long.
+
+        The connections of a client are closed once no call uses it any more.
+        """
+        idle = itertools.takewhile(
+            lambda address: now - self._used_at[address] > IDLE_TIMEOUT_S, self._clients
+        )
+        for address in list(idle):
+            del self._clients[address], self._used_at[address]
 
 
 def _refusal_reason(resp: Response) -> str | None:
