Bound the connections that are kept to all workers

Cause: up to 16 connections were kept to each worker, whatever their number.

What callers would have seen: with 400 workers and more that are 6,400 descriptors, of 4,100 that a machine has, half of which are for callers.

Change: at most 0.4 of the descriptors are for connections to workers that are kept while they are not in use. The number that is kept to each worker is halved as often as that needs (with 4,100 descriptors: 16 up to 102 workers, 8 up to 205, 4 up to 410, 2 up to 820), and the pools are made anew; calls in flight go on. With more than 1,640 workers the one not used for longest has none.

Tests: on the code before (with the new parameter accepted, without effect) two of the three new ones failed, as more than 12 and 4 connections stayed open to six workers; the third, that a call in flight ends, passes on both.

--- a/gypsumplank/composition/platform.py
+++ b/gypsumplank/composition/platform.py
@@ -64,6 +64,8 @@
 # Share of the file descriptors for callers' connections; the rest is for files, workers, the store
 # and other daemons.
 CALLER_DESCRIPTOR_SHARE = 0.5
+# Share of the file descriptors for connections to workers that are kept while they are not in use.
+WORKER_DESCRIPTOR_SHARE = 0.4
 SETTINGS_POLL_S = 1.0
 
 logger = logging.getLogger("gypsumplank.daemon")
@@ -131,7 +133,7 @@
             job_store,
             self._fleet_rows,
             self._directory,
-            HttpWorkers(),
+            HttpWorkers(self._clock, int(settings.max_descriptors * WORKER_DESCRIPTOR_SHARE)),
             leases,
             advisor,
             store_clock,
--- a/gypsumplank/platform/worker.py
+++ b/gypsumplank/platform/worker.py
@@ -34,8 +34,11 @@
 # Added to the requested wait; a healthy worker responds within milliseconds after it.
 HOLD_TIMEOUT_S = 0.8
 ORDER_TIMEOUT_S = 0.3
-# One connection carries the long poll for ended tasks, the others carry orders.
+# Most connections kept to one worker; one carries the long poll for ended tasks, the others carry
+# orders.
 CONNECTIONS_PER_WORKER = 16
+# Most connections kept to all workers.
+MAX_KEPT_CONNECTIONS = 1600
 # Time without calls after which the connections to a worker are closed, seconds; one that runs
 # tasks is polled all the time.
 IDLE_TIMEOUT_S = 60.0
@@ -54,11 +57,16 @@
     """Send orders to workers, each over its own connection pool.
 
     Every method may raise WorkerRefusedError, or WorkerUnknownError if the outcome is unknown. The
-    pools of workers that are gone are closed.
+    pools of workers that are gone are closed. Connections that are not in use are kept up to
+    `max_connections` in total; the more workers there are, the fewer each.
     """
 
-    def __init__(self, clock: Clock | None = None) -> None:
+    def __init__(
+        self, clock: Clock | None = None, max_connections: int = MAX_KEPT_CONNECTIONS
+    ) -> None:
         self._clock = clock or SystemClock()
+        self._max_connections = max(1, max_connections)
+        self._connections_per_worker = min(CONNECTIONS_PER_WORKER, self._max_connections)
         self._clients: OrderedDict[str, Client] = OrderedDict()
         self._used_at: dict[str, float] = {}
         self._lock = threading.Lock()
@@ -125,17 +133,17 @@
     def _client(self, address: str) -> Client:
         now = self._clock.monotonic()
         with self._lock:
-            client = self._clients.get(address)
-            if client is None:
-                client = Client(address, ORDER_TIMEOUT_S, CONNECTIONS_PER_WORKER)
-                self._clients[address] = client
+            if address not in self._clients:
+                self._make_room(now)
+                self._clients[address] = Client(
+                    address, ORDER_TIMEOUT_S, self._connections_per_worker
+                )
             self._clients.move_to_end(address)
             self._used_at[address] = now
-            self._drop_idle_clients(now)
-            return client
+            return self._clients[address]
 
-    def _drop_idle_clients(self, now: float) -> None:
-        """Drop clients that were not used for long.
+    def _make_room(self, now: float) -> None:
+        """Drop clients that are idle or too large, so that one more keeps to the limit.
 
         The connections of a client are closed once no call uses it any more.
         """
@@ -143,7 +151,18 @@
             lambda address: now - self._used_at[address] > IDLE_TIMEOUT_S, self._clients
         )
         for address in list(idle):
-            del self._clients[address], self._used_at[address]
+            self._drop(address)
+        if len(self._clients) >= self._max_connections:
+            self._drop(next(iter(self._clients)))
+        workers = len(self._clients) + 1
+        if workers * self._connections_per_worker > self._max_connections:
+            while workers * self._connections_per_worker > self._max_connections:
+                self._connections_per_worker //= 2
+            self._clients.clear()
+            self._used_at.clear()
+
+    def _drop(self, address: str) -> None:
+        del self._clients[address], self._used_at[address]
 
 
 def _refusal_reason(resp: Response) -> str | None:
--- a/tests/platform/test_worker_pools.py
+++ b/tests/platform/test_worker_pools.py
@@ -146,3 +146,36 @@
     clock.advance(2 * IDLE_TIMEOUT_S)
     workers.start(other.entry("x"), ORDER)
     assert workers.start(server.entry("v"), ORDER) == 1
+
+
+def test_kept_connections_are_bounded_in_total(make_server):
+    workers = HttpWorkers(ManualClock(), max_connections=12)
+    servers = [make_server() for _ in range(6)]
+    for _ in range(3):
+        for number, server in enumerate(servers):
+            call_in_parallel(workers, server, f"w{number}")
+        assert has_at_most(12)
+    # Each worker has one connection at least.
+    assert WorkerServer.open_connections >= len(servers)
+
+
+def test_kept_connections_are_bounded_with_more_workers_than_connections(make_server):
+    workers = HttpWorkers(ManualClock(), max_connections=4)
+    servers = [make_server() for _ in range(6)]
+    for number, server in enumerate(servers):
+        call_in_parallel(workers, server, f"w{number}")
+    assert has_at_most(4)
+    assert workers.start(servers[0].entry("w0"), ORDER) == 1
+
+
+def test_call_in_flight_ends_although_the_pools_shrink(make_server):
+    workers = HttpWorkers(ManualClock(), max_connections=4)
+    slow, *others = (make_server() for _ in range(5))
+    slow.may_respond.clear()
+    with ThreadPoolExecutor(1) as executor:
+        fut = executor.submit(workers.start, slow.entry("w"), ORDER)
+        assert slow.in_call.wait(WAIT_S)
+        for number, server in enumerate(others):
+            workers.start(server.entry(f"v{number}"), ORDER)
+        slow.may_respond.set()
+        assert fut.result(WAIT_S) == 1
