Forget the permits of steps that are not placed any more

Cause: PermitCache kept an entry for each step that ever asked for permits, until the term's end.

Change: entries that have expired, and await no answer, are dropped once a second.

--- a/gypsumplank/coordination/job/permit.py
+++ b/gypsumplank/coordination/job/permit.py
@@ -16,6 +16,8 @@
 REQUEST_THREADS = 4
 # Delay before the next request after a response or failure, seconds.
 RETRY_DELAY_S = 0.5
+# Interval at which the permits of steps that are not placed any more are dropped, seconds.
+CLEANUP_INTERVAL_S = 1.0
 # Share of its validity for which a permit is used; the rest covers the delivery of a start.
 VALIDITY_SHARE = 0.8
 
@@ -42,6 +44,7 @@
         self._clock = clock
         self._post = post
         self._steps: dict[str, StepPermits] = {}
+        self._next_cleanup_at = 0.0
         self._executor = ThreadPoolExecutor(REQUEST_THREADS, "advice")
 
     def get(self, step: str, workers: Sequence[str], valid_s: float) -> Mapping[str, str]:
@@ -49,8 +52,9 @@
 
         `valid_s` is the validity of new permits, in seconds.
         """
-        known = self._steps.setdefault(step, StepPermits())
         now = self._clock.monotonic()
+        self._drop_expired(now)
+        known = self._steps.setdefault(step, StepPermits())
         if now < known.valid_until:
             return known.permits
         if not known.request_pending and now >= known.retry_at and workers:
@@ -60,6 +64,16 @@
             )
         return {}
 
+    def _drop_expired(self, now: float) -> None:
+        if now < self._next_cleanup_at:
+            return
+        self._next_cleanup_at = now + CLEANUP_INTERVAL_S
+        self._steps = {
+            step: known
+            for step, known in self._steps.items()
+            if known.request_pending or now < max(known.valid_until, known.retry_at)
+        }
+
     def invalidate(self, step: str) -> None:
         """Discard the permits of a step."""
         self._steps.pop(step, None)
--- a/tests/coordination/job/test_throttle.py
+++ b/tests/coordination/job/test_throttle.py
@@ -118,3 +118,18 @@
     }
     pending = replace(pending, permits={})
     assert PlacementRound(instances, NOW).place(pending) == []
+
+
+def test_permits_of_steps_that_are_over_are_forgotten():
+    steps = 200
+    advisor = FakeAdvisor(*({"w": "t"} for _ in range(steps)))
+    permits, clock, done = make_permits(advisor)
+    for number in range(steps):
+        permits.get(f"s{number}", ["w"], 10.0)
+        assert done.wait(5.0)
+        done.clear()
+        clock.advance(1.0)
+        assert permits.get(f"s{number}", ["w"], 10.0) == {"w": "t"}
+    # Permits are used for 8 s, and a second may pass until they are dropped.
+    assert len(permits._steps) <= 10
+    assert len(advisor.requests) == steps
