Forget ended worker instances once their entries are gone

Cause: the identifiers of all instances that a move, maintenance or a crash had ended were kept until the term's end, so that their entries, which outlive them, are ignored.

Change: a complete read of the entries drops those that are not listed any more.

Test: on the code before, all 48 instances that had ended were still kept; now none, and an entry that is still there, or missing from an incomplete read, takes up no ended instance.

--- a/gypsumplank/coordination/job/fleet.py
+++ b/gypsumplank/coordination/job/fleet.py
@@ -91,6 +91,11 @@
         If the entries are not `complete`, a worker that responds is kept although it has no entry.
         """
         now = self._clock.monotonic()
+        if complete:
+            # An ended instance whose entry is gone cannot be taken up again.
+            self._ended_instance_ids.intersection_update(
+                format_instance_id(entry.id, entry.born) for entry in entries
+            )
         entries = [
             entry
             for entry in entries
--- a/tests/coordination/job/test_fleet.py
+++ b/tests/coordination/job/test_fleet.py
@@ -66,3 +66,22 @@
     scheduler.fleet.apply_entries([], complete=False)
     scheduler.fleet.apply_entries([])
     assert (task.phase, task.run) == (TaskPhase.ASSIGNED, 1)
+
+
+def test_ended_instances_are_forgotten_once_their_entries_are_gone():
+    clock = ManualClock()
+    scheduler, entry = make_scheduler(clock)
+    fleet = scheduler.fleet
+    for life in range(2, 50):
+        entry = replace(entry, born=life, id=f"w{life}", machine=f"m{life % 3}")
+        fleet.apply_entries([entry])
+        fleet.end_incarnation(fleet.instances[entry.id])
+        # The entry of the ended instance is still there.
+        fleet.apply_entries([entry])
+        assert not fleet.instances
+        # Entries that are not complete do not show that it is gone.
+        fleet.apply_entries([], complete=False)
+        fleet.apply_entries([entry])
+        assert not fleet.instances
+    fleet.apply_entries([])
+    assert not fleet._ended_instance_ids
