Bound the faults of entries that are remembered for the log

Cause: the last logged fault of each malformed entry was kept for ever; each life of a worker has an entry of its own.

Change: the faults of the last 500 entries are kept.

Test: on the code before, 1,000 faults were kept after 1,000 entries; each was logged once, as now.

--- a/gypsumplank/platform/directory.py
+++ b/gypsumplank/platform/directory.py
@@ -26,6 +26,8 @@
 PREFIX_WAVE = "wave/"
 COMPLETED = "completed"
 RUNNING = "running"
+# Entries whose last fault is remembered, so that it is logged once.
+MAX_LOGGED_FAULTS = 500
 
 NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
 PositiveInt = Annotated[int, msgspec.Meta(gt=0)]
@@ -220,5 +222,8 @@
     def _log_invalid(self, key: str, exc: EntryInvalidError) -> None:
         """Log an invalid entry; skip a repeat of the key's last logged fault."""
         if self._logged_details.get(key) != exc.detail:
+            self._logged_details.pop(key, None)
+            while len(self._logged_details) >= MAX_LOGGED_FAULTS:
+                del self._logged_details[next(iter(self._logged_details))]
             self._logged_details[key] = exc.detail
             event(logger, Event.ENTRY_DROPPED, logging.WARNING, entry=key, detail=exc.detail)
--- a/tests/platform/test_directory.py
+++ b/tests/platform/test_directory.py
@@ -3,7 +3,11 @@
 
 from gypsumplank.errors import EntryInvalidError, MachineRefusedError
 from gypsumplank.platform.client import Client, Response
-from gypsumplank.platform.directory import PlatformDirectory, decode_manifest
+from gypsumplank.platform.directory import (
+    MAX_LOGGED_FAULTS,
+    PlatformDirectory,
+    decode_manifest,
+)
 from gypsumplank.platform.machine import HttpMachines
 from gypsumplank.protocol.job import Resources
 from gypsumplank.protocol.queue import MachineState, MaintenanceWave
@@ -128,3 +132,15 @@
     simulated_workers.add("w", "desk", Resources(5, 6))
     (entry,) = simulated_workers.entries()
     assert make_directory(servers__w=encode_entry(entry)).workers()[0].room == Resources(5, 6)
+
+
+def test_logged_faults_of_entries_are_bounded(caplog):
+    directory = make_directory()
+    for life in range(2 * MAX_LOGGED_FAULTS):
+        directory._table.commit(Txn((), (Write("servers", f"w{life}", b"{"),)))
+        if life:
+            directory._table.commit(Txn((), (Write("servers", f"w{life - 1}", None),)))
+        assert directory.workers() == []
+        assert directory.workers() == []
+    assert len(directory._logged_details) <= MAX_LOGGED_FAULTS
+    assert len(caplog.records) == 2 * MAX_LOGGED_FAULTS
