Forget the counts of queues that are gone

Cause: the cached count of pending jobs was kept for each queue that ever was in the manifest.

Change: counts that are too old to be returned are dropped when another is stored.

Test: on the code before, 100 counts were kept after 100 queues; now at most 2.

--- a/gypsumplank/coordination/job/submission.py
+++ b/gypsumplank/coordination/job/submission.py
@@ -103,7 +103,12 @@
         read_at, count = self._pending_counts.get(queue.name, (-COUNT_MAX_AGE_S, 0))
         if now - read_at >= COUNT_MAX_AGE_S:
             count = len(self._store.pending(queue.name))
-            self._pending_counts[queue.name] = (now, count)
+            recent = {
+                name: counted
+                for name, counted in self._pending_counts.items()
+                if now - counted[0] < COUNT_MAX_AGE_S
+            }
+            self._pending_counts = recent | {queue.name: (now, count)}
         return count
 
 
--- a/tests/coordination/job/test_submission.py
+++ b/tests/coordination/job/test_submission.py
@@ -76,3 +76,11 @@
     with pytest.raises(StateUnknownError):
         job_service.submit(QUEUE, JOB, ORDER, remaining_s)
     assert job_service._clock.now - 100.0 <= submission.ANSWER_SHARE * remaining_s + 0.01
+
+
+def test_counts_of_queues_that_are_gone_are_forgotten(job_service):
+    for number in range(100):
+        queue = Queue(f"q{number}", "h.example", "/p/", "desk")
+        assert job_service.pending_count(queue) == 0
+        job_service._clock.advance(submission.COUNT_MAX_AGE_S)
+    assert len(job_service._pending_counts) <= 2
