Remember the last 16 workers only on which a task failed

Cause: each worker on which a run failed or stalled was added to the task's record. A long-running task may fail at any time, and each life of a worker has another identifier, so that the record, and with it the step's row, grew without end; a row may have 65,536 bytes.

Change: the last 16 are kept. They only tell which workers to try last.

--- a/gypsumplank/coordination/job/model.py
+++ b/gypsumplank/coordination/job/model.py
@@ -19,6 +19,9 @@
 SETTLED_RUN_S = 0.25
 # Time after which a run that goes on counts as harmless to its worker, seconds.
 PROVEN_RUN_S = 10.0
+# Workers that a task remembers that its runs failed or stalled on; a worker's next instance has
+# another identifier, and the row of a step is limited.
+MAX_FAILED_ON = 16
 
 
 @dataclass(eq=False)
@@ -33,9 +36,9 @@
     and `load` its tail latency in ms. One percent took `percent_s` seconds last, and at most
     `max_percent_s` in this run, 0 if that is not known; `has_progressed` is set once `percent` has
     changed. `stalls` counts the runs that this leader has stopped as stalled. `failed_on` lists the
-    workers on which a run failed or stalled. `crashes` counts the workers that crashed under a run,
-    `crashes_at_start` those that did so right after its start, and `lost_on` lists those that may
-    have crashed. `retry_at` is the earliest next start after a crash.
+    workers on which a run failed or stalled last. `crashes` counts the workers that crashed under a
+    run, `crashes_at_start` those that did so right after its start, and `lost_on` lists those that
+    may have crashed. `retry_at` is the earliest next start after a crash.
     """
 
     step: "Step"
@@ -131,6 +134,11 @@
         self.has_progressed = bool(self.progressed_at)
         self.progressed_at, self.percent = now, percent
 
+    def record_failure_on(self, worker: str) -> None:
+        """Remember a worker on which a run failed or stalled, so that others are tried first."""
+        others = tuple(other for other in self.failed_on if other != worker)
+        self.failed_on = (*others, worker)[-MAX_FAILED_ON:]
+
     def assign(self, worker: str, incarnation: int, run: int, machine: str = "") -> None:
         """Assign the task's next run to an instance of a worker."""
         self.phase = TaskPhase.ASSIGNED
--- a/gypsumplank/coordination/job/report.py
+++ b/gypsumplank/coordination/job/report.py
@@ -131,7 +131,7 @@
 
 def _count_failure(instance: WorkerInstance, task: Task, max_attempts: MaxAttempts) -> None:
     task.failures += 1
-    task.failed_on = tuple(dict.fromkeys((*task.failed_on, instance.id)))
+    task.record_failure_on(instance.id)
     order = task.step.order
     failures = sum(member.failures for member in task.step.tasks) if order.gang else task.failures
     if not order.lasting and failures >= max_attempts(task):
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -250,7 +250,7 @@
         """Stop a run that makes no progress; its task is retried on another worker."""
         event(logger, Event.RUN_STALLED, task=task.name, run=task.run, worker=task.worker)
         task.stalls += 1
-        task.failed_on = tuple(dict.fromkeys((*task.failed_on, task.worker)))
+        task.record_failure_on(task.worker)
         instance = self.instances.get(task.worker)
         if instance is not None:
             instance.suspect_until = now + SUSPECT_PERIOD_S
--- a/tests/coordination/job/test_leader.py
+++ b/tests/coordination/job/test_leader.py
@@ -5,9 +5,15 @@
 
 from gypsumplank.errors import StateError, WorkerUnknownError
 from gypsumplank.protocol.job import StoredJob
-from gypsumplank.state.job import StateValue, decode
+from gypsumplank.state.job import TABLE_STEPS, StateValue, decode
 from gypsumplank.state.table import Txn, Write
-from tests.coordination.job.cluster import CHAIN, SimulatedCluster, long_running_step
+from tests.coordination.job.cluster import (
+    CHAIN,
+    ROOM,
+    SERVICE,
+    SimulatedCluster,
+    long_running_step,
+)
 
 
 @pytest.fixture
@@ -470,3 +476,22 @@
     cluster.run(20.0)
     assert len(cluster.simulated_workers.history) == 1
     assert not cluster.violations()
+
+
+def test_long_running_task_that_fails_for_weeks_keeps_its_record_small():
+    cluster = SimulatedCluster(1, daemons=1, workers=1)
+    cluster.simulated_workers.failure_share = 1.0
+    cluster.run(1.0)
+    cluster.submit("a" * 16, (long_running_step(1),), spec="0.3")
+    sizes = []
+    for life in range(60):
+        (name,) = cluster.simulated_workers.workers
+        cluster.run(1.0)
+        sizes.append(max(len(row.value) for row in cluster.table.scan(TABLE_STEPS)))
+        cluster.simulated_workers.drain(name)
+        cluster.run(1.0)
+        del cluster.simulated_workers.workers[name]
+        cluster.simulated_workers.add(f"w{life + 1}", SERVICE, ROOM)
+        cluster.run(0.5)
+    assert len(cluster.simulated_workers.history) > 60
+    assert max(sizes[30:]) <= max(sizes[:30]) + 20
--- a/tests/coordination/job/test_preemption.py
+++ b/tests/coordination/job/test_preemption.py
@@ -1,5 +1,5 @@
 from gypsumplank.coordination.job.instance import WorkerClock, WorkerInstance
-from gypsumplank.coordination.job.model import Job
+from gypsumplank.coordination.job.model import MAX_FAILED_ON, Job
 from gypsumplank.coordination.job.preemption import choose_preemptions, stalled_runs
 from gypsumplank.protocol.job import JobDefinition, Resources, StepDefinition, StoredJob
 from gypsumplank.protocol.worker import WorkerEntry, WorkerState
@@ -124,3 +124,13 @@
     report_progress(worker, other, 6.0, NOW + 100)
     stand_still(worker, [member], NOW + 100)
     assert stalled_at(worker, NOW + 100) == []
+
+
+def test_record_of_a_task_that_fails_for_weeks_does_not_grow():
+    (task,) = make_tasks("last", lasting=True)
+    for life in range(1000):
+        task.record_failure_on(f"w{life}")
+    assert task.record.failed_on == tuple(f"w{life}" for life in range(1000 - MAX_FAILED_ON, 1000))
+    task.record_failure_on("w999")
+    assert task.record.failed_on[-1] == "w999"
+    assert len(task.record.failed_on) == MAX_FAILED_ON
