Close the relay's connections to daemons that are gone

Cause: PeerTable kept a socket, which dials again and again, for each address that another daemon ever had.

Change: before a call is relayed, the connections to daemons that are not live any more are closed, unless calls are in flight.

Test: on the code before, 11 sockets were kept after ten daemons had gone; now one.

--- a/gypsumplank/transport/relay.py
+++ b/gypsumplank/transport/relay.py
@@ -156,7 +156,9 @@
     def _relay(self, req: RelayRequest) -> RelayReply:
         """Return another daemon's reply; raise its error, or StateUnavailableError."""
         raw = msgspec.msgpack.encode(req)
-        for address in list(self._peers())[:MAX_PEERS_TRIED]:
+        peers = list(self._peers())
+        self._close_gone(peers)
+        for address in peers[:MAX_PEERS_TRIED]:
             try:
                 reply = self._request(address, raw, req.txn.timeout_s if req.txn else None)
             except CallError as exc:
@@ -204,6 +206,15 @@
             self._in_flight += 1
             return self._sockets[address]
 
+    def _close_gone(self, peers: Sequence[str]) -> None:
+        """Close the connections to daemons that are gone, unless calls are in flight."""
+        with self._lock:
+            if self._in_flight or self._closed:
+                return
+            gone = [each for each in self._sockets if each not in peers]
+            for address in gone:
+                self._sockets.pop(address).close()
+
     def close(self) -> None:
         """Wait for calls in flight, then close all connections to other daemons."""
         with self._lock:
--- a/tests/transport/test_relay.py
+++ b/tests/transport/test_relay.py
@@ -1,3 +1,4 @@
+import contextlib
 import time
 
 import pytest
@@ -111,3 +112,19 @@
     relay._table.unavailable, relay._table.is_failing = False, True
     assert relay.commit(INSERT)
     assert relay._table.commits == 1
+
+
+def test_connections_to_daemons_that_are_gone_are_closed(peer):
+    gone = free_addresses(10)
+    peers = []
+    table = PeerTable(lambda: peers)
+    for address in gone:
+        peers[:] = [address]
+        with pytest.raises(StateUnavailableError):
+            table.get("t", "none")
+    peers[:] = [peer[1]]
+    # The connection may be too late for the call.
+    with contextlib.suppress(StateUnavailableError):
+        table.get("t", "none")
+    assert set(table._sockets) == {peer[1]}
+    table.close()
