Forget maintenance waves that are complete

Cause: the planner kept each wave of its term, and each round went through the machines of all.

Change: a wave is dropped once it was reported as complete, its machines are up again and it is not read as open any more. Failed reads drop none.

Tests: on the code before, four waves were kept after four had been completed; now none. A wave whose report cannot be read is not ordered again, before and now.

--- a/gypsumplank/coordination/job/maintenance.py
+++ b/gypsumplank/coordination/job/maintenance.py
@@ -3,7 +3,7 @@
 import logging
 import math
 from collections import Counter
-from collections.abc import Iterator, Mapping, Sequence
+from collections.abc import Collection, Iterator, Mapping, Sequence
 from dataclasses import dataclass, field
 from itertools import islice
 
@@ -135,7 +135,7 @@
 
         def poll() -> None:
             ages: dict[int, float] = {}
-            waves: Sequence[MaintenanceWave] = ()
+            waves: Sequence[MaintenanceWave] | None = None
             try:
                 completed = self._directory.completed_waves()
                 waves = [wave for wave in self._directory.waves() if wave.number not in completed]
@@ -152,9 +152,13 @@
         self._controller.run_async(poll)
 
     def _add_waves(
-        self, waves: Sequence[MaintenanceWave], ages: Mapping[int, float], now: float
+        self, waves: Sequence[MaintenanceWave] | None, ages: Mapping[int, float], now: float
     ) -> None:
+        """Add the waves that are new; drop those that are no longer open; None if not known."""
         self._poll_pending = False
+        if waves is None:
+            return
+        self._drop_closed({wave.number for wave in waves})
         for wave in waves:
             if wave.number in ages and wave.number not in self._waves:
                 self._waves[wave.number] = MachineWaveProgress(wave, now - ages[wave.number])
@@ -166,6 +170,13 @@
                     age_s=round(ages[wave.number], 1),
                 )
 
+    def _drop_closed(self, open_waves: Collection[int]) -> None:
+        """Drop the waves that are not read as open any more and whose machines are up again."""
+        for number, progress in list(self._waves.items()):
+            is_over = progress.is_complete and not progress.down_count and not progress.draining
+            if is_over and progress.reported and number not in open_waves:
+                del self._waves[number]
+
     def plan(self, scheduler: Scheduler, now: float) -> None:
         """Choose machines to drain and stop their tasks."""
         self._poll_waves(now)
--- a/tests/coordination/job/test_machines.py
+++ b/tests/coordination/job/test_machines.py
@@ -498,3 +498,29 @@
     controller.order_move("a", "p", results.append)
     assert results[0].code == "machine"
     assert controller.in_flight == set()
+
+
+def test_waves_that_are_complete_are_forgotten(cluster):
+    for number in range(1, 5):
+        machine = next(
+            worker.entry.machine
+            for worker in cluster.simulated_workers.workers.values()
+            if worker.up
+        )
+        cluster.waves.append(MaintenanceWave(number, (machine,), 30.0, 1))
+        cluster.run(8.0)
+    daemon = cluster.leader()
+    assert daemon.directory.reported == dict.fromkeys(range(1, 5), True)
+    assert len(cluster.machines.maintained) == 4
+    planner = daemon.scheduler_leader._machine_manager.maintenance
+    assert not planner._waves
+
+
+def test_wave_whose_completion_is_not_read_yet_is_not_taken_up_again(cluster):
+    start_wave(cluster, cap=6)
+    cluster.run(20.0)
+    daemon = cluster.leader()
+    assert daemon.directory.reported == {1: True}
+    daemon.directory.reported.clear()
+    cluster.run(5.0)
+    assert len(cluster.machines.orders) == 6
