Forget machines that are gone in the pool scaler

Cause: PoolScaler kept the name of each machine that ever had a worker, until the term's end, and the time of the next try of each whose move was ever refused, for ever.

Change: machines that are not listed any more, and tries that are due, are dropped with each plan.

--- a/gypsumplank/coordination/job/scaling.py
+++ b/gypsumplank/coordination/job/scaling.py
@@ -136,6 +136,7 @@
             return
         instances = scheduler.fleet.by_machine()
         self._machines_seen_with_worker.update(instances)
+        self._forget_gone(now)
         members = {service: _active_members(service, instances) for service in services}
         loads = estimate_loads(scheduler.workload.jobs.values(), now, scheduler.wall_ms())
         self._update_demands(loads, members, now)
@@ -143,6 +144,11 @@
         self._plan(members, standby, instances, now)
         self._execute_moves(scheduler, instances, now)
 
+    def _forget_gone(self, now: float) -> None:
+        """Forget machines that are not listed any more, and waits that are over."""
+        self._machines_seen_with_worker.intersection_update(self._controller.machines)
+        self._retry_at = {machine: at for machine, at in self._retry_at.items() if now < at}
+
     def _request_initial_sizes(self, services: set[str], now: float) -> None:
         if now < self._next_sizes_request_at:
             return
--- a/tests/coordination/job/test_machines.py
+++ b/tests/coordination/job/test_machines.py
@@ -524,3 +524,22 @@
     daemon.directory.reported.clear()
     cluster.run(5.0)
     assert len(cluster.machines.orders) == 6
+
+
+def test_machines_that_are_gone_are_forgotten(cluster):
+    cluster.manifest = Manifest(
+        2, (QUEUE,), {**MANIFEST.services, STANDBY: ServicePolicy(STANDBY, standby=True)}
+    )
+    scaler = cluster.leader().scheduler_leader._machine_manager._pools
+    for number in range(20):
+        name = f"x{number}"
+        cluster.simulated_workers.add(name, SERVICE, ROOM)
+        cluster.run(1.0)
+        assert name in scaler._machines_seen_with_worker
+        scaler._retry_at[name] = cluster.clock.now
+        cluster.simulated_workers.crash(name)
+        del cluster.simulated_workers.workers[name]
+        cluster.run(1.0)
+    # The list of machines is read every 0.6 s.
+    assert len(scaler._machines_seen_with_worker) <= len(cluster.simulated_workers.workers) + 1
+    assert len(scaler._retry_at) <= 1
