job: commit in transactions that the store accepts

Cause: group_into_txns bounded a transaction by its entries only, and the leader took the store's refusal of a transaction that is too large for an outage: the round ended, and the next one built the same transaction.

What callers saw: after a store outage of 4.5 s in which work items of 80 jobs ended, jobs were accepted with 200 and stayed `queued`; nothing started any more.

The new tests in tests/coordination/job/test_commit.py failed before: the job that was submitted after the outage stayed `queued`, with the old leader and with a new one; with a step row that the store never takes, the two jobs beside it stayed `running` and `queued`. The two tests of one large job and of silent workers are new bounds: the former uses the new class; the latter passed before, as its transactions have at most 90 writes and one check.

Change: JobCommitter, moved out of leader.py, bounds transactions by entries and by bytes as sent, base64 and JSON included. The changes of one job are cut only if they are too large alone. A refused transaction is halved. A job that is refused alone is held back for 1 s and 2 s and then fails; one with a row that is larger than the store's limit fails at once. Its state is then stored without its steps' rows, so its caller sees `failed`; the log says `job-unstorable`. While a job is held back, workers' ends are not acknowledged, as for any change that is not stored. The refusal counts as an answer, so the lease is kept; a store that refuses everything also refuses the lease's renewal, which ends the term before the third refusal.

The simulated cluster and the stand-in of the platform refuse now what the platform refuses (standins/limit.py); all their tests pass with it.

--- a/gypsumplank/coordination/job/leader.py
+++ b/gypsumplank/coordination/job/leader.py
@@ -5,6 +5,7 @@
 import threading
 from collections.abc import Callable, Iterable
 
+from gypsumplank.coordination.job.commit import JobCommitter
 from gypsumplank.coordination.job.cutoff import CutOffDetector
 from gypsumplank.coordination.job.fleet import EXTENSION_GRACE_S
 from gypsumplank.coordination.job.model import Job
@@ -33,7 +34,7 @@
 from gypsumplank.protocol.job import FINAL_JOB_STATES, JobState, StoredJob
 from gypsumplank.protocol.queue import Manifest
 from gypsumplank.state.clock import Clock
-from gypsumplank.state.job import JobUpdate, LoadedJob, StateValue, decode, group_into_txns
+from gypsumplank.state.job import LoadedJob, StateValue, decode
 from gypsumplank.state.table import Row
 
 SCHEDULER_LEASE = "scheduler"
@@ -215,7 +216,13 @@
         scheduler.use_dispatcher(dispatcher)
         if self._ports.advisor is not None:
             scheduler.permits = PermitCache(self._ports.advisor, self._clock, post)
-        term = Term(epoch, scheduler, dispatcher)
+        committer = JobCommitter(
+            self._ports.store,
+            self._clock,
+            lambda: self._ports.leases.fence(SCHEDULER_LEASE),
+            self._cut_off.record_answer,
+        )
+        term = Term(epoch, scheduler, committer, dispatcher)
         pollable = [each for each in scheduler.instances.values() if not each.detached]
         # Workers that earlier leaders could not reach come last, as their polls take longest.
         dispatcher.begin_term(sorted(pollable, key=lambda each: each.extension_suspended))
@@ -379,28 +386,23 @@
         self._cut_off.record_answer()
 
     def _commit(self, term: Term) -> bool:
-        updates = list(term.scheduler.workload.updates())
-        jobs = {id(update): job for job, update in updates}
-        for batch in group_into_txns(update for _, update in updates):
-            fence = self._ports.leases.fence(SCHEDULER_LEASE)
-            if fence is None:
-                return False
-            try:
-                version = self._ports.store.commit(fence, batch)
-            except StateConflictError:
-                self._cut_off.record_answer()
-                self._recheck_states(term, [jobs[id(update)] for update in batch])
-                return False
-            except StateError as exc:
-                self._must_renew = self._must_renew or isinstance(exc, StateUnknownError)
-                self._log_failed_commit(exc, batch)
-                self._record_failed_write()
-                return False
-            self._cut_off.record_answer()
-            now = self._clock.monotonic()
-            for update in batch:
-                term.scheduler.workload.mark_stored(jobs[id(update)], update, version, now)
-        return True
+        committer = term.committer
+        try:
+            return committer.commit(term.scheduler.workload)
+        except StateConflictError:
+            self._recheck_states(term, committer.in_flight)
+        except StateError as exc:
+            self._must_renew = self._must_renew or isinstance(exc, StateUnknownError)
+            event(
+                logger,
+                Event.ROUND_FAILED,
+                logging.WARNING,
+                code=exc.code,
+                detail=exc.detail,
+                jobs=len(committer.in_flight),
+            )
+            self._record_failed_write()
+        return False
 
     def _record_silent_workers(self, scheduler: Scheduler) -> bool:
         fence = self._ports.leases.fence(SCHEDULER_LEASE)
@@ -419,16 +421,6 @@
             return False
         return True
 
-    def _log_failed_commit(self, exc: StateError, batch: list[JobUpdate]) -> None:
-        event(
-            logger,
-            Event.ROUND_FAILED,
-            logging.WARNING,
-            code=exc.code,
-            detail=exc.detail,
-            jobs=len(batch),
-        )
-
     def _recheck_states(self, term: Term, jobs: Iterable[Job]) -> None:
         """Check after a conflict whether the lease or the state of a job has changed."""
         self._tick_lease()
--- a/gypsumplank/coordination/job/model.py
+++ b/gypsumplank/coordination/job/model.py
@@ -195,7 +195,8 @@
     """Represent one job; `version` is that of the stored row with its state.
 
     `arrived_at` is when this leader read the job, in monotonic seconds. `state_dirty` marks a
-    change of the state that is not stored yet.
+    change of the state that is not stored yet. `is_unstorable` tells that the store does not take
+    a row of one of its steps.
     """
 
     stored: StoredJob
@@ -206,6 +207,7 @@
     cleaned: bool = False
     started: bool = False
     state_dirty: bool = False
+    is_unstorable: bool = False
     arrived_at: float = 0.0
     steps: dict[tuple[int, int], Step] = field(default_factory=dict)
 
--- a/gypsumplank/coordination/job/term.py
+++ b/gypsumplank/coordination/job/term.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from gypsumplank.coordination.job.commit import JobCommitter
 from gypsumplank.coordination.job.dispatcher import Post, WorkerDispatcher
 from gypsumplank.coordination.job.instance import WorkerInstance
 from gypsumplank.coordination.job.machine import MachineController
@@ -148,11 +149,18 @@
 
 
 class Term:
-    """Represent one leadership term: its epoch, scheduler, dispatcher and watchers."""
+    """Represent one leadership term: its epoch, scheduler, committer, dispatcher and watchers."""
 
-    def __init__(self, epoch: int, scheduler: Scheduler, dispatcher: WorkerDispatcher) -> None:
+    def __init__(
+        self,
+        epoch: int,
+        scheduler: Scheduler,
+        committer: JobCommitter,
+        dispatcher: WorkerDispatcher,
+    ) -> None:
         self.epoch = epoch
         self.scheduler = scheduler
+        self.committer = committer
         self.dispatcher = dispatcher
         self.watchers: Sequence[PeriodicThread] = ()
 
--- a/gypsumplank/coordination/job/workload.py
+++ b/gypsumplank/coordination/job/workload.py
@@ -1,7 +1,7 @@
 """Keep all jobs that have not ended, and collect their changes for commits to the store."""
 
 import logging
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Collection, Iterable, Iterator, Sequence
 
 from gypsumplank.coordination.job.model import Job, Step, Task
 from gypsumplank.errors import EntryInvalidError
@@ -18,8 +18,10 @@
     JobUpdate,
     LoadedJob,
     pending_key,
+    sent_bytes,
     state_write,
     step_write,
+    take_fitting,
 )
 from gypsumplank.state.table import Check, Write
 
@@ -107,14 +109,22 @@
                 took_ms=round((now - job.arrived_at) * 1000),
             )
 
-    def updates(self) -> Iterator[tuple[Job, JobUpdate]]:
-        """Yield the changes to commit, one update per job."""
+    def abandon(self, job: Job, now: float) -> None:
+        """Fail a job of which the store does not take a step's row; write no such row again."""
+        job.is_unstorable = True
+        if job.state not in FINAL_JOB_STATES:
+            self._set_state(job, JobState.FAILED, now)
+
+    def updates(self, held_back: Collection[str] = ()) -> Iterator[JobUpdate]:
+        """Yield the changes to commit, one update per job; none for jobs that are held back."""
         for job in list(self.jobs.values()):
+            if job.id in held_back:
+                continue
             update = (
                 self._cleanup_update(job) if self._is_finished(job) else self._progress_update(job)
             )
             if update is not None:
-                yield job, update
+                yield update
 
     def mark_stored(self, job: Job, update: JobUpdate, version: int, now: float) -> None:
         """Clear the dirty flags that a committed update covers; remove the job if it is over."""
@@ -139,10 +149,15 @@
 
     def _progress_update(self, job: Job) -> JobUpdate | None:
         dirty = [step for step in job.steps.values() if step.dirty]
+        if job.is_unstorable:
+            for step in dirty:
+                step.dirty = False
+            dirty = []
         if job.state_dirty or dirty:
             checks, writes = self._state_writes(job)
-            max_steps = MAX_TXN_ENTRIES - len(checks) - len(writes) - 1
-            writes.extend(step_write(step.key, step.record) for step in dirty[:max_steps])
+            size = sum(map(sent_bytes, checks)) + sum(map(sent_bytes, writes))
+            records = (step_write(step.key, step.record) for step in dirty)
+            writes.extend(take_fitting(records, len(checks) + len(writes), size))
             return JobUpdate(job.id, tuple(checks), tuple(writes))
         return None
 
--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -56,6 +56,7 @@
     JOB_REFUSED = "job-refused", "A job request was answered with an error."
     JOB_CANCELLED = "job-cancelled", "A cancellation was stored, or the scheduler learned of it."
     JOB_ENDED = "job-ended", "A job reached a final state."
+    JOB_UNSTORABLE = "job-unstorable", "The store takes no row of this size; its job has failed."
     RUN_STARTED = "task-started", "A run was stored and its start is sent to a worker."
     RUN_REFUSED = "task-refused", "A worker did not confirm the start of a run."
     RUN_ENDED = "task-ended", "A worker reported the end of a run; `how` gives the outcome."
--- a/gypsumplank/state/job.py
+++ b/gypsumplank/state/job.py
@@ -4,6 +4,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
+from math import ceil
 from typing import TypeVar
 
 import msgspec
@@ -28,6 +29,13 @@
 
 # Entries per transaction; the platform accepts 100.
 MAX_TXN_ENTRIES = 90
+# Bytes per transaction, as sent; the platform accepts 1 MB.
+MAX_TXN_BYTES = 800_000
+# Bytes that an entry adds as sent beside its table, key and value: the JSON around these, the
+# partition, and the version that a check has.
+ENTRY_OVERHEAD_BYTES = 100
+# Bytes of a row's value, where the settings file gives no other limit.
+DEFAULT_MAX_ROW_BYTES = 65_536
 # Jobs that a load decodes between two checks of the lease; a slow daemon decodes them in less time
 # than passes between two renewals.
 LOAD_CHUNK_JOBS = 10
@@ -60,6 +68,11 @@
         """Return how many transaction entries the changes use."""
         return len(self.checks) + len(self.writes)
 
+    @property
+    def sent_bytes(self) -> int:
+        """Return how many bytes of a transaction the changes use."""
+        return sum(map(sent_bytes, self.checks)) + sum(map(sent_bytes, self.writes))
+
 
 @dataclass(frozen=True)
 class LoadedJob:
@@ -100,16 +113,39 @@
     return Write(TABLE_STEPS, key, msgspec.json.encode(record))
 
 
+def sent_bytes(entry: Check | Write) -> int:
+    """Return the bytes that an entry of a transaction adds as sent, with its value in base64."""
+    value = entry.value or b"" if isinstance(entry, Write) else b""
+    key_bytes = len(entry.table.encode()) + len(entry.key.encode())
+    return ENTRY_OVERHEAD_BYTES + key_bytes + 4 * ceil(len(value) / 3)
+
+
+def take_fitting(writes: Iterable[Write], entries: int, size: int) -> Iterator[Write]:
+    """Yield the first writes that fit into a transaction beside `entries` of `size` bytes."""
+    for write in writes:
+        entries += 1
+        size += sent_bytes(write)
+        if entries > MAX_TXN_ENTRIES or size > MAX_TXN_BYTES:
+            return
+        yield write
+
+
 def group_into_txns(updates: Iterable[JobUpdate]) -> Iterator[list[JobUpdate]]:
-    """Group updates into transactions of at most MAX_TXN_ENTRIES entries."""
+    """Group updates into transactions of at most MAX_TXN_ENTRIES entries and MAX_TXN_BYTES.
+
+    An update that exceeds these alone becomes a transaction of its own.
+    """
     batch: list[JobUpdate] = []
-    entries = 0
+    entries = size = 0
     for update in updates:
-        if batch and entries + update.entries > MAX_TXN_ENTRIES:
+        update_bytes = update.sent_bytes
+        is_full = entries + update.entries > MAX_TXN_ENTRIES or size + update_bytes > MAX_TXN_BYTES
+        if batch and is_full:
             yield batch
-            batch, entries = [], 0
+            batch, entries, size = [], 0, 0
         batch.append(update)
         entries += update.entries
+        size += update_bytes
     if batch:
         yield batch
 
@@ -141,10 +177,14 @@
 
 
 class JobStore:
-    """Read and write jobs; every method may raise StateError."""
+    """Read and write jobs; every method may raise StateError.
+
+    `max_row_bytes` is the longest value of a row that the store accepts.
+    """
 
-    def __init__(self, table: Table) -> None:
+    def __init__(self, table: Table, max_row_bytes: int = DEFAULT_MAX_ROW_BYTES) -> None:
         self._table = table
+        self.max_row_bytes = max_row_bytes
 
     def submit(self, job: StoredJob, timeout_s: float | None = None) -> bool:
         """Store a new job; return False if it is stored already.
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -14,13 +14,14 @@
 from gypsumplank.errors import (
     StateConflictError,
     StateHistoryLostError,
+    StateTooLargeError,
     WorkerRefusedError,
     WorkerUnknownError,
 )
 from gypsumplank.protocol.job import Resources
 from gypsumplank.protocol.worker import StartCommand, WorkerEntry
-from gypsumplank.state.feed import MemoryFeedTable
 from gypsumplank.state.table import Check, Txn, Write
+from standins.limit import LimitedFeedTable
 from standins.server import Handler, Server, open_server
 from standins.simulator import SimulatedWorkers
 
@@ -40,7 +41,7 @@
     """
 
     def __init__(self, seed: int = 0) -> None:
-        self.table = MemoryFeedTable()
+        self.table = LimitedFeedTable()
         self.simulated_workers = SimulatedWorkers(random.Random(seed))
         self.faults: list[str] = []
         self.orders: list[tuple[str, dict[str, Any], dict[str, str]]] = []
@@ -217,6 +218,9 @@
         except StateConflictError:
             self._respond_json(412, {"rows": []})
             return
+        except StateTooLargeError:
+            self._respond_json(400, {})
+            return
         self._respond_json(200, {"ver": version, "now-ms": self.users.now_ms()})
 
     def _list_machines(self) -> list[dict[str, Any]]:
--- a/tests/coordination/job/cluster.py
+++ b/tests/coordination/job/cluster.py
@@ -17,10 +17,10 @@
 from gypsumplank.protocol.queue import Machine, MachineState, Manifest, Queue, ServicePolicy
 from gypsumplank.protocol.worker import StartRefusal
 from gypsumplank.state.clock import ClockRange, ManualClock
-from gypsumplank.state.feed import MemoryFeedTable
 from gypsumplank.state.job import JobStore
 from gypsumplank.state.lease import LeaseStore
 from gypsumplank.state.machine import MachineOrderLog
+from standins.limit import LimitedFeedTable
 from standins.simulator import SimulatedWorkers
 from standins.violations import find_violations
 from tests.faulty import ScriptedFaultTable
@@ -342,7 +342,7 @@
     def __init__(self, seed, daemons=2, workers=3):
         self.rng = random.Random(seed)
         self.clock = ManualClock(100.0)
-        self.table = MemoryFeedTable()
+        self.table = LimitedFeedTable()
         self.simulated_workers = SimulatedWorkers(self.rng)
         self.simulated_workers.now = self.clock.now
         for index in range(workers):
