job: reject a job whose steps cannot be stored

Cause: the progress of a step is one row, of at most `row-bytes` in the settings file, which was not read. A step of some 450 tasks was accepted with 200, and its first row was refused for ever.

Evidence: test_job_whose_step_cannot_be_stored_is_refused_at_submission (300 and 100,000 tasks), test_row_limit_follows_the_settings, and two tests of the settings file failed before: no error was raised.

--- a/gypsumplank/composition/platform.py
+++ b/gypsumplank/composition/platform.py
@@ -125,7 +125,7 @@
             if settings.advisor_address
             else None
         )
-        job_store = JobStore(self._fleet_rows)
+        job_store = JobStore(self._fleet_rows, settings.max_row_bytes)
         store_clock = self._fleet_rows.clock_range
         ports = PlatformPorts(
             job_store,
@@ -168,7 +168,9 @@
     def _make_listeners(self) -> None:
         settings = self._settings
         job_service = JobService(
-            JobStore(self._relay_table), self._clock, lambda: self._manifest_watch.current
+            JobStore(self._relay_table, settings.max_row_bytes),
+            self._clock,
+            lambda: self._manifest_watch.current,
         )
         app = JobApp(job_service, self._metrics.record_request, log_error_response)
         max_connections = int(settings.max_descriptors * CALLER_DESCRIPTOR_SHARE)
--- a/gypsumplank/platform/settings.py
+++ b/gypsumplank/platform/settings.py
@@ -9,11 +9,13 @@
 
 from gypsumplank.errors import Fault, SettingsError
 from gypsumplank.settings import check_address
+from gypsumplank.state.job import DEFAULT_MAX_ROW_BYTES
 
 ENV_SETTINGS_PATH = "GYPSUMPLANK_BOOT"
 MS_PER_S = 1000.0
 
 PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
+PositiveInt = Annotated[int, msgspec.Meta(gt=0)]
 
 
 class WireListen(msgspec.Struct, rename="kebab"):
@@ -47,6 +49,13 @@
     address: str
 
 
+class WirePlatform(msgspec.Struct, rename="kebab"):
+    """Store the platform's address, and the longest value of a row in its store."""
+
+    address: str
+    row_bytes: PositiveInt = DEFAULT_MAX_ROW_BYTES
+
+
 class WireSettings(msgspec.Struct, rename="kebab"):
     """Represent the settings file."""
 
@@ -54,7 +63,7 @@
     ip: str
     zone: str
     listen: WireListen
-    platform: WireService
+    platform: WirePlatform
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
     bounds: WireBounds = msgspec.field(default_factory=WireBounds)
     cloud: WireService | None = None
@@ -68,7 +77,8 @@
     """Store a daemon's settings on the platform; times in seconds, `cpu_cores` in reference cores.
 
     `peer_address` is where this daemon serves other daemons. `lease_handover_s` is the minimum time
-    between orders for one machine by two different lease holders.
+    between orders for one machine by two different lease holders. `max_row_bytes` is the longest
+    value of a row in the store.
     """
 
     daemon: str
@@ -86,6 +96,7 @@
     grace_s: float
     heartbeat_s: float
     peer_address: str
+    max_row_bytes: int
 
 
 def settings_path() -> Path:
@@ -134,4 +145,5 @@
         wire.bounds.grace_s,
         wire.heartbeat_ms / MS_PER_S,
         f"{wire.ip}:{wire.port_range[0]}",
+        wire.platform.row_bytes,
     )
--- a/gypsumplank/state/job.py
+++ b/gypsumplank/state/job.py
@@ -13,6 +13,7 @@
     EntryInvalidError,
     JobMissingError,
     StateConflictError,
+    StateTooLargeError,
     StateUnknownError,
 )
 from gypsumplank.log import Event, event
@@ -36,6 +37,8 @@
 ENTRY_OVERHEAD_BYTES = 100
 # Bytes of a row's value, where the settings file gives no other limit.
 DEFAULT_MAX_ROW_BYTES = 65_536
+# Bytes of a step's row that are reserved for each of its tasks when the job is submitted.
+TASK_RECORD_BYTES = 256
 # Jobs that a load decodes between two checks of the lease; a slow daemon decodes them in less time
 # than passes between two renewals.
 LOAD_CHUNK_JOBS = 10
@@ -189,10 +192,13 @@
     def submit(self, job: StoredJob, timeout_s: float | None = None) -> bool:
         """Store a new job; return False if it is stored already.
 
-        `timeout_s` limits the wait for the response, in seconds.
+        `timeout_s` limits the wait for the response, in seconds. Raises StateTooLargeError if the
+        job, or the progress of one of its steps, does not fit into a row.
         """
+        order = msgspec.json.encode(job)
+        self._check_row_sizes(job, order)
         writes = (
-            Write(TABLE_ORDERS, job.id, msgspec.json.encode(job)),
+            Write(TABLE_ORDERS, job.id, order),
             state_write(job.id, JobState.QUEUED, job.queue),
             Write(TABLE_PENDING, pending_key(job.queue, job.id), b"1"),
         )
@@ -202,6 +208,16 @@
             return False
         return True
 
+    def _check_row_sizes(self, job: StoredJob, order: bytes) -> None:
+        if len(order) > self.max_row_bytes:
+            raise StateTooLargeError(f"job of {len(order)} bytes exceeds {self.max_row_bytes}")
+        max_tasks = self.max_row_bytes // TASK_RECORD_BYTES
+        for position, step in enumerate(job.order.steps):
+            if step.tasks > max_tasks:
+                raise StateTooLargeError(
+                    f"step {position} has {step.tasks} tasks, more than {max_tasks}"
+                )
+
     def state(self, job: str) -> tuple[StateValue, int]:
         """Return a job's state and its row's version; raise JobMissingError."""
         row = self._table.get(TABLE_STATES, job)
--- a/tests/coordination/job/test_submission.py
+++ b/tests/coordination/job/test_submission.py
@@ -1,16 +1,26 @@
+from dataclasses import replace
+
 import pytest
 
 from gypsumplank.coordination.job import submission
 from gypsumplank.coordination.job.submission import JobService
-from gypsumplank.errors import StateUnknownError
-from gypsumplank.protocol.job import JobDefinition, Resources, StepDefinition
+from gypsumplank.errors import StateTooLargeError, StateUnknownError
+from gypsumplank.protocol.job import (
+    JobDefinition,
+    Resources,
+    StepDefinition,
+    StepRecord,
+    TaskPhase,
+    TaskRecord,
+)
 from gypsumplank.protocol.queue import Queue
 from gypsumplank.state.clock import ManualClock
-from gypsumplank.state.job import JobStore
-from gypsumplank.state.table import MemoryTable
+from gypsumplank.state.job import JobStore, step_write
+from standins.limit import MAX_ROW_BYTES, LimitedFeedTable
 from tests.faulty import ScriptedFaultTable
 
 QUEUE = Queue("proofs", "h.example", "/p/", "desk")
+SMALL = Resources(100, 10)
 ORDER = JobDefinition("0.5", (StepDefinition(1, Resources(1000, 100), 500),))
 JOB = "a" * 16
 
@@ -27,7 +37,7 @@
 
 @pytest.fixture
 def table():
-    return ScriptedFaultTable(MemoryTable())
+    return ScriptedFaultTable(LimitedFeedTable())
 
 
 @pytest.fixture
@@ -76,3 +86,41 @@
     with pytest.raises(StateUnknownError):
         job_service.submit(QUEUE, JOB, ORDER, remaining_s)
     assert job_service._clock.now - 100.0 <= submission.ANSWER_SHARE * remaining_s + 0.01
+
+
+@pytest.mark.parametrize("tasks", [300, 100_000])
+def test_job_whose_step_cannot_be_stored_is_refused_at_submission(job_service, table, tasks):
+    order = JobDefinition("0.5", (*ORDER.steps, StepDefinition(tasks, SMALL, 500)))
+    with pytest.raises(StateTooLargeError, match="step 1"):
+        job_service.submit(QUEUE, JOB, order, 3.0)
+    assert not table.scan("states")
+    assert not table.commits
+
+
+def test_step_row_of_a_job_that_is_accepted_can_be_stored(job_service, table):
+    order = JobDefinition("0.5", (StepDefinition(250, SMALL, 500),))
+    assert job_service.submit(QUEUE, JOB, order, 3.0)
+    used = TaskRecord(
+        TaskPhase.ASSIGNED,
+        12,
+        3,
+        "worker-north-12345",
+        1_700_000_000_000,
+        "00000bb87a21d94b",
+        ("worker-north-1234",),
+        "machine-123456",
+        1,
+        1,
+    )
+    write = step_write("a.0.0", StepRecord((used,) * 250))
+    assert len(write.value) <= MAX_ROW_BYTES
+
+
+def test_row_limit_follows_the_settings(table):
+    service = JobService(JobStore(table, 10_000), ManualClock(100.0), lambda: None)
+    order = JobDefinition("0.5", (StepDefinition(100, SMALL, 500),))
+    with pytest.raises(StateTooLargeError):
+        service.submit(QUEUE, JOB, order, 3.0)
+    order = replace(order, spec="x" * 4000, steps=ORDER.steps * 30)
+    with pytest.raises(StateTooLargeError, match="job"):
+        service.submit(QUEUE, JOB, order, 3.0)
--- a/tests/platform/test_app.py
+++ b/tests/platform/test_app.py
@@ -8,6 +8,7 @@
     JobMissingError,
     ManifestMissingError,
     QueueMissingError,
+    StateTooLargeError,
     StateUnknownError,
 )
 from gypsumplank.platform.app import JobApp, ReadyApp, decode_job
@@ -91,6 +92,7 @@
         (QueueMissingError(), 404, False),
         (ManifestMissingError(), 503, True),
         (StateUnknownError("lost"), 504, False),
+        (StateTooLargeError("step 0"), 400, False),
     ],
 )
 def test_error_maps_to_status_and_retry_after(error, status, retry_after):
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -39,6 +39,13 @@
     )
 
 
+def test_row_limit_is_read_and_has_a_default(tmp_path):
+    assert load_platform_settings(write_settings(tmp_path, SETTINGS)).max_row_bytes == 65_536
+    platform = {**SETTINGS["platform"], "row-bytes": 32_768}
+    settings = load_platform_settings(write_settings(tmp_path, {**SETTINGS, "platform": platform}))
+    assert settings.max_row_bytes == 32_768
+
+
 @pytest.mark.parametrize(
     "invalid",
     [
@@ -46,6 +53,7 @@
         {key: value for key, value in SETTINGS.items() if key != "node"},
         {**SETTINGS, "platform": {"address": "store:80"}},
         {**SETTINGS, "bounds": {"max-hold-ms": 0}},
+        {**SETTINGS, "platform": {**SETTINGS["platform"], "row-bytes": 0}},
         {**SETTINGS, "listen": {"front": "10.1.0.9:99999", "ready": "10.1.0.9:8622"}},
     ],
 )
