job: bound the stored list of workers that a task failed on

Cause: a task's record lists every worker on which it failed or stalled, so the row of a step that lasts grows with each failure on a new worker, without bound.

What callers saw: after some hundred failures of a long-running step its row exceeded the store's limit; nothing was stored any more, or since JobCommitter the job failed.

Evidence: test_row_of_a_lasting_step_does_not_grow_with_the_workers_it_failed_on (50 tasks, 200 workers each) failed before: the job was `failed`.

Change: the last three are stored. The leader in office keeps all; a successor may try a worker again on which the task failed earlier.

--- a/gypsumplank/coordination/job/model.py
+++ b/gypsumplank/coordination/job/model.py
@@ -19,6 +19,9 @@
 SETTLED_RUN_S = 0.25
 # Time after which a run that goes on counts as harmless to its worker, seconds.
 PROVEN_RUN_S = 10.0
+# Workers on which a task failed or stalled that are stored for a successor, the latest ones; bounds
+# the row of a step whose tasks run for weeks.
+MAX_STORED_FAILED_ON = 3
 
 
 @dataclass(eq=False)
@@ -79,7 +82,7 @@
             self.worker,
             self.incarnation,
             self.checkpoint,
-            self.failed_on,
+            self.failed_on[-MAX_STORED_FAILED_ON:],
             self.machine,
             self.crashes,
             self.crashes_at_start,
--- a/tests/coordination/job/test_commit.py
+++ b/tests/coordination/job/test_commit.py
@@ -15,7 +15,7 @@
 from gypsumplank.state.job import TABLE_STEPS, JobStore, LoadedJob
 from gypsumplank.state.table import ABSENT, Check
 from standins.limit import LimitedFeedTable
-from tests.coordination.job.cluster import SimulatedCluster
+from tests.coordination.job.cluster import SimulatedCluster, long_running_step
 
 FENCE = Check("leases", "scheduler", ABSENT)
 SMALL = Resources(100, 10)
@@ -112,3 +112,16 @@
     assert store.silent_workers() == since
     store.update_silent_workers(FENCE, {}, since)
     assert store.silent_workers() == {}
+
+
+def test_row_of_a_lasting_step_does_not_grow_with_the_workers_it_failed_on(cluster):
+    cluster.submit("a" * 16, (long_running_step(50),), spec="10000")
+    cluster.run(1.0)
+    job = cluster.leader().scheduler_leader._term.scheduler.workload.jobs["a" * 16]
+    for task in job.tasks():
+        task.failed_on = tuple(f"worker-{number:06d}" for number in range(200))
+        task.step.dirty = True
+    cluster.run(1.0)
+    assert cluster.state("a" * 16) == "running"
+    assert not any(task.step.dirty for task in job.tasks())
+    assert len(next(job.tasks()).failed_on) == 200
