job: keep a job cancelled that is cancelled during a take-over

Cause: a new leader reads the states before the cancellations. A job that is cancelled in between was loaded as cancelled, with the state from before, and Workload.cancel left it at that. When its tasks ended, the state was updated from them; after the conflict the leader took over the row's new version and wrote its own state over `cancelled`.

What callers saw: a job whose cancellation had been answered with 2xx, shown as `cancelled` and later as `completed` or `failed`.

Evidence: test_job_cancelled_during_take_over_stays_cancelled failed before in both variants: the states shown were cancelled and completed, cancelled and failed. test_job_loaded_as_cancelled_gets_no_other_state (six variants) and test_cancel_of_a_job_known_as_cancelled_replaces_its_state failed as well.

Change: such a job is loaded in the state `cancelled`, and Workload.cancel sets that state unless the job has it.

Run: tests/coordination/job/test_leader.py: passed.

--- a/gypsumplank/coordination/job/workload.py
+++ b/gypsumplank/coordination/job/workload.py
@@ -45,12 +45,14 @@
 
     def add(self, loaded: LoadedJob, now: float) -> Job:
         """Add a job that was read from the store; `now` is in monotonic seconds."""
+        cancelled = loaded.cancelled or loaded.state is JobState.CANCELLED
         job = Job(
             loaded.job,
             loaded.job.service,
-            loaded.state,
+            # The state may have been read before the cancellation.
+            JobState.CANCELLED if cancelled else loaded.state,
             loaded.version,
-            loaded.cancelled or loaded.state is JobState.CANCELLED,
+            cancelled,
             arrived_at=now,
         )
         for step in job.steps.values():
@@ -76,7 +78,7 @@
     def cancel(self, job_id: str) -> None:
         """Mark a job as cancelled, as it is in the store."""
         job = self.jobs.get(job_id)
-        if job is not None and not job.cancelled:
+        if job is not None and not (job.cancelled and job.state is JobState.CANCELLED):
             job.cancelled = True
             job.state = JobState.CANCELLED
             job.state_dirty = False
--- a/tests/coordination/job/test_leader.py
+++ b/tests/coordination/job/test_leader.py
@@ -1,13 +1,22 @@
 import contextlib
 import random
+from dataclasses import replace
 
 import pytest
 
+from gypsumplank.coordination.job.workload import Workload
 from gypsumplank.errors import StateError, WorkerUnknownError
-from gypsumplank.protocol.job import StoredJob
-from gypsumplank.state.job import StateValue, decode
+from gypsumplank.protocol.job import JobState, StoredJob, TaskPhase
+from gypsumplank.state.job import JobStore, LoadedJob, StateValue, decode
 from gypsumplank.state.table import Txn, Write
-from tests.coordination.job.cluster import CHAIN, SimulatedCluster, long_running_step
+from tests.coordination.job.cluster import (
+    CHAIN,
+    CHAIN_ORDER,
+    MANIFEST,
+    QUEUE,
+    SimulatedCluster,
+    long_running_step,
+)
 
 
 @pytest.fixture
@@ -470,3 +479,65 @@
     cluster.run(20.0)
     assert len(cluster.simulated_workers.history) == 1
     assert not cluster.violations()
+
+
+class CancellingTable:
+    """Cancel a job right after the first scan of the states by a new leader."""
+
+    def __init__(self, table, cancel):
+        self.table, self.cancel = table, cancel
+
+    def __getattr__(self, name):
+        return getattr(self.table, name)
+
+    def scan(self, *args, **kwargs):
+        rows = self.table.scan(*args, **kwargs)
+        if args[0] == "states" and self.cancel is not None:
+            cancel, self.cancel = self.cancel, None
+            cancel()
+        return rows
+
+
+@pytest.mark.parametrize("failure_share", [0.0, 1.0])
+def test_job_cancelled_during_take_over_stays_cancelled(cluster, failure_share):
+    cluster.manifest = replace(MANIFEST, queues=(replace(QUEUE, max_attempts=1),))
+    cluster.simulated_workers.failure_share = failure_share
+    cluster.submit("a" * 16, spec="1.5")
+    cluster.run(1.0)
+    old_leader = cluster.leader()
+    (successor,) = (daemon for daemon in cluster.daemons if daemon is not old_leader)
+    successor.table.table = CancellingTable(
+        cluster.table, lambda: JobStore(cluster.table).cancel("a" * 16)
+    )
+    old_leader.suspended = True
+    shown = set()
+    while not successor.scheduler_leader.is_leader:
+        cluster.run(0.05)
+    for _ in range(100):
+        shown.add(cluster.state("a" * 16))
+        cluster.run(0.05)
+    assert shown == {"cancelled"}
+    assert not cluster.table.scan("cancels")
+    assert not cluster.violations()
+
+
+@pytest.mark.parametrize("loaded_state", [JobState.QUEUED, JobState.RUNNING])
+@pytest.mark.parametrize("phase", [TaskPhase.ASSIGNED, TaskPhase.DONE, TaskPhase.FAILED])
+def test_job_loaded_as_cancelled_gets_no_other_state(loaded_state, phase):
+    workload = Workload()
+    stored = StoredJob("a" * 16, "proofs", "desk", 0, CHAIN_ORDER)
+    job = workload.add(LoadedJob(stored, loaded_state, 1, True, {}), 0.0)
+    for task in job.tasks():
+        task.phase, task.run = phase, 1
+    workload.update_job_states([job], 1.0)
+    assert job.state is JobState.CANCELLED
+    assert not job.state_dirty
+
+
+def test_cancel_of_a_job_known_as_cancelled_replaces_its_state():
+    workload = Workload()
+    stored = StoredJob("a" * 16, "proofs", "desk", 0, CHAIN_ORDER)
+    job = workload.add(LoadedJob(stored, JobState.RUNNING, 1, True, {}), 0.0)
+    job.state, job.state_dirty = JobState.FAILED, True
+    workload.cancel(job.id)
+    assert (job.state, job.state_dirty) == (JobState.CANCELLED, False)
