job: remove the states of jobs that ended long ago

Cause: the row of an ended job in the table `states` was never removed, as Workload.expired had no caller, and each take-over read all of them.

What callers saw: nothing yet; take-overs take longer with the age of the fleet, and the store has a limit in total.

Change: 300 s after the time for which a state must be shown (`status_s` of the settings file, 120 s by default), the leader removes it under its fence, 90 rows every 2 s at most. Only jobs that are cleaned up are removed. Until then a repeated submission finds the row and remains one job. A batch whose outcome is unknown is not tried again, as it could hit a later job with that id; the next leader finds the rows. A new leader counts the time from its take-over, so leaders that change more often than every 420 s remove nothing.

--- a/gypsumplank/composition/platform.py
+++ b/gypsumplank/composition/platform.py
@@ -163,6 +163,7 @@
             maintenance,
             heartbeat_s=settings.heartbeat_s,
             candidates=self._daemon_registry,
+            status_s=settings.status_s,
         )
 
     def _make_listeners(self) -> None:
--- a/gypsumplank/coordination/job/leader.py
+++ b/gypsumplank/coordination/job/leader.py
@@ -10,6 +10,7 @@
 from gypsumplank.coordination.job.fleet import EXTENSION_GRACE_S
 from gypsumplank.coordination.job.model import Job
 from gypsumplank.coordination.job.permit import PermitCache
+from gypsumplank.coordination.job.retention import StateRetention
 from gypsumplank.coordination.job.scheduler import Scheduler
 from gypsumplank.coordination.job.silence import SilentWorkers
 from gypsumplank.coordination.job.term import (
@@ -35,7 +36,7 @@
 from gypsumplank.protocol.queue import Manifest
 from gypsumplank.state.clock import Clock
 from gypsumplank.state.job import LoadedJob, StateValue, decode
-from gypsumplank.state.table import Row
+from gypsumplank.state.table import Check, Row
 
 SCHEDULER_LEASE = "scheduler"
 # Duration of the scheduler's lease, seconds; long enough for several store calls that are slow but
@@ -75,6 +76,7 @@
         term_factory: TermFactory | None = None,
         heartbeat_s: float = 1.5,
         candidates: LeaderCandidates | None = None,
+        status_s: float = 120.0,
     ) -> None:
         self._candidates = candidates or NoCandidates()
         self._heartbeat_s = heartbeat_s
@@ -89,6 +91,7 @@
         self._thread = threading.Thread(target=self._run, name="chief", daemon=True)
         self._term: Term | None = None
         self._silent_workers = SilentWorkers(ports.store, ports.store_clock)
+        self._retention = StateRetention(ports.store, status_s)
         self._cut_off = CutOffDetector(clock)
         self._next_lease_check_at = 0.0
         self._must_renew = False
@@ -350,11 +353,18 @@
         scheduler = term.scheduler
         if fence is None or (self._must_renew and not self._renew()):
             return
-        self._machine_manager.maintenance.plan(scheduler, self._clock.monotonic())
+        now = self._clock.monotonic
+        self._machine_manager.maintenance.plan(scheduler, now())
         scheduler.plan()
-        if self._commit(term) and self._record_silent_workers(scheduler):
+        instances = scheduler.instances.values()
+        if self._commit(term) and self._try_write(
+            lambda fence: self._silent_workers.update(fence, instances, now())
+        ):
             scheduler.dispatch()
-            self._machine_manager.run(scheduler, self._manifest(), self._clock.monotonic())
+            self._machine_manager.run(scheduler, self._manifest(), now())
+            self._try_write(
+                lambda fence: self._retention.remove_expired(fence, scheduler.workload, now())
+            )
         if scheduler.fenced:
             scheduler.fenced = False
             self._next_lease_check_at = 0.0
@@ -392,35 +402,30 @@
         except StateConflictError:
             self._recheck_states(term, committer.in_flight)
         except StateError as exc:
-            self._must_renew = self._must_renew or isinstance(exc, StateUnknownError)
-            event(
-                logger,
-                Event.ROUND_FAILED,
-                logging.WARNING,
-                code=exc.code,
-                detail=exc.detail,
-                jobs=len(committer.in_flight),
-            )
+            self._log_failed_write(exc, jobs=len(committer.in_flight))
             self._record_failed_write()
         return False
 
-    def _record_silent_workers(self, scheduler: Scheduler) -> bool:
+    def _try_write(self, write: Callable[[Check], None]) -> bool:
+        """Make a write that needs the lease only; return whether it succeeded."""
         fence = self._ports.leases.fence(SCHEDULER_LEASE)
         if fence is None:
             return False
         try:
-            self._silent_workers.update(
-                fence, scheduler.instances.values(), self._clock.monotonic()
-            )
+            write(fence)
         except StateConflictError:
             self._tick_lease()
             return False
         except StateError as exc:
-            self._must_renew = isinstance(exc, StateUnknownError)
-            event(logger, Event.ROUND_FAILED, logging.WARNING, code=exc.code, detail=exc.detail)
+            self._log_failed_write(exc)
             return False
         return True
 
+    def _log_failed_write(self, exc: StateError, **fields: int) -> None:
+        self._must_renew = self._must_renew or isinstance(exc, StateUnknownError)
+        details = {"code": exc.code, "detail": exc.detail, **fields}
+        event(logger, Event.ROUND_FAILED, logging.WARNING, **details)
+
     def _recheck_states(self, term: Term, jobs: Iterable[Job]) -> None:
         """Check after a conflict whether the lease or the state of a job has changed."""
         self._tick_lease()
--- a/gypsumplank/coordination/job/workload.py
+++ b/gypsumplank/coordination/job/workload.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections.abc import Collection, Iterable, Iterator, Sequence
+from itertools import islice, takewhile
 
 from gypsumplank.coordination.job.model import Job, Step, Task
 from gypsumplank.errors import EntryInvalidError
@@ -143,7 +144,13 @@
 
     def expired(self, before: float, limit: int = MAX_TXN_ENTRIES) -> Sequence[str]:
         """Return jobs that ended before a time and whose state need not be kept any longer."""
-        return [job for job, at in self.ended_at.items() if at < before][:limit]
+        ended = takewhile(lambda item: item[1] < before, self.ended_at.items())
+        return [job for job, _ in islice(ended, limit)]
+
+    def forget(self, jobs: Iterable[str]) -> None:
+        """Forget ended jobs whose states were removed."""
+        for job in jobs:
+            self.ended_at.pop(job, None)
 
     @staticmethod
     def _is_finished(job: Job) -> bool:
--- a/gypsumplank/platform/settings.py
+++ b/gypsumplank/platform/settings.py
@@ -34,13 +34,17 @@
 
 
 class WireBounds(msgspec.Struct, rename="kebab"):
-    """Store the platform's time limits; `max-hold-ms` is the longest task lease."""
+    """Store the platform's time limits; `max-hold-ms` is the longest task lease.
+
+    `status_s` is how long the state of an ended job must be shown.
+    """
 
     max_hold_ms: PositiveFloat = 6000
     lease_ms: PositiveFloat = 3000
     grace_s: PositiveFloat = 6
     maintenance_s: PositiveFloat = 2
     move_s: PositiveFloat = 1.5
+    status_s: PositiveFloat = msgspec.field(default=120, name="status_s")
 
 
 class WireService(msgspec.Struct, rename="kebab"):
@@ -78,7 +82,7 @@
 
     `peer_address` is where this daemon serves other daemons. `lease_handover_s` is the minimum time
     between orders for one machine by two different lease holders. `max_row_bytes` is the longest
-    value of a row in the store.
+    value of a row in the store, `status_s` how long the state of an ended job must be shown.
     """
 
     daemon: str
@@ -97,6 +101,7 @@
     heartbeat_s: float
     peer_address: str
     max_row_bytes: int
+    status_s: float
 
 
 def settings_path() -> Path:
@@ -146,4 +151,5 @@
         wire.heartbeat_ms / MS_PER_S,
         f"{wire.ip}:{wire.port_range[0]}",
         wire.platform.row_bytes,
+        wire.bounds.status_s,
     )
--- a/gypsumplank/state/job.py
+++ b/gypsumplank/state/job.py
@@ -297,6 +297,10 @@
         for first in range(0, len(writes), MAX_TXN_ENTRIES):
             self._table.commit(Txn((fence,), tuple(writes[first : first + MAX_TXN_ENTRIES])))
 
+    def remove_states(self, fence: Check, jobs: Iterable[str]) -> None:
+        """Remove the states of ended jobs that are cleaned up, if the fence check passes."""
+        self._table.commit(Txn((fence,), tuple(Write(TABLE_STATES, job, None) for job in jobs)))
+
     def load(
         self, on_progress: Callable[[], None] = lambda: None
     ) -> tuple[list[LoadedJob], list[str]]:
--- a/tests/coordination/job/cluster.py
+++ b/tests/coordination/job/cluster.py
@@ -309,6 +309,7 @@
             lambda: LEASE_S,
             machine_manager,
             self.term_factory,
+            status_s=cluster.status_s,
         )
         self.store = store
         self.job_service = JobService(store, cluster.clock, lambda: MANIFEST)
@@ -339,7 +340,7 @@
 class SimulatedCluster:
     """Simulate a whole cluster, and check the runs that its workers have seen."""
 
-    def __init__(self, seed, daemons=2, workers=3):
+    def __init__(self, seed, daemons=2, workers=3, status_s=120.0):
         self.rng = random.Random(seed)
         self.clock = ManualClock(100.0)
         self.table = LimitedFeedTable()
@@ -350,6 +351,7 @@
         self.machines = SimulatedMachines(self)
         self.waves = []
         self.reported = {}
+        self.status_s = status_s
         self.manifest = MANIFEST
         self.daemons = [Daemon(self, f"d{index}") for index in range(daemons)]
         self.submitted = {}
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -39,6 +39,13 @@
     )
 
 
+def test_time_for_which_states_are_shown_is_read_and_has_a_default(tmp_path):
+    assert load_platform_settings(write_settings(tmp_path, SETTINGS)).status_s == 120.0
+    bounds = {**SETTINGS["bounds"], "status_s": 300}
+    settings = load_platform_settings(write_settings(tmp_path, {**SETTINGS, "bounds": bounds}))
+    assert settings.status_s == 300.0
+
+
 def test_row_limit_is_read_and_has_a_default(tmp_path):
     assert load_platform_settings(write_settings(tmp_path, SETTINGS)).max_row_bytes == 65_536
     platform = {**SETTINGS["platform"], "row-bytes": 32_768}
