job: leave out records of silent workers that no key can hold

Cause: a worker's id may have 200 bytes, as long as a key. The key of the record of a silent instance is that id and its incarnation, so the store refused the record, and the round ended before anything was sent.

What callers saw: with one such worker silent, jobs became `running` and no task was started any more.

Evidence: test_silent_worker_whose_id_fills_a_key_stops_no_job failed before: the job submitted after that stayed `running`.

Change: such a record is not written. It only shortens a successor's wait, which then is for the longest lease that the worker may have.

--- a/gypsumplank/state/job.py
+++ b/gypsumplank/state/job.py
@@ -35,6 +35,8 @@
 # Bytes that an entry adds as sent beside its table, key and value: the JSON around these, the
 # partition, and the version that a check has.
 ENTRY_OVERHEAD_BYTES = 100
+# Bytes of a row's key that the platform accepts.
+MAX_KEY_BYTES = 200
 # Bytes of a row's value, where the settings file gives no other limit.
 DEFAULT_MAX_ROW_BYTES = 65_536
 # Bytes of a step's row that are reserved for each of its tasks when the job is submitted.
@@ -286,14 +288,19 @@
     def update_silent_workers(
         self, fence: Check, since: Mapping[str, int], ended: Iterable[str]
     ) -> None:
-        """Add silent worker instances and remove others, if the fence check passes."""
-        writes = [
+        """Add silent worker instances and remove others, if the fence check passes.
+
+        An instance whose name is too long for a key is left out; a successor then waits for the
+        longest lease that it may have.
+        """
+        records = (
             *(
                 Write(TABLE_SILENCES, instance, msgspec.json.encode(at))
                 for instance, at in since.items()
             ),
             *(Write(TABLE_SILENCES, instance, None) for instance in ended),
-        ]
+        )
+        writes = [write for write in records if len(write.key.encode()) <= MAX_KEY_BYTES]
         for first in range(0, len(writes), MAX_TXN_ENTRIES):
             self._table.commit(Txn((fence,), tuple(writes[first : first + MAX_TXN_ENTRIES])))
 
--- a/tests/coordination/job/test_commit.py
+++ b/tests/coordination/job/test_commit.py
@@ -15,7 +15,7 @@
 from gypsumplank.state.job import TABLE_STEPS, JobStore, LoadedJob
 from gypsumplank.state.table import ABSENT, Check
 from standins.limit import LimitedFeedTable
-from tests.coordination.job.cluster import SimulatedCluster, long_running_step
+from tests.coordination.job.cluster import SERVICE, SimulatedCluster, long_running_step
 
 FENCE = Check("leases", "scheduler", ABSENT)
 SMALL = Resources(100, 10)
@@ -125,3 +125,22 @@
     assert cluster.state("a" * 16) == "running"
     assert not any(task.step.dirty for task in job.tasks())
     assert len(next(job.tasks()).failed_on) == 200
+
+
+def test_silent_worker_whose_id_fills_a_key_stops_no_job(cluster):
+    name = "w" * 199
+    cluster.simulated_workers.add(name, SERVICE, Resources(64000, 64000))
+    cluster.run(1.0)
+    cluster.submit("a" * 16, (long_running_step(30, 30),), spec="10000")
+    cluster.run(1.0)
+    assert cluster.simulated_workers.workers[name].running
+    cluster.simulated_workers.workers[name].reachable = False
+    cluster.run(4.0)
+    cluster.submit("b" * 16)
+    cluster.run(2.0)
+    assert cluster.state("b" * 16) == "completed"
+    assert cluster.table.refused == 0
+    cluster.simulated_workers.workers[name].reachable = True
+    cluster.run(20.0)
+    assert cluster.table.refused == 0
+    assert not cluster.violations()
