--- a/gypsumplank/coordination/job/model.py
+++ b/gypsumplank/coordination/job/model.py
@@ -22,6 +22,9 @@
 # Workers that a task remembers that its runs failed or stalled on; a worker's next instance has
 # another identifier, and the row of a step is limited.
 MAX_FAILED_ON = 16
+# Workers on which a task failed or stalled that are stored for a successor, the latest ones; bounds
+# the row of a step whose tasks run for weeks.
+MAX_STORED_FAILED_ON = 3
 
 
 @dataclass(eq=False)
@@ -88,7 +91,7 @@
             self.worker,
             self.incarnation,
             self.checkpoint,
-            self.failed_on,
+            self.failed_on[-MAX_STORED_FAILED_ON:],
             self.machine,
             self.crashes,
             self.crashes_at_start,
@@ -222,7 +225,8 @@
     """Represent one job; `version` is that of the stored row with its state.
 
     `arrived_at` is when this leader read the job, in monotonic seconds. `state_dirty` marks a
-    change of the state that is not stored yet.
+    change of the state that is not stored yet. `is_unstorable` tells that the store does not take
+    a row of one of its steps.
     """
 
     stored: StoredJob
@@ -233,6 +237,7 @@
     cleaned: bool = False
     started: bool = False
     state_dirty: bool = False
+    is_unstorable: bool = False
     arrived_at: float = 0.0
     steps: dict[tuple[int, int], Step] = field(default_factory=dict)
 
--- a/gypsumplank/state/job.py
+++ b/gypsumplank/state/job.py
@@ -4,6 +4,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
+from math import ceil
 from typing import TypeVar
 
 import msgspec
@@ -12,6 +13,7 @@
     EntryInvalidError,
     JobMissingError,
     StateConflictError,
+    StateTooLargeError,
     StateUnknownError,
 )
 from gypsumplank.log import Event, event
@@ -28,6 +30,17 @@
 
 # Entries per transaction; the platform accepts 100.
 MAX_TXN_ENTRIES = 90
+# Bytes per transaction, as sent; the platform accepts 1 MB.
+MAX_TXN_BYTES = 800_000
+# Bytes that an entry adds as sent beside its table, key and value: the JSON around these, the
+# partition, and the version that a check has.
+ENTRY_OVERHEAD_BYTES = 100
+# Bytes of a row's key that the platform accepts.
+MAX_KEY_BYTES = 200
+# Bytes of a row's value, where the settings file gives no other limit.
+DEFAULT_MAX_ROW_BYTES = 65_536
+# Bytes of a step's row that are reserved for each of its tasks when the job is submitted.
+TASK_RECORD_BYTES = 256
 # Jobs that a load decodes between two checks of the lease; a slow daemon decodes them in less time
 # than passes between two renewals.
 LOAD_CHUNK_JOBS = 10
@@ -60,6 +73,11 @@
         """Return how many transaction entries the changes use."""
         return len(self.checks) + len(self.writes)
 
+    @property
+    def sent_bytes(self) -> int:
+        """Return how many bytes of a transaction the changes use."""
+        return sum(map(sent_bytes, self.checks)) + sum(map(sent_bytes, self.writes))
+
 
 @dataclass(frozen=True)
 class LoadedJob:
@@ -100,16 +118,39 @@
     return Write(TABLE_STEPS, key, msgspec.json.encode(record))
 
 
+def sent_bytes(entry: Check | Write) -> int:
+    """Return the bytes that an entry of a transaction adds as sent, with its value in base64."""
+    value = entry.value or b"" if isinstance(entry, Write) else b""
+    key_bytes = len(entry.table.encode()) + len(entry.key.encode())
+    return ENTRY_OVERHEAD_BYTES + key_bytes + 4 * ceil(len(value) / 3)
+
+
+def take_fitting(writes: Iterable[Write], entries: int, size: int) -> Iterator[Write]:
+    """Yield the first writes that fit into a transaction beside `entries` of `size` bytes."""
+    for write in writes:
+        entries += 1
+        size += sent_bytes(write)
+        if entries > MAX_TXN_ENTRIES or size > MAX_TXN_BYTES:
+            return
+        yield write
+
+
 def group_into_txns(updates: Iterable[JobUpdate]) -> Iterator[list[JobUpdate]]:
-    """Group updates into transactions of at most MAX_TXN_ENTRIES entries."""
+    """Group updates into transactions of at most MAX_TXN_ENTRIES entries and MAX_TXN_BYTES.
+
+    An update that exceeds these alone becomes a transaction of its own.
+    """
     batch: list[JobUpdate] = []
-    entries = 0
+    entries = size = 0
     for update in updates:
-        if batch and entries + update.entries > MAX_TXN_ENTRIES:
+        update_bytes = update.sent_bytes
+        is_full = entries + update.entries > MAX_TXN_ENTRIES or size + update_bytes > MAX_TXN_BYTES
+        if batch and is_full:
             yield batch
-            batch, entries = [], 0
+            batch, entries, size = [], 0, 0
         batch.append(update)
         entries += update.entries
+        size += update_bytes
     if batch:
         yield batch
 
@@ -141,18 +182,25 @@
 
 
 class JobStore:
-    """Read and write jobs; every method may raise StateError."""
+    """Read and write jobs; every method may raise StateError.
+
+    `max_row_bytes` is the longest value of a row that the store accepts.
+    """
 
-    def __init__(self, table: Table) -> None:
+    def __init__(self, table: Table, max_row_bytes: int = DEFAULT_MAX_ROW_BYTES) -> None:
         self._table = table
+        self.max_row_bytes = max_row_bytes
 
     def submit(self, job: StoredJob, timeout_s: float | None = None) -> bool:
         """Store a new job; return False if it is stored already.
 
-        `timeout_s` limits the wait for the response, in seconds.
+        `timeout_s` limits the wait for the response, in seconds. Raises StateTooLargeError if the
+        job, or the progress of one of its steps, does not fit into a row.
         """
+        order = msgspec.json.encode(job)
+        self._check_row_sizes(job, order)
         writes = (
-            Write(TABLE_ORDERS, job.id, msgspec.json.encode(job)),
+            Write(TABLE_ORDERS, job.id, order),
             state_write(job.id, JobState.QUEUED, job.queue),
             Write(TABLE_PENDING, pending_key(job.queue, job.id), b"1"),
         )
@@ -162,6 +210,16 @@
             return False
         return True
 
+    def _check_row_sizes(self, job: StoredJob, order: bytes) -> None:
+        if len(order) > self.max_row_bytes:
+            raise StateTooLargeError(f"job of {len(order)} bytes exceeds {self.max_row_bytes}")
+        max_tasks = self.max_row_bytes // TASK_RECORD_BYTES
+        for position, step in enumerate(job.order.steps):
+            if step.tasks > max_tasks:
+                raise StateTooLargeError(
+                    f"step {position} has {step.tasks} tasks, more than {max_tasks}"
+                )
+
     def state(self, job: str) -> tuple[StateValue, int]:
         """Return a job's state and its row's version; raise JobMissingError."""
         row = self._table.get(TABLE_STATES, job)
@@ -230,17 +288,26 @@
     def update_silent_workers(
         self, fence: Check, since: Mapping[str, int], ended: Iterable[str]
     ) -> None:
-        """Add silent worker instances and remove others, if the fence check passes."""
-        writes = [
+        """Add silent worker instances and remove others, if the fence check passes.
+
+        An instance whose name is too long for a key is left out; a successor then waits for the
+        longest lease that it may have.
+        """
+        records = (
             *(
                 Write(TABLE_SILENCES, instance, msgspec.json.encode(at))
                 for instance, at in since.items()
             ),
             *(Write(TABLE_SILENCES, instance, None) for instance in ended),
-        ]
+        )
+        writes = [write for write in records if len(write.key.encode()) <= MAX_KEY_BYTES]
         for first in range(0, len(writes), MAX_TXN_ENTRIES):
             self._table.commit(Txn((fence,), tuple(writes[first : first + MAX_TXN_ENTRIES])))
 
+    def remove_states(self, fence: Check, jobs: Iterable[str]) -> None:
+        """Remove the states of ended jobs that are cleaned up, if the fence check passes."""
+        self._table.commit(Txn((fence,), tuple(Write(TABLE_STATES, job, None) for job in jobs)))
+
     def load(
         self, on_progress: Callable[[], None] = lambda: None
     ) -> tuple[list[LoadedJob], list[str]]:
--- a/tests/coordination/job/cluster.py
+++ b/tests/coordination/job/cluster.py
@@ -17,10 +17,10 @@
 from gypsumplank.protocol.queue import Machine, MachineState, Manifest, Queue, ServicePolicy
 from gypsumplank.protocol.worker import StartRefusal
 from gypsumplank.state.clock import ClockRange, ManualClock
-from gypsumplank.state.feed import MemoryFeedTable
 from gypsumplank.state.job import JobStore
 from gypsumplank.state.lease import LeaseStore
 from gypsumplank.state.machine import MachineOrderLog
+from standins.limit import LimitedFeedTable
 from standins.simulator import SimulatedWorkers
 from standins.violations import find_violations
 from tests.faulty import ScriptedFaultTable
@@ -324,6 +324,7 @@
             lambda: LEASE_S,
             machine_manager,
             self.term_factory,
+            status_s=cluster.status_s,
         )
         self.store = store
         self.job_service = JobService(store, cluster.clock, lambda: MANIFEST)
@@ -355,11 +356,11 @@
 class SimulatedCluster:
     """Simulate a whole cluster, and check the runs that its workers have seen."""
 
-    def __init__(self, seed, daemons=2, workers=3, polls_idle=True):
+    def __init__(self, seed, daemons=2, workers=3, polls_idle=True, status_s=120.0):
         self.polls_idle = polls_idle
         self.rng = random.Random(seed)
         self.clock = ManualClock(100.0)
-        self.table = MemoryFeedTable()
+        self.table = LimitedFeedTable()
         self.simulated_workers = SimulatedWorkers(self.rng)
         self.simulated_workers.now = self.clock.now
         for index in range(workers):
@@ -367,6 +368,7 @@
         self.machines = SimulatedMachines(self)
         self.waves = []
         self.reported = {}
+        self.status_s = status_s
         self.manifest = MANIFEST
         self.daemons = [Daemon(self, f"d{index}") for index in range(daemons)]
         self.submitted = {}
