--- a/gypsumplank/coordination/job/maintenance.py
+++ b/gypsumplank/coordination/job/maintenance.py
@@ -1,10 +1,8 @@
 """Drain and maintain every machine of a wave, within the wave's cap and the disruption budgets."""
 
 import logging
-import math
 from collections import Counter
 from collections.abc import Iterator, Mapping, Sequence
-from dataclasses import dataclass, field
 from itertools import islice
 
 from gypsumplank.coordination.job.instance import WorkerInstance
@@ -13,19 +11,13 @@
 from gypsumplank.coordination.job.port import Directory
 from gypsumplank.coordination.job.preemption import may_interrupt
 from gypsumplank.coordination.job.scheduler import Scheduler
+from gypsumplank.coordination.job.wave import MachineWaveProgress, task_usage
 from gypsumplank.errors import MachineError, MachineRefusedError, StateError
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.queue import MachineState, MaintenanceWave
 
 # Interval between reads of the waves, seconds; far shorter than a wave.
 WAVE_POLL_INTERVAL_S = 1.0
-# Share of a wave's duration within which the maintenance of all its machines should have started;
-# the rest is reserved for machines that take longer to drain.
-TARGET_START_SHARE = 0.5
-# Time from choosing a machine that runs tasks to the end of its maintenance, seconds.
-MACHINE_CYCLE_S = 6.0
-# Interval between log lines about an open wave, seconds.
-LOG_INTERVAL_S = 2.0
 # Time after a take-over in which an earlier leader's stops may still end tasks, seconds; one and a
 # half times the platform's longest stop.
 TAKEOVER_QUIET_S = 1.5
@@ -41,69 +33,6 @@
 logger = logging.getLogger(__name__)
 
 
-@dataclass
-class MachineWaveProgress:
-    """Track one wave's progress; times are monotonic seconds.
-
-    `draining` and `down` map machines to the start of that state, `in_flight` are those with an
-    unanswered order, `ordered` those whose maintenance was accepted or is no longer needed, and
-    `inherited` those that an earlier leader's order may still keep down. `reported` is whether the
-    last report was that the wave is complete, None if there was no report.
-    """
-
-    wave: MaintenanceWave
-    first_seen_at: float = 0.0
-    reported: bool | None = None
-    draining: dict[str, float] = field(default_factory=dict)
-    in_flight: set[str] = field(default_factory=set)
-    down: dict[str, float] = field(default_factory=dict)
-    ordered: set[str] = field(default_factory=set)
-    retry_at: dict[str, float] = field(default_factory=dict)
-    inherited: set[str] = field(default_factory=set)
-    next_log_at: float = 0.0
-
-    @property
-    def is_complete(self) -> bool:
-        """Return whether every machine's maintenance has started."""
-        return self.ordered.issuperset(self.wave.machines)
-
-    @property
-    def down_count(self) -> int:
-        """Return how many machines are, or may be, down for the wave."""
-        return len(self.inherited.union(self.down, self.in_flight))
-
-    def required_concurrency(self, now: float) -> int:
-        """Return how many machines have to be drained or down at once to finish in time."""
-        left = len(self.wave.machines) - len(self.ordered.intersection(self.wave.machines))
-        left_s = self.first_seen_at + TARGET_START_SHARE * self.wave.duration_s - now
-        return math.ceil(left * MACHINE_CYCLE_S / max(MACHINE_CYCLE_S, left_s))
-
-    def log_progress(self, instances: Mapping[str, WorkerInstance], now: float) -> None:
-        """Log the progress at intervals while the wave is open."""
-        if self.is_complete or now < self.next_log_at:
-            return
-        self.next_log_at = now + LOG_INTERVAL_S
-        event(
-            logger,
-            Event.WAVE_PROGRESS,
-            wave=self.wave.number,
-            age_s=round(now - self.first_seen_at, 1),
-            done=len(self.ordered),
-            down=self.down_count,
-            draining=len(self.draining),
-            with_lasting=sum(
-                1 for machine in self.draining if _task_usage(instances.get(machine))[0]
-            ),
-            left=len(self.wave.machines) - len(self.ordered),
-            pace=self.required_concurrency(now),
-        )
-
-    def needs_drain(self, machine: str, now: float) -> bool:
-        """Return whether a machine still has to be drained and may be chosen now."""
-        is_taken = machine in self.ordered or machine in self.draining or machine in self.in_flight
-        return not is_taken and now >= self.retry_at.get(machine, 0.0)
-
-
 class MaintenancePlanner:
     """Run the open maintenance waves; used by the scheduler's thread only."""
 
@@ -249,13 +178,13 @@
         if idle and not progress.ordered and not set(instances).difference(progress.wave.machines):
             # First maintain idle machines, so that long-running tasks can move to those afterwards.
             occupied = [
-                machine for machine in occupied if not _task_usage(instances.get(machine))[0]
+                machine for machine in occupied if not task_usage(instances.get(machine))[0]
             ]
         # Machines with long-running tasks come first, as disruption budgets make them the slowest.
         occupied.sort(
             key=lambda machine: (
-                -_task_usage(instances.get(machine))[0],
-                _task_usage(instances.get(machine))[1],
+                -task_usage(instances.get(machine))[0],
+                task_usage(instances.get(machine))[1],
             )
         )
         quota = max(
@@ -383,11 +312,3 @@
         elif waited_s >= DRAIN_TIMEOUT_S or (order.checkpoints and waited_s >= CHECKPOINT_WAIT_S):
             stops.append(task)
     scheduler.request_stop(stops)
-
-
-def _task_usage(instance: WorkerInstance | None) -> tuple[int, int]:
-    """Return a worker's number of long-running tasks and its CPU in use, in 1/1000 core."""
-    if instance is None:
-        return (0, 0)
-    long_running = sum(1 for task in instance.tasks.values() if task.step.order.lasting)
-    return (long_running, instance.used().cpu)
