coordination/job: let no answer to a machine order end a worker

An order for a machine is answered with 200 if it is carried out now, and also if that had been done before. The scheduler took the 200 for the end of the worker that it had in mind when it gave the order, left its entry out for good and queued its tasks again, unless an earlier leader's record named the same wave. An order that this leader repeated after a lost answer, one whose record a later move had overwritten, and a move to the pool in which the worker already is, all ended a worker that was alive.

An answer ends no worker now. A worker has ended if its machine is listed as down, moving or in maintenance in a list requested after the worker's last report (as before for machines that are down, but no crash is counted for the other two), if a later worker of the machine is there, or if its leases have lapsed. Until then it stays cordoned; it gets tasks again once the machine is listed as up. The list as the platform gave it is kept apart from the one with the accepted orders, as only the former is evidence. end_incarnation is gone.

New tests, all failed before: - test_workers_of_a_pool_get_tasks_after_their_unanswered_maintenance_is_ordered_again: the job was still queued, with two idle workers - test_runs_are_not_queued_again_by_an_answer_to_maintenance_that_was_done_before: "run 2 begins while run 1 is at work" for three tasks - test_worker_that_has_arrived_is_not_ended_by_the_repeated_order_of_its_move: the worker was gone

The second takes the cordon off by hand, as a move's late failure did.

--- a/gypsumplank/coordination/job/fleet.py
+++ b/gypsumplank/coordination/job/fleet.py
@@ -25,6 +25,8 @@
 # Age of a draining worker's entry up to which its removal means a clean exit, in heartbeats; the
 # platform removes the entries of silent workers after three.
 CLEAN_EXIT_MAX_AGE_HEARTBEATS = 2.5
+# States in which a machine has no worker.
+STATES_WITHOUT_WORKER = frozenset({MachineState.DOWN, MachineState.MOVING, MachineState.UPKEEP})
 
 logger = logging.getLogger(__name__)
 
@@ -212,23 +214,24 @@
         )
 
     def end_down(self, machines: Mapping[str, Machine], requested_at: float, now: float) -> None:
-        """End the instances whose machine was down in a list that was requested at `requested_at`.
+        """End the instances whose machine had no worker in a list requested at `requested_at`.
 
-        An instance that answered before the request has ended if its machine was down after it.
+        An instance that answered before the request has ended if its machine had none after it.
         """
         for key, instance in list(self.instances.items()):
             machine = machines.get(instance.entry.machine)
-            is_listed_down = machine is not None and machine.state is MachineState.DOWN
+            has_no_worker = machine is not None and machine.state in STATES_WITHOUT_WORKER
             answered_before = 0 < instance.last_contact_at < requested_at
-            if is_listed_down and answered_before and not instance.is_down:
+            if machine is not None and has_no_worker and answered_before and not instance.is_down:
+                if machine.state is MachineState.DOWN:
+                    _log_crash(instance)
+                    _record_crash(instance)
                 self._end_down(key, instance, requested_at, now)
 
     def _end_down(
         self, key: str, instance: WorkerInstance, requested_at: float, now: float
     ) -> None:
         """Requeue confirmed runs; others may still be executed by the worker's next instance."""
-        _log_crash(instance)
-        _record_crash(instance)
         instance.is_down = True
         confirmed = [
             task
@@ -281,12 +284,6 @@
         instances = sorted(self.instances.values(), key=lambda instance: instance.incarnation)
         return {instance.entry.machine: instance for instance in instances if not instance.detached}
 
-    def end_incarnation(self, instance: WorkerInstance) -> None:
-        """Requeue the tasks of an instance that a move or maintenance of its machine ended."""
-        self._ended_instance_ids.add(instance.instance_id)
-        self.requeue_all(instance, self._clock.monotonic(), "machine")
-        self._remove(instance.id, instance)
-
 
 def _is_replaced(instance: WorkerInstance, latest: WorkerEntry, now: float) -> bool:
     """Return whether the latest worker on an instance's machine shows that the instance is over.
--- a/gypsumplank/coordination/job/instance.py
+++ b/gypsumplank/coordination/job/instance.py
@@ -58,8 +58,8 @@
     end by `leased_until`; while `extension_suspended` is set, none is extended. `last_seen_end` and
     `last_acked_end` number the task ends that were processed and acknowledged. A `cordoned` worker
     gets no new tasks, one with `maintenance_due` gets long-running tasks last, and a `detached` one
-    is no longer polled. `is_down` is set once the platform lists its machine as down, and
-    `has_unassigned_runs` is set while the worker executes runs that are not
+    is no longer polled. `is_down` is set once the platform lists its machine as without a
+    worker, and `has_unassigned_runs` is set while the worker executes runs that are not
     assigned to it. `wake` ends the wait of the polling thread before its next poll.
     """
 
--- a/gypsumplank/coordination/job/machine.py
+++ b/gypsumplank/coordination/job/machine.py
@@ -69,9 +69,11 @@
     """Keep the list of machines, and send orders for them under a fencing token.
 
     `in_flight` names the machines with an unanswered order, `reserved` those that are planned for a
-    move or maintenance. `last_wave` maps machines to the wave for which an earlier leader last
-    ordered their maintenance, 0 for none, and `maintained_wave` to the last one for which any
-    leader's order was accepted. `list_read_at` is in monotonic seconds.
+    move or maintenance. `listed` is the last list as the platform gave it, requested at
+    `list_read_at` in monotonic seconds, and `machines` that list with the accepted orders since;
+    only `listed` shows what has become of a worker. `last_wave` maps machines to the wave for which
+    an earlier leader last ordered their maintenance, 0 for none, and `maintained_wave` to the last
+    one for which any leader's order was accepted.
     """
 
     def __init__(
@@ -99,6 +101,7 @@
         self._next_list_at = 0.0
         self._list_pending = False
         self.machines: dict[str, Machine] = {}
+        self.listed: Mapping[str, Machine] = {}
         self.list_read_at = 0.0
         self.last_wave: dict[str, int] = {}
         self.maintained_wave: dict[str, int] = {}
@@ -122,6 +125,7 @@
             self._actor = None
             self._order_senders = []
         self.machines.clear()
+        self.listed = {}
         self.last_wave.clear()
         self.maintained_wave.clear()
         self.in_flight.clear()
@@ -205,6 +209,7 @@
         self._list_pending = False
         if found:
             self.machines = {machine.name: machine for machine in found}
+            self.listed = dict(self.machines)
             self.list_read_at = now
 
     def order_maintenance(self, machine: str, wave: int, on_result: ResultCallback) -> None:
--- a/gypsumplank/coordination/job/maintenance.py
+++ b/gypsumplank/coordination/job/maintenance.py
@@ -104,7 +104,7 @@
             self._controller.refresh_list(now)
         instances = scheduler.fleet.by_machine()
         for progress in self._waves.values():
-            self._remove_recovered(progress)
+            self._remove_recovered(progress, instances)
             self._find_inherited(progress, now)
             self._add_maintained(progress)
             self._choose_machines(progress, instances, now)
@@ -123,14 +123,27 @@
                 if instance is not None:
                     drain_instance(scheduler, instance, now - since)
 
-    def _remove_recovered(self, progress: MachineWaveProgress) -> None:
-        """Remove machines from `down` that are up in a list read after their order succeeded."""
+    def _remove_recovered(
+        self, progress: MachineWaveProgress, instances: Mapping[str, WorkerInstance]
+    ) -> None:
+        """Remove machines from `down` that are up in a list requested after their order succeeded.
+
+        Their worker is a new one, or the order had been carried out before and had no effect.
+        """
         for machine, since in list(progress.down.items()):
-            listed = self._controller.machines.get(machine)
+            listed = self._controller.listed.get(machine)
             if self._controller.list_read_at > since and (
                 listed is None or listed.state is MachineState.UP
             ):
                 del progress.down[machine]
+                self._release(machine, instances)
+
+    def _release(self, machine: str, instances: Mapping[str, WorkerInstance]) -> None:
+        """Let a machine be chosen again, and its worker get tasks."""
+        self._controller.reserved.discard(machine)
+        instance = instances.get(machine)
+        if instance is not None:
+            instance.cordoned = False
 
     def _find_inherited(self, progress: MachineWaveProgress, now: float) -> None:
         """Find the machines that an earlier leader's order may still keep down."""
@@ -247,9 +260,7 @@
         self._controller.order_maintenance(
             machine,
             number,
-            lambda failure: self._handle_order_result(
-                scheduler, progress, machine, instance, failure
-            ),
+            lambda failure: self._handle_order_result(scheduler, progress, machine, failure),
         )
 
     def _handle_order_result(
@@ -257,27 +268,22 @@
         scheduler: Scheduler,
         progress: MachineWaveProgress,
         machine: str,
-        instance: WorkerInstance | None,
         failure: MachineError | None,
     ) -> None:
+        """Record an order's result; success may mean that it had been carried out before.
+
+        So it ends no worker. The list of machines shows whether the one that is there has ended.
+        """
         progress.in_flight.discard(machine)
-        self._controller.reserved.discard(machine)
         reason = failure.reason if isinstance(failure, MachineRefusedError) else ""
         if failure is None:
             progress.ordered.add(machine)
             progress.down[machine] = scheduler.now()
-            repeated = self._controller.last_wave.get(machine) == progress.wave.number
-            if instance is not None and not repeated:
-                scheduler.fleet.end_incarnation(instance)
-            elif instance is not None:
-                # An order that was executed before has no effect, so the worker keeps running.
-                instance.cordoned = False
             return
         if reason in {"missing", "wave"}:
             progress.ordered.add(machine)
         progress.retry_at[machine] = scheduler.now() + ORDER_RETRY_S
-        if instance is not None:
-            instance.cordoned = False
+        self._release(machine, scheduler.fleet.by_machine())
 
     def _report_state(self, progress: MachineWaveProgress) -> None:
         number, complete = progress.wave.number, progress.is_complete
--- a/gypsumplank/coordination/job/scaling.py
+++ b/gypsumplank/coordination/job/scaling.py
@@ -150,6 +150,8 @@
             if has_arrived or now - move.since > ARRIVAL_TIMEOUT_S:
                 del self._moves_in_flight[machine]
                 self._controller.reserved.discard(machine)
+                if instance is not None:
+                    instance.cordoned = False
 
     def _plan(
         self,
@@ -257,7 +259,7 @@
         self, service: str, members: list[WorkerInstance], instances: dict[str, WorkerInstance]
     ) -> int:
         """Return the size that a pool will have after all planned moves and maintenance."""
-        leaving = sum(1 for instance in members if instance.entry.machine in self._planned_moves)
+        leaving = sum(1 for instance in members if self._is_leaving(instance))
         arriving = sum(1 for move in self._moves_in_flight.values() if move.pool == service)
         planned = sum(1 for pool in self._planned_moves.values() if pool == service)
         expected = sum(
@@ -267,11 +269,19 @@
         )
         return len(members) - leaving + arriving + planned + expected
 
+    def _is_leaving(self, instance: WorkerInstance) -> bool:
+        """Return whether a move ends this instance, or will."""
+        move = self._moves_in_flight.get(instance.entry.machine)
+        is_moving = move is not None and move.instance_id == instance.instance_id
+        return is_moving or instance.entry.machine in self._planned_moves
+
     def _expects_worker(self, machine: Machine, instances: Mapping[str, WorkerInstance]) -> bool:
         """Return whether a machine is in maintenance, or its first worker has yet to register."""
-        if machine.name in instances or machine.name in self._moves_in_flight:
+        instance = instances.get(machine.name)
+        is_member = instance is not None and _is_active(instance)
+        if is_member or machine.name in self._moves_in_flight:
             return False
-        is_new = machine.name not in self._machines_seen_with_worker
+        is_new = instance is None and machine.name not in self._machines_seen_with_worker
         return machine.state is MachineState.UPKEEP or (machine.state is MachineState.UP and is_new)
 
     def _drainable_machines(self, members: list[WorkerInstance], now: float) -> list[str]:
@@ -328,9 +338,11 @@
         instance: WorkerInstance | None,
         failure: MachineError | None,
     ) -> None:
+        """Record an order's result; success may mean that it had been carried out before.
+
+        So it ends no worker. The list of machines shows whether the one that is there has ended.
+        """
         if failure is None:
-            if instance is not None:
-                scheduler.fleet.end_incarnation(instance)
             return
         self._retry_at[machine] = scheduler.now() + MOVE_RETRY_S
         if isinstance(failure, MachineRefusedError):
@@ -352,9 +364,14 @@
     return [
         instance
         for instance in instances.values()
-        if instance.entry.service == service
-        and instance.registered
+        if instance.entry.service == service and _is_active(instance)
+    ]
+
+
+def _is_active(instance: WorkerInstance) -> bool:
+    return (
+        instance.registered
         and not instance.detached
         and instance.missed_polls < UNREACHABLE_AFTER_MISSED_POLLS
         and instance.entry.state is WorkerState.READY
-    ]
+    )
--- a/gypsumplank/coordination/job/term.py
+++ b/gypsumplank/coordination/job/term.py
@@ -66,7 +66,7 @@
         """Apply the list of machines; order the maintenance and moves that are due."""
         if scheduler.fleet.has_silent_tasks():
             self._controller.refresh_list(now)
-        scheduler.fleet.end_down(self._controller.machines, self._controller.list_read_at, now)
+        scheduler.fleet.end_down(self._controller.listed, self._controller.list_read_at, now)
         self.maintenance.order_ready_machines(scheduler, now)
         if manifest is not None:
             self._pools.plan_and_move(scheduler, manifest, now)
--- a/tests/coordination/job/cluster.py
+++ b/tests/coordination/job/cluster.py
@@ -12,7 +12,14 @@
 from gypsumplank.coordination.job.term import MachineManager, PlatformPorts
 from gypsumplank.coordination.job.watch import StoreSnapshot
 from gypsumplank.coordination.lease import LeaseManager
-from gypsumplank.errors import GypsumplankError, StateError, WorkerError, WorkerRefusedError
+from gypsumplank.errors import (
+    GypsumplankError,
+    MachineError,
+    MachineRefusedError,
+    StateError,
+    WorkerError,
+    WorkerRefusedError,
+)
 from gypsumplank.protocol.job import JobDefinition, Resources, StepDefinition
 from gypsumplank.protocol.queue import Machine, MachineState, Manifest, Queue, ServicePolicy
 from gypsumplank.protocol.worker import StartRefusal
@@ -160,7 +167,11 @@
 
 
 class SimulatedMachines:
-    """Simulate moves and maintenance: they terminate the worker, and a new one starts later."""
+    """Simulate moves and maintenance: they terminate the worker, and a new one starts later.
+
+    While `loses_answers` is set, orders are carried out and their answers lost; while
+    `order_delay_s` is also set, they are carried out after that time.
+    """
 
     def __init__(self, cluster):
         self.cluster = cluster
@@ -172,6 +183,9 @@
         self.lists_crashed = True
         self.max_down = 0
         self.started_workers = 0
+        self.loses_answers = False
+        self.order_delay_s = 0.0
+        self.delayed_orders = []
 
     def list_machines(self):
         simulated_workers = self.cluster.simulated_workers
@@ -201,10 +215,33 @@
 
     def start_maintenance(self, machine, wave, holder, token):
         self.maintenance_calls.append(machine)
+        self._execute(lambda: self._maintain(machine, wave, token))
+
+    def move(self, machine, pool, holder, token):
+        self._execute(lambda: self._move(machine, pool, token))
+
+    def _execute(self, order):
+        if not self.loses_answers:
+            order()
+            return
+        if self.order_delay_s:
+            self.delayed_orders.append((self.cluster.clock.now + self.order_delay_s, order))
+        else:
+            self._execute_unheard(order)
+        raise MachineError("answer lost")
+
+    @staticmethod
+    def _execute_unheard(order):
+        try:
+            order()
+        except MachineRefusedError:
+            return
+
+    def _maintain(self, machine, wave, token):
         if (wave, machine) in self.maintained:
             return
-        self.maintained.add((wave, machine))
         pool = STANDBY if machine in self.standby else self._shut_down(machine)
+        self.maintained.add((wave, machine))
         self.standby.pop(machine, None)
         self._send(machine, pool, ("upkeep", wave, token), 2.0)
         down = {
@@ -214,7 +251,9 @@
         }
         self.max_down = max(self.max_down, len(down))
 
-    def move(self, machine, pool, holder, token):
+    def _move(self, machine, pool, token):
+        if any(one.name == machine and one.pool == pool for one in self.list_machines()):
+            return
         if machine in self.standby:
             del self.standby[machine]
         else:
@@ -223,11 +262,16 @@
 
     def _shut_down(self, machine):
         simulated_workers = self.cluster.simulated_workers
-        (worker,) = (
-            worker
-            for worker in simulated_workers.workers.values()
-            if worker.entry.machine == machine and worker.up
+        worker = next(
+            (
+                worker
+                for worker in simulated_workers.workers.values()
+                if worker.entry.machine == machine and worker.up
+            ),
+            None,
         )
+        if worker is None:
+            raise MachineRefusedError("busy")
         simulated_workers.crash(worker.entry.id)
         del simulated_workers.workers[worker.entry.id]
         return worker.entry.service
@@ -238,6 +282,12 @@
         self.orders.append((order[0], machine, *order[1:], self.cluster.clock.now))
 
     def step(self):
+        due = [order for at, order in self.delayed_orders if at <= self.cluster.clock.now]
+        self.delayed_orders = [
+            one for one in self.delayed_orders if one[0] > self.cluster.clock.now
+        ]
+        for order in due:
+            self._execute_unheard(order)
         for machine, (at, pool, _) in list(self.unavailable.items()):
             if self.cluster.clock.now >= at:
                 del self.unavailable[machine]
--- /dev/null
+++ b/tests/coordination/job/test_unanswered_orders.py
@@ -0,0 +1,129 @@
+"""Test orders to the machine service whose answer is lost, or that had been done before."""
+
+from gypsumplank.protocol.job import Resources, StepDefinition
+from gypsumplank.protocol.queue import MaintenanceWave, Manifest, ServicePolicy
+from tests.coordination.job.cluster import (
+    MANIFEST,
+    QUEUE,
+    ROOM,
+    SERVICE,
+    STANDBY,
+    SimulatedCluster,
+)
+
+SECOND_SERVICE = "press"
+
+
+def make_cluster(workers, seed=1):
+    cluster = SimulatedCluster(seed, workers=workers)
+    cluster.run(5.0)
+    return cluster
+
+
+def start_wave(cluster, cap, machines=()):
+    workers = cluster.simulated_workers.workers.values()
+    machines = machines or tuple(worker.entry.machine for worker in workers)
+    cluster.waves.append(MaintenanceWave(1, machines, 30.0, cap))
+    return machines
+
+
+def wave_is_complete(cluster):
+    return any(daemon.directory.reported.get(1) for daemon in cluster.daemons)
+
+
+def started_on(cluster, since):
+    history = cluster.simulated_workers.history
+    return {start.worker for start in history if start.started_at >= since}
+
+
+def add_services(cluster, second_workers=0):
+    services = {
+        name: ServicePolicy(name, standby=name == STANDBY)
+        for name in (SERVICE, SECOND_SERVICE, STANDBY)
+    }
+    cluster.manifest = Manifest(2, (QUEUE,), {**MANIFEST.services, **services})
+    for number in range(second_workers):
+        cluster.simulated_workers.add(f"p{number}", SECOND_SERVICE, ROOM)
+
+
+def test_workers_of_a_pool_get_tasks_after_their_unanswered_maintenance_is_ordered_again():
+    cluster = make_cluster(workers=2)
+    start_wave(cluster, cap=1)
+    cluster.machines.loses_answers = True
+    cluster.run(5.0)
+    cluster.machines.loses_answers = False
+    cluster.run(15.0)
+    assert wave_is_complete(cluster)
+    assert len(cluster.machines.orders) == 2
+    cluster.submit("a" * 16, (StepDefinition(4, Resources(4000, 100), 500),))
+    cluster.run(4.0)
+    assert cluster.state("a" * 16) == "completed"
+    assert len({start.worker for start in cluster.simulated_workers.history}) == 2
+
+
+class HoldingSender:
+    """Send orders immediately, and hold their answers until they are released."""
+
+    def __init__(self, controller):
+        self.controller, self.held = controller, []
+
+    def tell(self, call):
+        post, self.controller.post = self.controller.post, self.held.append
+        call()
+        self.controller.post = post
+
+    def stop(self, block):
+        pass
+
+    def release(self):
+        for answer in self.held:
+            self.controller.post(answer)
+
+
+def machine_manager_of(cluster):
+    return cluster.leader().scheduler_leader._machine_manager
+
+
+def hold_answers(cluster):
+    controller = machine_manager_of(cluster)._controller
+    sender = HoldingSender(controller)
+    controller._order_senders = [sender]
+    return sender
+
+
+def instances_of(cluster):
+    return cluster.leader().scheduler_leader._term.scheduler.instances
+
+
+def test_runs_are_not_queued_again_by_an_answer_to_maintenance_that_was_done_before():
+    cluster = make_cluster(workers=4)
+    machines = start_wave(cluster, 2, ("w0", "w1"))
+    # An earlier leader's order was done; the log only has a later move of the machine.
+    cluster.machines.maintained.update((1, machine) for machine in machines)
+    sender = hold_answers(cluster)
+    while len(cluster.machines.maintenance_calls) < 2:
+        cluster.run(0.05)
+    for instance in instances_of(cluster).values():
+        # A move whose answer is lost makes its worker available again.
+        instance.cordoned = False
+    cluster.submit("a" * 16, (StepDefinition(8, Resources(4000, 100), 3000),), spec="3")
+    cluster.run(0.5)
+    assert started_on(cluster, 0.0) == {"w0", "w1", "w2", "w3"}
+    sender.release()
+    cluster.run(10.0)
+    assert not cluster.violations()
+    assert len(cluster.simulated_workers.history) == 8
+    assert all(each.accepts_tasks(cluster.clock.now) for each in instances_of(cluster).values())
+
+
+def test_worker_that_has_arrived_is_not_ended_by_the_repeated_order_of_its_move():
+    cluster = make_cluster(workers=3)
+    add_services(cluster, second_workers=1)
+    cluster.run(4.0)
+    pools = machine_manager_of(cluster)._pools
+    cluster.machines._move("p0", SERVICE, 1)
+    cluster.run(2.5)
+    # The order whose answer was lost is planned again before its worker arrives.
+    pools._plan_move("p0", SERVICE)
+    cluster.run(6.0)
+    assert instances_of(cluster)["n1"].accepts_tasks(cluster.clock.now)
