coordination/job: count machines with an unanswered upkeep order as down

After an upkeep order without an answer the machine was free again at once: it did not count against the wave's cap, its worker got tasks, and the next machine was ordered. The order may have been carried out, or be carried out seconds later, so more than `cap` machines of a wave were down.

Now such a machine counts as down, its worker stays cordoned, and the order is repeated every 0.3 s until it is answered, before machines that have not been ordered yet; an order that was carried out has no effect when repeated. On 200 it counts as down until a list requested later shows it up. An order that was not sent or was refused (429 too) still frees it, as that is no missing answer: MachineError.may_be_executed tells them apart. A machine that is busy for longer than an order can be late (12 s), as it has crashed for good, holds no slot of the cap.

--- a/gypsumplank/coordination/job/machine.py
+++ b/gypsumplank/coordination/job/machine.py
@@ -256,7 +256,8 @@
         try:
             self.order_log.record(machine, wave, self.maintained_wave.get(machine, 0))
         except StateError as exc:
-            raise MachineError(f"the order could not be recorded: {exc.detail}") from exc
+            detail = f"the order could not be recorded: {exc.detail}"
+            raise MachineError(detail, may_be_executed=False) from exc
 
     def _record_acceptance(self, machine: str, wave: int) -> None:
         """Record that maintenance was accepted; without a record, a successor orders it again."""
@@ -276,7 +277,8 @@
             try:
                 self._record_order(machine, wave)
                 if token != self._token or not self._may_order():
-                    raise MachineError("the scheduler's term may have ended")
+                    detail = "the scheduler's term may have ended"
+                    raise MachineError(detail, may_be_executed=False)
                 work()
             except MachineError as exc:
                 failure = exc
--- a/gypsumplank/coordination/job/maintenance.py
+++ b/gypsumplank/coordination/job/maintenance.py
@@ -27,8 +27,10 @@
 DRAIN_TIMEOUT_S = 4.0
 # Longest time for which draining waits for batch tasks with checkpoints to end, seconds.
 CHECKPOINT_WAIT_S = 1.0
-# Delay before a failed order is given again, seconds.
+# Delay before an order that was refused or not sent is given again, seconds.
 ORDER_RETRY_S = 1.0
+# Delay before an order that got no answer is repeated, seconds.
+UNANSWERED_RETRY_S = 0.3
 
 logger = logging.getLogger(__name__)
 
@@ -107,6 +109,7 @@
             self._remove_recovered(progress, instances)
             self._find_inherited(progress, now)
             self._add_maintained(progress)
+            self._add_unanswered(progress, now)
             self._choose_machines(progress, instances, now)
             for machine in progress.wave.machines:
                 instance = instances.get(machine)
@@ -164,12 +167,24 @@
             if self._controller.maintained_wave.get(machine) == number
         )
 
+    def _add_unanswered(self, progress: MachineWaveProgress, now: float) -> None:
+        """Order again what an earlier leader ordered, if its acceptance is not recorded."""
+        number = progress.wave.number
+        for machine in progress.wave.machines:
+            is_ordered = self._controller.last_wave.get(machine) == number
+            is_answered = machine in progress.ordered or machine in progress.retry_at
+            if not is_ordered or is_answered:
+                continue
+            progress.unanswered.setdefault(machine, now)
+            is_taken = machine in progress.in_flight or machine in self._controller.reserved
+            if not is_taken and machine not in progress.draining:
+                progress.draining[machine] = now
+                self._controller.reserved.add(machine)
+
     def _choose_machines(
         self, progress: MachineWaveProgress, instances: dict[str, WorkerInstance], now: float
     ) -> None:
-        available_slots = (
-            progress.wave.cap + DRAIN_AHEAD_MACHINES - progress.down_count - len(progress.draining)
-        )
+        available_slots = progress.wave.cap + DRAIN_AHEAD_MACHINES - progress.taken_count
         if available_slots <= 0 or not self._controller.machines:
             return
         pending = [
@@ -177,15 +192,6 @@
             for machine in progress.wave.machines
             if progress.needs_drain(machine, now) and machine not in self._controller.reserved
         ]
-        # Maintenance that an earlier leader ordered has probably been carried out, even if its
-        # acceptance is not recorded. If it has not, a repeated order terminates running tasks, so
-        # these machines come last.
-        number = progress.wave.number
-        possibly_done = {
-            machine for machine in pending if self._controller.last_wave.get(machine) == number
-        }
-        if len(possibly_done) < len(pending):
-            pending = [machine for machine in pending if machine not in possibly_done]
         idle = [machine for machine in pending if not self._has_tasks(instances.get(machine))]
         occupied = [machine for machine in pending if self._has_tasks(instances.get(machine))]
         if idle and not progress.ordered and not set(instances).difference(progress.wave.machines):
@@ -200,9 +206,7 @@
                 task_usage(instances.get(machine))[1],
             )
         )
-        quota = max(
-            0, progress.required_concurrency(now) - progress.down_count - len(progress.draining)
-        )
+        quota = max(0, progress.required_concurrency(now) - progress.taken_count)
         ready = islice(self._interruptible(occupied, instances, now), quota)
         for machine in [*idle, *ready][:available_slots]:
             progress.draining[machine] = now
@@ -236,8 +240,8 @@
         instances = scheduler.fleet.by_machine()
         for progress in self._waves.values():
             for machine in list(progress.draining):
-                if progress.down_count >= progress.wave.cap:
-                    break
+                if not progress.may_order(machine, now):
+                    continue
                 instance = instances.get(machine)
                 if self._controller.is_handover_over(machine, now) and (
                     instance is None or not instance.tasks
@@ -275,14 +279,23 @@
         So it ends no worker. The list of machines shows whether the one that is there has ended.
         """
         progress.in_flight.discard(machine)
+        now = scheduler.now()
         reason = failure.reason if isinstance(failure, MachineRefusedError) else ""
-        if failure is None:
+        if failure is None or reason in {"missing", "wave"}:
             progress.ordered.add(machine)
-            progress.down[machine] = scheduler.now()
+            progress.unanswered.pop(machine, None)
+        if failure is None:
+            progress.down[machine] = now
+            return
+        progress.retry_at[machine] = now + ORDER_RETRY_S
+        if failure.may_be_executed:
+            progress.unanswered[machine] = now
+        elif reason == "busy" and progress.is_order_void(machine, now):
+            progress.unanswered.pop(machine, None)
+        if machine in progress.unanswered:
+            progress.draining[machine] = now
+            progress.retry_at[machine] = now + UNANSWERED_RETRY_S
             return
-        if reason in {"missing", "wave"}:
-            progress.ordered.add(machine)
-        progress.retry_at[machine] = scheduler.now() + ORDER_RETRY_S
         self._release(machine, scheduler.fleet.by_machine())
 
     def _report_state(self, progress: MachineWaveProgress) -> None:
--- a/gypsumplank/coordination/job/wave.py
+++ b/gypsumplank/coordination/job/wave.py
@@ -16,6 +16,8 @@
 MACHINE_CYCLE_S = 6.0
 # Interval between log lines about an open wave, seconds.
 LOG_INTERVAL_S = 2.0
+# Longest time after which an order that got no answer may still be carried out, seconds.
+MAX_ORDER_DELAY_S = 12.0
 
 logger = logging.getLogger(__name__)
 
@@ -25,9 +27,11 @@
     """Track one wave's progress; times are monotonic seconds.
 
     `draining` and `down` map machines to the start of that state, `in_flight` are those with an
-    unanswered order, `ordered` those whose maintenance was accepted or is no longer needed, and
-    `inherited` those that an earlier leader's order may still keep down. `reported` is whether the
-    last report was that the wave is complete, None if there was no report.
+    order that is waited for, `unanswered` maps those with one that got no answer, so that it may
+    still be carried out, to when that was known, `ordered` are those whose maintenance was accepted
+    or is no longer needed, and `inherited` those that an earlier leader's order may still keep
+    down. `reported` is whether the last report was that the wave is complete, None if there was no
+    report.
     """
 
     wave: MaintenanceWave
@@ -35,6 +39,7 @@
     reported: bool | None = None
     draining: dict[str, float] = field(default_factory=dict)
     in_flight: set[str] = field(default_factory=set)
+    unanswered: dict[str, float] = field(default_factory=dict)
     down: dict[str, float] = field(default_factory=dict)
     ordered: set[str] = field(default_factory=set)
     retry_at: dict[str, float] = field(default_factory=dict)
@@ -49,7 +54,27 @@
     @property
     def down_count(self) -> int:
         """Return how many machines are, or may be, down for the wave."""
-        return len(self.inherited.union(self.down, self.in_flight))
+        return len(self._possibly_down())
+
+    @property
+    def taken_count(self) -> int:
+        """Return how many machines are being drained for the wave, or may be down."""
+        return len(self._possibly_down().union(self.draining))
+
+    def _possibly_down(self) -> set[str]:
+        return self.inherited.union(self.down, self.in_flight, self.unanswered)
+
+    def is_order_void(self, machine: str, now: float) -> bool:
+        """Return whether no order for a machine without an answer can be carried out any more."""
+        return now - self.unanswered.get(machine, 0.0) > MAX_ORDER_DELAY_S
+
+    def may_order(self, machine: str, now: float) -> bool:
+        """Return whether the cap allows to order a machine's maintenance, or to repeat the order.
+
+        An order that has been carried out has no effect when it is repeated.
+        """
+        is_within_cap = machine in self.unanswered or self.down_count < self.wave.cap
+        return is_within_cap and now >= self.retry_at.get(machine, 0.0)
 
     def required_concurrency(self, now: float) -> int:
         """Return how many machines have to be drained or down at once to finish in time."""
--- a/gypsumplank/errors.py
+++ b/gypsumplank/errors.py
@@ -450,11 +450,18 @@
 
 
 class MachineError(GypsumplankError):
-    """A call to the machine service failed; it may still have been executed."""
+    """A call to the machine service failed; it may still have been executed.
+
+    `may_be_executed` is false if that is excluded, as the call was not sent or was refused.
+    """
 
     code = "machine"
     status = 503
 
+    def __init__(self, detail: str, may_be_executed: bool = True) -> None:
+        super().__init__(detail)
+        self.may_be_executed = may_be_executed
+
 
 class MachineRefusedError(MachineError):
     """The platform rejected a command for a machine; `reason` gives the cause."""
@@ -462,7 +469,7 @@
     code = "machine-refused"
 
     def __init__(self, reason: str) -> None:
-        super().__init__(reason)
+        super().__init__(reason, may_be_executed=False)
         self.reason = reason
 
 
--- a/gypsumplank/platform/machine.py
+++ b/gypsumplank/platform/machine.py
@@ -17,6 +17,7 @@
 STATUS_OK = 200
 STATUS_BAD_REQUEST = 400
 STATUS_CONFLICT = 409
+STATUS_TOO_MANY_REQUESTS = 429
 # A machine list with more pages is treated as malformed.
 MAX_LIST_PAGES = 100
 # One advice request may name at most this many workers.
@@ -60,11 +61,13 @@
         try:
             resp = self._client.call(method, path, body, headers)
         except CallError as exc:
-            raise MachineError(f"{path}: {exc.detail}") from exc
+            raise MachineError(f"{path}: {exc.detail}", may_be_executed=exc.sent) from exc
         if resp.status == STATUS_OK:
             return resp.body
         if resp.status == STATUS_BAD_REQUEST:
             raise MachineRefusedError("missing")
+        if resp.status == STATUS_TOO_MANY_REQUESTS:
+            raise MachineRefusedError("rate")
         if resp.status == STATUS_CONFLICT and isinstance(resp.body, dict):
             raise MachineRefusedError(str(resp.body.get("reason", "")))
         raise MachineError(f"{path}: status {resp.status}")
--- a/tests/coordination/job/test_unanswered_orders.py
+++ b/tests/coordination/job/test_unanswered_orders.py
@@ -1,5 +1,9 @@
 """Test orders to the machine service whose answer is lost, or that had been done before."""
 
+import random
+
+import pytest
+
 from gypsumplank.protocol.job import Resources, StepDefinition
 from gypsumplank.protocol.queue import MaintenanceWave, Manifest, ServicePolicy
 from tests.coordination.job.cluster import (
@@ -61,6 +65,47 @@
     assert len({start.worker for start in cluster.simulated_workers.history}) == 2
 
 
+@pytest.mark.parametrize("delay_s", [0.0, 2.0, 5.0, 12.0])
+def test_machines_whose_maintenance_order_got_no_answer_count_against_the_cap(delay_s):
+    cluster = make_cluster(workers=6)
+    machines = start_wave(cluster, cap=2)
+    cluster.machines.loses_answers, cluster.machines.order_delay_s = True, delay_s
+    cluster.run(5.0)
+    cluster.machines.loses_answers = False
+    cluster.run(30.0)
+    assert cluster.machines.max_down <= 2
+    assert wave_is_complete(cluster)
+    assert sorted(order[1] for order in cluster.machines.orders) == sorted(machines)
+
+
+def test_machine_that_crashes_for_good_after_an_unanswered_order_does_not_hold_up_the_wave():
+    cluster = make_cluster(workers=3)
+    start_wave(cluster, cap=1)
+    cluster.machines.loses_answers, cluster.machines.order_delay_s = True, 12.0
+    while not cluster.machines.maintenance_calls:
+        cluster.run(0.05)
+    cluster.machines.loses_answers = False
+    lost = cluster.machines.maintenance_calls[0]
+    cluster.simulated_workers.crash(lost)
+    cluster.run(30.0)
+    maintained = {order[1] for order in cluster.machines.orders}
+    assert maintained == {"w0", "w1", "w2"} - {lost}
+    assert cluster.machines.max_down <= 1
+
+
+def test_cap_includes_machines_whose_order_by_an_earlier_leader_got_no_answer():
+    cluster = make_cluster(workers=6)
+    start_wave(cluster, cap=2)
+    cluster.machines.loses_answers, cluster.machines.order_delay_s = True, 7.5
+    cluster.run(2.0)
+    cluster.leader().suspended = True
+    cluster.machines.loses_answers = False
+    cluster.run(40.0)
+    assert len(cluster.machines.orders) == 6
+    assert cluster.machines.max_down <= 2
+    assert wave_is_complete(cluster)
+
+
 class HoldingSender:
     """Send orders immediately, and hold their answers until they are released."""
 
@@ -127,3 +172,33 @@
     pools._plan_move("p0", SERVICE)
     cluster.run(6.0)
     assert instances_of(cluster)["n1"].accepts_tasks(cluster.clock.now)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_orders_with_lost_answers_and_late_execution_repeat_no_run_and_strand_no_worker(seed):
+    cluster = make_cluster(workers=6, seed=seed)
+    add_services(cluster, second_workers=4)
+    rng = random.Random(seed)
+    cluster.run(2.0)
+    start_wave(cluster, cap=2)
+    jobs = [f"{number:016x}" for number in range(30)]
+    for job in jobs:
+        cluster.machines.loses_answers = rng.random() < 0.5
+        cluster.machines.order_delay_s = rng.choice((0.0, rng.uniform(2.0, 12.0)))
+        cluster.submit(job, (StepDefinition(4, Resources(4000, 100), 2000),), spec="2")
+        cluster.run(rng.uniform(0.2, 1.5))
+        if rng.random() < 0.1 and cluster.leader():
+            cluster.leader().restart()
+    cluster.machines.loses_answers = False
+    cluster.run(60.0)
+    assert not cluster.violations()
+    assert {cluster.state(job) for job in jobs} == {"completed"}
+    assert cluster.machines.max_down <= 2
+    assert wave_is_complete(cluster)
+    up = {worker.entry.id for worker in cluster.simulated_workers.workers.values() if worker.up}
+    accepting = {
+        instance.id
+        for instance in instances_of(cluster).values()
+        if instance.accepts_tasks(cluster.clock.now)
+    }
+    assert accepting == up
