coordination/job: keep a machine reserved while its move has no answer

A move without an answer made its worker available at once, so it got tasks although the move could still be carried out and end it. A move that was planned again was ordered although the worker was already in the target pool.

Now the machine stays reserved and its worker cordoned, the move is ordered again after 0.8 s, and it counts as arrived once a list requested after the failed order shows the machine in the target pool or its worker is there. A move that was refused or not sent frees the machine.

Tests that failed on the code before this series: - test_machine_whose_move_has_no_answer_yet_is_not_chosen_for_a_wave: p0 was ordered about for both - test_worker_whose_move_got_no_answer_gets_no_tasks_until_it_is_answered: w0 got tasks test_move_that_was_carried_out_without_an_answer_is_not_ordered_again passed before and guards the repeat.

--- a/gypsumplank/coordination/job/balance.py
+++ b/gypsumplank/coordination/job/balance.py
@@ -1,7 +1,12 @@
 """Compare the sizes of pools with the demand for them."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from gypsumplank.coordination.job.instance import UNREACHABLE_AFTER_MISSED_POLLS, WorkerInstance
+from gypsumplank.protocol.job import Resources
+from gypsumplank.protocol.worker import WorkerState
+
 
 @dataclass(frozen=True)
 class PoolSize:
@@ -41,3 +46,31 @@
         lenders = [pool for pool in others if self.lendable[pool] > 0 and self.unmet[recipient] > 0]
         lenders.sort(key=lambda pool: -self.lendable[pool])
         return surplus + lenders
+
+
+def smallest_capacity(capacities: Sequence[Resources]) -> Resources:
+    """Return the smallest capacity, for each resource."""
+    return Resources(
+        min(capacity.cpu for capacity in capacities),
+        min(capacity.memory_mb for capacity in capacities),
+        min(capacity.accelerators for capacity in capacities),
+    )
+
+
+def active_members(service: str, instances: dict[str, WorkerInstance]) -> list[WorkerInstance]:
+    """Return the active workers of a service."""
+    return [
+        instance
+        for instance in instances.values()
+        if instance.entry.service == service and is_active(instance)
+    ]
+
+
+def is_active(instance: WorkerInstance) -> bool:
+    """Return whether a worker counts for the size of its pool."""
+    return (
+        instance.registered
+        and not instance.detached
+        and instance.missed_polls < UNREACHABLE_AFTER_MISSED_POLLS
+        and instance.entry.state is WorkerState.READY
+    )
--- a/gypsumplank/coordination/job/scaling.py
+++ b/gypsumplank/coordination/job/scaling.py
@@ -1,11 +1,17 @@
 """Scale each service's pool of machines with its demand, using standby machines and other pools."""
 
 import logging
-from collections.abc import Mapping, Sequence
-from dataclasses import asdict, dataclass
+from collections.abc import Mapping
+from dataclasses import asdict, dataclass, replace
 from typing import Protocol
 
-from gypsumplank.coordination.job.balance import Balance, PoolSize
+from gypsumplank.coordination.job.balance import (
+    Balance,
+    PoolSize,
+    active_members,
+    is_active,
+    smallest_capacity,
+)
 from gypsumplank.coordination.job.demand import (
     Load,
     ServiceDemand,
@@ -13,22 +19,22 @@
     machines_needed,
     minimum_sizes,
 )
-from gypsumplank.coordination.job.instance import UNREACHABLE_AFTER_MISSED_POLLS, WorkerInstance
+from gypsumplank.coordination.job.instance import WorkerInstance
 from gypsumplank.coordination.job.machine import MachineController
 from gypsumplank.coordination.job.scheduler import Scheduler
-from gypsumplank.errors import MachineError, MachineRefusedError, StateError
+from gypsumplank.errors import MachineError, StateError
 from gypsumplank.log import Event, event
-from gypsumplank.protocol.job import Resources
 from gypsumplank.protocol.queue import Machine, MachineState, Manifest
-from gypsumplank.protocol.worker import WorkerState
 
 # Time after the order of a move until which a machine without a new worker counts as arriving in
 # the target pool, seconds.
 ARRIVAL_TIMEOUT_S = 4.0
 # Interval between planning rounds, seconds.
 PLAN_INTERVAL_S = 0.2
-# Delay before a machine is moved again after a failed move, seconds.
+# Delay before a machine is moved again after a move that was refused or not sent, seconds.
 MOVE_RETRY_S = 3.0
+# Delay before a move that got no answer is ordered again, seconds.
+UNANSWERED_RETRY_S = 0.8
 # Interval between log lines about the pools, seconds.
 LOG_INTERVAL_S = 1.0
 # Interval between requests for the pools' initial sizes, seconds.
@@ -65,6 +71,7 @@
         self._demands: dict[str, ServiceDemand] = {}
         self._moves_in_flight: dict[str, PendingMove] = {}
         self._planned_moves: dict[str, str] = {}
+        self._unanswered: dict[str, float] = {}
         self._retry_at: dict[str, float] = {}
         self._next_plan_at = 0.0
         self._next_sizes_request_at = 0.0
@@ -77,6 +84,7 @@
         self._demands.clear()
         self._moves_in_flight.clear()
         self._planned_moves.clear()
+        self._unanswered.clear()
         self._machines_seen_with_worker.clear()
         self._next_sizes_request_at = 0.0
 
@@ -97,7 +105,7 @@
             return
         instances = scheduler.fleet.by_machine()
         self._machines_seen_with_worker.update(instances)
-        members = {service: _active_members(service, instances) for service in services}
+        members = {service: active_members(service, instances) for service in services}
         loads = estimate_loads(scheduler.workload.jobs.values(), now, scheduler.wall_ms())
         self._update_demands(loads, members, now)
         self._remove_arrived(instances, now)
@@ -137,7 +145,7 @@
             capacities = [instance.entry.room for instance in instances] or all_capacities
             if not capacities:
                 return
-            size = _smallest_capacity(capacities)
+            size = smallest_capacity(capacities)
             load = loads.get(service, Load())
             self._demands[service].update(
                 machines_needed(load.total, size), machines_needed(load.batch, size), now
@@ -145,6 +153,8 @@
 
     def _remove_arrived(self, instances: dict[str, WorkerInstance], now: float) -> None:
         for machine, move in list(self._moves_in_flight.items()):
+            if machine in self._controller.in_flight:
+                continue
             instance = instances.get(machine)
             has_arrived = instance is not None and instance.instance_id != move.instance_id
             if has_arrived or now - move.since > ARRIVAL_TIMEOUT_S:
@@ -215,12 +225,14 @@
 
     def _cancel_move(self, instance: WorkerInstance) -> None:
         del self._planned_moves[instance.entry.machine]
+        self._unanswered.pop(instance.entry.machine, None)
         self._controller.reserved.discard(instance.entry.machine)
         instance.cordoned = False
 
     def _cancel_moves(self, members: list[WorkerInstance], limit: int) -> int:
         """Cancel up to `limit` planned moves away from a pool; return how many were cancelled."""
-        leaving = [member for member in members if member.entry.machine in self._planned_moves]
+        planned = self._planned_moves.keys() - self._unanswered.keys()
+        leaving = [member for member in members if member.entry.machine in planned]
         kept = leaving[: max(0, limit)]
         for instance in kept:
             self._cancel_move(instance)
@@ -278,7 +290,7 @@
     def _expects_worker(self, machine: Machine, instances: Mapping[str, WorkerInstance]) -> bool:
         """Return whether a machine is in maintenance, or its first worker has yet to register."""
         instance = instances.get(machine.name)
-        is_member = instance is not None and _is_active(instance)
+        is_member = instance is not None and is_active(instance)
         if is_member or machine.name in self._moves_in_flight:
             return False
         is_new = instance is None and machine.name not in self._machines_seen_with_worker
@@ -300,15 +312,41 @@
     ) -> None:
         for machine, pool in list(self._planned_moves.items()):
             instance = instances.get(machine)
+            if self._is_carried_out(machine, pool, instance):
+                self._await_arrival(machine, pool, instance, now)
+                continue
             if instance is not None:
                 instance.cordoned = True
                 if any(task.step.order.lasting for task in instance.tasks.values()):
                     self._cancel_move(instance)
                     continue
-            if instance is None or not instance.tasks:
+            is_due = now >= self._retry_at.get(machine, 0.0)
+            if is_due and (instance is None or not instance.tasks):
                 del self._planned_moves[machine]
                 self._order_move(scheduler, machine, pool, instance)
 
+    def _is_carried_out(self, machine: str, pool: str, instance: WorkerInstance | None) -> bool:
+        """Return whether a move that is planned, maybe once more, has been carried out."""
+        if instance is not None and instance.entry.service == pool:
+            return True
+        listed = self._controller.listed.get(machine)
+        ordered_at = self._unanswered.get(machine, self._controller.list_read_at)
+        return (
+            listed is not None
+            and listed.pool == pool
+            and self._controller.list_read_at > ordered_at
+        )
+
+    def _await_arrival(
+        self, machine: str, pool: str, instance: WorkerInstance | None, now: float
+    ) -> None:
+        """Count a machine as arriving until its worker in the target pool is there."""
+        del self._planned_moves[machine]
+        self._unanswered.pop(machine, None)
+        is_old = instance is not None and instance.entry.service != pool
+        instance_id = instance.instance_id if instance is not None and is_old else ""
+        self._moves_in_flight[machine] = PendingMove(pool, now, instance_id)
+
     def _order_move(
         self, scheduler: Scheduler, machine: str, pool: str, instance: WorkerInstance | None
     ) -> None:
@@ -328,50 +366,34 @@
         self._controller.order_move(
             machine,
             pool,
-            lambda failure: self._handle_move_result(scheduler, machine, instance, failure),
+            lambda failure: self._handle_move_result(scheduler, machine, failure),
         )
 
     def _handle_move_result(
         self,
         scheduler: Scheduler,
         machine: str,
-        instance: WorkerInstance | None,
         failure: MachineError | None,
     ) -> None:
         """Record an order's result; success may mean that it had been carried out before.
 
         So it ends no worker. The list of machines shows whether the one that is there has ended.
         """
+        now = scheduler.now()
+        move = self._moves_in_flight[machine]
         if failure is None:
+            self._unanswered.pop(machine, None)
+            self._moves_in_flight[machine] = replace(move, since=now)
             return
-        self._retry_at[machine] = scheduler.now() + MOVE_RETRY_S
-        if isinstance(failure, MachineRefusedError):
-            self._moves_in_flight.pop(machine, None)
-            self._controller.reserved.discard(machine)
+        del self._moves_in_flight[machine]
+        if failure.may_be_executed:
+            self._unanswered[machine] = now
+            self._retry_at[machine] = now + UNANSWERED_RETRY_S
+            self._planned_moves[machine] = move.pool
+            return
+        self._unanswered.pop(machine, None)
+        self._retry_at[machine] = now + MOVE_RETRY_S
+        self._controller.reserved.discard(machine)
+        instance = scheduler.fleet.by_machine().get(machine)
         if instance is not None:
             instance.cordoned = False
-
-
-def _smallest_capacity(capacities: Sequence[Resources]) -> Resources:
-    return Resources(
-        min(capacity.cpu for capacity in capacities),
-        min(capacity.memory_mb for capacity in capacities),
-        min(capacity.accelerators for capacity in capacities),
-    )
-
-
-def _active_members(service: str, instances: dict[str, WorkerInstance]) -> list[WorkerInstance]:
-    return [
-        instance
-        for instance in instances.values()
-        if instance.entry.service == service and _is_active(instance)
-    ]
-
-
-def _is_active(instance: WorkerInstance) -> bool:
-    return (
-        instance.registered
-        and not instance.detached
-        and instance.missed_polls < UNREACHABLE_AFTER_MISSED_POLLS
-        and instance.entry.state is WorkerState.READY
-    )
--- a/tests/coordination/job/test_unanswered_orders.py
+++ b/tests/coordination/job/test_unanswered_orders.py
@@ -174,6 +174,60 @@
     assert instances_of(cluster)["n1"].accepts_tasks(cluster.clock.now)
 
 
+def test_machine_whose_move_has_no_answer_yet_is_not_chosen_for_a_wave():
+    cluster = make_cluster(workers=3)
+    add_services(cluster, second_workers=1)
+    cluster.run(4.0)
+    hold_answers(cluster)
+    cluster.machines.move = lambda *order: None
+    machine_manager = machine_manager_of(cluster)
+    machine_manager._pools._plan_move("p0", SERVICE)
+    cluster.run(5.0)
+    start_wave(cluster, cap=4)
+    cluster.run(3.0)
+    (progress,) = machine_manager.maintenance._waves.values()
+    assert "p0" in machine_manager._controller.in_flight
+    assert cluster.machines.maintenance_calls
+    assert "p0" not in {*cluster.machines.maintenance_calls, *progress.draining}
+
+
+def order_move(cluster, machine, pool):
+    scheduler = cluster.leader().scheduler_leader._term.scheduler
+    instance = scheduler.fleet.by_machine()[machine]
+    instance.cordoned = True
+    machine_manager_of(cluster)._pools._order_move(scheduler, machine, pool, instance)
+
+
+def test_worker_whose_move_got_no_answer_gets_no_tasks_until_it_is_answered():
+    cluster = make_cluster(workers=4)
+    add_services(cluster, second_workers=1)
+    cluster.run(4.0)
+    cluster.machines.loses_answers, cluster.machines.order_delay_s = True, 4.5
+    order_move(cluster, "w0", SECOND_SERVICE)
+    cluster.run(1.0)
+    cluster.submit("a" * 16, (StepDefinition(8, Resources(4000, 100), 9000),), spec="9")
+    cluster.run(2.0)
+    assert started_on(cluster, 0.0) == {"w1", "w2", "w3"}
+    cluster.machines.loses_answers = False
+    cluster.run(4.0)
+    assert [order[1:3] for order in cluster.machines.orders] == [("w0", SECOND_SERVICE)]
+    assert all(each.accepts_tasks(cluster.clock.now) for each in instances_of(cluster).values())
+
+
+def test_move_that_was_carried_out_without_an_answer_is_not_ordered_again():
+    cluster = make_cluster(workers=4)
+    add_services(cluster, second_workers=1)
+    cluster.run(4.0)
+    cluster.machines.loses_answers = True
+    calls = []
+    move = cluster.machines.move
+    cluster.machines.move = lambda *order: (calls.append(order), move(*order))
+    order_move(cluster, "w0", SECOND_SERVICE)
+    cluster.run(6.0)
+    assert len(calls) <= 2
+    assert len(cluster.machines.orders) == 1
+
+
 @pytest.mark.parametrize("seed", range(10))
 def test_orders_with_lost_answers_and_late_execution_repeat_no_run_and_strand_no_worker(seed):
     cluster = make_cluster(workers=6, seed=seed)
