--- a/tests/coordination/job/test_fleet.py
+++ b/tests/coordination/job/test_fleet.py
@@ -10,7 +10,7 @@
     StoredJob,
     TaskPhase,
 )
-from gypsumplank.protocol.queue import Manifest
+from gypsumplank.protocol.queue import Machine, MachineState, Manifest
 from gypsumplank.protocol.worker import RunningTask, WorkerEntry, WorkerReport, WorkerState
 from gypsumplank.state.clock import ManualClock
 from gypsumplank.state.job import LoadedJob
@@ -218,7 +218,9 @@
     for life in range(2, 50):
         entry = replace(entry, born=life, id=f"w{life}", machine=f"m{life % 3}")
         fleet.apply_entries([entry])
-        fleet.end_incarnation(fleet.instances[entry.id])
+        fleet.instances[entry.id].last_contact_at = clock.now + life
+        down = Machine(entry.machine, SERVICE, MachineState.DOWN, "z", "")
+        fleet.end_down({entry.machine: down}, clock.now + life + 0.1, clock.now + life + 0.2)
         # The entry of the ended instance is still there.
         fleet.apply_entries([entry])
         assert not fleet.instances
