job: remove the rows of steps also if the first commit of the clean-up fails

Cause: `_cleanup_update` set the tasks' run numbers to 0 while it built the update, before that was committed. If the commit failed, the next update deleted the job's order but not the rows of its steps, which stayed in the store for good. The numbers are also what a worker's report is matched with, so a member of a gang whose end came after the clean-up was not recognised.

Callers saw nothing of the rows; each take-over reads them.

Now a step notes that its row was deleted once the commit has succeeded, and run numbers are never reset.

Test: test_clean_up_whose_commit_failed_removes_the_same_rows_when_repeated failed before ([] instead of the keys of both steps in the second update) and passes now. Run: tests/coordination/job/test_workload.py and test_leader.py, 68 passed.

--- a/gypsumplank/coordination/job/model.py
+++ b/gypsumplank/coordination/job/model.py
@@ -153,7 +153,10 @@
 
 
 class Step:
-    """Represent one occurrence of a step; `dirty` marks changes that are not stored yet."""
+    """Represent one occurrence of a step; `dirty` marks changes that are not stored yet.
+
+    `record_removed` is set once its stored row was deleted, as the job is over.
+    """
 
     def __init__(self, job: "Job", occurrence: int, position: int, order: StepDefinition) -> None:
         self.job = job
@@ -163,6 +166,12 @@
         self.key = step_key(job.id, occurrence, position)
         self.tasks = [Task(self, f"{self.key}.{index}", index) for index in range(order.tasks)]
         self.dirty = False
+        self.record_removed = False
+
+    @property
+    def has_record(self) -> bool:
+        """Return whether a stored row may exist; it is written once the first run is assigned."""
+        return not self.record_removed and any(task.run for task in self.tasks)
 
     @property
     def is_done(self) -> bool:
--- a/gypsumplank/coordination/job/workload.py
+++ b/gypsumplank/coordination/job/workload.py
@@ -3,7 +3,7 @@
 import logging
 from collections.abc import Iterable, Iterator, Sequence
 
-from gypsumplank.coordination.job.model import Job, Step, Task
+from gypsumplank.coordination.job.model import Job, Task
 from gypsumplank.errors import EntryInvalidError
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.job import FINAL_JOB_STATES, JobState, TaskPhase
@@ -121,10 +121,11 @@
         if any(write.table == TABLE_STATES for write in update.writes):
             job.version = version
             job.state_dirty = False
-        written = {write.key for write in update.writes if write.table == TABLE_STEPS}
+        written = {write.key: write for write in update.writes if write.table == TABLE_STEPS}
         for step in job.steps.values():
             if step.key in written:
                 step.dirty = False
+                step.record_removed = written[step.key].value is None
         if any(write.table == TABLE_ORDERS for write in update.writes):
             self.jobs.pop(job.id, None)
             self.ended_at[job.id] = now
@@ -148,11 +149,10 @@
 
     def _cleanup_update(self, job: Job) -> JobUpdate:
         checks, writes = self._state_writes(job)
-        stored = [step for step in job.steps.values() if _has_record(step)]
-        removed = [Write(TABLE_STEPS, step.key, None) for step in stored[: MAX_TXN_ENTRIES // 2]]
-        for step in stored[: MAX_TXN_ENTRIES // 2]:
-            _reset_run_numbers(step)
-        writes.extend(removed)
+        stored = [step for step in job.steps.values() if step.has_record]
+        writes.extend(
+            Write(TABLE_STEPS, step.key, None) for step in stored[: MAX_TXN_ENTRIES // 2]
+        )
         if len(stored) <= MAX_TXN_ENTRIES // 2:
             writes.append(Write(TABLE_ORDERS, job.id, None))
             if job.cancelled:
@@ -167,14 +167,3 @@
         writes = [state_write(job.id, job.state, job.stored.queue)]
         writes.append(Write(TABLE_PENDING, pending_key(job.stored.queue, job.id), None))
         return checks, writes
-
-
-def _has_record(step: Step) -> bool:
-    """Return whether a step may have a stored row; it gets one when its first run is assigned."""
-    return any(task.run for task in step.tasks)
-
-
-def _reset_run_numbers(step: Step) -> None:
-    """Make `_has_record` return False for a step whose stored row is being deleted."""
-    for task in step.tasks:
-        task.run = 0
--- /dev/null
+++ b/tests/coordination/job/test_workload.py
@@ -0,0 +1,50 @@
+from gypsumplank.coordination.job.workload import Workload
+from gypsumplank.protocol.job import (
+    JobDefinition,
+    JobState,
+    Resources,
+    StepDefinition,
+    StoredJob,
+    TaskPhase,
+)
+from gypsumplank.state.job import MAX_TXN_ENTRIES, TABLE_ORDERS, TABLE_STEPS, LoadedJob
+
+JOB = "a" * 16
+
+
+def completed_workload(steps):
+    workload = Workload()
+    order = JobDefinition("", (StepDefinition(1, Resources(1000, 100), 500),) * steps)
+    stored = StoredJob(JOB, "proofs", "desk", 0, order)
+    job = workload.add(LoadedJob(stored, JobState.QUEUED, 1, False, {}), 0.0)
+    for task in job.tasks():
+        task.assign("w", 1, 1)
+        task.finish(TaskPhase.DONE)
+    workload.update_job_states([job], 0.0)
+    return workload
+
+
+def removed_keys(update, table):
+    return [write.key for write in update.writes if write.table == table and write.value is None]
+
+
+def test_clean_up_whose_commit_failed_removes_the_same_rows_when_repeated():
+    workload = completed_workload(steps=2)
+    ((_, lost),) = workload.updates()
+    ((job, repeated),) = workload.updates()
+    assert removed_keys(repeated, TABLE_STEPS) == [f"{JOB}.0.0", f"{JOB}.0.1"]
+    assert repeated == lost
+    workload.mark_stored(job, repeated, 2, 1.0)
+    assert not workload.jobs
+
+
+def test_clean_up_of_many_steps_removes_each_row_once():
+    steps = MAX_TXN_ENTRIES
+    workload, removed = completed_workload(steps), []
+    while workload.jobs:
+        for job, update in list(workload.updates()):
+            assert update.entries <= MAX_TXN_ENTRIES
+            removed += removed_keys(update, TABLE_STEPS)
+            workload.mark_stored(job, update, 2, 1.0)
+    assert sorted(removed) == sorted(f"{JOB}.0.{position}" for position in range(steps))
+    assert removed_keys(update, TABLE_ORDERS) == [JOB]
