job: keep a task done whatever arrives about its run later

Cause: the first member's end marks all members of a gang as done, but the others stay assigned to their workers until these report. `requeue_task` (a crash, a lapsed lease, a refused start, a stop that was confirmed) and `_apply_end` (an end other than `done`) put such a member back into the queue.

Callers saw a job that stays `running` for good, as the queued member waits for the others of its gang, which are done. The review showed it with a leader that dies around the end of a gang while one of its workers crashes.

Now `Task.requeue` leaves a final phase as it is, `requeue_task` only takes such a task off its worker, and an end is not applied to it.

--- a/gypsumplank/coordination/job/model.py
+++ b/gypsumplank/coordination/job/model.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from gypsumplank.protocol.job import (
+    FINAL_TASK_PHASES,
     JobState,
     LostWorker,
     StepDefinition,
@@ -86,6 +87,11 @@
             self.lost_on,
         )
 
+    @property
+    def is_final(self) -> bool:
+        """Return whether the task is done or has failed for good."""
+        return self.phase in FINAL_TASK_PHASES
+
     @property
     def is_suspect(self) -> bool:
         """Return whether a worker was lost right after it started the task, or two were at all."""
@@ -123,7 +129,12 @@
         self.step.dirty = True
 
     def requeue(self, now: float) -> None:
-        """Return the task to the queue; its last run must be known to be over everywhere."""
+        """Return the task to the queue, unless its phase is final.
+
+        Its last run must be known to be over everywhere.
+        """
+        if self.is_final:
+            return
         self.phase = TaskPhase.WAITING
         self._release_worker()
         self.queued_since = now
--- a/gypsumplank/coordination/job/report.py
+++ b/gypsumplank/coordination/job/report.py
@@ -57,11 +57,13 @@
 
 
 def requeue_task(instance: WorkerInstance, task: Task, now: float) -> None:
-    """Return a task to the queue; its last run must be known to be over.
+    """Return a task to the queue, unless its phase is final; its last run must be known to be over.
 
     The other tasks of its gang are stopped. A task that crashed too many workers fails instead.
     """
     instance.tasks.pop(task.name, None)
+    if task.is_final:
+        return
     run = task.run
     task.requeue(now)
     give_up_if_deadly(task)
@@ -119,6 +121,8 @@
     order = task.step.order
     if not order.lasting:
         instance.record_task_end(job.id, end.kind is EndKind.FAILED, now)
+    if task.is_final:
+        return
     if end.kind is EndKind.DONE and not order.lasting:
         for member in task.step.tasks if order.gang else [task]:
             member.finish(TaskPhase.DONE)
--- a/gypsumplank/protocol/job.py
+++ b/gypsumplank/protocol/job.py
@@ -130,6 +130,9 @@
     FAILED = "f"
 
 
+FINAL_TASK_PHASES = frozenset({TaskPhase.DONE, TaskPhase.FAILED})
+
+
 @dataclass(frozen=True)
 class LostWorker:
     """Identify a worker instance that fell silent under a run, and its machine.
