job: free the workers of a gang's other members once it is done

Cause: one member's end `done` marks all members of a gang as done, but the others stayed assigned to their workers in the leader's memory. They left only with an end of their own that matched by name and run, or if the report was requested after their confirmed start or stop; `finish` had just cleared both. A worker that was cut off while the gang ended, and whose end came after the job's clean-up, was counted as full for as long as the leader led.

Now the end of a gang counts as the proof that its other members have started. They hold their resources until a report that was requested later; if that still lists the run, the run is stopped as an unassigned one, and the worker gets nothing until it is gone. Such a member is no possible cause of a crash.

--- a/gypsumplank/coordination/job/model.py
+++ b/gypsumplank/coordination/job/model.py
@@ -108,7 +108,8 @@
     @property
     def may_have_begun(self) -> bool:
         """Return whether the current run may have been started on its worker."""
-        return bool(self.sent_at or self.start_confirmed_at or self.unconfirmed_since)
+        is_sent = bool(self.sent_at or self.start_confirmed_at or self.unconfirmed_since)
+        return is_sent and not self.is_final
 
     @property
     def has_settled(self) -> bool:
--- a/gypsumplank/coordination/job/report.py
+++ b/gypsumplank/coordination/job/report.py
@@ -42,6 +42,8 @@
         running_task = running.get(task.name)
         if end is not None:
             _apply_end(instance, task, end, received.answered_at, max_attempts)
+        elif task.is_final:
+            _release_if_over(instance, task, received)
         elif running_task is not None and running_task.run == task.run:
             _update_run(task, running_task, received)
         elif _is_provably_stopped(task, received):
@@ -124,8 +126,7 @@
     if task.is_final:
         return
     if end.kind is EndKind.DONE and not order.lasting:
-        for member in task.step.tasks if order.gang else [task]:
-            member.finish(TaskPhase.DONE)
+        _finish(task, now)
         return
     if end.kind is EndKind.FAILED:
         _count_failure(instance, task, max_attempts)
@@ -135,6 +136,26 @@
     _stop_gang(task, run)
 
 
+def _finish(task: Task, now: float) -> None:
+    """Mark a task, or all members of its gang, as done.
+
+    One member's end represents all, and shows that all have started. The others stay assigned to
+    their workers until a report shows what runs there now.
+    """
+    for member in task.step.tasks if task.step.order.gang else [task]:
+        member.finish(TaskPhase.DONE)
+        member.start_confirmed_at = now
+
+
+def _release_if_over(instance: WorkerInstance, task: Task, received: ReceivedReport) -> None:
+    """Release a task that ended elsewhere if the report was requested later.
+
+    If the report still lists the run, it is one that is not assigned to the worker.
+    """
+    if received.sent_at > task.start_confirmed_at:
+        del instance.tasks[task.name]
+
+
 def _count_failure(instance: WorkerInstance, task: Task, max_attempts: MaxAttempts) -> None:
     task.failures += 1
     task.failed_on = tuple(dict.fromkeys((*task.failed_on, instance.id)))
--- a/gypsumplank/coordination/job/workload.py
+++ b/gypsumplank/coordination/job/workload.py
@@ -150,9 +150,7 @@
     def _cleanup_update(self, job: Job) -> JobUpdate:
         checks, writes = self._state_writes(job)
         stored = [step for step in job.steps.values() if step.has_record]
-        writes.extend(
-            Write(TABLE_STEPS, step.key, None) for step in stored[: MAX_TXN_ENTRIES // 2]
-        )
+        writes.extend(Write(TABLE_STEPS, step.key, None) for step in stored[: MAX_TXN_ENTRIES // 2])
         if len(stored) <= MAX_TXN_ENTRIES // 2:
             writes.append(Write(TABLE_ORDERS, job.id, None))
             if job.cancelled:
--- a/tests/coordination/job/test_gang.py
+++ b/tests/coordination/job/test_gang.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from gypsumplank.coordination.job.crash import record_crash, record_loss
 from gypsumplank.coordination.job.instance import WorkerClock, WorkerInstance
 from gypsumplank.coordination.job.model import Job
 from gypsumplank.coordination.job.report import ReceivedReport, apply_report, requeue_task
@@ -15,6 +16,7 @@
 from gypsumplank.protocol.worker import (
     EndedTask,
     EndKind,
+    RunningTask,
     WorkerEntry,
     WorkerReport,
     WorkerState,
@@ -73,6 +75,27 @@
 DONE = [TaskPhase.DONE, TaskPhase.DONE]
 
 
+def test_worker_whose_member_ended_unseen_is_free_after_its_next_report():
+    gang = Gang()
+    gang.end_first()
+    assert gang.phases == DONE
+    assert not report(gang.b, ENDED_AT + 3.0)
+    assert gang.b.free() == ROOM
+    assert gang.phases == DONE
+
+
+def test_member_holds_its_resources_until_its_worker_no_longer_lists_it():
+    gang = Gang()
+    running = [RunningTask(gang.second.name, 1, "", 99)]
+    gang.end_first()
+    assert gang.b.used() == NEED
+    assert not report(gang.b, ENDED_AT + 0.1, sent_at=ENDED_AT - 0.1, running=running)
+    assert gang.b.used() == NEED
+    assert report(gang.b, ENDED_AT + 1.0, running=running) == running
+    assert not report(gang.b, ENDED_AT + 2.0)
+    assert not gang.b.is_busy
+
+
 def test_member_that_is_reported_after_its_job_was_removed_is_known():
     gang = Gang()
     gang.end_first()
@@ -123,6 +146,16 @@
         assert gang.first.phase is phase
 
 
+def test_member_of_a_done_gang_is_not_taken_for_the_cause_of_a_crash():
+    gang, cause = Gang(), Gang().second
+    gang.end_first()
+    gang.b.tasks["cause"] = cause
+    record_crash(gang.b.tasks.values(), ENDED_AT)
+    assert record_loss(gang.b.tasks.values(), "b") == [cause]
+    assert (gang.second.crashes, cause.crashes) == (0, 1)
+    assert not gang.second.lost_on
+
+
 def test_gang_that_lost_a_member_is_stopped_and_queued():
     gang = Gang(run=2)
     report(gang.a, ENDED_AT, ended=(gang.end(gang.first, EndKind.STOPPED),))
