job: keep the attempts of jobs whose queue the manifest drops for a while

Cause: for a job whose queue the manifest in force lacks, `_max_attempts` returned 1 and `_pending_steps` made up a queue of the highest priority. The first run that failed ended the job for good, after one of three attempts.

Now a leader remembers the dropped queues that have jobs (knownqueue.py). A job that has begun goes on by the last definition, and fails by its limit. A job that has not begun waits and counts for no machines of its service's pool. A leader that never saw the queue starts nothing of it and counts the failed runs; the limit is applied once a manifest gives it (attempt.py). What runs goes on in each case. `Manifest.find_by_name` had no other caller and is gone.

--- /dev/null
+++ b/gypsumplank/coordination/job/knownqueue.py
@@ -0,0 +1,45 @@
+"""Remember the queues that the manifest has dropped, for their jobs that have begun."""
+
+from collections.abc import Callable, Iterable
+
+from gypsumplank.coordination.job.model import Job
+from gypsumplank.protocol.queue import Manifest, Queue
+
+
+class KnownQueues:
+    """Find the queues of jobs, also those that the manifest has dropped while they had jobs.
+
+    Used by the scheduler's thread only. Jobs that have begun go on if their queue is dropped, by
+    its last definition; others wait until the manifest names it again.
+    """
+
+    def __init__(self, manifest: Callable[[], Manifest | None]) -> None:
+        self._manifest = manifest
+        self._in_force: Manifest | None = None
+        self._current: dict[str, Queue] = {}
+        self._dropped: dict[str, Queue] = {}
+
+    def update(self, jobs: Iterable[Job]) -> None:
+        """Follow the manifest; of the dropped queues, only those of the given jobs are kept."""
+        manifest = self._manifest()
+        if manifest is None or manifest is self._in_force:
+            return
+        self._in_force = manifest
+        with_jobs = {job.stored.queue for job in jobs}
+        known = self._dropped | self._current
+        self._current = {queue.name: queue for queue in manifest.queues}
+        self._dropped = {
+            name: queue
+            for name, queue in known.items()
+            if name in with_jobs and name not in self._current
+        }
+
+    def find_for_start(self, job: Job) -> Queue | None:
+        """Return the queue by which a job's tasks may start; None if the job has to wait."""
+        name = job.stored.queue
+        return self._current.get(name) or (self._dropped.get(name) if job.started else None)
+
+    def max_attempts(self, name: str) -> int | None:
+        """Return the limit of attempts of a queue; None if this leader has never seen the queue."""
+        queue = self._current.get(name) or self._dropped.get(name)
+        return queue.max_attempts if queue else None
--- a/gypsumplank/coordination/job/model.py
+++ b/gypsumplank/coordination/job/model.py
@@ -92,6 +92,12 @@
         """Return whether the task is done or has failed for good."""
         return self.phase in FINAL_TASK_PHASES
 
+    @property
+    def counted_failures(self) -> int:
+        """Return the failed runs that count towards the limit, for a gang those of all members."""
+        members = self.step.tasks if self.step.order.gang else [self]
+        return sum(member.failures for member in members)
+
     @property
     def is_suspect(self) -> bool:
         """Return whether a worker was lost right after it started the task, or two were at all."""
@@ -216,7 +222,8 @@
     """Represent one job; `version` is that of the stored row with its state.
 
     `arrived_at` is when this leader read the job, in monotonic seconds. `state_dirty` marks a
-    change of the state that is not stored yet.
+    change of the state that is not stored yet. `waits_for_queue` is set while no task of the job
+    may start, as the manifest does not name its queue.
     """
 
     stored: StoredJob
@@ -227,6 +234,7 @@
     cleaned: bool = False
     started: bool = False
     state_dirty: bool = False
+    waits_for_queue: bool = False
     arrived_at: float = 0.0
     steps: dict[tuple[int, int], Step] = field(default_factory=dict)
 
--- a/gypsumplank/coordination/job/report.py
+++ b/gypsumplank/coordination/job/report.py
@@ -11,7 +11,7 @@
 from gypsumplank.protocol.job import TaskPhase
 from gypsumplank.protocol.worker import EndedTask, EndKind, RunningTask, WorkerReport
 
-MaxAttempts = Callable[[Task], int]
+MaxAttempts = Callable[[Task], int | None]
 
 logger = logging.getLogger(__name__)
 
@@ -30,7 +30,8 @@
 ) -> Iterator[RunningTask]:
     """Apply a report; yield the running tasks that are not assigned to the worker.
 
-    `max_attempts` returns the number of failed runs after which a batch task has failed for good.
+    `max_attempts` returns the number of failed runs after which a batch task has failed for good,
+    or None if that is not known yet.
     """
     report = received.report
     ended = {
@@ -159,9 +160,8 @@
 def _count_failure(instance: WorkerInstance, task: Task, max_attempts: MaxAttempts) -> None:
     task.failures += 1
     task.failed_on = tuple(dict.fromkeys((*task.failed_on, instance.id)))
-    order = task.step.order
-    failures = sum(member.failures for member in task.step.tasks) if order.gang else task.failures
-    if not order.lasting and failures >= max_attempts(task):
+    limit = None if task.step.order.lasting else max_attempts(task)
+    if limit is not None and task.counted_failures >= limit:
         task.finish(TaskPhase.FAILED)
 
 
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Collection, Iterator, Mapping, Sequence
 from dataclasses import dataclass, replace
 
+from gypsumplank.coordination.job.attempt import AttemptLimits
 from gypsumplank.coordination.job.crash import is_withheld
 from gypsumplank.coordination.job.dispatcher import WorkerDispatcher
 from gypsumplank.coordination.job.fleet import EXTENSION_GRACE_S, Fleet
@@ -12,6 +13,7 @@
     SUSPECT_PERIOD_S,
     WorkerInstance,
 )
+from gypsumplank.coordination.job.knownqueue import KnownQueues
 from gypsumplank.coordination.job.model import Job, Step, Task
 from gypsumplank.coordination.job.permit import PermitCache
 from gypsumplank.coordination.job.placement import PendingStep, Placement, PlacementRound, urgency
@@ -72,6 +74,8 @@
         self._clock = clock
         self._manifest = manifest
         self._token = token
+        self._queues = KnownQueues(manifest)
+        self._attempt_limits = AttemptLimits(self._queues)
         self.workload = Workload()
         self.fleet = Fleet(clock, max_lease_s, heartbeat_s)
         self.unsent_starts: list[PendingStart] = []
@@ -110,6 +114,7 @@
         for job in restored:
             for task in job.tasks():
                 self.fleet.undecided_losses.add(task)
+            self._attempt_limits.restore(job.tasks())
         for instance in self.instances.values():
             instance.extend_leases(now, EXTENSION_GRACE_S + self.fleet.max_lease_s)
 
@@ -135,22 +140,11 @@
             instance.extend_leases(received.answered_at, self.fleet.max_lease_s)
         instance.last_contact_at = received.answered_at
         instance.missed_polls = 0
-        max_attempts = {name: self._max_attempts(task) for name, task in instance.tasks.items()}
-        unassigned_runs = list(
-            apply_report(instance, received, lambda task: max_attempts.get(task.name, 1))
-        )
+        unassigned_runs = list(apply_report(instance, received, self._attempt_limits.find))
         instance.has_unassigned_runs = bool(unassigned_runs)
         for unassigned in unassigned_runs:
             self._stop_unassigned(instance, unassigned)
 
-    def _max_attempts(self, task: Task) -> int:
-        queue = self._queue(task.step.job)
-        return queue.max_attempts if queue else 1
-
-    def _queue(self, job: Job) -> Queue | None:
-        manifest = self._manifest()
-        return manifest.find_by_name(job.stored.queue) if manifest else None
-
     def _stop_unassigned(self, instance: WorkerInstance, unassigned: RunningTask) -> None:
         event(
             logger,
@@ -166,6 +160,8 @@
     def plan(self) -> None:
         """Requeue tasks whose leases have expired, and assign queued tasks to workers."""
         now = self._clock.monotonic()
+        self._queues.update(self.workload.jobs.values())
+        self._attempt_limits.apply()
         self._expire_leases(now)
         self.workload.update_job_states(self.workload.jobs.values(), now)
         wall_ms = self.wall_ms()
@@ -188,9 +184,10 @@
     def _pending_steps(self, job: Job, now: float, wall_ms: float) -> list[PendingStep]:
         if job.state in FINAL_JOB_STATES or job.cancelled:
             return []
-        queue = self._queue(job)
+        queue = self._queues.find_for_start(job)
+        job.waits_for_queue = queue is None
         if queue is None:
-            queue = Queue(job.stored.queue, "", "", job.service)
+            return []
         pending: list[PendingStep] = []
         for step in job.steps.values():
             tasks = [
--- a/gypsumplank/protocol/queue.py
+++ b/gypsumplank/protocol/queue.py
@@ -56,10 +56,6 @@
         matching = (q for q in self.queues if q.host == host and path.startswith(q.prefix))
         return max(matching, key=lambda queue: len(queue.prefix), default=None)
 
-    def find_by_name(self, name: str) -> Queue | None:
-        """Return the queue with this name, if any."""
-        return next((queue for queue in self.queues if queue.name == name), None)
-
 
 @dataclass(frozen=True)
 class MaintenanceWave:
--- /dev/null
+++ b/tests/coordination/job/test_dropped_queue.py
@@ -0,0 +1,135 @@
+from dataclasses import replace
+
+import pytest
+
+from gypsumplank.coordination.job.demand import estimate_loads
+from gypsumplank.coordination.job.knownqueue import KnownQueues
+from gypsumplank.coordination.job.model import Job
+from gypsumplank.protocol.job import JobDefinition, Resources, StepDefinition, StoredJob, TaskPhase
+from gypsumplank.protocol.queue import Manifest
+from tests.coordination.job.cluster import (
+    MANIFEST,
+    QUEUE,
+    SERVICE,
+    SimulatedCluster,
+    long_running_step,
+)
+
+JOB = "a" * 16
+STEP = StepDefinition(1, Resources(1000, 100), 500)
+WITHOUT_QUEUE = replace(MANIFEST, version=2, queues=())
+WITH_QUEUE_AGAIN = replace(MANIFEST, version=3)
+ONE_ATTEMPT = replace(MANIFEST, version=3, queues=(replace(QUEUE, max_attempts=1),))
+
+
+@pytest.fixture
+def cluster():
+    cluster = SimulatedCluster(1)
+    cluster.run(1.0)
+    return cluster
+
+
+def submit_failing(cluster, step=STEP):
+    """Start a job whose first runs all fail; the runs after those are done."""
+    cluster.simulated_workers.failure_share = 1.0
+    cluster.submit(JOB, (step,), spec="1")
+    cluster.run(0.3)
+    assert cluster.simulated_workers.history
+    cluster.simulated_workers.failure_share = 0.0
+
+
+def runs(cluster):
+    return len(cluster.simulated_workers.history)
+
+
+@pytest.mark.parametrize("gang", [False, True])
+def test_job_that_has_begun_keeps_its_attempts_while_its_queue_is_dropped(cluster, gang):
+    submit_failing(cluster, replace(STEP, tasks=2, gang=gang))
+    cluster.manifest = WITHOUT_QUEUE
+    cluster.run(2.0)
+    assert cluster.state(JOB) != "failed"
+    cluster.manifest = WITH_QUEUE_AGAIN
+    cluster.run(4.0)
+    assert cluster.state(JOB) == "completed"
+    assert not cluster.violations()
+
+
+def test_job_of_a_dropped_queue_fails_after_the_last_known_limit(cluster):
+    submit_failing(cluster)
+    cluster.simulated_workers.failure_share = 1.0
+    cluster.manifest = WITHOUT_QUEUE
+    cluster.run(10.0)
+    assert cluster.state(JOB) == "failed"
+    assert runs(cluster) == QUEUE.max_attempts
+
+
+def test_job_that_has_not_begun_waits_until_its_queue_is_back(cluster):
+    cluster.manifest = WITHOUT_QUEUE
+    cluster.submit(JOB, (STEP,))
+    cluster.run(5.0)
+    assert cluster.state(JOB) == "queued"
+    assert not runs(cluster)
+    cluster.manifest = WITH_QUEUE_AGAIN
+    cluster.run(3.0)
+    assert cluster.state(JOB) == "completed"
+
+
+def test_long_running_task_of_a_dropped_queue_is_restarted(cluster):
+    cluster.submit(JOB, (long_running_step(tasks=1),), spec="10000")
+    cluster.run(1.0)
+    cluster.manifest = WITHOUT_QUEUE
+    cluster.run(1.0)
+    cluster.simulated_workers.crash(cluster.simulated_workers.history[0].worker)
+    cluster.run(8.0)
+    assert runs(cluster) == 2
+
+
+@pytest.mark.parametrize(
+    ("manifest", "state"), [(WITH_QUEUE_AGAIN, "completed"), (ONE_ATTEMPT, "failed")]
+)
+def test_leader_that_never_saw_the_queue_limits_attempts_once_it_does(cluster, manifest, state):
+    submit_failing(cluster)
+    cluster.manifest = WITHOUT_QUEUE
+    cluster.leader().restart()
+    cluster.run(10.0)
+    assert cluster.state(JOB) == "running"
+    assert runs(cluster) == 1
+    cluster.leader().restart()
+    cluster.run(10.0)
+    assert cluster.state(JOB) == "running"
+    cluster.manifest = manifest
+    cluster.run(4.0)
+    assert cluster.state(JOB) == state
+    assert runs(cluster) == (2 if state == "completed" else 1)
+
+
+def test_job_that_waits_for_its_queue_demands_only_what_it_runs():
+    steps = (STEP, replace(STEP, tasks=4), long_running_step(tasks=3))
+    job = Job(StoredJob(JOB, QUEUE.name, SERVICE, 0, JobDefinition("", steps)), SERVICE)
+    next(job.tasks()).phase = TaskPhase.ASSIGNED
+    for now in (0.1, 60.0):
+        job.waits_for_queue = True
+        assert estimate_loads([job], now, 0.0)[SERVICE].total == STEP.need
+        job.waits_for_queue = False
+        assert estimate_loads([job], now, 0.0)[SERVICE].total != STEP.need
+
+
+def test_waiting_job_of_a_dropped_queue_is_left_out_of_the_demand(cluster):
+    cluster.manifest = WITHOUT_QUEUE
+    cluster.submit(JOB, (STEP,))
+    cluster.run(1.0)
+    scheduler = cluster.leader().scheduler_leader._term.scheduler
+    loads = estimate_loads(scheduler.workload.jobs.values(), scheduler.now(), scheduler.wall_ms())
+    assert loads[SERVICE].total == Resources()
+
+
+def test_dropped_queue_is_forgotten_once_it_has_no_jobs():
+    manifests = [MANIFEST, WITHOUT_QUEUE, Manifest(4), Manifest(5)]
+    queues = KnownQueues(lambda: manifests[0])
+    job = Job(StoredJob(JOB, QUEUE.name, SERVICE, 0, JobDefinition("", (STEP,))), SERVICE)
+    known = []
+    for jobs in ([], [job], [job], []):
+        queues.update(jobs)
+        known.append(queues.max_attempts(QUEUE.name))
+        del manifests[:1]
+    assert known == [3, 3, 3, None]
