--- a/standins/simulator.py
+++ b/standins/simulator.py
@@ -1,6 +1,7 @@
 """Simulate workers that run the tasks of jobs, on a simulated clock and with injected faults."""
 
 import random
+from collections import defaultdict
 from dataclasses import dataclass, field, replace
 
 from gypsumplank.errors import WorkerRefusedError, WorkerUnknownError
@@ -23,13 +24,18 @@
 ENTRY_TTL_S = 3 * HEARTBEAT_INTERVAL_S
 # Time between a worker's crash under a deadly task and its return, seconds.
 RETURN_DELAY_S = 3.2
+# Time for which a run of a gang waits for the other members, seconds.
+GANG_TIMEOUT_S = 3.0
 # A start order whose response is lost may still be applied up to this much later.
 MAX_START_DELAY_S = 8.0
 
 
 @dataclass
 class ActiveRun:
-    """Represent a run in progress; times are simulated seconds."""
+    """Represent a run in progress; times are simulated seconds.
+
+    `joined` is set once all members of its gang were present.
+    """
 
     name: str
     run: int
@@ -37,6 +43,7 @@
     ends_at: float
     kind: EndKind
     stop_at: float = 0.0
+    joined: bool = False
 
 
 @dataclass
@@ -97,6 +104,10 @@
     room: Resources
 
 
+def _step_of(run: ActiveRun) -> str:
+    return run.name.rpartition(".")[0]
+
+
 class SimulatedWorkers:
     """Simulate a set of workers; implement the scheduler's WorkerControl port.
 
@@ -105,6 +116,7 @@
     after `return_delay_s`, under its old id if `keeps_id` is set. `entry_ttl_s` is the time for
     which the entry of a crashed worker remains. `room_changes` records the workers' capacity; a
     change is registered with the next heartbeat, and none is while `registry_unavailable` is set.
+    `gang_sizes` is how many tasks the steps have that are gangs, by the prefix of their names.
     """
 
     def __init__(self, rng: random.Random) -> None:
@@ -121,6 +133,7 @@
         self.entry_ttl_s = 0.0
         self.room_changes: list[RoomChange] = []
         self.registry_unavailable = False
+        self.gang_sizes: dict[str, int] = {}
         self._returns: list[tuple[float, str]] = []
 
     def add(self, name: str, service: str, room: Resources, machine: str = "") -> SimulatedWorker:
@@ -215,6 +228,7 @@
             elif worker.up:
                 self._end_due_runs(worker)
                 self._report(worker)
+        self._end_due_gangs()
 
     def _start_without_response(self, worker: SimulatedWorker, order: StartCommand) -> None:
         try:
@@ -231,9 +245,34 @@
                 self._end_run(worker, run, EndKind.LEASE_EXPIRED)
             elif run.stop_at and self.now >= run.stop_at:
                 self._end_run(worker, run, EndKind.STOPPED)
-            elif self.now >= run.ends_at:
+            elif self.now >= run.ends_at and _step_of(run) not in self.gang_sizes:
                 self._end_run(worker, run, run.kind)
 
+    def _end_due_gangs(self) -> None:
+        """End the members of gangs: together when due, or as others have ended or are missing."""
+        gangs: defaultdict[tuple[str, int], list[tuple[SimulatedWorker, ActiveRun]]] = defaultdict(
+            list
+        )
+        for worker in self.workers.values():
+            for run in worker.running.values() if worker.up else ():
+                if _step_of(run) in self.gang_sizes:
+                    gangs[_step_of(run), run.run].append((worker, run))
+        for (step, _), members in gangs.items():
+            runs = [run for _, run in members]
+            is_complete = len(runs) == self.gang_sizes[step]
+            is_due = is_complete and self.now >= max(run.ends_at for run in runs)
+            has_failed = is_due and any(run.kind is EndKind.FAILED for run in runs)
+            for worker, run in members:
+                run.joined = run.joined or is_complete
+                if has_failed and run.kind is not EndKind.FAILED:
+                    self._end_run(worker, run, EndKind.GANG_MEMBER_ENDED)
+                elif is_due:
+                    self._end_run(worker, run, run.kind)
+                elif run.joined and not is_complete:
+                    self._end_run(worker, run, EndKind.GANG_MEMBER_ENDED)
+                elif not is_complete and self.now >= run.begun + GANG_TIMEOUT_S:
+                    self._end_run(worker, run, EndKind.GANG_TIMEOUT)
+
     def _end_run(self, worker: SimulatedWorker, run: ActiveRun, kind: EndKind | None) -> None:
         del worker.running[run.name]
         for record in self.history:
--- a/tests/coordination/job/test_gang.py
+++ b/tests/coordination/job/test_gang.py
@@ -21,6 +21,7 @@
     WorkerReport,
     WorkerState,
 )
+from tests.coordination.job.cluster import SimulatedCluster
 
 ROOM = Resources(8000, 8000)
 NEED = Resources(6000, 100)
@@ -163,3 +164,21 @@
     assert not gang.second.should_run
     report(gang.b, ENDED_AT + 0.1, ended=(gang.end(gang.second, EndKind.GANG_MEMBER_ENDED),))
     assert gang.phases == [TaskPhase.WAITING, TaskPhase.WAITING]
+
+
+@pytest.mark.parametrize("ended_s", [1.0, 1.5])
+@pytest.mark.parametrize("crashed", ["w0", "w1"])
+def test_gang_that_ended_without_a_leader_is_done_though_a_worker_crashed_then(ended_s, crashed):
+    cluster, job = SimulatedCluster(1), "a" * 16
+    workers, gang = cluster.simulated_workers, StepDefinition(2, Resources(5000, 100), gang=True)
+    cluster.run(1.0)
+    workers.gang_sizes[f"{job}.0.0"] = gang.tasks
+    cluster.submit(job, (gang, StepDefinition(1, Resources(1000, 100), after=(0,))), spec="1")
+    cluster.run(0.2)
+    cluster.leader().suspended = True
+    cluster.run(ended_s)
+    workers.return_delay_s = 1.5
+    workers.crash_and_return(crashed)
+    cluster.run(10.0)
+    assert cluster.state(job) == "completed"
+    assert not cluster.violations()
