--- a/gypsumplank/coordination/job/model.py
+++ b/gypsumplank/coordination/job/model.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from gypsumplank.protocol.job import (
+    FINAL_TASK_PHASES,
     JobState,
     LostWorker,
     StepDefinition,
@@ -98,6 +99,17 @@
             self.lost_on,
         )
 
+    @property
+    def is_final(self) -> bool:
+        """Return whether the task is done or has failed for good."""
+        return self.phase in FINAL_TASK_PHASES
+
+    @property
+    def counted_failures(self) -> int:
+        """Return the failed runs that count towards the limit, for a gang those of all members."""
+        members = self.step.tasks if self.step.order.gang else [self]
+        return sum(member.failures for member in members)
+
     @property
     def is_suspect(self) -> bool:
         """Return whether a worker was lost right after it started the task, or two were at all."""
@@ -114,7 +126,8 @@
     @property
     def may_have_begun(self) -> bool:
         """Return whether the current run may have been started on its worker."""
-        return bool(self.sent_at or self.start_confirmed_at or self.unconfirmed_since)
+        is_sent = bool(self.sent_at or self.start_confirmed_at or self.unconfirmed_since)
+        return is_sent and not self.is_final
 
     @property
     def has_settled(self) -> bool:
@@ -151,7 +164,12 @@
         self.step.dirty = True
 
     def requeue(self, now: float) -> None:
-        """Return the task to the queue; its last run must be known to be over everywhere."""
+        """Return the task to the queue, unless its phase is final.
+
+        Its last run must be known to be over everywhere.
+        """
+        if self.is_final:
+            return
         self.phase = TaskPhase.WAITING
         self._release_worker()
         self.queued_since = now
@@ -183,7 +201,10 @@
 
 
 class Step:
-    """Represent one occurrence of a step; `dirty` marks changes that are not stored yet."""
+    """Represent one occurrence of a step; `dirty` marks changes that are not stored yet.
+
+    `record_removed` is set once its stored row was deleted, as the job is over.
+    """
 
     def __init__(self, job: "Job", occurrence: int, position: int, order: StepDefinition) -> None:
         self.job = job
@@ -193,6 +214,12 @@
         self.key = step_key(job.id, occurrence, position)
         self.tasks = [Task(self, f"{self.key}.{index}", index) for index in range(order.tasks)]
         self.dirty = False
+        self.record_removed = False
+
+    @property
+    def has_record(self) -> bool:
+        """Return whether a stored row may exist; it is written once the first run is assigned."""
+        return not self.record_removed and any(task.run for task in self.tasks)
 
     @property
     def is_done(self) -> bool:
@@ -226,7 +253,8 @@
 
     `arrived_at` is when this leader read the job, in monotonic seconds. `state_dirty` marks a
     change of the state that is not stored yet. `is_unstorable` tells that the store does not take
-    a row of one of its steps.
+    a row of one of its steps. `waits_for_queue` is set while no task of the job may start, as the
+    manifest does not name its queue.
     """
 
     stored: StoredJob
@@ -238,6 +266,7 @@
     started: bool = False
     state_dirty: bool = False
     is_unstorable: bool = False
+    waits_for_queue: bool = False
     arrived_at: float = 0.0
     steps: dict[tuple[int, int], Step] = field(default_factory=dict)
 
--- a/standins/simulator.py
+++ b/standins/simulator.py
@@ -1,6 +1,7 @@
 """Simulate workers that run the tasks of jobs, on a simulated clock and with injected faults."""
 
 import random
+from collections import defaultdict
 from dataclasses import dataclass, field, replace
 
 from gypsumplank.errors import WorkerRefusedError, WorkerUnknownError
@@ -25,13 +26,18 @@
 RETURN_DELAY_S = 3.2
 # Ends that one report lists; the others follow once these are acknowledged.
 MAX_LISTED_ENDS = 500
+# Time for which a run of a gang waits for the other members, seconds.
+GANG_TIMEOUT_S = 3.0
 # A start order whose response is lost may still be applied up to this much later.
 MAX_START_DELAY_S = 8.0
 
 
 @dataclass
 class ActiveRun:
-    """Represent a run in progress; times are simulated seconds."""
+    """Represent a run in progress; times are simulated seconds.
+
+    `joined` is set once all members of its gang were present.
+    """
 
     name: str
     run: int
@@ -39,6 +45,7 @@
     ends_at: float
     kind: EndKind
     stop_at: float = 0.0
+    joined: bool = False
 
 
 @dataclass
@@ -101,6 +108,10 @@
     room: Resources
 
 
+def _step_of(run: ActiveRun) -> str:
+    return run.name.rpartition(".")[0]
+
+
 class SimulatedWorkers:
     """Simulate a set of workers; implement the scheduler's WorkerControl port.
 
@@ -110,7 +121,8 @@
     which the entry of a crashed worker remains. `room_changes` records the workers' capacity; a
     change is registered with the next heartbeat, and none is while `registry_unavailable` is set.
     A report lists the first `max_listed_ends` ends only. A run of more than `lasting_run_s` counts
-    as long-running, and reports 100 percent.
+    as long-running, and reports 100 percent. `gang_sizes` is how many tasks the steps have that are
+    gangs, by the prefix of their names.
     """
 
     def __init__(self, rng: random.Random) -> None:
@@ -130,6 +142,7 @@
         self.max_listed_ends = MAX_LISTED_ENDS
         self._cut_off_entries: dict[str, tuple[float, WorkerEntry]] = {}
         self.lasting_run_s = 1000.0
+        self.gang_sizes: dict[str, int] = {}
         self._returns: list[tuple[float, str]] = []
 
     def add(self, name: str, service: str, room: Resources, machine: str = "") -> SimulatedWorker:
@@ -243,6 +256,7 @@
                 self._hold_up_runs(worker, seconds)
                 self._end_due_runs(worker)
                 self._report(worker)
+        self._end_due_gangs()
 
     @staticmethod
     def _hold_up_runs(worker: SimulatedWorker, seconds: float) -> None:
@@ -266,9 +280,34 @@
                 self._end_run(worker, run, EndKind.LEASE_EXPIRED)
             elif run.stop_at and self.now >= run.stop_at:
                 self._end_run(worker, run, EndKind.STOPPED)
-            elif self.now >= run.ends_at:
+            elif self.now >= run.ends_at and _step_of(run) not in self.gang_sizes:
                 self._end_run(worker, run, run.kind)
 
+    def _end_due_gangs(self) -> None:
+        """End the members of gangs: together when due, or as others have ended or are missing."""
+        gangs: defaultdict[tuple[str, int], list[tuple[SimulatedWorker, ActiveRun]]] = defaultdict(
+            list
+        )
+        for worker in self.workers.values():
+            for run in worker.running.values() if worker.up else ():
+                if _step_of(run) in self.gang_sizes:
+                    gangs[_step_of(run), run.run].append((worker, run))
+        for (step, _), members in gangs.items():
+            runs = [run for _, run in members]
+            is_complete = len(runs) == self.gang_sizes[step]
+            is_due = is_complete and self.now >= max(run.ends_at for run in runs)
+            has_failed = is_due and any(run.kind is EndKind.FAILED for run in runs)
+            for worker, run in members:
+                run.joined = run.joined or is_complete
+                if has_failed and run.kind is not EndKind.FAILED:
+                    self._end_run(worker, run, EndKind.GANG_MEMBER_ENDED)
+                elif is_due:
+                    self._end_run(worker, run, run.kind)
+                elif run.joined and not is_complete:
+                    self._end_run(worker, run, EndKind.GANG_MEMBER_ENDED)
+                elif not is_complete and self.now >= run.begun + GANG_TIMEOUT_S:
+                    self._end_run(worker, run, EndKind.GANG_TIMEOUT)
+
     def _end_run(self, worker: SimulatedWorker, run: ActiveRun, kind: EndKind | None) -> None:
         del worker.running[run.name]
         for record in self.history:
