platform: a deeply nested entry no longer fails the survey of workers

Cause: msgspec raises RecursionError, not one of its own errors, for a value nested some 1,000 deep, also in a field that the type does not know. The directory caught only msgspec's errors. While one such row was in `servers`, each survey of entries, pending jobs and cancels failed, and no daemon could load the scheduler's state; a nested manifest or wave did the same.

--- a/gypsumplank/platform/directory.py
+++ b/gypsumplank/platform/directory.py
@@ -2,12 +2,13 @@
 
 import logging
 from collections.abc import Sequence
-from typing import Annotated, TypeVar
+from typing import Annotated
 
 import msgspec
 
 from gypsumplank.errors import EntryInvalidError
 from gypsumplank.log import Event, event
+from gypsumplank.protocol.decoder import decode_json
 from gypsumplank.protocol.job import Resources
 from gypsumplank.protocol.queue import (
     AdvicePolicy,
@@ -31,8 +32,6 @@
 PositiveInt = Annotated[int, msgspec.Meta(gt=0)]
 NonEmptyStr = Annotated[str, msgspec.Meta(min_length=1)]
 
-T = TypeVar("T")
-
 logger = logging.getLogger(__name__)
 
 
@@ -113,7 +112,7 @@
 
 def decode_manifest(raw: bytes) -> Manifest:
     """Decode a manifest; raise EntryInvalidError."""
-    wire = _decode(raw, WireManifest)
+    wire = decode_json(raw, WireManifest)
     queues = tuple(_decode_queue(route) for route in wire.routes)
     services = {
         service.name: ServicePolicy(service.name, service.enforces_capacity, service.standby)
@@ -124,7 +123,7 @@
 
 def decode_worker(row: Row) -> WorkerEntry:
     """Decode a worker's entry; raise EntryInvalidError."""
-    wire = _decode(row.value, WireWorker)
+    wire = decode_json(row.value, WireWorker)
     return WorkerEntry(
         row.key,
         wire.service,
@@ -157,13 +156,6 @@
     )
 
 
-def _decode(raw: bytes, kind: type[T]) -> T:
-    try:
-        return msgspec.json.decode(raw, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-        raise EntryInvalidError(str(exc)) from exc
-
-
 class PlatformDirectory:
     """Read operators' and workers' rows, write waves' states; every method may raise StateError."""
 
@@ -197,7 +189,7 @@
         waves = []
         for row in scan_all(self._table, TABLE_OPERATOR, PREFIX_WAVE):
             try:
-                wire = _decode(row.value, WireWave)
+                wire = decode_json(row.value, WireWave)
             except EntryInvalidError as exc:
                 self._log_invalid(row.key, exc)
                 continue
--- a/tests/platform/test_directory.py
+++ b/tests/platform/test_directory.py
@@ -63,6 +63,23 @@
     assert [entry.id for entry in entries] == ["b"]
 
 
+@pytest.mark.parametrize("depth", [2_000, 20_000])
+@pytest.mark.parametrize("field", ["unknown-field", "labels", "zone"])
+def test_deeply_nested_worker_entry_does_not_fail_the_survey(depth, field):
+    nested = b"[" * depth + b"]" * depth
+    raw = msgspec.json.encode({**ENTRY, field: "NESTED"}).replace(b'"NESTED"', nested)
+    entries = make_directory(servers__a=raw, servers__b=ENTRY).workers()
+    assert [entry.id for entry in entries] == ["b"]
+
+
+@pytest.mark.parametrize("table_row", ["op__config", "op__wave_1"])
+def test_deeply_nested_row_of_the_operator_is_skipped(table_row):
+    nested = b"[" * 2_000 + b"]" * 2_000
+    directory = make_directory(**{table_row: b'{"version":1,"wave":1,"x":' + nested + b"}"})
+    assert directory.manifest() is None
+    assert not directory.waves()
+
+
 def test_manifest_is_decoded_and_the_longest_prefix_wins():
     wire = {**MANIFEST, "version": 9}
     wire["routes"] = [
