state: a malformed row costs only itself

Cause: each store decoded its rows with exceptions of its own, most with none, so that one row of another writer or build failed the whole scan. What callers saw: with one bad lease row no daemon led, with one bad session, claim, record or order of a machine the readers of that table failed again at each step.

Change: state/row.py decodes the rows of a scan, drops a malformed one and logs it once for each fault (entry-dropped, which is counted). Where dropping could lose or repeat work: - a lease row counts as held by an unknown holder, at an epoch no earlier holder can have had; it is waited for like any other; - a session keeps its last good value while its row exists; - an order of a machine counts as just given; - a silence is left out, so that the lease is waited for in full; - a job with a bad row stays left out, now also with a step row that lacks tasks; rows of steps that the job does not have are ignored; - the size of a pool and the start of a wave are written anew; - the head, a claim and an accepted operation raise StateUnavailableError.

--- a/gypsumplank/coordination/expiry.py
+++ b/gypsumplank/coordination/expiry.py
@@ -32,8 +32,8 @@
             return
         try:
             page = self._store.page(self._resume_key, PAGE_SIZE)
-            self._resume_key = page[-1].claim.row_key if len(page) == PAGE_SIZE else ""
-            for found in page:
+            self._resume_key = page.resume_key
+            for found in page.claims:
                 self._remove_if_expired(found)
         except StateError:
             return
--- a/gypsumplank/coordination/job/leader.py
+++ b/gypsumplank/coordination/job/leader.py
@@ -30,10 +30,10 @@
     StateUnknownError,
 )
 from gypsumplank.log import Event, event
-from gypsumplank.protocol.job import FINAL_JOB_STATES, JobState, StoredJob
+from gypsumplank.protocol.job import FINAL_JOB_STATES, JobState
 from gypsumplank.protocol.queue import Manifest
 from gypsumplank.state.clock import Clock
-from gypsumplank.state.job import JobUpdate, LoadedJob, StateValue, decode, group_into_txns
+from gypsumplank.state.job import JobUpdate, LoadedJob, StateValue, decode_order, group_into_txns
 from gypsumplank.state.table import Row
 
 SCHEDULER_LEASE = "scheduler"
@@ -305,7 +305,7 @@
 
     def _add_job(self, term: Term, row: Row) -> None:
         try:
-            stored = decode(row.value, StoredJob)
+            stored = decode_order(row)
         except EntryInvalidError as exc:
             event(
                 logger,
--- a/gypsumplank/protocol/queue.py
+++ b/gypsumplank/protocol/queue.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from gypsumplank.protocol.decoder import Count
+
 MS_PER_S = 1000.0
 
 
@@ -78,9 +80,9 @@
     `maintained_wave` is the last wave for which the platform accepted the machine's maintenance.
     """
 
-    at_ms: int
-    wave: int = 0
-    maintained_wave: int = 0
+    at_ms: Count
+    wave: Count = 0
+    maintained_wave: Count = 0
 
 
 class MachineState(StrEnum):
--- a/gypsumplank/state/burn.py
+++ b/gypsumplank/state/burn.py
@@ -5,7 +5,9 @@
 import msgspec
 
 from gypsumplank.protocol.burn import BurnRow
-from gypsumplank.state.table import Table, Txn, Write, scan_all
+from gypsumplank.protocol.decoder import decode_json
+from gypsumplank.state.row import RowDecoder
+from gypsumplank.state.table import Row, Table, Txn, Write, scan_all
 
 TABLE_BURN = "burn"
 MAX_EXPIRED_ROWS = 200
@@ -19,6 +21,7 @@
 
     def __init__(self, table: Table) -> None:
         self._table = table
+        self._decoder = RowDecoder(_decode)
 
     def write(self, rows: Sequence[BurnRow]) -> None:
         """Write the rows; raise StateError."""
@@ -28,10 +31,10 @@
     def read(self, since: int) -> list[BurnRow]:
         """Return the rows of all buckets that start at `since` (epoch seconds) or later.
 
-        Raises StateError.
+        Leaves out malformed rows; raises StateError.
         """
         rows = scan_all(self._table, TABLE_BURN, after=_bucket_key(since))
-        return [msgspec.json.decode(row.value, type=BurnRow) for row in rows]
+        return self._decoder.decode_all(rows)
 
     def expire(self, before: int) -> int:
         """Delete rows of buckets that start before `before` (epoch seconds); return how many.
@@ -46,6 +49,10 @@
         return len(deletes)
 
 
+def _decode(row: Row) -> BurnRow:
+    return decode_json(row.value, BurnRow)
+
+
 def _bucket_key(bucket: int) -> str:
     return f"{bucket:012d}"
 
--- a/gypsumplank/state/change.py
+++ b/gypsumplank/state/change.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from gypsumplank.errors import EntryInvalidError
+from gypsumplank.protocol.decoder import Count, Finite, convert, decode_any_json, decode_json
 from gypsumplank.protocol.record import Kind, Record, record_key
 from gypsumplank.state.table import ABSENT, Check, Txn, Write
 from gypsumplank.state.view import NO_REVISION, View, change_view
@@ -24,16 +26,16 @@
 class KindSummary:
     """Represent at which revision the records of a kind last changed, and how many there are."""
 
-    revision: int
-    records: int
+    revision: Count
+    records: Count
 
 
 @dataclass(frozen=True)
 class Head:
     """Represent the newest committed revision; the log starts at revision `floor`."""
 
-    revision: int
-    floor: int = 1
+    revision: Count
+    floor: Count = 1
     kinds: Mapping[str, KindSummary] = field(default_factory=dict)
 
 
@@ -56,10 +58,10 @@
     `unread` lists the written records whose kind this version does not know.
     """
 
-    revision: int
+    revision: Count
     operation: str
     actor: str
-    accepted_at: float
+    accepted_at: Finite
     puts: tuple[Record, ...] = ()
     deletes: tuple[str, ...] = ()
     unread: tuple[str, ...] = ()
@@ -69,11 +71,26 @@
 class UndoEntry:
     """Represent an undo log entry: the records that a change replaced and the keys it added."""
 
-    revision: int
+    revision: Count
     before: tuple[Record, ...] = ()
     added: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True)
+class WrittenKey:
+    """Represent the key of a written record, whose kind may be unknown to this version."""
+
+    kind: str
+    name: str
+
+
+@dataclass(frozen=True)
+class WrittenKeys:
+    """Represent the keys in a change entry of any software version."""
+
+    puts: tuple[WrittenKey, ...] = ()
+
+
 @dataclass(frozen=True)
 class PlannedChange:
     """Represent a validated change with the views before and after it."""
@@ -160,18 +177,21 @@
 
 
 def decode_entry(raw: bytes) -> ChangeEntry:
-    """Return a change entry from its row; records of unknown kinds are listed in `unread`."""
+    """Return a change entry from its row; records of unknown kinds are listed in `unread`.
+
+    Raises EntryInvalidError.
+    """
     try:
-        return msgspec.json.decode(raw, type=ChangeEntry)
-    except msgspec.ValidationError:
-        raw_entry = msgspec.json.decode(raw)
+        return decode_json(raw, ChangeEntry)
+    except EntryInvalidError:
+        keys = decode_json(raw, WrittenKeys)
+        raw_entry = decode_any_json(raw)
     kinds = {kind.value for kind in Kind}
-    puts = raw_entry.get("puts", ())
-    raw_entry["puts"] = [put for put in puts if put["kind"] in kinds]
+    raw_entry["puts"] = [put for put in raw_entry.get("puts", ()) if put["kind"] in kinds]
     raw_entry["unread"] = [
-        record_key(put["kind"], put["name"]) for put in puts if put["kind"] not in kinds
+        record_key(put.kind, put.name) for put in keys.puts if put.kind not in kinds
     ]
-    return msgspec.convert(raw_entry, ChangeEntry)
+    return convert(raw_entry, ChangeEntry)
 
 
 def initial_head() -> Head:
--- a/gypsumplank/state/claim.py
+++ b/gypsumplank/state/claim.py
@@ -4,9 +4,11 @@
 
 import msgspec
 
-from gypsumplank.errors import AnswerNotKeptError, StateUnavailableError
+from gypsumplank.errors import AnswerNotKeptError
+from gypsumplank.protocol.decoder import decode_json
 from gypsumplank.protocol.exchange import EndpointResponse, Outcome, Refusal, Reply
 from gypsumplank.state.objects import ObjectStore
+from gypsumplank.state.row import RowDecoder, decode_needed
 from gypsumplank.state.table import ABSENT, Row, Table
 from gypsumplank.state.writer import RowChange
 
@@ -67,6 +69,14 @@
     version: int
 
 
+@dataclass(frozen=True)
+class ClaimPage:
+    """Represent a page of claims; `resume_key` is where the next one starts, empty at the end."""
+
+    claims: tuple[ClaimRow, ...]
+    resume_key: str = ""
+
+
 def open_change(claim: Claim) -> RowChange:
     """Return the change that stores a new claim if the key has none."""
     return RowChange(TABLE_CLAIMS, claim.row_key, ABSENT, msgspec.json.encode(claim))
@@ -89,17 +99,21 @@
     def __init__(self, table: Table, objects: ObjectStore) -> None:
         self._table = table
         self._objects = objects
+        self._decoder = RowDecoder(_decode_row)
 
     def find(self, service: str, key: str) -> ClaimRow | None:
         """Return the key's claim, if any; raise StateUnavailableError."""
         row = self._table.get(TABLE_CLAIMS, f"{service}/{key}")
-        return None if row is None else _decode_row(row)
+        return None if row is None else ClaimRow(decode_needed(row, Claim), row.version)
+
+    def page(self, after: str, limit: int) -> ClaimPage:
+        """Return a page of claims in row key order, without malformed ones.
 
-    def page(self, after: str, limit: int) -> list[ClaimRow]:
-        """Return a page of claims in row key order; raise StateUnavailableError."""
-        return [
-            _decode_row(row) for row in self._table.scan(TABLE_CLAIMS, after=after, limit=limit)
-        ]
+        Raises StateUnavailableError.
+        """
+        rows = self._table.scan(TABLE_CLAIMS, after=after, limit=limit)
+        resume_key = rows[-1].key if len(rows) == limit else ""
+        return ClaimPage(tuple(self._decoder.decode_all(rows)), resume_key)
 
     def store_reply(self, claim: Claim, reply: Reply) -> StoredReply:
         """Return a reply in its stored form; store a large body as an object; raise StateError."""
@@ -137,7 +151,4 @@
 
 
 def _decode_row(row: Row) -> ClaimRow:
-    try:
-        return ClaimRow(msgspec.json.decode(row.value, type=Claim), row.version)
-    except msgspec.MsgspecError as exc:
-        raise StateUnavailableError(f"claim {row.key!r} cannot be read: {exc}") from exc
+    return ClaimRow(decode_json(row.value, Claim), row.version)
--- a/gypsumplank/state/job.py
+++ b/gypsumplank/state/job.py
@@ -15,7 +15,9 @@
     StateUnknownError,
 )
 from gypsumplank.log import Event, event
+from gypsumplank.protocol.decoder import Count, decode_json
 from gypsumplank.protocol.job import FINAL_JOB_STATES, JobState, StepRecord, StoredJob
+from gypsumplank.state.row import RowDecoder
 from gypsumplank.state.table import ABSENT, Check, Row, Table, Txn, Write, scan_all
 
 TABLE_ORDERS = "orders"
@@ -74,10 +76,15 @@
 
 def decode(raw: bytes, kind: type[T]) -> T:
     """Return a stored value; raise EntryInvalidError."""
-    try:
-        return msgspec.json.decode(raw, type=kind)
-    except msgspec.MsgspecError as exc:
-        raise EntryInvalidError(str(exc)) from exc
+    return decode_json(raw, kind)
+
+
+def decode_order(row: Row) -> StoredJob:
+    """Return the job of a row; raise EntryInvalidError."""
+    job = decode(row.value, StoredJob)
+    if job.id != row.key:
+        raise EntryInvalidError(f"the job is {job.id!r}")
+    return job
 
 
 def pending_key(queue: str, job: str) -> str:
@@ -114,6 +121,10 @@
         yield batch
 
 
+def _decode_count(row: Row) -> int:
+    return decode_json(row.value, Count)
+
+
 def _is_final(row: Row) -> bool:
     try:
         return decode(row.value, StateValue).state in FINAL_JOB_STATES
@@ -123,15 +134,37 @@
 
 def _decode_job(row: Row, state: Row | None, cancelled: bool, steps: Iterable[Row]) -> LoadedJob:
     value = decode(state.value, StateValue) if state else None
+    job = decode_order(row)
+    task_counts = _task_counts(job)
     return LoadedJob(
-        decode(row.value, StoredJob),
+        job,
         value.state if value else JobState.QUEUED,
         state.version if state else row.version,
         cancelled,
-        {step.key: decode(step.value, StepRecord) for step in steps},
+        {
+            step.key: _decode_step(step, task_counts[step.key])
+            for step in steps
+            if step.key in task_counts
+        },
     )
 
 
+def _task_counts(job: StoredJob) -> dict[str, int]:
+    """Return the number of tasks of each occurrence of a step, by the key of its row."""
+    return {
+        step_key(job.id, occurrence, position): step.tasks
+        for occurrence in range(max(1, job.order.schedule.count))
+        for position, step in enumerate(job.order.steps)
+    }
+
+
+def _decode_step(row: Row, tasks: int) -> StepRecord:
+    record = decode(row.value, StepRecord)
+    if len(record.tasks) != tasks:
+        raise EntryInvalidError(f"{row.key} has {len(record.tasks)} of {tasks} tasks")
+    return record
+
+
 def _in_chunks(rows: Iterable[Row], on_chunk: Callable[[], None]) -> Iterator[Row]:
     """Yield the rows; call `on_chunk` after each LOAD_CHUNK_JOBS of them."""
     for number, row in enumerate(rows, 1):
@@ -145,6 +178,7 @@
 
     def __init__(self, table: Table) -> None:
         self._table = table
+        self._number_decoder = RowDecoder(_decode_count)
 
     def submit(self, job: StoredJob, timeout_s: float | None = None) -> bool:
         """Store a new job; return False if it is stored already.
@@ -211,21 +245,31 @@
     def initial_pool_sizes(self, present: Mapping[str, int]) -> dict[str, int]:
         """Return the initial machine count of each pool; store the counts of new pools."""
         rows = scan_all(self._table, TABLE_POOLS)
-        known = {row.key: decode(row.value, int) for row in rows}
+        known = self._decode_counts(rows)
+        # A malformed row is replaced, as nothing else is known of the pool.
+        versions = {row.key: row.version for row in rows}
         for pool, size in present.items():
             if pool in known:
                 continue
+            check = Check(TABLE_POOLS, pool, versions.get(pool, ABSENT))
             write = Write(TABLE_POOLS, pool, msgspec.json.encode(size))
             try:
-                self._table.commit(Txn((Check(TABLE_POOLS, pool, ABSENT),), (write,)))
+                self._table.commit(Txn((check,), (write,)))
             except StateConflictError:
                 return self.initial_pool_sizes(present)
             known[pool] = size
         return known
 
     def silent_workers(self) -> dict[str, int]:
-        """Return since when each silent worker instance counts as silent, in store clock ms."""
-        return {row.key: decode(row.value, int) for row in scan_all(self._table, TABLE_SILENCES)}
+        """Return since when each silent worker instance counts as silent, in store clock ms.
+
+        A malformed row is left out, so that the instance's lease is waited for in full.
+        """
+        return self._decode_counts(scan_all(self._table, TABLE_SILENCES))
+
+    def _decode_counts(self, rows: Iterable[Row]) -> dict[str, int]:
+        decoded = ((row.key, self._number_decoder.decode(row)) for row in rows)
+        return {key: count for key, count in decoded if count is not None}
 
     def update_silent_workers(
         self, fence: Check, since: Mapping[str, int], ended: Iterable[str]
--- a/gypsumplank/state/reader.py
+++ b/gypsumplank/state/reader.py
@@ -3,9 +3,8 @@
 import itertools
 from dataclasses import replace
 
-import msgspec
-
-from gypsumplank.errors import RevisionMissingError, RevisionReversedError
+from gypsumplank.errors import EntryInvalidError, RevisionMissingError, RevisionReversedError
+from gypsumplank.protocol.decoder import Count, decode_json
 from gypsumplank.protocol.record import Record
 from gypsumplank.state.change import (
     KEY_HEAD,
@@ -23,6 +22,7 @@
     initial_head,
     revert,
 )
+from gypsumplank.state.row import RowDecoder, decode_needed
 from gypsumplank.state.table import ABSENT, Row, Table, scan_all
 from gypsumplank.state.view import KINDS_BY_NAME, View, build_view
 
@@ -35,18 +35,20 @@
 
     def __init__(self, table: Table) -> None:
         self._table = table
+        self._entry_decoder = RowDecoder(lambda row: decode_entry(row.value))
+        self._record_decoder = RowDecoder(_decode_record)
 
     def head(self) -> tuple[Head, int]:
-        """Return the newest revision and the version of its row."""
+        """Return the newest revision and the version of its row; raise StateError."""
         row = self._table.get(TABLE_CONFIG, KEY_HEAD)
         if row is None:
             return initial_head(), ABSENT
-        return msgspec.json.decode(row.value, type=Head), row.version
+        return decode_needed(row, Head), row.version
 
     def entries(self, after: int) -> list[ChangeEntry]:
         """Return the kept changes that follow this revision without a gap, oldest first."""
         rows = scan_all(self._table, TABLE_CHANGES, after=change_key(after))
-        found = (decode_entry(row.value) for row in rows)
+        found = self._entry_decoder.decode_all(rows)
         return [
             entry
             for entry, revision in zip(found, itertools.count(after + 1), strict=False)
@@ -56,12 +58,12 @@
     def oldest_entries(self, floor: int, count: int) -> list[ChangeEntry]:
         """Return the oldest kept changes, at most `count`."""
         rows = self._table.scan(TABLE_CHANGES, "", change_key(floor - 1), count) if count else []
-        return [decode_entry(row.value) for row in rows]
+        return self._entry_decoder.decode_all(rows)
 
     def accepted_revision(self, operation: str) -> int | None:
         """Return the revision at which an operation was accepted, if it was."""
         row = self._table.get(TABLE_OPERATIONS, operation)
-        return None if row is None else msgspec.json.decode(row.value, type=int)
+        return None if row is None else decode_needed(row, Count)
 
     def refresh(self, view: View) -> View:
         """Return the newest view, given an older one; raise RevisionReversedError."""
@@ -92,10 +94,8 @@
         changed = _changed_kinds(head, view)
         kept = (record for record in view.records.values() if record.kind not in changed)
         rows = [row for kind in changed for row in self._rows(kind)]
-        read = (
-            msgspec.json.decode(row.value, type=Record) for row in rows if _is_known_kind(row.key)
-        )
-        unread = {row.key for row in rows if not _is_known_kind(row.key)}
+        read = self._record_decoder.decode_all(row for row in rows if _is_known_kind(row.key))
+        unread = {row.key for row in rows} - {record.key for record in read}
         reloaded = build_view(head.revision, (*kept, *read), view)
         old_unknown = {key for key in view.unreadable if not _is_known_kind(key)}
         stale = {key for key in old_unknown if key.partition("/")[0] in changed}
@@ -112,17 +112,22 @@
             raise RevisionMissingError(f"revision {revision} is not one of 0 to {newest.revision}")
         rows = scan_all(self._table, TABLE_UNDO, after=change_key(revision))
         try:
-            undos = [msgspec.json.decode(row.value, type=UndoEntry) for row in rows]
-        except msgspec.ValidationError as exc:
-            raise RevisionMissingError(
-                f"a newer software version wrote a later change: {exc}"
-            ) from exc
+            undos = [decode_json(row.value, UndoEntry) for row in rows]
+        except EntryInvalidError as exc:
+            raise RevisionMissingError(f"a later change cannot be read: {exc}") from exc
         kept = [undo for undo in undos if undo.revision <= newest.revision]
         if len(kept) != newest.revision - revision:
             raise RevisionMissingError(f"the changes after revision {revision} are no longer kept")
         return revert(newest.records, reversed(kept))
 
 
+def _decode_record(row: Row) -> Record:
+    record = decode_json(row.value, Record)
+    if record.key != row.key:
+        raise EntryInvalidError(f"the record is {record.key!r}")
+    return record
+
+
 def _is_known_kind(key: str) -> bool:
     return key.partition("/")[0] in KINDS_BY_NAME
 
--- /dev/null
+++ b/gypsumplank/state/row.py
@@ -0,0 +1,63 @@
+"""Decode stored rows, so that a malformed one costs only itself."""
+
+import logging
+from collections.abc import Callable, Iterable
+from typing import Generic, TypeVar
+
+from gypsumplank.errors import EntryInvalidError, StateUnavailableError
+from gypsumplank.log import Event, event
+from gypsumplank.protocol.decoder import decode_json
+from gypsumplank.state.table import Row
+
+# Rows whose last fault is remembered, so that it is logged once.
+MAX_LOGGED_ROWS = 1000
+
+T = TypeVar("T")
+
+logger = logging.getLogger(__name__)
+
+
+def decode_needed(row: Row, kind: type[T]) -> T:
+    """Decode a row that nothing can replace; raise StateUnavailableError."""
+    try:
+        return decode_json(row.value, kind)
+    except EntryInvalidError as exc:
+        detail = f"{row.table}/{row.key} cannot be read: {exc.detail}"
+        raise StateUnavailableError(detail) from exc
+
+
+class RowDecoder(Generic[T]):
+    """Decode the rows of scans; leave out a malformed one, and log it once for each fault."""
+
+    def __init__(self, decode: Callable[[Row], T]) -> None:
+        """Create a decoder; `decode` may raise EntryInvalidError."""
+        self._decode = decode
+        self._logged_details: dict[str, str] = {}
+
+    def decode(self, row: Row) -> T | None:
+        """Return the decoded row, or None if it is malformed."""
+        try:
+            return self._decode(row)
+        except EntryInvalidError as exc:
+            self._log(row, exc)
+            return None
+
+    def decode_all(self, rows: Iterable[Row]) -> list[T]:
+        """Return the rows that are well-formed, decoded."""
+        return [decoded for row in rows if (decoded := self.decode(row)) is not None]
+
+    def _log(self, row: Row, exc: EntryInvalidError) -> None:
+        if self._logged_details.get(row.key) == exc.detail:
+            return
+        if len(self._logged_details) >= MAX_LOGGED_ROWS:
+            self._logged_details.clear()
+        self._logged_details[row.key] = exc.detail
+        event(
+            logger,
+            Event.ENTRY_DROPPED,
+            logging.WARNING,
+            table=row.table,
+            entry=row.key,
+            code=exc.code,
+            detail=exc.detail,
+        )
--- a/gypsumplank/state/session.py
+++ b/gypsumplank/state/session.py
@@ -5,6 +5,9 @@
 
 import msgspec
 
+from gypsumplank.errors import EntryInvalidError
+from gypsumplank.protocol.decoder import Count, Finite, decode_json
+from gypsumplank.state.row import RowDecoder
 from gypsumplank.state.table import ABSENT, Check, Row, Table, Txn, Write, scan_all
 
 TABLE_SESSIONS = "sessions"
@@ -21,14 +24,14 @@
     """
 
     id: str
-    epoch: int
+    epoch: Count
     zone: str
     callers: str
     operators: str
     peers: str
-    revision: int
-    renewed_at: float
-    leaving: Mapping[str, int] = field(default_factory=dict)
+    revision: Count
+    renewed_at: Finite
+    leaving: Mapping[str, Count] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -44,12 +47,14 @@
 
     def __init__(self, table: Table) -> None:
         self._table = table
+        self._decoder = RowDecoder(_decode)
+        self._last_read: dict[str, Session] = {}
 
     def open(self, session: Session) -> SessionRow:
         """Write the daemon's row with the next fleet-wide epoch; raise StateError."""
         counter = self._table.get(TABLE_COUNTERS, KEY_EPOCH)
         row = self._table.get(TABLE_SESSIONS, session.id)
-        epoch = 1 + (msgspec.json.decode(counter.value, type=int) if counter else 0)
+        epoch = 1 + (_decode_epoch(counter) if counter else 0)
         opened = replace(session, epoch=epoch)
         checks = (
             Check(TABLE_COUNTERS, KEY_EPOCH, counter.version if counter else ABSENT),
@@ -81,13 +86,32 @@
         self._table.commit(Txn((check,), (Write(TABLE_SESSIONS, session.id, None),)))
 
     def rows(self) -> list[SessionRow]:
-        """Return every session row."""
-        return [_decode(row) for row in scan_all(self._table, TABLE_SESSIONS)]
+        """Return every session row; one that became malformed keeps its last session."""
+        found = (self._decode_or_last(row) for row in scan_all(self._table, TABLE_SESSIONS))
+        rows = [row for row in found if row is not None]
+        self._last_read = {row.session.id: row.session for row in rows}
+        return rows
 
     def all(self) -> list[Session]:
         """Return every session."""
         return [row.session for row in self.rows()]
 
+    def _decode_or_last(self, row: Row) -> SessionRow | None:
+        decoded = self._decoder.decode(row)
+        last = self._last_read.get(row.key)
+        return SessionRow(last, row.version) if decoded is None and last is not None else decoded
+
 
 def _decode(row: Row) -> SessionRow:
-    return SessionRow(msgspec.json.decode(row.value, type=Session), row.version)
+    session = decode_json(row.value, Session)
+    if session.id != row.key:
+        raise EntryInvalidError(f"the session is of {session.id!r}")
+    return SessionRow(session, row.version)
+
+
+def _decode_epoch(counter: Row) -> int:
+    try:
+        return decode_json(counter.value, Count)
+    except EntryInvalidError:
+        # Each epoch takes a transaction, so that none can be above the row's version.
+        return counter.version
--- a/gypsumplank/state/task.py
+++ b/gypsumplank/state/task.py
@@ -7,7 +7,9 @@
 import msgspec
 
 from gypsumplank.errors import StateConflictError, StateUnknownError, TaskMissingError
+from gypsumplank.protocol.decoder import decode_json
 from gypsumplank.protocol.task import FINAL_STATES, Task, TaskState
+from gypsumplank.state.row import RowDecoder
 from gypsumplank.state.table import ABSENT, Check, Row, Table, Txn, Write, scan_all
 
 TABLE_TASKS = "tasks"
@@ -45,6 +47,7 @@
     def __init__(self, table: Table, committer: Committer) -> None:
         self._table = table
         self._committer = committer
+        self._decoder = RowDecoder(_decode_row)
 
     def submit(self, task: Task, key: str = "") -> Task:
         """Queue a new task and return it; return the existing task for a reused team and key."""
@@ -78,24 +81,31 @@
         return None if found is None else found.task
 
     def get(self, task_id: str) -> TaskRow:
-        """Return a task; raise TaskMissingError."""
+        """Return a task; raise TaskMissingError or EntryInvalidError."""
         found = self._find(task_id)
         if found is None:
             raise TaskMissingError(f"no task {task_id!r}")
         return found
 
     def list_by_team(self, team: str, after: str, limit: int) -> list[Task]:
-        """Return a page of a team's tasks after the id `after`, in id order."""
+        """Return a page of a team's tasks after the id `after`, in id order.
+
+        Leaves out malformed tasks.
+        """
         prefix = f"{team}/"
         rows = self._table.scan(TABLE_TEAM_TASKS, prefix, f"{prefix}{after}", limit)
-        found = (self._find(row.key.removeprefix(prefix)) for row in rows)
-        return [row.task for row in found if row is not None]
+        tasks = (self._table.get(TABLE_TASKS, row.key.removeprefix(prefix)) for row in rows)
+        found = self._decoder.decode_all(row for row in tasks if row is not None)
+        return [row.task for row in found]
 
     def list_open(self, pool: str, after: str = "") -> list[TaskRow]:
-        """Return the pool's queued and running tasks after the id `after`, in id order."""
+        """Return the pool's queued and running tasks after the id `after`, in id order.
+
+        A malformed row is left out, as its task may be running.
+        """
         prefix = f"{pool}/"
         rows = scan_all(self._table, TABLE_OPEN_TASKS, prefix, f"{prefix}{after}")
-        return [_decode_row(row) for row in rows]
+        return self._decoder.decode_all(rows)
 
     def submission_versions(self) -> dict[str, int]:
         """Return a number for each pool that increases with every submission to it."""
@@ -127,7 +137,7 @@
 
 
 def _decode_row(row: Row) -> TaskRow:
-    return TaskRow(msgspec.json.decode(row.value, type=Task), row.version)
+    return TaskRow(decode_json(row.value, Task), row.version)
 
 
 def _task_writes(task: Task) -> tuple[Write, Write]:
--- a/gypsumplank/state/wave.py
+++ b/gypsumplank/state/wave.py
@@ -5,7 +5,10 @@
 
 import msgspec
 
-from gypsumplank.state.table import ABSENT, Check, Table, Txn, Write, scan_all
+from gypsumplank.errors import EntryInvalidError
+from gypsumplank.protocol.decoder import Count, Finite, decode_json
+from gypsumplank.state.row import RowDecoder
+from gypsumplank.state.table import ABSENT, Check, Row, Table, Txn, Write, scan_all
 
 TABLE_WAVES = "waves"
 
@@ -24,9 +27,9 @@
     """Represent a run of a wave; `started_at` is in seconds since the epoch."""
 
     wave: str
-    number: int
+    number: Count
     state: RunState
-    started_at: float
+    started_at: Finite
     actor: str = ""
     reason: str = ""
 
@@ -54,15 +57,16 @@
 
     def __init__(self, table: Table) -> None:
         self._table = table
+        self._decoder = RowDecoder(_decode)
 
     def find(self, wave: str) -> RunRow | None:
-        """Return a wave's last run, if any."""
+        """Return a wave's last run, if any; raise EntryInvalidError."""
         row = self._table.get(TABLE_WAVES, wave)
-        return None if row is None else _decode(row.value, row.version)
+        return None if row is None else _decode(row)
 
     def all(self) -> dict[str, RunRow]:
-        """Return the last run of every wave, by wave name."""
-        rows = (_decode(row.value, row.version) for row in scan_all(self._table, TABLE_WAVES))
+        """Return the last run of every wave, by wave name, without malformed ones."""
+        rows = self._decoder.decode_all(scan_all(self._table, TABLE_WAVES))
         return {row.run.wave: row for row in rows}
 
     def put(self, run: WaveRun, version: int) -> RunRow:
@@ -72,5 +76,8 @@
         return RunRow(run, self._table.commit(Txn((check,), (write,))))
 
 
-def _decode(value: bytes, version: int) -> RunRow:
-    return RunRow(msgspec.json.decode(value, type=WaveRun), version)
+def _decode(row: Row) -> RunRow:
+    run = decode_json(row.value, WaveRun)
+    if run.wave != row.key:
+        raise EntryInvalidError(f"the run is of {run.wave!r}")
+    return RunRow(run, row.version)
--- a/tests/coordination/test_lease.py
+++ b/tests/coordination/test_lease.py
@@ -8,6 +8,7 @@
 from gypsumplank.state.lease import LeaseStore
 from gypsumplank.state.table import MemoryTable, Txn, Write
 from standins.fleet import FaultyTable
+from tests.malformed import MALFORMED_JSON
 
 LEASE_S = 5.0
 NAMES = ("a", "b", "c", "d")
@@ -167,3 +168,24 @@
     other.tick(["a"], ())
     assert other.fence("a") is not None
     assert holder.fence("a") is None
+
+
+@pytest.mark.parametrize("malformed", MALFORMED_JSON.values(), ids=MALFORMED_JSON)
+def test_malformed_lease_row_is_waited_for_and_taken_over_above_its_epoch(malformed):
+    daemons = LeaseDaemons("x", "y")
+    daemons.tick("x", live=["x"])
+    holder, other = daemons.leases["x"], daemons.leases["y"]
+    fence, epoch = holder.fence("a"), holder.epoch("a")
+    daemons.rows.commit(Txn((), (Write("leases", "a", malformed),)))
+    with pytest.raises(StateConflictError):
+        daemons.rows.commit(Txn((fence,), (Write("t", "k", b""),)))
+    for _ in range(7):
+        daemons.tick("y", live=["y"])
+        assert other.fence("a") is None
+        assert holder.fence("a") is None or daemons.clock.now < 101.0 + LEASE_S
+    daemons.tick("y", live=["y"])
+    daemons.tick("y", live=["y"])
+    assert other.fence("a") is not None
+    assert other.epoch("a") > epoch
+    daemons.tick("x", live=["y"])
+    assert holder.fence("a") is None
