workload: a task name with other digits or a long number is not a task

Cause: str.isdigit() accepts digits that int() does not, and int() refuses more than 4,300 digits. A worker's report with such a name raised ValueError in the scheduler's thread, so that each leader gave up its term at that worker.

Change: each number of a name is 1 to 9 ASCII digits.

--- a/gypsumplank/coordination/job/workload.py
+++ b/gypsumplank/coordination/job/workload.py
@@ -1,6 +1,7 @@
 """Keep all jobs that have not ended, and collect their changes for commits to the store."""
 
 import logging
+import re
 from collections.abc import Iterable, Iterator, Sequence
 
 from gypsumplank.coordination.job.model import Job, Step, Task
@@ -23,13 +24,15 @@
 )
 from gypsumplank.state.table import Check, Write
 
+NUMBER = re.compile(r"[0-9]{1,9}")
+
 logger = logging.getLogger(__name__)
 
 
 def parse_task_name(name: str) -> TaskName:
     """Parse a task's name; raise EntryInvalidError."""
     parts = name.split(".")
-    if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
+    if len(parts) != 4 or not all(NUMBER.fullmatch(part) for part in parts[1:]):
         raise EntryInvalidError(f"{name!r} is not a valid task name")
     return TaskName(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
 
