jobs: a body or stored order that no leader can hold costs only itself

Cause: a caller's numbers had no bounds, and a nested body raised RecursionError. A step of 10^9 replicas, 10^12 occurrences or 80,000 steps was stored, and then ended each leader that loaded it (the test process was aborted at a limit of 3 GB); a stored order with a dependency on a later step raised IndexError there. A deadline header of 5,000 digits raised ValueError.

Change: counts are 0 to 2^53 - 1, a job has at most 1,000 steps and 100,000 tasks; a caller gets 400, a stored order is dropped with a log line. The critical paths of a job take time linear in its dependencies.

--- a/gypsumplank/coordination/job/model.py
+++ b/gypsumplank/coordination/job/model.py
@@ -266,8 +266,9 @@
 
 def _critical_paths(steps: tuple[StepDefinition, ...]) -> list[int]:
     """Return for each step the duration in ms of the critical path that starts with it."""
-    paths_ms = [step.estimate_ms for step in steps]
+    paths_ms = [0] * len(steps)
     for position in range(len(steps) - 1, -1, -1):
-        followers = [paths_ms[i] for i, step in enumerate(steps) if position in step.after]
-        paths_ms[position] = steps[position].estimate_ms + max(followers, default=0)
+        paths_ms[position] += steps[position].estimate_ms
+        for predecessor in steps[position].after:
+            paths_ms[predecessor] = max(paths_ms[predecessor], paths_ms[position])
     return paths_ms
--- a/gypsumplank/platform/app.py
+++ b/gypsumplank/platform/app.py
@@ -1,5 +1,6 @@
 """Serve the platform's HTTP API for jobs, readiness and metrics."""
 
+import re
 import time
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
@@ -8,11 +9,13 @@
 import msgspec
 
 from gypsumplank.errors import (
+    EntryInvalidError,
     GypsumplankError,
     JobInvalidError,
     JobMissingError,
     StateTooLargeError,
 )
+from gypsumplank.protocol.decoder import Count, decode_json
 from gypsumplank.protocol.job import JobDefinition, JobState, Resources, Schedule, StepDefinition
 from gypsumplank.protocol.queue import Queue
 
@@ -21,6 +24,7 @@
 JOB_ID_LENGTH = 16
 HEX_DIGITS = frozenset("0123456789abcdef")
 MAX_SPEC_BYTES = 4000
+REMAINING_MS = re.compile(r"[0-9]{1,9}")
 # Assumed when the caller sends no deadline header; the usual deadline on the platform.
 DEFAULT_REMAINING_S = 3.0
 # Sent with a 503: nothing was stored, so the caller may retry.
@@ -35,24 +39,24 @@
 class WireStep(msgspec.Struct, rename="kebab"):
     """Represent a step as callers send it; `replicas` counts its tasks, `cpu` is in millicores."""
 
-    replicas: int = 0
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: int = 0
-    after: tuple[int, ...] = ()
+    replicas: Count = 0
+    cpu: Count = 0
+    mem_mb: Count = 0
+    gpu: Count = 0
+    estimate_ms: Count = 0
+    after: tuple[Count, ...] = ()
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
     requires: str = ""
     preferred_rack: str = ""
-    max_per_server: int = 0
+    max_per_server: Count = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ""
-    target_ms: int = 0
+    target_ms: Count = 0
     fills: bool = False
-    may_miss: int = 0
+    may_miss: Count = 0
 
 
 class WireJob(msgspec.Struct, rename="kebab"):
@@ -60,9 +64,9 @@
 
     spec: str
     steps: tuple[WireStep, ...]
-    repeat_count: int = 0
-    start_at_ms: int = 0
-    interval_ms: int = 0
+    repeat_count: Count = 0
+    start_at_ms: Count = 0
+    interval_ms: Count = 0
 
 
 class JobApi(Protocol):
@@ -87,16 +91,16 @@
 def decode_job(raw: bytes) -> JobDefinition:
     """Decode a caller's job; raise JobInvalidError."""
     try:
-        wire = msgspec.json.decode(raw, type=WireJob)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-        raise JobInvalidError(str(exc)) from exc
-    for position, step in enumerate(wire.steps):
-        if step.replicas < 0 or any(not 0 <= index < position for index in step.after):
-            raise JobInvalidError(f"step {position} has negative replicas or an invalid dependency")
-    if not wire.steps or len(wire.spec.encode()) > MAX_SPEC_BYTES:
-        raise JobInvalidError("needs at least one step and a spec within the size limit")
+        wire = decode_json(raw, WireJob)
+    except EntryInvalidError as exc:
+        raise JobInvalidError(exc.detail) from exc
+    if len(wire.spec.encode()) > MAX_SPEC_BYTES:
+        raise JobInvalidError(f"spec exceeds {MAX_SPEC_BYTES} bytes")
     schedule = Schedule(wire.repeat_count, wire.start_at_ms, wire.interval_ms)
-    return JobDefinition(wire.spec, tuple(map(_decode_step, wire.steps)), schedule)
+    job = JobDefinition(wire.spec, tuple(map(_decode_step, wire.steps)), schedule)
+    if fault := job.find_fault():
+        raise JobInvalidError(fault)
+    return job
 
 
 def _decode_step(wire: WireStep) -> StepDefinition:
@@ -181,7 +185,7 @@
 
 def _remaining_s(environ: dict[str, Any]) -> float:
     raw = environ.get(ENVIRON_REMAINING_MS, "")
-    return int(raw) / 1000 if raw.isascii() and raw.isdigit() else DEFAULT_REMAINING_S
+    return int(raw) / 1000 if REMAINING_MS.fullmatch(raw) else DEFAULT_REMAINING_S
 
 
 class ReadyApp:
--- a/gypsumplank/protocol/job.py
+++ b/gypsumplank/protocol/job.py
@@ -3,6 +3,12 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from gypsumplank.protocol.decoder import Count
+
+# Limits of one job; a leader keeps the tasks of all occurrences in memory.
+MAX_JOB_STEPS = 1000
+MAX_JOB_TASKS = 100_000
+
 
 class JobState(StrEnum):
     """List the states of a job as reported to callers."""
@@ -21,9 +27,9 @@
 class Resources:
     """Represent resources: CPU in thousandths of a core, memory in MB and accelerators."""
 
-    cpu: int = 0
-    memory_mb: int = 0
-    accelerators: int = 0
+    cpu: Count = 0
+    memory_mb: Count = 0
+    accelerators: Count = 0
 
     def __add__(self, other: "Resources") -> "Resources":
         return Resources(
@@ -74,31 +80,31 @@
     marks best-effort tasks.
     """
 
-    tasks: int = 1
+    tasks: Count = 1
     need: Resources = Resources()
-    estimate_ms: int = 0
-    after: tuple[int, ...] = ()
+    estimate_ms: Count = 0
+    after: tuple[Count, ...] = ()
     checkpoints: bool = False
     gang: bool = False
     same_rack: bool = False
     label: str = ""
     preferred_rack: str = ""
-    max_per_worker: int = 0
+    max_per_worker: Count = 0
     speculative: bool = False
     lasting: bool = False
     image: str = ""
-    tail_target_ms: int = 0
+    tail_target_ms: Count = 0
     fills: bool = False
-    may_miss: int = 0
+    may_miss: Count = 0
 
 
 @dataclass(frozen=True)
 class Schedule:
     """Describe when a job's steps run: `count` times, the first at `first_ms` since 1970."""
 
-    count: int = 0
-    first_ms: int = 0
-    interval_ms: int = 0
+    count: Count = 0
+    first_ms: Count = 0
+    interval_ms: Count = 0
 
 
 @dataclass(frozen=True)
@@ -109,6 +115,22 @@
     steps: tuple[StepDefinition, ...]
     schedule: Schedule = Schedule()
 
+    def find_fault(self) -> str | None:
+        """Return why the job cannot be run, or None."""
+        if not 1 <= len(self.steps) <= MAX_JOB_STEPS:
+            return f"needs 1 to {MAX_JOB_STEPS} steps"
+        tasks = sum(max(1, step.tasks) for step in self.steps)
+        if tasks * max(1, self.schedule.count) > MAX_JOB_TASKS:
+            return f"has more than {MAX_JOB_TASKS} tasks over all occurrences"
+        return next(
+            (
+                f"step {position} has an invalid dependency"
+                for position, step in enumerate(self.steps)
+                if any(not 0 <= index < position for index in step.after)
+            ),
+            None,
+        )
+
 
 @dataclass(frozen=True)
 class StoredJob:
@@ -117,7 +139,7 @@
     id: str
     queue: str
     service: str
-    accepted_ms: int
+    accepted_ms: Count
     order: JobDefinition
 
 
@@ -138,7 +160,7 @@
     """
 
     worker: str
-    born: int
+    born: Count
     machine: str = ""
     at_start: bool = False
 
@@ -154,15 +176,15 @@
     """
 
     phase: TaskPhase = TaskPhase.WAITING
-    run: int = 0
-    failures: int = 0
+    run: Count = 0
+    failures: Count = 0
     worker: str = ""
-    born: int = 0
+    born: Count = 0
     checkpoint: str = ""
     failed_on: tuple[str, ...] = ()
     machine: str = ""
-    crashes: int = 0
-    crashes_at_start: int = 0
+    crashes: Count = 0
+    crashes_at_start: Count = 0
     lost_on: tuple[LostWorker, ...] = ()
 
 
--- a/gypsumplank/state/job.py
+++ b/gypsumplank/state/job.py
@@ -84,6 +84,8 @@
     job = decode(row.value, StoredJob)
     if job.id != row.key:
         raise EntryInvalidError(f"the job is {job.id!r}")
+    if fault := job.order.find_fault():
+        raise EntryInvalidError(fault)
     return job
 
 
--- a/tests/platform/test_app.py
+++ b/tests/platform/test_app.py
@@ -10,14 +10,23 @@
     QueueMissingError,
     StateUnknownError,
 )
-from gypsumplank.platform.app import JobApp, ReadyApp, decode_job
+from gypsumplank.platform.app import DEFAULT_REMAINING_S, JobApp, ReadyApp, decode_job
 from gypsumplank.protocol.job import JobState, Resources
 from tests.coordination.job.cluster import QUEUE
+from tests.malformed import MALFORMED_JSON, with_fields
 
 JOB_ID = "5c0e7a21d94b36f8"
 BODY = {"spec": "s", "steps": [{"replicas": 2, "cpu": 500, "mem-mb": 10, "long-running": True}]}
 
 
+BAD_NUMBERS = [b"9" * 5000, b"9" * 4000, b"1e999", b"1e300", b"-1", b"true", b"NaN"]
+
+
+def job_with(**fields):
+    step = with_fields(BODY["steps"][0], **fields)
+    return b'{"spec":"s","steps":[' + step + b"]}"
+
+
 class StubJobService:
     def __init__(self, error=None):
         self.error = error
@@ -114,7 +123,20 @@
         b'{"spec":"s","steps":[{"replicas":1,"after":[0]}]}',
         b'{"spec":"s","steps":[{"replicas":-1}]}',
         msgspec.json.encode({**BODY, "spec": "x" * 4001}),
+        *MALFORMED_JSON.values(),
+        *(job_with(replicas=raw) for raw in BAD_NUMBERS),
+        *(job_with(cpu=raw) for raw in BAD_NUMBERS),
+        *(job_with(estimate__ms=raw) for raw in BAD_NUMBERS),
+        *(job_with(after=b"[" + raw + b"]") for raw in BAD_NUMBERS),
+        with_fields(BODY, repeat__count=b"9" * 5000),
+        with_fields(BODY, start__at__ms=b"-1"),
+        with_fields(BODY, x=b"[" * 2000 + b"]" * 2000),
+        # More steps or tasks than a leader can keep would end each leader that loads the job.
+        job_with(replicas=b"1000000000"),
+        with_fields(BODY, repeat__count=b"1000000000"),
+        msgspec.json.encode({**BODY, "steps": [{}] * 80_000}),
     ],
+    ids=lambda raw: repr(raw[:40]),
 )
 def test_invalid_body_is_rejected(raw):
     with pytest.raises(JobInvalidError):
@@ -129,3 +151,12 @@
     received = []
     list(ReadyApp(lambda: ready)({"PATH_INFO": "/api/readyz"}, lambda s, h: received.append(s)))
     assert received[0].startswith(status)
+
+
+@pytest.mark.parametrize("raw", ["9" * 5000, "9" * 20, "-1", "1e9", "inf", "\u0661", ""])
+def test_invalid_deadline_header_counts_as_missing(raw):
+    jobs = StubJobService()
+    body = msgspec.json.encode(BODY)
+    status, _, _ = call(jobs, "POST", f"/p/{JOB_ID}", body, HTTP_X_GYPSUMPLANK_DEADLINE_MS=raw)
+    assert status == 200
+    assert jobs.submitted[0][2] == DEFAULT_REMAINING_S
