platform: a malformed entry, report or listed machine costs only itself

Cause: entries were checked for their types only. An address that cannot exist raised ValueError or OverflowError (a port out of range, at connect) in the threads that poll workers; an id that fits no header raised there too. Rows of reports were converted one element at a time by int() and str(), which raised OverflowError for infinities and accepted bools and negative numbers.

Change: an entry names a worker only if its address is an IP address of a host with a port of 1 to 65535, its id fits a header and its numbers are counts. A report with one malformed row stays unknown as a whole, since a missing row would be taken for a fact. An unreadable refusal reason is a conflict. Faults are logged once each, with a bounded detail. The stand-in's workers get an address that can exist.

--- a/gypsumplank/platform/client.py
+++ b/gypsumplank/platform/client.py
@@ -15,7 +15,8 @@
     ReadTimeoutError,
 )
 
-from gypsumplank.errors import CallError
+from gypsumplank.errors import CallError, EntryInvalidError
+from gypsumplank.protocol.decoder import Count, convert, decode_any_json
 from gypsumplank.state.timeout import AdaptiveTimeout
 
 # Allows several round trips between availability zones; the TCP handshake needs one.
@@ -101,15 +102,23 @@
             raise CallError(str(exc), sent=True) from exc
         if not extra_timeout_s:
             self._timeout.record_response(time.monotonic() - started_at)
-        return Response(resp.status, _decode(resp.data), resp.headers)
+        return Response(resp.status, _decode_body(resp.data), resp.headers)
 
     def close(self) -> None:
         """Close all idle connections."""
         self._pool.close()
 
 
-def _decode(raw: bytes) -> Any:
+def _decode_body(raw: bytes) -> Any:
     try:
-        return msgspec.json.decode(raw) if raw else None
-    except msgspec.MsgspecError:
+        return decode_any_json(raw) if raw else None
+    except EntryInvalidError:
+        return None
+
+
+def find_count(body: Any, name: str) -> int | None:
+    """Return a whole number in a response's body, None if there is none."""
+    try:
+        return convert(body[name], Count) if isinstance(body, dict) and name in body else None
+    except EntryInvalidError:
         return None
--- a/gypsumplank/platform/directory.py
+++ b/gypsumplank/platform/directory.py
@@ -1,14 +1,13 @@
 """Decode the manifest, workers and maintenance waves in the platform's store."""
 
-import logging
+import re
 from collections.abc import Sequence
-from typing import Annotated
 
 import msgspec
 
 from gypsumplank.errors import EntryInvalidError
-from gypsumplank.log import Event, event
-from gypsumplank.protocol.decoder import decode_json
+from gypsumplank.platform.address import parse_address
+from gypsumplank.protocol.decoder import Count, Finite, Int, NonEmptyStr, PositiveInt, decode_json
 from gypsumplank.protocol.job import Resources
 from gypsumplank.protocol.queue import (
     AdvicePolicy,
@@ -18,6 +17,7 @@
     ServicePolicy,
 )
 from gypsumplank.protocol.worker import WorkerEntry, WorkerState
+from gypsumplank.state.row import RowDecoder
 from gypsumplank.state.table import Row, Table, Txn, Write, scan_all
 
 TABLE_OPERATOR = "op"
@@ -28,19 +28,17 @@
 COMPLETED = "completed"
 RUNNING = "running"
 
-NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
-PositiveInt = Annotated[int, msgspec.Meta(gt=0)]
-NonEmptyStr = Annotated[str, msgspec.Meta(min_length=1)]
-
-logger = logging.getLogger(__name__)
+WAVE_NUMBER = re.compile(r"[0-9]{1,15}")
+# Ids are sent in headers; the platform's keys have at most 200 bytes.
+WORKER_ID = re.compile(r"[!-~]{1,200}")
 
 
 class WireCapacity(msgspec.Struct, rename="kebab"):
     """Store a capacity; `cpu` is in millicores."""
 
-    cpu: NonNegativeInt = 0
-    mem_mb: NonNegativeInt = 0
-    gpu: NonNegativeInt = 0
+    cpu: Count = 0
+    mem_mb: Count = 0
+    gpu: Count = 0
 
     def decode(self) -> Resources:
         """Return the capacity as the product's type."""
@@ -58,17 +56,17 @@
     zone: str = ""
     labels: tuple[str, ...] = ()
     machine: str = ""
-    clock_ms: NonNegativeInt = 0
-    remaining_ms: NonNegativeInt = 0
-    seq: NonNegativeInt = 0
+    clock_ms: Count = 0
+    remaining_ms: Count = 0
+    seq: Count = 0
 
 
 class WireAdvice(msgspec.Struct, rename="kebab"):
     """Store the placement advisor's latency and the lifetime of its permits, in ms."""
 
-    decide_ms: NonNegativeInt = 0
-    period_ms: NonNegativeInt = 0
-    valid_ms: NonNegativeInt = 0
+    decide_ms: Count = 0
+    period_ms: Count = 0
+    valid_ms: Count = 0
 
 
 class WireRoute(msgspec.Struct, rename="kebab"):
@@ -78,10 +76,10 @@
     host: str
     prefix: str
     service: NonEmptyStr
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    slo_ms: float = 0
+    priority: Int = 0
+    max_attempts: Int = 1
+    stretch: Finite = 1.0
+    slo_ms: Finite = 0
     hint: WireAdvice | None = None
 
 
@@ -96,7 +94,7 @@
 class WireManifest(msgspec.Struct, rename="kebab"):
     """Represent one version of the manifest."""
 
-    version: int
+    version: Int
     routes: tuple[WireRoute, ...] = ()
     services: tuple[WireService, ...] = ()
 
@@ -104,10 +102,10 @@
 class WireWave(msgspec.Struct, rename="kebab"):
     """Represent a maintenance wave; `cap` limits the machines that are down at once."""
 
-    wave: int
+    wave: Int
     machines: tuple[str, ...]
-    duration_s: float
-    cap: Annotated[int, msgspec.Meta(ge=1)]
+    duration_s: Finite
+    cap: PositiveInt
 
 
 def decode_manifest(raw: bytes) -> Manifest:
@@ -124,6 +122,9 @@
 def decode_worker(row: Row) -> WorkerEntry:
     """Decode a worker's entry; raise EntryInvalidError."""
     wire = decode_json(row.value, WireWorker)
+    if not WORKER_ID.fullmatch(row.key):
+        raise EntryInvalidError("the id of the worker fits no header")
+    parse_address(wire.address)
     return WorkerEntry(
         row.key,
         wire.service,
@@ -156,61 +157,42 @@
     )
 
 
+def _decode_wave(row: Row) -> MaintenanceWave:
+    wire = decode_json(row.value, WireWave)
+    return MaintenanceWave(wire.wave, wire.machines, wire.duration_s, wire.cap)
+
+
 class PlatformDirectory:
     """Read operators' and workers' rows, write waves' states; every method may raise StateError."""
 
     def __init__(self, table: Table) -> None:
         self._table = table
-        self._logged_details: dict[str, str] = {}
+        self._manifest_decoder = RowDecoder(lambda row: decode_manifest(row.value))
+        self._worker_decoder = RowDecoder(decode_worker)
+        self._wave_decoder = RowDecoder(_decode_wave)
 
     def manifest(self) -> Manifest | None:
         """Return the newest manifest, or None if there is no valid one."""
         row = self._table.get(TABLE_OPERATOR, KEY_MANIFEST)
-        if row is None:
-            return None
-        try:
-            return decode_manifest(row.value)
-        except EntryInvalidError as exc:
-            self._log_invalid(KEY_MANIFEST, exc)
-            return None
+        return None if row is None else self._manifest_decoder.decode(row)
 
     def workers(self) -> Sequence[WorkerEntry]:
         """Return all valid worker entries."""
-        entries = []
-        for row in scan_all(self._table, TABLE_WORKERS):
-            try:
-                entries.append(decode_worker(row))
-            except EntryInvalidError as exc:
-                self._log_invalid(row.key, exc)
-        return entries
+        return self._worker_decoder.decode_all(scan_all(self._table, TABLE_WORKERS))
 
     def waves(self) -> Sequence[MaintenanceWave]:
         """Return all valid maintenance waves."""
-        waves = []
-        for row in scan_all(self._table, TABLE_OPERATOR, PREFIX_WAVE):
-            try:
-                wire = decode_json(row.value, WireWave)
-            except EntryInvalidError as exc:
-                self._log_invalid(row.key, exc)
-                continue
-            waves.append(MaintenanceWave(wire.wave, wire.machines, wire.duration_s, wire.cap))
-        return waves
+        return self._wave_decoder.decode_all(scan_all(self._table, TABLE_OPERATOR, PREFIX_WAVE))
 
     def completed_waves(self) -> frozenset[int]:
         """Return the numbers of the waves reported as completed."""
         rows = scan_all(self._table, TABLE_STATUS, PREFIX_WAVE)
         completed = (row for row in rows if COMPLETED.encode() in row.value)
         numbers = (row.key.removeprefix(PREFIX_WAVE) for row in completed)
-        return frozenset(int(number) for number in numbers if number.isdigit())
+        return frozenset(int(number) for number in numbers if WAVE_NUMBER.fullmatch(number))
 
     def report_wave(self, number: int, completed: bool) -> None:
         """Write a wave's status."""
         value = msgspec.json.encode({"state": COMPLETED if completed else RUNNING})
         key = f"{PREFIX_WAVE}{number}"
         self._table.commit(Txn((), (Write(TABLE_STATUS, key, value),)))
-
-    def _log_invalid(self, key: str, exc: EntryInvalidError) -> None:
-        """Log an invalid entry; skip a repeat of the key's last logged fault."""
-        if self._logged_details.get(key) != exc.detail:
-            self._logged_details[key] = exc.detail
-            event(logger, Event.ENTRY_DROPPED, logging.WARNING, entry=key, detail=exc.detail)
--- a/gypsumplank/platform/worker.py
+++ b/gypsumplank/platform/worker.py
@@ -5,8 +5,15 @@
 
 import msgspec
 
-from gypsumplank.errors import CallError, WorkerRefusedError, WorkerUnknownError
-from gypsumplank.platform.client import Client, Response
+from gypsumplank.errors import (
+    CallError,
+    EntryInvalidError,
+    WorkerRefusedError,
+    WorkerUnknownError,
+)
+from gypsumplank.platform.address import parse_address
+from gypsumplank.platform.client import Client, Response, find_count
+from gypsumplank.protocol.decoder import Count, Finite, Int, convert
 from gypsumplank.protocol.worker import (
     EndedTask,
     EndKind,
@@ -23,6 +30,10 @@
 PATH_PACE = "/api/pace"
 # Names the worker instance that an order is for; each start of a worker is a new instance.
 HEADER_INSTANCE = "X-Gypsumplank-Expected-Instance"
+CONFLICT = "conflict"
+MAX_REASON_CHARS = 100
+# A checkpoint is stored in its step's row, with those of the step's other tasks.
+MAX_CHECKPOINT_CHARS = 4000
 STATUS_OK = 200
 STATUS_CONFLICT = 409
 STATUS_OTHER_INSTANCE = 421
@@ -35,13 +46,33 @@
 CONNECTIONS_PER_WORKER = 16
 
 
+class WireRun(msgspec.Struct, array_like=True):
+    """Represent a run in progress; `load` may be missing."""
+
+    name: str
+    run: Count
+    checkpoint: str
+    percent: Int | Finite
+    load: Int | Finite | None = None
+
+
+class WireEnd(msgspec.Struct, array_like=True):
+    """Represent the end of a run."""
+
+    number: Count
+    name: str
+    run: Count
+    kind: EndKind
+    checkpoint: str
+
+
 class WireReport(msgspec.Struct, rename="kebab"):
     """Represent a worker's report; the rows are positional."""
 
-    born: int
-    clock_ms: int
-    running: list[list[Any]]
-    finished: list[list[Any]]
+    born: Count
+    clock_ms: Count
+    running: tuple[WireRun, ...]
+    finished: tuple[WireEnd, ...]
 
 
 class HttpWorkers:
@@ -66,8 +97,8 @@
         resp = self._call(worker, PATH_HOLD, body, HOLD_TIMEOUT_S - ORDER_TIMEOUT_S + wait_s)
         try:
             return _decode_report(resp.body)
-        except (msgspec.MsgspecError, TypeError, ValueError, IndexError) as exc:
-            raise WorkerUnknownError(f"malformed report from {worker.id}: {exc}") from exc
+        except EntryInvalidError as exc:
+            raise WorkerUnknownError(f"malformed report from {worker.id}: {exc.detail}") from exc
 
     def start(self, worker: WorkerEntry, order: StartCommand) -> int:
         """Start a task; return the worker's clock in ms, 0 if the response lacks it."""
@@ -83,8 +114,7 @@
         if order.permit:
             body["ticket"] = order.permit
         resp = self._call(worker, PATH_START, body, 0.0)
-        clock = resp.body.get("clock-ms") if isinstance(resp.body, dict) else None
-        return clock if isinstance(clock, int) else 0
+        return find_count(resp.body, "clock-ms") or 0
 
     def stop(self, worker: WorkerEntry, name: str, run: int, token: int) -> None:
         """Stop a run; make the worker refuse a start that arrives later."""
@@ -100,7 +130,12 @@
     def _call(self, worker: WorkerEntry, path: str, body: Any, extra_timeout_s: float) -> Response:
         headers = {HEADER_INSTANCE: worker.id}
         try:
-            resp = self._client(worker.address).call("POST", path, body, headers, extra_timeout_s)
+            client = self._client(worker.address)
+        except EntryInvalidError as exc:
+            detail = f"{worker.id}{path}: {exc.detail}"
+            raise WorkerRefusedError(StartRefusal.UNREACHABLE, detail) from exc
+        try:
+            resp = client.call("POST", path, body, headers, extra_timeout_s)
         except CallError as exc:
             detail = f"{worker.id}{path}: {exc.detail}"
             if not exc.sent:
@@ -116,6 +151,7 @@
     def _client(self, address: str) -> Client:
         with self._lock:
             if address not in self._clients:
+                parse_address(address)
                 self._clients[address] = Client(address, ORDER_TIMEOUT_S, CONNECTIONS_PER_WORKER)
             return self._clients[address]
 
@@ -128,24 +164,26 @@
     if resp.status in STATUSES_UNHEALTHY:
         return StartRefusal.UNHEALTHY
     if resp.status == STATUS_CONFLICT and isinstance(resp.body, dict):
-        return str(resp.body.get("reason", "conflict"))
+        reason = resp.body.get("reason")
+        return reason if isinstance(reason, str) and len(reason) <= MAX_REASON_CHARS else CONFLICT
     return None
 
 
 def _decode_report(body: Any) -> WorkerReport:
-    # Running rows are [name, run, checkpoint, percent, load]; ended rows are
-    # [number, name, run, kind, checkpoint].
-    wire = msgspec.convert(body, WireReport)
+    wire = convert(body, WireReport)
     running = tuple(
-        RunningTask(str(row[0]), int(row[1]), str(row[2]), int(row[3]), _decode_load(row))
+        RunningTask(
+            row.name, row.run, _bounded(row.checkpoint), int(row.percent), int(row.load or 0)
+        )
         for row in wire.running
     )
     ended = tuple(
-        EndedTask(int(row[0]), str(row[1]), int(row[2]), EndKind(row[3]), str(row[4]))
+        EndedTask(row.number, row.name, row.run, row.kind, _bounded(row.checkpoint))
         for row in wire.finished
     )
     return WorkerReport(wire.born, wire.clock_ms, running, ended)
 
 
-def _decode_load(row: list[Any]) -> int:
-    return int(row[4]) if len(row) > 4 and row[4] is not None else 0
+def _bounded(checkpoint: str) -> str:
+    """Return a checkpoint; one that is too long to be stored counts as none."""
+    return checkpoint if len(checkpoint) <= MAX_CHECKPOINT_CHARS else ""
--- a/standins/simulator.py
+++ b/standins/simulator.py
@@ -126,7 +126,14 @@
     def add(self, name: str, service: str, room: Resources, machine: str = "") -> SimulatedWorker:
         """Add a worker and return it."""
         entry = WorkerEntry(
-            name, service, f"{name}:80", "z", WorkerState.READY, room, ("a", "r1"), machine or name
+            name,
+            service,
+            "127.0.0.1:80",
+            "z",
+            WorkerState.READY,
+            room,
+            ("a", "r1"),
+            machine or name,
         )
         worker = SimulatedWorker(replace(entry, born=int(self.now * 1000) + 1), booted_at=self.now)
         self.workers[name] = worker
--- a/tests/malformed.py
+++ b/tests/malformed.py
@@ -21,6 +21,35 @@
     "megabytes": b'"' + b"x" * ((1 << 20) - 2) + b'"',  # the longest row
 }
 
+# JSON numbers that no count may have.
+BAD_NUMBERS = [b"9" * 5_000, b"9" * 4_000, b"1e999", b"1e300", b"-1", b"true", b"NaN", b'"1"']
+
+IMPOSSIBLE_ADDRESSES = [
+    "",
+    ":",
+    "10.0.0.1",
+    "10.0.0.1:",
+    "10.0.0.1:0",
+    "10.0.0.1:-1",
+    "10.0.0.1:65536",
+    "10.0.0.1:70000",
+    "10.0.0.1:" + "9" * 5_000,
+    "10.0.0.1:8_0",
+    "10.0.0.1: 80",
+    "10.0.0.1:\u0668\u0660",
+    "10.0.0.1:80\0",
+    "10.0.0.256:80",
+    "10.0.0:80",
+    "0.0.0.0:80",
+    "255.255.255.255:80",
+    "224.0.0.1:80",
+    "[::]:80",
+    "[fe80::1%\0]:80",
+    "\0:80",
+    "a\nb:80",
+    "x" * 1_000_000 + ":80",
+]
+
 
 def with_fields(value, **fields):
     """Return the JSON of a structure with some fields replaced by raw JSON."""
--- a/tests/platform/test_app.py
+++ b/tests/platform/test_app.py
@@ -13,15 +13,12 @@
 from gypsumplank.platform.app import DEFAULT_REMAINING_S, JobApp, ReadyApp, decode_job
 from gypsumplank.protocol.job import JobState, Resources
 from tests.coordination.job.cluster import QUEUE
-from tests.malformed import MALFORMED_JSON, with_fields
+from tests.malformed import BAD_NUMBERS, MALFORMED_JSON, with_fields
 
 JOB_ID = "5c0e7a21d94b36f8"
 BODY = {"spec": "s", "steps": [{"replicas": 2, "cpu": 500, "mem-mb": 10, "long-running": True}]}
 
 
-BAD_NUMBERS = [b"9" * 5000, b"9" * 4000, b"1e999", b"1e300", b"-1", b"true", b"NaN"]
-
-
 def job_with(**fields):
     step = with_fields(BODY["steps"][0], **fields)
     return b'{"spec":"s","steps":[' + step + b"]}"
--- a/tests/platform/test_directory.py
+++ b/tests/platform/test_directory.py
@@ -1,14 +1,17 @@
+import math
+
 import msgspec
 import pytest
 
 from gypsumplank.errors import EntryInvalidError, MachineRefusedError
 from gypsumplank.platform.client import Client, Response
 from gypsumplank.platform.directory import PlatformDirectory, decode_manifest
-from gypsumplank.platform.machine import HttpMachines
+from gypsumplank.platform.machine import HttpAdvisor, HttpMachines
 from gypsumplank.protocol.job import Resources
 from gypsumplank.protocol.queue import MachineState, MaintenanceWave
 from gypsumplank.state.table import MemoryTable, Txn, Write
 from standins.users_platform import MANIFEST, encode_entry
+from tests.malformed import BAD_NUMBERS, IMPOSSIBLE_ADDRESSES, MALFORMED_JSON, with_fields
 
 ENTRY = {
     "service": "desk",
@@ -80,6 +83,53 @@
     assert not directory.waves()
 
 
+@pytest.mark.parametrize("address", IMPOSSIBLE_ADDRESSES)
+def test_worker_entry_with_an_address_that_cannot_exist_is_skipped(address):
+    entries = make_directory(servers__a={**ENTRY, "address": address}, servers__b=ENTRY).workers()
+    assert [entry.id for entry in entries] == ["b"]
+
+
+@pytest.mark.parametrize("key", ["", "a\nb", "\u0661", "a\0", "a b", "a" * 201])
+def test_worker_entry_whose_id_fits_no_header_is_skipped(key):
+    raw = msgspec.json.encode(ENTRY)
+    table = MemoryTable()
+    table.commit(Txn((), (Write("servers", key, raw), Write("servers", "b", raw))))
+    assert [entry.id for entry in PlatformDirectory(table).workers()] == ["b"]
+
+
+@pytest.mark.parametrize("raw", MALFORMED_JSON.values(), ids=MALFORMED_JSON)
+def test_malformed_rows_of_the_platform_are_skipped(raw):
+    wave = {"wave": 1, "machines": ["m-1"], "duration-s": 20, "cap": 2}
+    directory = make_directory(servers__a=raw, servers__b=ENTRY, op__wave_1=wave, op__wave_2=raw)
+    assert [entry.id for entry in directory.workers()] == ["b"]
+    assert [found.number for found in directory.waves()] == [1]
+    assert make_directory(op__config=raw).manifest() is None
+
+
+@pytest.mark.parametrize("field", ["born", "clock__ms", "remaining__ms", "seq"])
+@pytest.mark.parametrize("number", BAD_NUMBERS)
+def test_worker_entry_with_an_impossible_number_is_skipped(field, number):
+    raw = with_fields(ENTRY, **{field: number})
+    entries = make_directory(servers__a=raw, servers__b=ENTRY).workers()
+    assert [entry.id for entry in entries] == ["b"]
+
+
+def test_status_of_a_wave_with_another_number_is_ignored():
+    status = {"state": "completed"}
+    rows = {"wave/\u00b2": status, "wave/3": status, "wave/x": b"[" * 20_000}
+    reader = make_directory(**{f"status__{key}": value for key, value in rows.items()})
+    assert reader.completed_waves() == {3}
+
+
+def test_fault_of_an_entry_is_logged_once_and_bounded(caplog):
+    directory = make_directory(servers__a={**ENTRY, "state": "x" * 1_000_000})
+    for _ in range(3):
+        directory.workers()
+    (record,) = caplog.records
+    assert record.msg == "entry-dropped"
+    assert len(record.detail) < 300
+
+
 def test_manifest_is_decoded_and_the_longest_prefix_wins():
     wire = {**MANIFEST, "version": 9}
     wire["routes"] = [
@@ -116,6 +166,43 @@
         return Response(200, {"machines": list(self.machines), "next-token": None}, {})
 
 
+@pytest.mark.parametrize(
+    "malformed",
+    [None, 7, [], "m-9", {}, {"machine": 7}, {"machine": ""}, {"machine": {}}],
+    ids=repr,
+)
+def test_malformed_machine_is_left_out_of_the_list(malformed):
+    found = HttpMachines(ListClient(malformed, {"machine": "m-2", "state": "up"})).list_machines()
+    assert [machine.name for machine in found] == ["m-2"]
+
+
+@pytest.mark.parametrize("field", ["pool", "state", "zone", "labels", "id"])
+@pytest.mark.parametrize("value", [7, [[]], {}, 10**400, math.inf, [7]], ids=repr)
+def test_machine_with_a_malformed_field_is_in_a_state_that_is_not_known(field, value):
+    client = ListClient(
+        {"machine": "m-1", "state": "up", "pool": "p", field: value},
+        {"machine": "m-2", "state": "up"},
+    )
+    found = HttpMachines(client).list_machines()
+    assert [(machine.name, machine.state) for machine in found] == [
+        ("m-1", MachineState.UNKNOWN),
+        ("m-2", MachineState.UP),
+    ]
+
+
+class AdviceClient:
+    def __init__(self, rows):
+        self.rows = rows
+
+    def call(self, *_):
+        return Response(200, {"allowed": self.rows}, {})
+
+
+def test_malformed_permits_are_left_out():
+    rows = [7, None, [], ["w"], ["w", 7], [7, "t"], {"w": "t"}, ["w-1", "t-1"], [["w"], "t"]]
+    assert HttpAdvisor(AdviceClient(rows)).request_permits("s", ["w-1"]) == {"w-1": "t-1"}
+
+
 def test_machine_in_a_state_that_is_not_known_is_not_listed_as_down():
     client = ListClient({"machine": "m-1", "state": "repair"}, {"machine": "m-2", "state": "down"})
     states = [machine.state for machine in HttpMachines(client).list_machines()]
--- a/tests/platform/test_worker.py
+++ b/tests/platform/test_worker.py
@@ -1,3 +1,4 @@
+import math
 import random
 
 import pytest
@@ -7,6 +8,7 @@
 from gypsumplank.platform.worker import HttpWorkers
 from gypsumplank.protocol.job import Resources
 from gypsumplank.protocol.worker import StartCommand, WorkerEntry, WorkerState
+from tests.malformed import IMPOSSIBLE_ADDRESSES
 
 ROOM = Resources(8000, 8000)
 
@@ -76,11 +78,12 @@
 
 
 class FixedClient:
-    def __init__(self, body):
+    def __init__(self, body, status=200):
         self.body = body
+        self.status = status
 
     def call(self, method, path, body, headers, extra_timeout_s):
-        return Response(200, self.body, {})
+        return Response(self.status, self.body, {})
 
 
 def poll_response(worker, body):
@@ -100,6 +103,58 @@
         poll_response(worker, REPORT | {field: value})
 
 
+RUN = ["a.0.0.0", 1, "", 50, 3]
+END = [1, "a.0.0.0", 1, "done", ""]
+BAD_ELEMENTS = [None, 10**400, -1, math.inf, math.nan, True, 1.5, "", "x" * 10**6, [], {}, [[[]]]]
+
+
+@pytest.mark.parametrize("row", [RUN, END], ids=["running", "finished"])
+@pytest.mark.parametrize("value", BAD_ELEMENTS, ids=lambda value: repr(value)[:20])
+def test_malformed_row_element_leaves_the_outcome_unknown(worker, row, value):
+    for position, element in enumerate(row):
+        if isinstance(value, str) and isinstance(element, str) and element != "done":
+            continue
+        if element in (50, 3) and value in (None, -1, 1.5) and (value, element) != (None, 50):
+            continue
+        bad = [*row[:position], value, *row[position + 1 :]]
+        with pytest.raises(WorkerUnknownError) as caught:
+            poll_response(worker, REPORT | {"running" if row is RUN else "finished": [row, bad]})
+        assert len(caught.value.detail) < 400
+
+
+@pytest.mark.parametrize("field", ["born", "clock-ms"])
+@pytest.mark.parametrize("value", BAD_ELEMENTS, ids=lambda value: repr(value)[:20])
+def test_malformed_number_leaves_the_outcome_unknown(worker, field, value):
+    with pytest.raises(WorkerUnknownError):
+        poll_response(worker, REPORT | {field: value})
+
+
+@pytest.mark.parametrize("value", BAD_ELEMENTS, ids=lambda value: repr(value)[:20])
+def test_start_with_a_malformed_clock_is_confirmed_without_it(worker, value):
+    workers = HttpWorkers()
+    workers._clients[worker.address] = FixedClient({"clock-ms": value})
+    assert workers.start(worker, start_order()) == 0
+
+
+@pytest.mark.parametrize("address", IMPOSSIBLE_ADDRESSES)
+def test_address_that_cannot_exist_means_not_executed(address):
+    worker = WorkerEntry("w", "desk", address, "z", WorkerState.READY, ROOM)
+    with pytest.raises(WorkerRefusedError) as caught:
+        HttpWorkers().poll(worker, 1, None, 0, 0.0)
+    assert caught.value.reason == "unreached"
+
+
+@pytest.mark.parametrize(
+    "reason", [None, 7, [], {}, "x" * 10**6], ids=lambda value: repr(value)[:9]
+)
+def test_malformed_refusal_is_a_conflict(worker, reason):
+    workers = HttpWorkers()
+    workers._clients[worker.address] = FixedClient({"reason": reason}, 409)
+    with pytest.raises(WorkerRefusedError) as caught:
+        workers.start(worker, start_order())
+    assert caught.value.reason == "conflict"
+
+
 @pytest.mark.parametrize("field", REPORT)
 def test_report_without_a_field_leaves_the_outcome_unknown(worker, field):
     with pytest.raises(WorkerUnknownError):
