platform: malformed answers of the store and settings files give typed errors

Cause: rows of the store's answers were read field by field, so that one that is not an object raised AttributeError, a missing version KeyError, an infinite one OverflowError, beside what its callers catch. A version or clock could be a bool or negative. A prefix that ends before a range of characters raised ValueError. A settings file could name a port, address, daemon or number that cannot exist, or be nested too deeply, and ended the start with another error than SettingsError.

Change: both are decoded as a whole, into bounded numbers.

--- a/gypsumplank/platform/settings.py
+++ b/gypsumplank/platform/settings.py
@@ -1,19 +1,26 @@
 """Decode the settings file that the platform places on each machine."""
 
 import os
+import re
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
 
 import msgspec
 
-from gypsumplank.errors import Fault, SettingsError
+from gypsumplank.errors import EntryInvalidError, Fault, SettingsError
+from gypsumplank.protocol.decoder import Count, PositiveInt, decode_json
 from gypsumplank.settings import check_address
 
 ENV_SETTINGS_PATH = "GYPSUMPLANK_BOOT"
 MS_PER_S = 1000.0
 
-PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
+# Bounds every setting that is a number; times are in ms or s.
+MAX_SETTING = 1e9
+# The daemon's name is sent in headers.
+NODE_NAME = re.compile(r"[!-~]{1,200}")
+
+PositiveFloat = Annotated[float, msgspec.Meta(gt=0, le=MAX_SETTING)]
 
 
 class WireListen(msgspec.Struct, rename="kebab"):
@@ -26,7 +33,7 @@
 class WireLimits(msgspec.Struct, rename="kebab"):
     """Store resource limits; `cores` is the speed of a core relative to a reference core."""
 
-    max_fds: int = 1024
+    max_fds: PositiveInt = 1024
     cpu_share: PositiveFloat = 1.0
     cores: PositiveFloat = 1
 
@@ -60,7 +67,7 @@
     cloud: WireService | None = None
     hint: str | None = None
     heartbeat_ms: PositiveFloat = 1500
-    port_range: tuple[int, int] = (7060, 7075)
+    port_range: tuple[Count, Count] = (7060, 7075)
 
 
 @dataclass(frozen=True)
@@ -101,21 +108,29 @@
 def load_platform_settings(path: Path) -> PlatformSettings:
     """Load the settings from a file; raise SettingsError."""
     try:
-        wire = msgspec.json.decode(path.read_bytes(), type=WireSettings)
+        wire = decode_json(path.read_bytes(), WireSettings)
     except OSError as exc:
         raise SettingsError((Fault("unreadable", "$", str(exc), str(path)),)) from exc
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-        raise SettingsError((Fault("value-invalid", "$", str(exc), str(path)),)) from exc
+    except EntryInvalidError as exc:
+        raise SettingsError((Fault("value-invalid", "$", exc.detail, str(path)),)) from exc
+    peer_address = f"{wire.ip}:{wire.port_range[0]}"
     addresses = {
         "listen.front": wire.listen.front,
         "listen.ready": wire.listen.ready,
         "platform.address": wire.platform.address,
+        "ip": peer_address,
     }
+    if wire.cloud is not None:
+        addresses["cloud.address"] = wire.cloud.address
+    if wire.hint:
+        addresses["hint"] = wire.hint
     faults = [
         Fault("value-invalid", key, problem, str(path))
         for key, value in addresses.items()
         if (problem := check_address(value))
     ]
+    if not NODE_NAME.fullmatch(wire.node):
+        faults.append(Fault("value-invalid", "node", "must fit a header", str(path)))
     if faults:
         raise SettingsError(faults)
     return PlatformSettings(
@@ -133,5 +148,5 @@
         wire.bounds.lease_ms / MS_PER_S,
         wire.bounds.grace_s,
         wire.heartbeat_ms / MS_PER_S,
-        f"{wire.ip}:{wire.port_range[0]}",
+        peer_address,
     )
--- a/gypsumplank/platform/table.py
+++ b/gypsumplank/platform/table.py
@@ -2,21 +2,24 @@
 
 import math
 import time
-from base64 import b64decode, b64encode
-from binascii import Error as Base64Error
+from base64 import b64encode
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import urlencode
 
+import msgspec
+
 from gypsumplank.errors import (
     CallError,
+    EntryInvalidError,
     StateConflictError,
     StateHistoryLostError,
     StateTooLargeError,
     StateUnavailableError,
     StateUnknownError,
 )
-from gypsumplank.platform.client import Client, Response
+from gypsumplank.platform.client import Client, Response, find_count
+from gypsumplank.protocol.decoder import Count, convert
 from gypsumplank.state.clock import ClockRange
 from gypsumplank.state.feed import Changes
 from gypsumplank.state.table import SCAN_LIMIT, Row, Txn
@@ -26,6 +29,10 @@
 PATH_FEED = "/api/rows-feed"
 MAX_PAGE_ROWS = 500
 MS_PER_S = 1000.0
+LAST_CHARACTER = "\U0010ffff"
+# Surrogates are no characters, so that keys cannot hold them.
+SURROGATE = "\ud800"
+FIRST_AFTER_SURROGATES = "\ue000"
 STATUS_OK = 200
 STATUS_GONE = 410
 STATUS_CONFLICT = 412
@@ -43,6 +50,25 @@
     answered_at: float
 
 
+class WireRow(msgspec.Struct):
+    """Represent a row as the store returns it; a deleted one may have a key only."""
+
+    key: str
+    table: str | None = None
+    ver: Count | None = None
+    part: str = ""
+    value: bytes | None = None
+    deleted: bool = False
+
+
+class WireRows(msgspec.Struct, rename="kebab"):
+    """Represent a page of rows or changes; `ver` is the store's newest version."""
+
+    rows: tuple[WireRow, ...]
+    ver: Count | None = None
+    has_more: bool = False
+
+
 class RowTable:
     """Access the rows of one partition; implements Table and ChangeFeed."""
 
@@ -67,9 +93,9 @@
             sample.reading_ms + math.ceil((now - sample.sent_at) * MS_PER_S),
         )
 
-    def _update_clock(self, body: dict[str, Any], sent_at: float) -> None:
-        reading_ms = body.get("now-ms")
-        if isinstance(reading_ms, int):
+    def _update_clock(self, body: Any, sent_at: float) -> None:
+        reading_ms = find_count(body, "now-ms")
+        if reading_ms is not None:
             self._clock_sample = ClockSample(reading_ms, sent_at, time.monotonic())
 
     def get(self, table: str, key: str) -> Row | None:
@@ -82,7 +108,7 @@
     ) -> list[Row]:
         """Return the rows in key order whose keys start with `prefix` and follow `after`."""
         start_key = max(prefix, f"{after}\x00" if after else "")
-        end_key = f"{prefix[:-1]}{chr(ord(prefix[-1]) + 1)}" if prefix else ""
+        end_key = _key_after(prefix)
         rows: list[Row] = []
         more = True
         while more and len(rows) < limit:
@@ -130,16 +156,16 @@
     def changes(self, table: str, after: int, wait_s: float) -> Changes:
         """Return the changes after a version; wait up to `wait_s` seconds for the first one."""
         query = urlencode({"table": table, "after": after, "wait-ms": int(wait_s * 1000)})
-        body = self._read(f"{PATH_FEED}?{query}", wait_s, table)
-        partition_rows = [raw for raw in body["rows"] if raw.get("part") == self._partition]
-        rows = tuple(_decode_row(raw) for raw in partition_rows if not raw.get("deleted"))
-        deleted_keys = tuple(str(raw["key"]) for raw in partition_rows if raw.get("deleted"))
-        return Changes(rows, deleted_keys, int(body["ver"]))
+        page = self._read(f"{PATH_FEED}?{query}", wait_s, table)
+        found = [row for row in page.rows if row.part == self._partition]
+        rows = tuple(_decode_row(row) for row in found if not row.deleted)
+        deleted_keys = tuple(row.key for row in found if row.deleted)
+        return Changes(rows, deleted_keys, _newest(page))
 
     def newest(self, table: str) -> int:
         """Return the store's newest version."""
         query = urlencode({"table": table, "part": self._partition, "limit": 1})
-        return int(self._read(f"{PATH_GET}?{query}", 0.0, table)["ver"])
+        return _newest(self._read(f"{PATH_GET}?{query}", 0.0, table))
 
     def _read_page(
         self, table: str, start_key: str, end_key: str, limit: int
@@ -147,10 +173,10 @@
         query = {"table": table, "part": self._partition, "limit": limit}
         query |= {"from": start_key} if start_key else {}
         query |= {"target": end_key} if end_key else {}
-        body = self._read(f"{PATH_GET}?{urlencode(query)}", 0.0, table)
-        return [_decode_row(raw) for raw in body["rows"]], bool(body.get("has-more"))
+        page = self._read(f"{PATH_GET}?{urlencode(query)}", 0.0, table)
+        return [_decode_row(row) for row in page.rows], page.has_more
 
-    def _read(self, path: str, wait_s: float, table: str) -> dict[str, Any]:
+    def _read(self, path: str, wait_s: float, table: str) -> WireRows:
         sent_at = time.monotonic()
         try:
             resp = self._client.call("GET", path, extra_timeout_s=wait_s)
@@ -158,24 +184,26 @@
             self._is_failing = True
             raise StateUnavailableError(exc.detail) from exc
         self._is_failing = resp.status in STATUSES_NOT_APPLIED
-        body = resp.body if isinstance(resp.body, dict) else {}
         if resp.status == STATUS_GONE:
             raise StateHistoryLostError(
                 f"change history of {table} is not kept", self.newest(table)
             )
-        if resp.status != STATUS_OK or not isinstance(body.get("rows"), list):
+        if resp.status != STATUS_OK:
             raise StateUnavailableError(f"status {resp.status} for {table}")
+        try:
+            page = convert(resp.body, WireRows)
+        except EntryInvalidError as exc:
+            raise StateUnavailableError(f"malformed rows of {table}: {exc.detail}") from exc
         # The response of a call that waits for a change tells little about the present reading.
         if not wait_s:
-            self._update_clock(body, sent_at)
-        return body
+            self._update_clock(resp.body, sent_at)
+        return page
 
     def _commit_version(self, resp: Response, sent_at: float) -> int:
-        if resp.status == STATUS_OK and isinstance(resp.body, dict):
-            version = resp.body.get("ver")
-            if isinstance(version, int):
-                self._update_clock(resp.body, sent_at)
-                return version
+        version = find_count(resp.body, "ver")
+        if resp.status == STATUS_OK and version is not None:
+            self._update_clock(resp.body, sent_at)
+            return version
         if resp.status == STATUS_CONFLICT:
             raise StateConflictError("a checked row has a different version")
         if resp.status in STATUSES_TOO_LARGE:
@@ -185,9 +213,22 @@
         raise StateUnknownError(f"status {resp.status}")
 
 
-def _decode_row(raw: dict[str, Any]) -> Row:
-    try:
-        value = b64decode(raw["value"])
-        return Row(str(raw["table"]), str(raw["key"]), int(raw["ver"]), value)
-    except (KeyError, TypeError, ValueError, Base64Error) as exc:
-        raise StateUnavailableError(f"malformed row: {exc}") from exc
+def _decode_row(row: WireRow) -> Row:
+    if row.table is None or row.ver is None or row.value is None:
+        raise StateUnavailableError(f"malformed row: {row.key!r} lacks a field")
+    return Row(row.table, row.key, row.ver, row.value)
+
+
+def _newest(page: WireRows) -> int:
+    if page.ver is None:
+        raise StateUnavailableError("malformed rows: no version")
+    return page.ver
+
+
+def _key_after(prefix: str) -> str:
+    """Return the first key after all that start with a prefix, empty if there is none."""
+    prefix = prefix.rstrip(LAST_CHARACTER)
+    if not prefix:
+        return ""
+    following = chr(ord(prefix[-1]) + 1)
+    return f"{prefix[:-1]}{FIRST_AFTER_SURROGATES if following == SURROGATE else following}"
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -4,6 +4,7 @@
 
 from gypsumplank.errors import SettingsError
 from gypsumplank.platform.settings import load_platform_settings
+from tests.malformed import BAD_NUMBERS, MALFORMED_JSON, with_fields
 
 SETTINGS = {
     "node": "frontend-a-1",
@@ -21,7 +22,8 @@
 
 def write_settings(tmp_path, value):
     path = tmp_path / "local.json"
-    path.write_text(value if isinstance(value, str) else json.dumps(value))
+    raw = value if isinstance(value, str | bytes) else json.dumps(value)
+    path.write_bytes(raw.encode() if isinstance(raw, str) else raw)
     return path
 
 
@@ -47,7 +49,22 @@
         {**SETTINGS, "platform": {"address": "store:80"}},
         {**SETTINGS, "bounds": {"max-hold-ms": 0}},
         {**SETTINGS, "listen": {"front": "10.1.0.9:99999", "ready": "10.1.0.9:8622"}},
+        {**SETTINGS, "ip": "10.1.0.999"},
+        {**SETTINGS, "port-range": [70_000, 70_001]},
+        {**SETTINGS, "port-range": [0, 1]},
+        {**SETTINGS, "cloud": {"address": "10.200.0.107"}},
+        {**SETTINGS, "cloud": {"address": "10.200.0.107:0"}},
+        {**SETTINGS, "hint": "10.200.0.107:99999"},
+        {**SETTINGS, "node": "a\nb"},
+        {**SETTINGS, "node": ""},
+        {**SETTINGS, "limits": {"max-fds": 0}},
+        {**SETTINGS, "limits": {"max-fds": 10**4000}},
+        {**SETTINGS, "heartbeat-ms": 1e308},
+        *MALFORMED_JSON.values(),
+        *(with_fields(SETTINGS, heartbeat__ms=raw) for raw in BAD_NUMBERS),
+        with_fields(SETTINGS, new__field=b"[" * 2_000 + b"]" * 2_000),
     ],
+    ids=lambda value: repr(value)[:40],
 )
 def test_invalid_settings_file_is_rejected(tmp_path, invalid):
     with pytest.raises(SettingsError):
--- a/tests/platform/test_table.py
+++ b/tests/platform/test_table.py
@@ -1,6 +1,7 @@
 """Test the platform's row table and its in-memory variant against one contract."""
 
 import contextlib
+import math
 import time
 
 import pytest
@@ -192,3 +193,73 @@
     with pytest.raises(StateConflictError):
         table.commit(Txn())
     assert not table.is_failing
+
+
+class AnswerClient:
+    def __init__(self, body, status=200):
+        self.body = body
+        self.status = status
+
+    def call(self, *_, **__):
+        return Response(self.status, self.body, {})
+
+
+ROW = {"table": "t", "part": "fleet", "key": "k", "ver": 5, "value": "YQ=="}
+PAGE = {"ver": 5, "now-ms": 7, "rows": [ROW], "has-more": False}
+BAD_VALUES = [None, 10**400, math.inf, math.nan, -1, True, [], {}, [[]], "x"]
+
+
+def test_page_is_decoded():
+    table = RowTable(AnswerClient(PAGE), "fleet")
+    assert table.get("t", "k") == Row("t", "k", 5, b"a")
+    assert table.changes("t", 0, 0.0).version == 5
+
+
+@pytest.mark.parametrize("body", [None, 7, [], "x", {}, {"rows": 7}, {"rows": [7]}, {"rows": [[]]}])
+def test_malformed_answer_of_the_store_is_unavailable(body):
+    table = RowTable(AnswerClient(body), "fleet")
+    for read in (
+        lambda: table.get("t", "k"),
+        lambda: table.scan("t"),
+        lambda: table.changes("t", 0, 0.0),
+        lambda: table.newest("t"),
+    ):
+        with pytest.raises(StateUnavailableError):
+            read()
+    with pytest.raises(StateUnknownError):
+        table.commit(put_txn("a", b"1"))
+
+
+@pytest.mark.parametrize("field", ["table", "key", "ver", "value"])
+@pytest.mark.parametrize("value", BAD_VALUES, ids=repr)
+def test_malformed_row_of_the_store_is_unavailable(field, value):
+    if isinstance(value, str) and field in ("table", "key"):
+        return
+    table = RowTable(AnswerClient({**PAGE, "rows": [ROW, {**ROW, field: value}]}), "fleet")
+    with pytest.raises(StateUnavailableError):
+        table.scan("t")
+    with pytest.raises(StateUnavailableError):
+        table.changes("t", 0, 0.0)
+
+
+@pytest.mark.parametrize("value", BAD_VALUES, ids=repr)
+def test_malformed_version_of_the_store_is_not_used(value):
+    table = RowTable(AnswerClient({**PAGE, "ver": value}), "fleet")
+    with pytest.raises(StateUnavailableError):
+        table.changes("t", 0, 0.0)
+    with pytest.raises(StateUnavailableError):
+        table.newest("t")
+    with pytest.raises(StateUnknownError):
+        table.commit(put_txn("a", b"1"))
+
+
+@pytest.mark.parametrize("value", BAD_VALUES, ids=repr)
+def test_malformed_clock_of_the_store_is_not_used(value):
+    table = RowTable(AnswerClient({**PAGE, "now-ms": value}), "fleet")
+    assert table.get("t", "k").version == 5
+    assert table.clock_range() == ClockRange()
+
+
+@pytest.mark.parametrize("prefix", ["\ud7ff", "a\U0010ffff", "\U0010ffff", "\0"])
+def test_prefix_at_the_end_of_a_range_of_characters_is_scanned(prefix):
+    assert RowTable(AnswerClient(PAGE), "fleet").scan("t", prefix, limit=1)
