peers: a malformed message or address ends no thread

Cause: a message that is nested too deeply, also in the unauthenticated part, raised RecursionError in the thread that receives from all peers; a relayed transaction with a time limit of NaN or infinity raised ValueError in a thread of the relay server. Either ended for good, and a relayed call went unanswered. A row of another daemon with an address that cannot exist raised an error of pynng in each relayed call, and in the step that connects to peers.

Change: both use the decoder, with bounded numbers; the relay answers a call that fails unexpectedly. check_host_address in settings.py tells which addresses can be called, for entries of workers and for rows of daemons.

--- a/gypsumplank/coordination/job/registry.py
+++ b/gypsumplank/coordination/job/registry.py
@@ -5,15 +5,18 @@
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
 from gypsumplank.coordination.job.watch import PeriodicThread
 from gypsumplank.errors import EntryInvalidError
 from gypsumplank.log import Event, event
+from gypsumplank.protocol.decoder import Count
+from gypsumplank.settings import check_host_address
 from gypsumplank.state.clock import Clock
 from gypsumplank.state.job import decode
-from gypsumplank.state.table import Table, Txn, Write, scan_all
+from gypsumplank.state.table import Row, Table, Txn, Write, scan_all
 
 TABLE_DAEMONS = "daemons"
 # Interval between heartbeats of this daemon, and between reads of the others', seconds.
@@ -31,16 +34,21 @@
 YIELD_DELAY_S = 0.8
 # Time for which a daemon leaves a free lease to others until it has discovered them, seconds.
 DISCOVERY_DELAY_S = 2.0
+# A row with a higher speed is not of a daemon.
+MAX_SPEED_CORES = 10_000.0
 
 logger = logging.getLogger(__name__)
 
 
+Speed = Annotated[float, msgspec.Meta(ge=0, le=MAX_SPEED_CORES)]
+
+
 class DaemonRow(msgspec.Struct, frozen=True):
     """Store a daemon's address for other daemons; `beat` counts heartbeats, `speed` is in cores."""
 
     address: str
-    beat: int
-    speed: float = 0.0
+    beat: Count
+    speed: Speed = 0.0
 
 
 @dataclass(frozen=True)
@@ -55,6 +63,13 @@
     changed_at: float
 
 
+def _decode_row(row: Row) -> DaemonRow:
+    daemon = decode(row.value, DaemonRow)
+    if problem := check_host_address(daemon.address):
+        raise EntryInvalidError(problem)
+    return daemon
+
+
 class DaemonRegistry(PeriodicThread):
     """Send this daemon's heartbeats and keep track of the other daemons."""
 
@@ -90,9 +105,7 @@
             if found.key == self._daemon or (known and known.version == found.version):
                 continue
             try:
-                self._peers[found.key] = PeerRecord(
-                    decode(found.value, DaemonRow), found.version, now
-                )
+                self._peers[found.key] = PeerRecord(_decode_row(found), found.version, now)
             except EntryInvalidError as exc:
                 self._peers.pop(found.key, None)
                 event(
--- a/gypsumplank/platform/directory.py
+++ b/gypsumplank/platform/directory.py
@@ -6,7 +6,6 @@
 import msgspec
 
 from gypsumplank.errors import EntryInvalidError
-from gypsumplank.platform.address import parse_address
 from gypsumplank.protocol.decoder import Count, Finite, Int, NonEmptyStr, PositiveInt, decode_json
 from gypsumplank.protocol.job import Resources
 from gypsumplank.protocol.queue import (
@@ -17,6 +16,7 @@
     ServicePolicy,
 )
 from gypsumplank.protocol.worker import WorkerEntry, WorkerState
+from gypsumplank.settings import check_host_address
 from gypsumplank.state.row import RowDecoder
 from gypsumplank.state.table import Row, Table, Txn, Write, scan_all
 
@@ -124,7 +124,8 @@
     wire = decode_json(row.value, WireWorker)
     if not WORKER_ID.fullmatch(row.key):
         raise EntryInvalidError("the id of the worker fits no header")
-    parse_address(wire.address)
+    if problem := check_host_address(wire.address):
+        raise EntryInvalidError(problem)
     return WorkerEntry(
         row.key,
         wire.service,
--- a/gypsumplank/platform/worker.py
+++ b/gypsumplank/platform/worker.py
@@ -11,7 +11,6 @@
     WorkerRefusedError,
     WorkerUnknownError,
 )
-from gypsumplank.platform.address import parse_address
 from gypsumplank.platform.client import Client, Response, find_count
 from gypsumplank.protocol.decoder import Count, Finite, Int, convert
 from gypsumplank.protocol.worker import (
@@ -23,6 +22,7 @@
     WorkerEntry,
     WorkerReport,
 )
+from gypsumplank.settings import check_host_address
 
 PATH_HOLD = "/api/hold"
 PATH_START = "/api/run-start"
@@ -151,7 +151,8 @@
     def _client(self, address: str) -> Client:
         with self._lock:
             if address not in self._clients:
-                parse_address(address)
+                if problem := check_host_address(address):
+                    raise EntryInvalidError(problem)
                 self._clients[address] = Client(address, ORDER_TIMEOUT_S, CONNECTIONS_PER_WORKER)
             return self._clients[address]
 
--- a/gypsumplank/protocol/envelope.py
+++ b/gypsumplank/protocol/envelope.py
@@ -11,12 +11,14 @@
 import msgspec
 
 from gypsumplank.errors import (
+    EntryInvalidError,
     PeerForgedError,
     PeerMalformedError,
     PeerMisdirectedError,
     PeerReplayedError,
     PeerTooLargeError,
 )
+from gypsumplank.protocol.decoder import Count, decode_msgpack
 from gypsumplank.protocol.peer import PeerMessage
 
 HMAC_DIGEST = "sha256"
@@ -31,8 +33,8 @@
     `boot` is the sender's start in microseconds since the epoch; `sequence` counts its messages.
     """
 
-    boot: int
-    sequence: int
+    boot: Count
+    sequence: Count
     recipient: str
     message: msgspec.Raw
 
@@ -82,23 +84,22 @@
         self._own = own
         self._monotonic = monotonic
         self._last_accepted: dict[str, LastAccepted] = {}
-        message_types: Any = reduce(or_, PeerMessage.__subclasses__())
-        self._decoder = msgspec.msgpack.Decoder(message_types)
+        self._message_types: Any = reduce(or_, PeerMessage.__subclasses__())
 
     def verify(self, raw: bytes) -> PeerMessage:
         """Return the message in received bytes; raise PeerError if it is not acceptable."""
         _check_size(raw)
         try:
-            signed = msgspec.msgpack.decode(raw, type=SignedMessage)
-        except msgspec.MsgspecError as exc:
-            raise PeerMalformedError(str(exc)) from exc
+            signed = decode_msgpack(raw, SignedMessage)
+        except EntryInvalidError as exc:
+            raise PeerMalformedError(exc.detail) from exc
         if not hmac.compare_digest(signed.tag, _tag(self._key, signed.body)):
             raise PeerForgedError("the HMAC tag does not match")
         try:
-            envelope = msgspec.msgpack.decode(signed.body, type=Envelope)
-            message: PeerMessage = self._decoder.decode(envelope.message)
-        except msgspec.MsgspecError as exc:
-            raise PeerMalformedError(str(exc)) from exc
+            envelope = decode_msgpack(signed.body, Envelope)
+            message: PeerMessage = decode_msgpack(envelope.message, self._message_types)
+        except EntryInvalidError as exc:
+            raise PeerMalformedError(exc.detail) from exc
         if message.sender == self._own or envelope.recipient not in (BROADCAST, self._own):
             raise PeerMisdirectedError(f"from {message.sender!r} to {envelope.recipient!r}")
         self._reject_replay(message.sender, envelope)
--- a/gypsumplank/settings.py
+++ b/gypsumplank/settings.py
@@ -1,17 +1,23 @@
 """Load the daemon's settings from JSON with comments and validate every key."""
 
 import ipaddress
+import re
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import MISSING, dataclass, field, fields
 from pathlib import Path
 from typing import Any
 
-import msgspec
 import pyjson5
 
-from gypsumplank.errors import Fault, SettingsError
+from gypsumplank.errors import EntryInvalidError, Fault, SettingsError
+from gypsumplank.protocol.decoder import convert
 
 MAX_PORT = 65_535
+MAX_ADDRESS_CHARS = 60
+PORT = re.compile(r"[0-9]{1,5}")
+# Bounds every setting that is a number; times are in seconds.
+MAX_NUMBER = 1e9
+MAX_DETAIL_CHARS = 200
 LOG_FORMATS = ("logfmt", "json")
 LOG_LEVELS = ("debug", "info", "warning", "error")
 ROLES = ("viewer", "operator")
@@ -24,6 +30,8 @@
 def split_address(address: str) -> tuple[str, int]:
     """Return the IP address and port of `ip:port`."""
     host, _, port = address.rpartition(":")
+    if not PORT.fullmatch(port) or not address.isprintable():
+        raise ValueError("not printable, or the port is not 1 to 5 digits")
     return host.strip("[]"), int(port)
 
 
@@ -33,10 +41,23 @@
         host, port = split_address(value)
         ipaddress.ip_address(host)
     except ValueError:
-        return f"{value!r} is not an IP address and port such as 10.0.0.1:8080"
+        shown = value[:MAX_ADDRESS_CHARS]
+        return f"{shown!r} is not an IP address and port such as 10.0.0.1:8080"
     return None if 0 < port <= MAX_PORT else f"port {port} is not 1 to {MAX_PORT}"
 
 
+def check_host_address(value: str) -> str | None:
+    """Return why no host can be called at a value, or None."""
+    if problem := check_address(value):
+        return problem
+    host = ipaddress.ip_address(split_address(value)[0])
+    is_scoped = isinstance(host, ipaddress.IPv6Address) and host.scope_id is not None
+    is_reserved = isinstance(host, ipaddress.IPv4Address) and host.is_reserved
+    if host.is_unspecified or host.is_multicast or is_scoped or is_reserved:
+        return f"{value!r} is not the address of a host"
+    return None
+
+
 def check_addresses(values: tuple[str, ...]) -> str | None:
     """Return why the first invalid address of a list is invalid, or None."""
     return next(filter(None, map(check_address, values)), None)
@@ -49,8 +70,8 @@
 
 
 def check_positive(value: float) -> str | None:
-    """Return an error unless the number is greater than 0."""
-    return None if value > 0 else f"{value} is not greater than 0"
+    """Return an error unless the number is greater than 0 and at most MAX_NUMBER."""
+    return None if 0 < value <= MAX_NUMBER else f"{value} is not 0 to {MAX_NUMBER:g}, or is 0"
 
 
 def check_not_empty(value: Any) -> str | None:
@@ -188,8 +209,8 @@
 
 def _convert(value: Any, spec: Any) -> tuple[Any, str | None]:
     try:
-        converted = msgspec.convert(value, spec.type)
-    except msgspec.ValidationError as exc:
+        converted = convert(value, spec.type)
+    except EntryInvalidError as exc:
         return None, str(exc)
     check = spec.metadata["check"]
     return converted, check(converted) if check else None
@@ -228,8 +249,9 @@
         return pyjson5.decode(path.read_text(encoding="utf-8"))
     except (OSError, UnicodeDecodeError) as exc:
         raise SettingsError((Fault("unreadable", "$", str(exc), str(path)),)) from exc
-    except pyjson5.Json5Exception as exc:
-        raise SettingsError((Fault("not-json", "$", str(exc), str(path)),)) from exc
+    except (pyjson5.Json5Exception, ValueError, RecursionError) as exc:
+        detail = str(exc)[:MAX_DETAIL_CHARS]
+        raise SettingsError((Fault("not-json", "$", detail, str(path)),)) from exc
 
 
 def load_settings(path: Path) -> Settings:
--- a/gypsumplank/state/table.py
+++ b/gypsumplank/state/table.py
@@ -5,23 +5,30 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from itertools import islice, takewhile
-from typing import Protocol
+from typing import Annotated, Protocol
+
+import msgspec
 
 from gypsumplank.errors import StateConflictError, StateTooLargeError
+from gypsumplank.protocol.decoder import Count
 
 ABSENT = 0
 MAX_ROW_BYTES = 1 << 20
 MAX_TXN_ROWS = 1000
+MAX_TIMEOUT_S = 3600.0
 SCAN_LIMIT = 1000
 
 
+PositiveFloat = Annotated[float, msgspec.Meta(gt=0, le=MAX_TIMEOUT_S)]
+
+
 @dataclass(frozen=True)
 class Row:
     """Represent a row; `version` increases with every write to the table service."""
 
     table: str
     key: str
-    version: int
+    version: Count
     value: bytes
 
 
@@ -31,7 +38,7 @@
 
     table: str
     key: str
-    version: int
+    version: Count
 
 
 @dataclass(frozen=True)
@@ -52,7 +59,7 @@
 
     checks: tuple[Check, ...] = ()
     writes: tuple[Write, ...] = ()
-    timeout_s: float | None = None
+    timeout_s: PositiveFloat | None = None
 
 
 class Table(Protocol):
--- a/gypsumplank/transport/peer.py
+++ b/gypsumplank/transport/peer.py
@@ -17,6 +17,7 @@
     MessageVerifier,
 )
 from gypsumplank.protocol.peer import Hello, PeerMessage
+from gypsumplank.settings import check_address
 
 # Maximum number of messages, to all daemons together, that wait for the sender thread.
 SEND_QUEUE_MESSAGES = 256
@@ -112,7 +113,8 @@
         self._discovered = {name: peer for name, peer in known if peer.seen_at_s > oldest}
         routes = {**discovered, **sessions}
         routes.pop(self._own_name, None)
-        addresses = {*routes.values(), *seeds} - {self._listen}
+        named = {*routes.values(), *seeds} - {self._listen}
+        addresses = {address for address in named if check_address(address) is None}
         with self._lock:
             self._routes = routes
             for address in addresses - set(self._sockets):
--- a/gypsumplank/transport/relay.py
+++ b/gypsumplank/transport/relay.py
@@ -4,13 +4,14 @@
 import threading
 import time
 from collections.abc import Callable, Sequence
-from typing import Any, Protocol, TypeVar
+from typing import Annotated, Any, Protocol, TypeVar
 
 import msgspec
 import pynng
 
 from gypsumplank.errors import (
     CallError,
+    EntryInvalidError,
     StateConflictError,
     StateError,
     StateTooLargeError,
@@ -18,6 +19,8 @@
     StateUnknownError,
 )
 from gypsumplank.log import Event, event
+from gypsumplank.protocol.decoder import decode_msgpack
+from gypsumplank.settings import check_host_address
 from gypsumplank.state.table import SCAN_LIMIT, Row, Table, Txn
 
 # Longest wait for the reply to a relayed call, with the other daemon's wait for the table service.
@@ -44,6 +47,9 @@
 logger = logging.getLogger(__name__)
 
 
+ScanLimit = Annotated[int, msgspec.Meta(ge=1, le=SCAN_LIMIT)]
+
+
 class RelayRequest(msgspec.Struct):
     """Represent a table service call: a commit with `txn`, a get with `key`, else a scan."""
 
@@ -51,7 +57,7 @@
     key: str | None = None
     prefix: str = ""
     after: str = ""
-    limit: int = SCAN_LIMIT
+    limit: ScanLimit = SCAN_LIMIT
     txn: Txn | None = None
 
 
@@ -110,22 +116,29 @@
 
     def _execute(self, raw: bytes) -> RelayReply:
         try:
-            req = msgspec.msgpack.decode(raw, type=RelayRequest)
-        except msgspec.MsgspecError as exc:
-            event(logger, Event.PEER_DROPPED, logging.WARNING, detail=str(exc))
+            req = decode_msgpack(raw, RelayRequest)
+        except EntryInvalidError as exc:
+            event(logger, Event.PEER_DROPPED, logging.WARNING, detail=exc.detail)
             return RelayReply(StateUnavailableError.code, "malformed request")
         if self._table.is_failing:
             return RelayReply(StateUnavailableError.code, "this daemon is cut off too")
         try:
-            if req.txn is not None:
-                return RelayReply(version=self._table.commit(req.txn))
-            if req.key is not None:
-                row = self._table.get(req.table, req.key)
-                return RelayReply(rows=() if row is None else (row,))
-            rows = self._table.scan(req.table, req.prefix, req.after, req.limit)
-            return RelayReply(rows=tuple(rows))
+            return self._call(req)
         except StateError as exc:
             return RelayReply(exc.code, exc.detail)
+        except Exception as exc:  # noqa: BLE001
+            event(logger, Event.PEER_FAILED, logging.ERROR, detail=str(exc))
+            code = StateUnavailableError.code if req.txn is None else StateUnknownError.code
+            return RelayReply(code, "the call failed here")
+
+    def _call(self, req: RelayRequest) -> RelayReply:
+        if req.txn is not None:
+            return RelayReply(version=self._table.commit(req.txn))
+        if req.key is not None:
+            row = self._table.get(req.table, req.key)
+            return RelayReply(rows=() if row is None else (row,))
+        rows = self._table.scan(req.table, req.prefix, req.after, req.limit)
+        return RelayReply(rows=tuple(rows))
 
 
 class PeerTable:
@@ -179,8 +192,8 @@
         try:
             context.send(raw)
             sent = True
-            return msgspec.msgpack.decode(context.recv(), type=RelayReply)
-        except (pynng.NNGException, msgspec.MsgspecError) as exc:
+            return decode_msgpack(context.recv(), RelayReply)
+        except (pynng.NNGException, EntryInvalidError) as exc:
             raise CallError(f"{address}: {exc}", sent) from exc
         finally:
             context.close()
@@ -192,6 +205,8 @@
         with self._lock:
             if self._closed:
                 raise CallError("the relay is closed", sent=False)
+            if problem := check_host_address(address):
+                raise CallError(problem, sent=False)
             if address not in self._sockets:
                 self._sockets[address] = pynng.Req0(
                     dial=f"tcp://{address}",
--- a/tests/protocol/test_envelope.py
+++ b/tests/protocol/test_envelope.py
@@ -107,3 +107,30 @@
     raw = msgspec.msgpack.encode(SignedMessage(envelope._tag(KEY.encode(), body), body))
     with pytest.raises(PeerError):
         make_verifier().verify(raw)
+
+
+DEEP_MSGPACK = b"\x91" * 20_000 + b"\x90"
+
+
+def sign_body(body):
+    return msgspec.msgpack.encode(SignedMessage(envelope._tag(KEY.encode(), body), body))
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        DEEP_MSGPACK,
+        b"\x93\xc4\x00\xc4\x00" + DEEP_MSGPACK,
+        sign_body(DEEP_MSGPACK),
+        sign_body(b"\x95\x01\x01\xa0" + DEEP_MSGPACK + b"\x01"),
+        sign_body(b"\x94\x01\x01\xa0" + DEEP_MSGPACK),
+        sign_body(b"\x94\x01\x01\xa0" + msgspec.msgpack.encode({"type": "Hint", "epoch": 1})),
+        sign_body(b"\x94\x01\x01\xa0\x84\xa4type\xa4Hint\xa6sender\xa2\xff\xff\xa5epoch\x01"),
+        sign_body(b"\x94\x01\x01\xa0\xdf\xff\xff\xff\xff"),
+        sign_body(b"\x94\xcf" + b"\xff" * 8 + b"\x01\xa0\x80"),
+    ],
+    ids=lambda raw: repr(raw[:12]),
+)
+def test_malformed_message_raises_a_peer_error(raw):
+    with pytest.raises(PeerError):
+        make_verifier().verify(raw)
--- a/tests/transport/test_relay.py
+++ b/tests/transport/test_relay.py
@@ -1,12 +1,16 @@
+import math
 import time
 
+import msgspec
+import pynng
 import pytest
 
 from demo.cluster import free_addresses
 from gypsumplank.errors import StateConflictError, StateUnavailableError, StateUnknownError
 from gypsumplank.state.table import ABSENT, Check, MemoryTable, Txn, Write
-from gypsumplank.transport.relay import PeerTable, RelayServer, RelayTable
+from gypsumplank.transport.relay import SERVER_THREADS, PeerTable, RelayServer, RelayTable
 from tests.faulty import ScriptedFaultTable
+from tests.malformed import IMPOSSIBLE_ADDRESSES
 
 
 class DirectTable(ScriptedFaultTable):
@@ -111,3 +115,46 @@
     relay._table.unavailable, relay._table.is_failing = False, True
     assert relay.commit(INSERT)
     assert relay._table.commits == 1
+
+
+def commit_message(timeout_s):
+    txn = {"checks": [], "writes": [], "timeout_s": timeout_s}
+    return msgspec.msgpack.encode({"txn": txn})
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"",
+        b"\x81\xa1x" + b"\x91" * 20_000 + b"\x90",
+        msgspec.msgpack.encode({"table": "t", "limit": -1}),
+        msgspec.msgpack.encode({"table": "t", "limit": 2**63}),
+        commit_message(math.nan),
+        commit_message(math.inf),
+        commit_message(-1.0),
+        commit_message(0.0),
+    ],
+    ids=lambda raw: repr(raw[:20]),
+)
+def test_malformed_request_is_answered_and_the_server_goes_on(peer, raw):
+    with pynng.Req0(dial=f"tcp://{peer[1]}", recv_timeout=5000) as socket:
+        for _ in range(SERVER_THREADS + 1):
+            socket.send(raw)
+            assert b"state-unavailable" in socket.recv()
+    assert make_disconnected_relay(peer).get("t", "a") is None
+
+
+def test_unexpected_error_does_not_end_the_server(peer):
+    peer[0].get = lambda table, key: 1 / 0
+    relay = make_disconnected_relay(peer)
+    for _ in range(SERVER_THREADS + 1):
+        with pytest.raises(StateUnavailableError):
+            relay.get("t", "a")
+    del peer[0].get
+    assert relay.get("t", "a") is None
+
+
+@pytest.mark.parametrize("address", IMPOSSIBLE_ADDRESSES)
+def test_peer_with_an_address_that_cannot_exist_is_passed_over(peer, address):
+    relay = make_disconnected_relay(peer, [address, peer[1]])
+    assert relay.get("t", "a") is None
