callers, operators: malformed bodies and headers get a 4xx at once

Cause: int() raises ValueError for more than 4,300 digits, beside the checks of the request's time limit, where that happened in waitress's own thread, and of wait_ms. Negative and huge numbers of operators' queries reached the controller. A nested body raised RecursionError; a record nested some 900 deep was accepted, but could not be encoded again from deeper in the program. A log line held a caller's whole path or an entry's whole fault.

--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -12,6 +12,9 @@
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/+@%,"
 )
 
+# Longest text in one field of a log line.
+MAX_FIELD_CHARS = 500
+
 
 class Event(StrEnum):
     """Enumerate the log events; `doc` is the description on the reference page."""
@@ -121,5 +124,12 @@
 def event(
     logger: logging.Logger, event_type: Event, level: int = logging.INFO, **fields: Any
 ) -> None:
-    """Log one event with its fields."""
-    logger.log(level, event_type.value, extra=fields)
+    """Log one event with its fields; a longer text than MAX_FIELD_CHARS is cut."""
+    bounded = {name: _cut(value) for name, value in fields.items()}
+    logger.log(level, event_type.value, extra=bounded)
+
+
+def _cut(value: Any) -> Any:
+    if isinstance(value, str) and len(value) > MAX_FIELD_CHARS:
+        return f"{value[:MAX_FIELD_CHARS]}..."
+    return value
--- a/gypsumplank/protocol/header.py
+++ b/gypsumplank/protocol/header.py
@@ -28,6 +28,7 @@
 MAX_KEY_CHARS = 255
 _KEY_PATTERN = rf"([!#-\[\]-~]{{1,{MAX_KEY_CHARS}}})"
 IDEMPOTENCY_KEY_PATTERN = re.compile(rf'{_KEY_PATTERN}|"{_KEY_PATTERN}"')
+COUNT_PATTERN = re.compile(r"[0-9]{1,15}")
 # RFC 9218 section 4.1
 URGENCY_PATTERN = re.compile(r"(?:^|[,\s])u=([0-7])(?:$|[,;\s])")
 
@@ -43,10 +44,16 @@
     raw = headers.get(HEADER_TIMEOUT_MS)
     if raw is None:
         return default_ms / 1000
-    if not raw.isascii() or not raw.isdigit() or not 0 < int(raw) <= MAX_TIMEOUT_MS:
-        detail = f"{HEADER_TIMEOUT_MS} must be 1 to {MAX_TIMEOUT_MS}, not {raw!r}"
+    timeout_ms = parse_count(raw)
+    if timeout_ms is None or not 0 < timeout_ms <= MAX_TIMEOUT_MS:
+        detail = f"{HEADER_TIMEOUT_MS} must be 1 to {MAX_TIMEOUT_MS}, not {raw[:MAX_KEY_CHARS]!r}"
         raise RequestInvalidError(detail)
-    return int(raw) / 1000
+    return timeout_ms / 1000
+
+
+def parse_count(raw: str) -> int | None:
+    """Return a number of a header or query, None if it is not 1 to 15 ASCII digits."""
+    return int(raw) if COUNT_PATTERN.fullmatch(raw) else None
 
 
 def parse_idempotency_key(value: str) -> str:
--- a/gypsumplank/protocol/record.py
+++ b/gypsumplank/protocol/record.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from gypsumplank.errors import Fault, RecordsError
+from gypsumplank.errors import EntryInvalidError, Fault, RecordsError
+from gypsumplank.protocol.decoder import convert, decode_json
 
 NEWEST_SCHEMA = 2
 MAX_UNPACKED_BYTES = 32 << 20
@@ -50,8 +51,8 @@
 def decode_record(raw: Any, source: str = "") -> Record:
     """Convert decoded JSON to a record; raise RecordsError."""
     try:
-        return msgspec.convert(raw, Record)
-    except msgspec.ValidationError as exc:
+        return convert(raw, Record)
+    except EntryInvalidError as exc:
         raise RecordsError((Fault("record-malformed", "$", str(exc), source),)) from exc
 
 
@@ -64,6 +65,6 @@
     """Return records from compressed JSON; raise RecordsError."""
     try:
         raw = zlib.decompressobj().decompress(packed, MAX_UNPACKED_BYTES)
-        return msgspec.json.decode(raw, type=tuple[Record, ...])
-    except (zlib.error, msgspec.MsgspecError) as exc:
+        return decode_json(raw, tuple[Record, ...])
+    except (zlib.error, EntryInvalidError) as exc:
         raise RecordsError((Fault("record-malformed", "$", str(exc)),)) from exc
--- a/gypsumplank/protocol/spec.py
+++ b/gypsumplank/protocol/spec.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from gypsumplank.errors import Fault, RecordsError
+from gypsumplank.errors import EntryInvalidError, Fault, RecordsError
+from gypsumplank.protocol.decoder import Count, NonNegativeFloat, PositiveInt, convert
 from gypsumplank.protocol.record import NEWEST_SCHEMA, Kind, Record
 from gypsumplank.protocol.schema import upgrade
 
@@ -17,20 +18,17 @@
 DEFAULT_CONNECTIONS = 64
 DEFAULT_GRACE_S = 60.0
 
-NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
-PositiveInt = Annotated[int, msgspec.Meta(ge=1)]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
-NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
 
 
 @dataclass(frozen=True)
 class Budget:
     """Define how many hosts must be in service: the larger of a count and a share of the pool."""
 
-    min_in_service: NonNegativeInt = 0
+    min_in_service: Count = 0
     min_share: Share = 0.0
-    max_out_per_zone: NonNegativeInt | None = None
-    max_out_per_rack: NonNegativeInt | None = None
+    max_out_per_zone: Count | None = None
+    max_out_per_rack: Count | None = None
 
     def floor(self, hosts: int) -> int:
         """Return how many of a pool's hosts must be in service."""
@@ -76,9 +74,9 @@
     rack: str
     slots: PositiveInt = DEFAULT_SLOTS
     connections: PositiveInt = DEFAULT_CONNECTIONS
-    cores: NonNegativeInt = 1
-    memory_gb: NonNegativeInt = 1
-    accelerators: NonNegativeInt = 0
+    cores: Count = 1
+    memory_gb: Count = 1
+    accelerators: Count = 0
     agent: str = ""
 
     @property
@@ -140,9 +138,9 @@
     """Describe a team of callers: its share of a service's slots and its task quota."""
 
     share: Share = 0.0
-    cores: NonNegativeInt = 0
-    memory_gb: NonNegativeInt = 0
-    accelerators: NonNegativeInt = 0
+    cores: Count = 0
+    memory_gb: Count = 0
+    accelerators: Count = 0
 
 
 @dataclass(frozen=True)
@@ -173,8 +171,8 @@
         raise RecordsError((Fault("schema-unknown", "schema", detail, record.key),))
     spec = upgrade(record).spec
     try:
-        return msgspec.convert(spec, SPEC_TYPES[record.kind])
-    except msgspec.ValidationError as exc:
+        return convert(spec, SPEC_TYPES[record.kind])
+    except EntryInvalidError as exc:
         faults = tuple(_field_faults(record, spec))
         fallback = Fault("spec-malformed", "spec", str(exc), record.key)
         raise RecordsError(faults or (fallback,)) from exc
@@ -198,7 +196,7 @@
                 yield Fault("field-missing", path, "must be set", record.key)
             continue
         try:
-            msgspec.convert(spec[spec_field.name], types[spec_field.name])
-        except msgspec.ValidationError as exc:
+            convert(spec[spec_field.name], types[spec_field.name])
+        except EntryInvalidError as exc:
             detail, _, subpath = str(exc).partition(" - at `$")
             yield Fault("field-invalid", f"{path}{subpath.rstrip('`')}", detail, record.key)
--- a/gypsumplank/protocol/task.py
+++ b/gypsumplank/protocol/task.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from gypsumplank.protocol.decoder import Count, Finite, NonNegativeFloat
 from gypsumplank.protocol.exchange import DEFAULT_URGENCY
 
 MAX_URGENT_LEVEL = 1
@@ -36,9 +37,9 @@
 class TaskResources:
     """Represent an amount of processor cores, memory in GB and accelerators."""
 
-    cores: float = 1.0
-    memory_gb: float = 1.0
-    accelerators: int = 0
+    cores: NonNegativeFloat = 1.0
+    memory_gb: NonNegativeFloat = 1.0
+    accelerators: Count = 0
 
     def __add__(self, other: "TaskResources") -> "TaskResources":
         return TaskResources(
@@ -75,8 +76,8 @@
     service: str
     team: str = ""
     size: TaskResources = field(default_factory=TaskResources)
-    run_s: float = 60.0
-    urgency: int = DEFAULT_URGENCY
+    run_s: NonNegativeFloat = 60.0
+    urgency: Count = DEFAULT_URGENCY
     yields: tuple[PreemptionMethod, ...] = (
         PreemptionMethod.THROTTLE,
         PreemptionMethod.CHECKPOINT,
@@ -95,9 +96,9 @@
     id: str
     pool: str
     order: TaskDefinition
-    submitted_at: float
+    submitted_at: Finite
     state: TaskState = TaskState.QUEUED
-    token: int = 0
+    token: Count = 0
     host: str = ""
     checkpoint: str = ""
     failed_on: tuple[str, ...] = ()
@@ -140,7 +141,7 @@
     """Report one attempt on a worker; `usage` may be out of date."""
 
     id: str
-    token: int
+    token: Count
     state: AgentState
     usage: TaskResources = NO_RESOURCES
     checkpoint: str = ""
--- a/gypsumplank/state/reader.py
+++ b/gypsumplank/state/reader.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from gypsumplank.errors import EntryInvalidError, RevisionMissingError, RevisionReversedError
-from gypsumplank.protocol.decoder import Count, decode_json
+from gypsumplank.protocol.decoder import Count, decode_document, decode_json
 from gypsumplank.protocol.record import Record
 from gypsumplank.state.change import (
     KEY_HEAD,
@@ -122,7 +122,7 @@
 
 
 def _decode_record(row: Row) -> Record:
-    record = decode_json(row.value, Record)
+    record = decode_document(row.value, Record)
     if record.key != row.key:
         raise EntryInvalidError(f"the record is {record.key!r}")
     return record
--- a/gypsumplank/transport/operator.py
+++ b/gypsumplank/transport/operator.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from gypsumplank.errors import (
+    EntryInvalidError,
     Fault,
     ForbiddenError,
     GypsumplankError,
@@ -18,6 +19,8 @@
     RequestInvalidError,
     UnauthorizedError,
 )
+from gypsumplank.protocol.decoder import decode_document
+from gypsumplank.protocol.header import parse_count
 from gypsumplank.protocol.operator import (
     PATH_CHANGES,
     PATH_HEALTH,
@@ -203,14 +206,14 @@
 
 
 def _int_param(params: Mapping[str, Sequence[str]], name: str, default: int) -> int:
-    try:
-        return int(params.get(name, [str(default)])[0])
-    except ValueError as exc:
-        raise RequestInvalidError(f"{name} is not an integer") from exc
+    number = parse_count(params.get(name, [str(default)])[0])
+    if number is None:
+        raise RequestInvalidError(f"{name} is not a whole number")
+    return number
 
 
 def _decode(body: bytes, kind: type[T]) -> T:
     try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.MsgspecError as exc:
-        raise RecordsError((Fault("change-malformed", "$", str(exc)),)) from exc
+        return decode_document(body, kind)
+    except EntryInvalidError as exc:
+        raise RecordsError((Fault("change-malformed", "$", exc.detail),)) from exc
--- a/gypsumplank/transport/task.py
+++ b/gypsumplank/transport/task.py
@@ -8,12 +8,15 @@
 import msgspec
 
 from gypsumplank.errors import (
+    EntryInvalidError,
     GypsumplankError,
     RequestInvalidError,
     StateUnknownError,
     TaskMissingError,
 )
+from gypsumplank.protocol.decoder import decode_json
 from gypsumplank.protocol.exchange import Outcome
+from gypsumplank.protocol.header import parse_count
 from gypsumplank.protocol.problem import MEDIA_TYPE, encode_problem, from_error
 from gypsumplank.protocol.task import Task, TaskDefinition
 from gypsumplank.transport.caller import STATUS_STRINGS
@@ -86,14 +89,14 @@
 
     def _submit(self, body: bytes, team: str, key: str) -> Task:
         try:
-            order = msgspec.json.decode(body, type=TaskDefinition)
-        except msgspec.MsgspecError as exc:
-            raise RequestInvalidError(str(exc)) from exc
+            order = decode_json(body, TaskDefinition)
+        except EntryInvalidError as exc:
+            raise RequestInvalidError(exc.detail) from exc
         return self._tasks.submit(replace(order, team=team), key)
 
 
 def _parse_wait_s(query: dict[str, str]) -> float:
-    raw = query.get("wait_ms", "0")
-    if not raw.isascii() or not raw.isdigit() or int(raw) > MAX_WAIT_MS:
+    wait_ms = parse_count(query.get("wait_ms", "0"))
+    if wait_ms is None or wait_ms > MAX_WAIT_MS:
         raise RequestInvalidError(f"wait_ms must be 0 to {MAX_WAIT_MS}")
-    return int(raw) / 1000
+    return wait_ms / 1000
--- a/tests/protocol/test_header.py
+++ b/tests/protocol/test_header.py
@@ -12,7 +12,7 @@
     assert parse_urgency(value) == urgency
 
 
-@pytest.mark.parametrize("raw", ["", "0", "-1", "1.5", "abc", "99999999", "²"])
+@pytest.mark.parametrize("raw", ["", "0", "-1", "1.5", "abc", "99999999", "²", "9" * 5000])
 def test_malformed_timeout_refused(raw):
     with pytest.raises(RequestInvalidError):
         parse_timeout_s({"Request-Timeout-Ms": raw}, 10)
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -34,3 +34,13 @@
     configure_logging("json", "info", stream)
     event(logging.getLogger("x"), Event.READY, count=3)
     assert json.loads(stream.getvalue())["event"] == "ready"
+
+
+@pytest.mark.parametrize("log_format", ["logfmt", "json"])
+def test_long_field_is_cut(restore_root_logger, log_format):
+    stream = io.StringIO()
+    configure_logging(log_format, "info", stream)
+    detail = "\0\n\u2028" * 1_000_000
+    event(logging.getLogger("x"), Event.ENTRY_DROPPED, detail=detail, entry=detail)
+    (line,) = stream.getvalue().splitlines()
+    assert len(line) < 10_000
--- a/tests/transport/test_operator.py
+++ b/tests/transport/test_operator.py
@@ -9,6 +9,7 @@
 from gypsumplank.settings import Token
 from gypsumplank.transport import operator
 from gypsumplank.transport.operator import OperatorApp
+from tests.malformed import MALFORMED_JSON
 
 READ_PATHS = ("/v1/status", "/v1/records", "/v1/records/pool/a", "/v1/history", "/v1/rollout")
 WRITE_PATHS = ("/v1/changes", "/v1/rollback", "/v1/validate")
@@ -120,3 +121,23 @@
 )
 def test_malformed_request_status(app, method, path, body, status):
     assert call(app, method, path, "operator-token", body) == status
+
+
+@pytest.mark.parametrize("path", WRITE_PATHS)
+@pytest.mark.parametrize("raw", MALFORMED_JSON.values(), ids=MALFORMED_JSON)
+def test_malformed_body_is_rejected(app, path, raw):
+    assert call(app, "POST", path, "operator-token", raw) == 422
+
+
+@pytest.mark.parametrize("number", ["9" * 5000, "9" * 20, "-1", "1e9", "x", "\u00b2", "1_0"])
+@pytest.mark.parametrize("name", ["history?limit", "rollout?revision", "records?schema"])
+def test_malformed_number_is_rejected(app, name, number):
+    assert call(app, "GET", f"/v1/{name}={number}", "viewer-token") == 400
+
+
+@pytest.mark.parametrize("depth", [100, 500, 900])
+def test_record_nested_deeper_than_can_be_stored_is_rejected(app, depth):
+    record = b'{"kind":"pool","name":"p","schema":2,"spec":{"x":%s}}'
+    nested = record % (b"[" * depth + b"]" * depth)
+    raw = b'{"operation":"o","puts":[' + nested + b"]}"
+    assert call(app, "POST", "/v1/changes", "operator-token", raw) == 422
--- a/tests/transport/test_task.py
+++ b/tests/transport/test_task.py
@@ -13,6 +13,7 @@
 from gypsumplank.state.task import TaskStore
 from gypsumplank.state.view import build_view
 from gypsumplank.transport.task import TaskApp
+from tests.malformed import MALFORMED_JSON
 
 HOST_SPEC = {"address": "10.0.0.1:80", "pool": "p", "zone": "z", "rack": "r", "cores": 8}
 VIEW = build_view(
@@ -162,3 +163,21 @@
         after = pages[-1][-1]
     assert list(itertools.chain(*pages)) == sorted(ids)
     assert len(pages) == 2
+
+
+@pytest.mark.parametrize("raw", MALFORMED_JSON.values(), ids=MALFORMED_JSON)
+def test_malformed_body_is_rejected(raw):
+    status, _ = TaskClient().call("POST", "/-/tasks", raw, "small")
+    assert status == 400
+
+
+@pytest.mark.parametrize("field", ["cores", "memory_gb", "accelerators"])
+@pytest.mark.parametrize("number", [b"9" * 5000, b"9" * 4000, b"1e999", b"NaN", b"-1"])
+def test_task_of_an_impossible_size_is_rejected(field, number):
+    raw = b'{"service":"renders","size":{"%s":%s}}' % (field.encode(), number)
+    assert TaskClient().call("POST", "/-/tasks", raw, "small")[0] in (400, 422)
+
+
+@pytest.mark.parametrize("wait", ["9" * 5000, "-1", "\u00b2"])
+def test_malformed_wait_is_rejected(wait):
+    assert TaskClient().call("GET", f"/-/tasks/1-a?wait_ms={wait}", team="small")[0] == 400
