protocol: one decoder for all that comes from outside

Cause: some 25 places called msgspec with their own list of exceptions. The last of them, in transport/store.py, transport/agent.py and the commands, raised RecursionError for a nested answer.

--- a/gypsumplank/porcelain.py
+++ b/gypsumplank/porcelain.py
@@ -13,7 +13,14 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
-from gypsumplank.errors import Fault, RecordsError, ServerError, ServerUnreachableError
+from gypsumplank.errors import (
+    EntryInvalidError,
+    Fault,
+    RecordsError,
+    ServerError,
+    ServerUnreachableError,
+)
+from gypsumplank.protocol.decoder import decode_json
 from gypsumplank.protocol.operator import (
     PATH_CHANGES,
     PATH_RECORDS,
@@ -31,6 +38,7 @@
 REQUEST_TIMEOUT_S = 30.0
 RETRY_TIMEOUT_S = 5.0
 RETRY_INTERVAL_S = 0.25
+MAX_DETAIL_CHARS = 200
 RETRYABLE_CODES = frozenset({"state-unavailable", "state-unknown"})
 RECORD_FILE_SUFFIXES = (".json", ".json5")
 
@@ -57,7 +65,10 @@
             raise ServerUnreachableError(f"{self.address}: {exc}") from exc
         if resp.status != STATUS_OK:
             raise _decode_error(resp.data, resp.status)
-        return msgspec.json.decode(resp.data, type=response_type)
+        try:
+            return decode_json(resp.data, response_type)
+        except EntryInvalidError as exc:
+            raise ServerError("server", f"malformed response: {exc.detail}") from exc
 
     def submit_change(self, path: str, order: Any) -> ChangeReceipt:
         """Send a change and retry it for up to RETRY_TIMEOUT_S while the store is unavailable.
@@ -76,8 +87,8 @@
 
 def _decode_error(raw: bytes, status: int) -> ServerError:
     try:
-        problem = msgspec.json.decode(raw, type=Problem)
-    except msgspec.MsgspecError:
+        problem = decode_json(raw, Problem)
+    except EntryInvalidError:
         return ServerError("server", f"status {status}")
     return ServerError(problem.code, problem.detail, problem.faults)
 
@@ -112,8 +123,9 @@
 def _decode_file(path: Path) -> list[Record]:
     try:
         raw = pyjson5.decode(path.read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError, pyjson5.Json5Exception) as exc:
-        raise RecordsError((Fault("unreadable", "$", str(exc), str(path)),)) from exc
+    except (OSError, ValueError, RecursionError, pyjson5.Json5Exception) as exc:
+        detail = str(exc)[:MAX_DETAIL_CHARS]
+        raise RecordsError((Fault("unreadable", "$", detail, str(path)),)) from exc
     items = raw if isinstance(raw, list) else [raw]
     return [decode_record(item, str(path)) for item in items]
 
--- a/gypsumplank/transport/agent.py
+++ b/gypsumplank/transport/agent.py
@@ -6,7 +6,7 @@
 import urllib3
 from urllib3.exceptions import HTTPError
 
-from gypsumplank.errors import AgentError, AgentFencedError
+from gypsumplank.errors import AgentError, AgentFencedError, EntryInvalidError
 from gypsumplank.protocol.agent import (
     PATH_CHECKPOINT,
     PATH_RENEW,
@@ -16,6 +16,7 @@
     STATUS_FENCED,
     AttemptRef,
 )
+from gypsumplank.protocol.decoder import decode_json
 from gypsumplank.protocol.task import AttemptReport, RenewalRequest, StartRequest
 
 STATUS_OK = 200
@@ -42,9 +43,9 @@
         """Renew leases; return a report of each attempt on the worker."""
         raw = self._call(address, PATH_RENEW, renewal)
         try:
-            return msgspec.json.decode(raw, type=tuple[AttemptReport, ...])
-        except msgspec.MsgspecError as exc:
-            raise AgentError(f"malformed response: {exc}") from exc
+            return decode_json(raw, tuple[AttemptReport, ...])
+        except EntryInvalidError as exc:
+            raise AgentError(f"malformed response: {exc.detail}") from exc
 
     def throttle(self, address: str, task: str, token: int) -> None:
         """Reduce an attempt's cores."""
--- a/gypsumplank/transport/store.py
+++ b/gypsumplank/transport/store.py
@@ -8,12 +8,14 @@
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
 from gypsumplank.errors import (
+    EntryInvalidError,
     StateConflictError,
     StateError,
     StateTooLargeError,
     StateUnavailableError,
     StateUnknownError,
 )
+from gypsumplank.protocol.decoder import Count, decode_json
 from gypsumplank.state.membership import Member
 from gypsumplank.state.table import SCAN_LIMIT, Row, Txn, check_size
 
@@ -70,9 +72,9 @@
 
 def _decode(raw: bytes, kind: type[T]) -> T:
     try:
-        return msgspec.json.decode(raw, type=kind)
-    except msgspec.MsgspecError as exc:
-        raise StateUnavailableError(f"malformed response: {exc}") from exc
+        return decode_json(raw, kind)
+    except EntryInvalidError as exc:
+        raise StateUnavailableError(f"malformed response: {exc.detail}") from exc
 
 
 class HttpTable:
@@ -99,9 +101,9 @@
         check_size(txn)
         raw = self._client.write("POST", "/tables/commit", msgspec.json.encode(txn))
         try:
-            return msgspec.json.decode(raw, type=int)
-        except msgspec.MsgspecError as exc:
-            raise StateUnknownError(f"malformed response: {exc}") from exc
+            return decode_json(raw, Count)
+        except EntryInvalidError as exc:
+            raise StateUnknownError(f"malformed response: {exc.detail}") from exc
 
 
 class HttpObjectStore:
