platform: a 410 for a read of rows no longer recurses

Cause: any answer of 410 was taken for a lost history, whose handling reads a row; a 410 for that read was handled the same way, until RecursionError.

Change: only the change feed's 410 means a lost history; others are unavailable.

--- a/gypsumplank/platform/table.py
+++ b/gypsumplank/platform/table.py
@@ -184,7 +184,7 @@
             self._is_failing = True
             raise StateUnavailableError(exc.detail) from exc
         self._is_failing = resp.status in STATUSES_NOT_APPLIED
-        if resp.status == STATUS_GONE:
+        if resp.status == STATUS_GONE and path.startswith(PATH_FEED):
             raise StateHistoryLostError(
                 f"change history of {table} is not kept", self.newest(table)
             )
--- a/tests/platform/test_table.py
+++ b/tests/platform/test_table.py
@@ -263,3 +263,8 @@
 @pytest.mark.parametrize("prefix", ["\ud7ff", "a\U0010ffff", "\U0010ffff", "\0"])
 def test_prefix_at_the_end_of_a_range_of_characters_is_scanned(prefix):
     assert RowTable(AnswerClient(PAGE), "fleet").scan("t", prefix, limit=1)
+
+
+def test_row_that_is_gone_is_unavailable():
+    with pytest.raises(StateUnavailableError):
+        RowTable(AnswerClient(PAGE, 410), "fleet").get("t", "k")
