tasks: a row whose task has another id is malformed

Cause: the store used the id inside of the row; a cancel of such a task checked and wrote another row.

Evidence: test_rows_of_tasks of tests/test_malformed_inputs.py, with the profile `long`.

Change: a task's row is used only under its own key.

--- a/gypsumplank/state/task.py
+++ b/gypsumplank/state/task.py
@@ -6,7 +6,12 @@
 
 import msgspec
 
-from gypsumplank.errors import StateConflictError, StateUnknownError, TaskMissingError
+from gypsumplank.errors import (
+    EntryInvalidError,
+    StateConflictError,
+    StateUnknownError,
+    TaskMissingError,
+)
 from gypsumplank.protocol.decoder import decode_json
 from gypsumplank.protocol.task import FINAL_STATES, Task, TaskState
 from gypsumplank.state.row import RowDecoder
@@ -137,7 +142,10 @@
 
 
 def _decode_row(row: Row) -> TaskRow:
-    return TaskRow(decode_json(row.value, Task), row.version)
+    task = decode_json(row.value, Task)
+    if row.key != (open_task_key(task) if row.table == TABLE_OPEN_TASKS else task.id):
+        raise EntryInvalidError(f"the task is {task.id!r} of {task.pool!r}")
+    return TaskRow(task, row.version)
 
 
 def _task_writes(task: Task) -> tuple[Write, Write]:
