--- a/gypsumplank/errors.py
+++ b/gypsumplank/errors.py
@@ -3,6 +3,13 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+# Longest detail about a malformed input.
+MAX_DETAIL_CHARS = 200
+
+
+def _cut(detail: str) -> str:
+    return f"{detail[:MAX_DETAIL_CHARS]}..." if len(detail) > MAX_DETAIL_CHARS else detail
+
 
 class GypsumplankError(Exception):
     """Base class of all errors; `code` is stable and safe for scripts to match."""
@@ -301,10 +308,13 @@
 
 
 class PeerError(GypsumplankError):
-    """A message from another daemon is invalid and was dropped."""
+    """A message from another daemon is invalid and was dropped; a long detail is cut."""
 
     code = "peer"
 
+    def __init__(self, detail: str = "") -> None:
+        super().__init__(_cut(detail))
+
 
 class PeerMalformedError(PeerError):
     """The message cannot be decoded by this version."""
@@ -474,10 +484,13 @@
 
 
 class EntryInvalidError(GypsumplankError):
-    """A row or name read from the platform is malformed."""
+    """A row, name or message from outside is malformed; a long detail is cut."""
 
     code = "entry-invalid"
 
+    def __init__(self, detail: str = "") -> None:
+        super().__init__(_cut(detail))
+
 
 class CallError(GypsumplankError):
     """A call received no response; `sent` is true if it may have been executed."""
--- a/gypsumplank/porcelain.py
+++ b/gypsumplank/porcelain.py
@@ -14,6 +14,7 @@
 from urllib3.exceptions import HTTPError
 
 from gypsumplank.errors import (
+    MAX_DETAIL_CHARS,
     EntryInvalidError,
     Fault,
     RecordsError,
@@ -38,7 +39,6 @@
 REQUEST_TIMEOUT_S = 30.0
 RETRY_TIMEOUT_S = 5.0
 RETRY_INTERVAL_S = 0.25
-MAX_DETAIL_CHARS = 200
 RETRYABLE_CODES = frozenset({"state-unavailable", "state-unknown"})
 RECORD_FILE_SUFFIXES = (".json", ".json5")
 
--- a/gypsumplank/protocol/decoder.py
+++ b/gypsumplank/protocol/decoder.py
@@ -13,7 +13,6 @@
 
 # Largest integer that all JSON implementations represent exactly (RFC 8259 section 6).
 MAX_INT = 2**53 - 1
-MAX_DETAIL_CHARS = 200
 MAX_CACHED_DECODERS = 128
 # Deepest nesting of a document; an encoder that is called from deeper in the program has room.
 MAX_DEPTH = 64
@@ -68,14 +67,14 @@
     try:
         return msgspec.convert(value, kind)
     except DECODE_ERRORS as exc:
-        raise _invalid(exc) from exc
+        raise EntryInvalidError(str(exc)) from exc
 
 
 def _decode(decoder_of: Callable[[Any], Any], raw: bytes | msgspec.Raw, kind: Any) -> Any:
     try:
         return decoder_of(kind).decode(raw)
     except DECODE_ERRORS as exc:
-        raise _invalid(exc) from exc
+        raise EntryInvalidError(str(exc)) from exc
 
 
 @lru_cache(MAX_CACHED_DECODERS)
@@ -86,10 +85,3 @@
 @lru_cache(MAX_CACHED_DECODERS)
 def _msgpack_decoder(kind: Any) -> Any:
     return msgspec.msgpack.Decoder(kind)
-
-
-def _invalid(exc: Exception) -> EntryInvalidError:
-    detail = str(exc)
-    if len(detail) > MAX_DETAIL_CHARS:
-        detail = f"{detail[:MAX_DETAIL_CHARS]}..."
-    return EntryInvalidError(detail)
--- a/gypsumplank/settings.py
+++ b/gypsumplank/settings.py
@@ -9,7 +9,7 @@
 
 import pyjson5
 
-from gypsumplank.errors import EntryInvalidError, Fault, SettingsError
+from gypsumplank.errors import MAX_DETAIL_CHARS, EntryInvalidError, Fault, SettingsError
 from gypsumplank.protocol.decoder import convert
 
 MAX_PORT = 65_535
@@ -17,7 +17,6 @@
 PORT = re.compile(r"[0-9]{1,5}")
 # Bounds every setting that is a number; times are in seconds.
 MAX_NUMBER = 1e9
-MAX_DETAIL_CHARS = 200
 LOG_FORMATS = ("logfmt", "json")
 LOG_LEVELS = ("debug", "info", "warning", "error")
 ROLES = ("viewer", "operator")
@@ -225,7 +224,7 @@
     fields_by_path = {spec.metadata["path"]: spec for spec in fields(Settings)}
     flat = dict(_flatten(raw))
     faults = [
-        Fault("key-unknown", path, "unknown key", source)
+        Fault("key-unknown", path[:MAX_DETAIL_CHARS], "unknown key", source)
         for path in flat
         if path not in fields_by_path
     ]
--- a/tests/protocol/test_decoder.py
+++ b/tests/protocol/test_decoder.py
@@ -9,11 +9,10 @@
 import pytest
 
 import gypsumplank
-from gypsumplank.errors import EntryInvalidError
+from gypsumplank.errors import MAX_DETAIL_CHARS, EntryInvalidError
 from gypsumplank.protocol import decoder
 from gypsumplank.protocol.decoder import (
     MAX_DEPTH,
-    MAX_DETAIL_CHARS,
     MAX_INT,
     Count,
     Finite,
