registry: a malformed row of a daemon is logged once

Cause: the row was decoded and logged again in each step, every 3 s, without its key.

Evidence: test_malformed_row_of_a_daemon_is_logged_once failed before.

Change: the registry uses the row decoder of the other scans.

--- a/gypsumplank/coordination/job/registry.py
+++ b/gypsumplank/coordination/job/registry.py
@@ -1,6 +1,5 @@
 """Register this daemon in the store and discover the others by heartbeats."""
 
-import logging
 import math
 import random
 from collections.abc import Sequence
@@ -11,11 +10,11 @@
 
 from gypsumplank.coordination.job.watch import PeriodicThread
 from gypsumplank.errors import EntryInvalidError
-from gypsumplank.log import Event, event
 from gypsumplank.protocol.decoder import Count
 from gypsumplank.settings import check_host_address
 from gypsumplank.state.clock import Clock
 from gypsumplank.state.job import decode
+from gypsumplank.state.row import RowDecoder
 from gypsumplank.state.table import Row, Table, Txn, Write, scan_all
 
 TABLE_DAEMONS = "daemons"
@@ -37,9 +36,6 @@
 # A row with a higher speed is not of a daemon.
 MAX_SPEED_CORES = 10_000.0
 
-logger = logging.getLogger(__name__)
-
-
 Speed = Annotated[float, msgspec.Meta(ge=0, le=MAX_SPEED_CORES)]
 
 
@@ -93,24 +89,23 @@
         self._refreshes = 0
         self._first_refresh_at = 0.0
         self._peers: dict[str, PeerRecord] = {}
+        self._decoder = RowDecoder(_decode_row)
 
     def step(self) -> None:
         """Send a heartbeat and read those of the other daemons."""
         self._heartbeat += 1
-        row = msgspec.json.encode(DaemonRow(self._address, self._heartbeat, self._speed))
-        self._table.commit(Txn((), (Write(TABLE_DAEMONS, self._daemon, row),)))
+        own = msgspec.json.encode(DaemonRow(self._address, self._heartbeat, self._speed))
+        self._table.commit(Txn((), (Write(TABLE_DAEMONS, self._daemon, own),)))
         now = self._clock.monotonic()
         for found in scan_all(self._table, TABLE_DAEMONS):
             known = self._peers.get(found.key)
             if found.key == self._daemon or (known and known.version == found.version):
                 continue
-            try:
-                self._peers[found.key] = PeerRecord(_decode_row(found), found.version, now)
-            except EntryInvalidError as exc:
+            row = self._decoder.decode(found)
+            if row is None:
                 self._peers.pop(found.key, None)
-                event(
-                    logger, Event.ENTRY_DROPPED, logging.WARNING, code=exc.code, detail=exc.detail
-                )
+            else:
+                self._peers[found.key] = PeerRecord(row, found.version, now)
         self._refreshes += 1
         self._first_refresh_at = self._first_refresh_at or now
         if self._refreshes == 1 and not self._peers:
--- a/tests/coordination/job/test_registry.py
+++ b/tests/coordination/job/test_registry.py
@@ -124,3 +124,12 @@
     daemon.step()
     assert daemon.addresses() == ["10.0.0.98:1"]
     assert not daemon.any_faster()
+
+
+def test_malformed_row_of_a_daemon_is_logged_once(deployment, caplog):
+    deployment.table.commit(Txn((), (Write("daemons", "c", b"["),)))
+    daemon = deployment.daemon("a", 1.0)
+    for _ in range(3):
+        daemon.step()
+    (record,) = caplog.records
+    assert (record.msg, record.entry) == ("entry-dropped", "c")
