--- a/tests/state/test_malformed_rows.py
+++ b/tests/state/test_malformed_rows.py
@@ -132,6 +132,17 @@
         store.get("1-a")
 
 
+def test_task_under_another_key_is_not_used(table):
+    store = TaskStore(table, table)
+    kept = store.submit(Task("1-b", "p", TaskDefinition("s", "t"), 5.0))
+    for name, key in ((TABLE_TASKS, "1-a"), (TABLE_OPEN_TASKS, "p/1-a")):
+        put(table, name, key, table.get(TABLE_TASKS, "1-b").value)
+    assert [row.task for row in store.list_open("p")] == [kept]
+    with pytest.raises(EntryInvalidError):
+        store.cancel("1-a")
+    assert store.get("1-b").task == kept
+
+
 def test_malformed_claim_does_not_stop_the_scan(table, malformed):
     store = ClaimStore(table, MemoryObjectStore())
     claims = [Claim("s", key, key, "d", 1, "f", 1.0, 2.0) for key in "ac"]
