--- a/gypsumplank/platform/worker.py
+++ b/gypsumplank/platform/worker.py
@@ -7,8 +7,14 @@
 
 import msgspec
 
-from gypsumplank.errors import CallError, WorkerRefusedError, WorkerUnknownError
-from gypsumplank.platform.client import Client, Response
+from gypsumplank.errors import (
+    CallError,
+    EntryInvalidError,
+    WorkerRefusedError,
+    WorkerUnknownError,
+)
+from gypsumplank.platform.client import Client, Response, find_count
+from gypsumplank.protocol.decoder import Count, Finite, Int, convert
 from gypsumplank.protocol.worker import (
     EndedTask,
     EndKind,
@@ -18,6 +24,7 @@
     WorkerEntry,
     WorkerReport,
 )
+from gypsumplank.settings import check_host_address
 from gypsumplank.state.clock import Clock, SystemClock
 
 PATH_HOLD = "/api/hold"
@@ -26,6 +33,10 @@
 PATH_PACE = "/api/pace"
 # Names the worker instance that an order is for; each start of a worker is a new instance.
 HEADER_INSTANCE = "X-Gypsumplank-Expected-Instance"
+CONFLICT = "conflict"
+MAX_REASON_CHARS = 100
+# A checkpoint is stored in its step's row, with those of the step's other tasks.
+MAX_CHECKPOINT_CHARS = 4000
 STATUS_OK = 200
 STATUS_CONFLICT = 409
 STATUS_OTHER_INSTANCE = 421
@@ -46,13 +57,33 @@
 IDLE_TIMEOUT_S = 60.0
 
 
+class WireRun(msgspec.Struct, array_like=True):
+    """Represent a run in progress; `load` may be missing."""
+
+    name: str
+    run: Count
+    checkpoint: str
+    percent: Int | Finite
+    load: Int | Finite | None = None
+
+
+class WireEnd(msgspec.Struct, array_like=True):
+    """Represent the end of a run."""
+
+    number: Count
+    name: str
+    run: Count
+    kind: EndKind
+    checkpoint: str
+
+
 class WireReport(msgspec.Struct, rename="kebab"):
     """Represent a worker's report; the rows are positional."""
 
-    born: int
-    clock_ms: int
-    running: list[list[Any]]
-    finished: list[list[Any]]
+    born: Count
+    clock_ms: Count
+    running: tuple[WireRun, ...]
+    finished: tuple[WireEnd, ...]
 
 
 class HttpWorkers:
@@ -85,8 +116,8 @@
         resp = self._call(worker, PATH_HOLD, body, HOLD_TIMEOUT_S - ORDER_TIMEOUT_S + wait_s)
         try:
             return _decode_report(resp.body)
-        except (msgspec.MsgspecError, TypeError, ValueError, IndexError) as exc:
-            raise WorkerUnknownError(f"malformed report from {worker.id}: {exc}") from exc
+        except EntryInvalidError as exc:
+            raise WorkerUnknownError(f"malformed report from {worker.id}: {exc.detail}") from exc
 
     def start(self, worker: WorkerEntry, order: StartCommand) -> int:
         """Start a task; return the worker's clock in ms, 0 if the response lacks it."""
@@ -102,8 +133,7 @@
         if order.permit:
             body["ticket"] = order.permit
         resp = self._call(worker, PATH_START, body, 0.0)
-        clock = resp.body.get("clock-ms") if isinstance(resp.body, dict) else None
-        return clock if isinstance(clock, int) else 0
+        return find_count(resp.body, "clock-ms") or 0
 
     def stop(self, worker: WorkerEntry, name: str, run: int, token: int) -> None:
         """Stop a run; make the worker refuse a start that arrives later."""
@@ -119,7 +149,12 @@
     def _call(self, worker: WorkerEntry, path: str, body: Any, extra_timeout_s: float) -> Response:
         headers = {HEADER_INSTANCE: worker.id}
         try:
-            resp = self._client(worker.address).call("POST", path, body, headers, extra_timeout_s)
+            client = self._client(worker.address)
+        except EntryInvalidError as exc:
+            detail = f"{worker.id}{path}: {exc.detail}"
+            raise WorkerRefusedError(StartRefusal.UNREACHABLE, detail) from exc
+        try:
+            resp = client.call("POST", path, body, headers, extra_timeout_s)
         except CallError as exc:
             detail = f"{worker.id}{path}: {exc.detail}"
             if not exc.sent:
@@ -136,6 +171,8 @@
         now = self._clock.monotonic()
         with self._lock:
             if address not in self._clients:
+                if problem := check_host_address(address):
+                    raise EntryInvalidError(problem)
                 self._make_room(now)
                 self._clients[address] = Client(
                     address, ORDER_TIMEOUT_S, self._connections_per_worker
@@ -175,25 +212,27 @@
     if resp.status in STATUSES_UNHEALTHY:
         return StartRefusal.UNHEALTHY
     if resp.status == STATUS_CONFLICT and isinstance(resp.body, dict):
-        return str(resp.body.get("reason", "conflict"))
+        reason = resp.body.get("reason")
+        return reason if isinstance(reason, str) and len(reason) <= MAX_REASON_CHARS else CONFLICT
     return None
 
 
 def _decode_report(body: Any) -> WorkerReport:
-    # Running rows are [name, run, checkpoint, percent, load]; ended rows are
-    # [number, name, run, kind, checkpoint].
-    wire = msgspec.convert(body, WireReport)
+    wire = convert(body, WireReport)
     running = tuple(
-        RunningTask(str(row[0]), int(row[1]), str(row[2]), int(row[3]), _decode_load(row))
+        RunningTask(
+            row.name, row.run, _bounded(row.checkpoint), int(row.percent), int(row.load or 0)
+        )
         for row in wire.running
     )
     ended = tuple(
-        EndedTask(int(row[0]), str(row[1]), int(row[2]), EndKind(row[3]), str(row[4]))
+        EndedTask(row.number, row.name, row.run, row.kind, _bounded(row.checkpoint))
         for row in wire.finished
     )
     ends_complete = len(ended) < MAX_LISTED_ENDS
     return WorkerReport(wire.born, wire.clock_ms, running, ended, ends_complete)
 
 
-def _decode_load(row: list[Any]) -> int:
-    return int(row[4]) if len(row) > 4 and row[4] is not None else 0
+def _bounded(checkpoint: str) -> str:
+    """Return a checkpoint; one that is too long to be stored counts as none."""
+    return checkpoint if len(checkpoint) <= MAX_CHECKPOINT_CHARS else ""
