Fit the merged tests to each other

Changes are yielded without their jobs now; and rows of another writer are put past the limits that the simulated store applies to the product's own calls.

--- a/tests/coordination/job/test_malformed.py
+++ b/tests/coordination/job/test_malformed.py
@@ -5,6 +5,7 @@
 
 from gypsumplank.coordination.job.workload import Workload
 from gypsumplank.protocol.job import JobDefinition, Schedule, StepDefinition, StoredJob
+from gypsumplank.state.feed import MemoryFeedTable
 from gypsumplank.state.job import TABLE_ORDERS, TABLE_STATES, pending_key, state_write
 from gypsumplank.state.table import Txn, Write
 from tests.coordination.job.cluster import CHAIN, SimulatedCluster
@@ -26,6 +27,11 @@
     return cluster
 
 
+def commit_unlimited(cluster, writes):
+    """Write rows that may be longer than the simulated store accepts from the product."""
+    MemoryFeedTable.commit(cluster.table, Txn((), writes))
+
+
 def insert_order(cluster, raw):
     """Insert a job as another build may, with an order that this one cannot use."""
     writes = (
@@ -33,7 +39,7 @@
         state_write(BAD_JOB, "queued", "q"),
         Write("pending", pending_key("q", BAD_JOB), b"1"),
     )
-    cluster.table.commit(Txn((), writes))
+    commit_unlimited(cluster, writes)
 
 
 def check_scheduling(cluster):
@@ -59,7 +65,7 @@
 
 @pytest.mark.parametrize("raw", MALFORMED_JSON.values(), ids=MALFORMED_JSON)
 def test_malformed_lease_row_changes_the_leader_once(cluster, raw):
-    cluster.table.commit(Txn((), (Write("leases", "scheduler", raw),)))
+    commit_unlimited(cluster, (Write("leases", "scheduler", raw),))
     cluster.run(5.0)
     assert cluster.leader() is not None
     check_scheduling(cluster)
--- a/tests/coordination/job/test_workload.py
+++ b/tests/coordination/job/test_workload.py
@@ -30,8 +30,9 @@
 
 def test_clean_up_whose_commit_failed_removes_the_same_rows_when_repeated():
     workload = completed_workload(steps=2)
-    ((_, lost),) = workload.updates()
-    ((job, repeated),) = workload.updates()
+    (lost,) = workload.updates()
+    (repeated,) = workload.updates()
+    job = workload.jobs[repeated.job]
     assert removed_keys(repeated, TABLE_STEPS) == [f"{JOB}.0.0", f"{JOB}.0.1"]
     assert repeated == lost
     workload.mark_stored(job, repeated, 2, 1.0)
@@ -42,7 +43,8 @@
     steps = MAX_TXN_ENTRIES
     workload, removed = completed_workload(steps), []
     while workload.jobs:
-        for job, update in list(workload.updates()):
+        for update in list(workload.updates()):
+            job = workload.jobs[update.job]
             assert update.entries <= MAX_TXN_ENTRIES
             removed += removed_keys(update, TABLE_STEPS)
             workload.mark_stored(job, update, 2, 1.0)
