--- a/gypsumplank/coordination/job/dispatcher.py
+++ b/gypsumplank/coordination/job/dispatcher.py
@@ -3,14 +3,14 @@
 import logging
 import threading
 from collections.abc import Callable, Iterable
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor
 from contextlib import AbstractContextManager, nullcontext
 from typing import Any
 
 from gypsumplank.coordination.job.evidence import ReceivedReport
 from gypsumplank.coordination.job.instance import WorkerInstance
 from gypsumplank.coordination.job.port import WorkerControl
-from gypsumplank.errors import WorkerError, WorkerRefusedError
+from gypsumplank.errors import WorkerError, WorkerRefusedError, WorkerUnknownError
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.worker import StartCommand, StartRefusal
 from gypsumplank.state.clock import Clock
@@ -36,6 +36,11 @@
 # tasks is not polled.
 IDLE_CHECK_INTERVAL_S = 30.0
 
+# Time after a worker's last report for which starts are sent without asking it first, seconds. A
+# worker that restarted under its id executes a start that was meant for its last instance, by a
+# deadline on another clock.
+VERIFIED_FOR_S = 1.0
+
 Post = Callable[[Callable[[], None]], None]
 StartOrderFactory = Callable[[int], StartCommand | None]
 ResultCallback = Callable[[WorkerError | None, float], None]
@@ -71,6 +76,8 @@
         self._closed = threading.Event()
         self._first_poll_slots = threading.Semaphore(0)
         self._senders = ThreadPoolExecutor(SENDER_THREADS, "sender")
+        self._verifications: dict[WorkerInstance, Future[ReceivedReport]] = {}
+        self._verifications_lock = threading.Lock()
 
     def begin_term(self, instances: Iterable[WorkerInstance]) -> None:
         """Start polling the workers that are known at the beginning of the term, in this order."""
@@ -109,6 +116,7 @@
         def send() -> None:
             if not instance.is_reachable:
                 raise WorkerRefusedError(StartRefusal.UNREACHABLE, f"{instance.id} is unreachable")
+            self._verify(instance)
             # The time is read before the check, so that no pause between them prolongs the lease.
             now = self._clock.monotonic()
             if not self._may_extend_leases():
@@ -124,6 +132,40 @@
 
         self._send(instance, send, on_result)
 
+    def _verify(self, instance: WorkerInstance) -> None:
+        """Ask a worker that has been idle whether it is still the known instance.
+
+        Raises WorkerRefusedError if it is not, or does not answer. Concurrent starts share a call.
+        """
+        if self._clock.monotonic() - instance.verified_at <= VERIFIED_FOR_S:
+            return
+        with self._verifications_lock:
+            shared = self._verifications.get(instance)
+            fut = self._verifications.setdefault(instance, Future())
+        try:
+            if shared is None:
+                self._ask(instance, fut)
+            received = fut.result()
+        except WorkerError as exc:
+            raise WorkerRefusedError(StartRefusal.UNREACHABLE, exc.detail) from exc
+        if shared is None:
+            self._post(lambda: self._on_report(instance, received))
+        if received.report.born != instance.incarnation:
+            raise WorkerRefusedError(
+                StartRefusal.OTHER_INSTANCE, f"{instance.id} has started again"
+            )
+
+    def _ask(self, instance: WorkerInstance, fut: Future[ReceivedReport]) -> None:
+        try:
+            # Neither leases nor acknowledgements of this instance are meant for the next one.
+            fut.set_result(self._poll_once(instance, None, 0, 0.0))
+        except BaseException as exc:
+            fut.set_exception(exc)
+            raise
+        finally:
+            with self._verifications_lock:
+                del self._verifications[instance]
+
     def stop(
         self, instance: WorkerInstance, name: str, run: int, on_result: ResultCallback
     ) -> None:
@@ -168,6 +210,9 @@
                 work()
             except WorkerError as exc:
                 failure = exc
+            except Exception as exc:
+                logger.exception(Event.ACTOR_RESTARTED.value)
+                failure = WorkerUnknownError(str(exc))
             at = self._clock.monotonic()
             self._post(lambda: on_result(failure, at))
 
@@ -220,11 +265,17 @@
         )
         if not instance.last_contact_at or instance.missed_polls:
             wait_s = 0.0
-        report = self._control.poll(
-            instance.entry, self._token, until_ms, instance.last_acked_end, wait_s
-        )
+        return self._poll_once(instance, until_ms, instance.ack_cursor, wait_s)
+
+    def _poll_once(
+        self, instance: WorkerInstance, until_ms: int | None, ack: int, wait_s: float
+    ) -> ReceivedReport:
+        sent_at = self._clock.monotonic()
+        report = self._control.poll(instance.entry, self._token, until_ms, ack, wait_s)
         answered_at = self._clock.monotonic()
-        instance.clock.observe(report.clock_ms, answered_at)
+        if report.born == instance.incarnation:
+            instance.clock.observe(report.clock_ms, answered_at)
+            instance.verified_at = answered_at
         return ReceivedReport(report, sent_at, answered_at)
 
     def _record_missed_poll(self, instance: WorkerInstance, exc: WorkerError) -> None:
--- a/gypsumplank/coordination/job/fleet.py
+++ b/gypsumplank/coordination/job/fleet.py
@@ -2,7 +2,7 @@
 
 import logging
 from collections import defaultdict
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from gypsumplank.coordination.job.crash import (
     CurrentWorkers,
@@ -17,7 +17,7 @@
 from gypsumplank.coordination.job.report import requeue_task
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.queue import Machine, MachineState
-from gypsumplank.protocol.worker import WorkerEntry, WorkerState
+from gypsumplank.protocol.worker import RunningTask, WorkerEntry, WorkerState
 from gypsumplank.state.clock import Clock
 
 # Time after the end of its own lease for which a leader still extends task leases, seconds; a store
@@ -153,7 +153,7 @@
         """End an instance whose machine runs a later worker; its entry may still exist."""
         _log_crash(instance, successor)
         self._ended_instance_ids.add(instance.instance_id)
-        _record_crash(instance)
+        _record_crash(instance, instance.tasks.values())
         self.requeue_all(instance, now, "replaced")
         self._remove(key, instance)
 
@@ -194,18 +194,26 @@
         instance.entry = entry
 
     def replace_incarnation(
-        self, key: str, instance: WorkerInstance, entry: WorkerEntry, now: float
+        self,
+        key: str,
+        instance: WorkerInstance,
+        entry: WorkerEntry,
+        now: float,
+        running: Iterable[RunningTask] = (),
     ) -> None:
-        """Replace an instance by the next one of the same worker.
+        """Replace an instance by the next one of the same worker, where runs may be `running`.
 
         Runs that the instance has reported ended with it. The next instance may have executed the
         start of any other, or may still do so, as starts name the worker only.
         """
         tasks = list(instance.tasks.values())
+        started_later = {task.name for task in running}
         _log_crash(instance, entry)
-        _record_crash(instance)
+        _record_crash(instance, (task for task in tasks if task.name not in started_later))
         self._remove(key, instance)
-        successor = self._add_instance(entry, now)
+        successor = self.instances.get(entry.id)
+        if successor is None or successor.incarnation < entry.born:
+            successor = self._add_instance(entry, now)
         for task in tasks:
             instance.tasks.pop(task.name, None)
             if was_reported(task):
@@ -220,7 +228,7 @@
                 )
                 requeue_task(instance, task, now)
                 continue
-            task.incarnation = entry.born
+            task.incarnation = successor.incarnation
             if not task.start_confirmed_at:
                 task.unconfirmed_since = task.unconfirmed_since or now
             # The next instance does not know of starts that the last one was told to refuse.
@@ -249,7 +257,7 @@
             if machine is not None and has_no_worker and answered_before and not instance.is_down:
                 if machine.state is MachineState.DOWN:
                     _log_crash(instance)
-                    _record_crash(instance)
+                    _record_crash(instance, instance.tasks.values())
                 self._end_down(key, instance, requested_at, now)
 
     def _end_down(
@@ -315,14 +323,15 @@
     A worker that answers is never taken for replaced, whatever the order of the start times is.
     """
     is_later = latest.id != instance.id and latest.incarnation > instance.incarnation
-    return is_later and not instance.is_in_contact(now)
+    has_answered_since = latest.last_contact_at > instance.last_contact_at
+    return is_later and has_answered_since and not instance.is_in_contact(now)
 
 
-def _record_crash(instance: WorkerInstance) -> None:
+def _record_crash(instance: WorkerInstance, tasks: Iterable[Task]) -> None:
     """Count a crash against the tasks of an instance, unless it may have left as it announced."""
     has_announced_exit = instance.entry.state is WorkerState.DRAINING and not instance.detached
     if not has_announced_exit and not instance.is_down:
-        record_crash(instance.tasks.values(), instance.last_contact_at)
+        record_crash(tasks, instance.last_contact_at)
 
 
 def _log_crash(instance: WorkerInstance, successor: WorkerEntry | None = None) -> None:
--- a/gypsumplank/coordination/job/instance.py
+++ b/gypsumplank/coordination/job/instance.py
@@ -3,6 +3,7 @@
 import threading
 from dataclasses import dataclass, field
 
+from gypsumplank.coordination.job.evidence import ReceivedReport
 from gypsumplank.coordination.job.model import Task
 from gypsumplank.protocol.job import Resources
 from gypsumplank.protocol.worker import WorkerEntry, WorkerState
@@ -55,13 +56,15 @@
 
     `incarnation` is the worker's start in ms since 1970. `registered` tells whether the worker has
     an entry, and `entry_changed_after` when it was last known not to have changed yet. A worker
-    that `has_deregistered` removed its entry on leaving, or that expired. All leases that were
+    that `has_deregistered` removed its entry on leaving, or that expired. `verified_at` is when
+    this instance last answered, `last_contact_at` when that was processed. All leases that were
     granted end by `leased_until`; while `extension_suspended` is set, none is extended.
-    `last_seen_end` and `last_acked_end` number the task ends that were processed and acknowledged.
-    A `cordoned` worker gets no new tasks, one with `maintenance_due` gets long-running tasks last,
-    and a `detached` one is no longer polled. `is_down` is set once the platform lists its machine
-    as without a worker, and `has_unassigned_runs` is set while the worker executes runs that are
-    not assigned to it. `wake` ends the wait of the polling thread before its next poll.
+    `last_seen_end`, `last_acked_end` and `last_forgotten_end` number the task ends that were
+    processed, acknowledged (at `acked_at`) and are gone. A `cordoned` worker gets no new tasks, one
+    with `maintenance_due` gets long-running tasks last, and a `detached` one is no longer polled.
+    `is_down` is set once the platform lists its machine as without a worker, and
+    `has_unassigned_runs` is set while the worker executes runs that are not assigned to it. `wake`
+    ends the wait of the polling thread before its next poll.
     """
 
     entry: WorkerEntry
@@ -71,6 +74,7 @@
     entry_changed_after: float = 0.0
     has_deregistered: bool = False
     last_contact_at: float = 0.0
+    verified_at: float = 0.0
     missed_polls: int = 0
     leased_until: float = 0.0
     refused_until: float = 0.0
@@ -82,6 +86,8 @@
     extension_suspended: bool = False
     last_seen_end: int = 0
     last_acked_end: int = 0
+    acked_at: float = 0.0
+    last_forgotten_end: int = 0
     tasks: dict[str, Task] = field(default_factory=dict)
     wake: threading.Event = field(default_factory=threading.Event)
     detached: bool = False
@@ -104,6 +110,21 @@
         """Return the worker's rack, by convention its last label."""
         return self.entry.labels[-1] if self.entry.labels else ""
 
+    @property
+    def ack_cursor(self) -> int:
+        """Return the end to acknowledge; 0 once the worker has forgotten the acknowledged ends.
+
+        The worker's next instance numbers its ends anew, and would forget them unseen.
+        """
+        return self.last_acked_end if self.last_acked_end > self.last_forgotten_end else 0
+
+    def record_forgotten_ends(self, received: ReceivedReport) -> None:
+        """Note that the worker has forgotten the acknowledged ends, if a report proves it."""
+        ended = received.report.ended
+        are_gone = all(end.number > self.last_acked_end for end in ended)
+        if received.sent_at > self.acked_at and are_gone:
+            self.last_forgotten_end = self.last_acked_end
+
     def extend_leases(self, now: float, lease_s: float) -> int:
         """Extend the leases to `lease_s` from now; return their end in ms of the worker's clock."""
         self.leased_until = max(self.leased_until, now + lease_s / MIN_CLOCK_RATE)
@@ -152,8 +173,8 @@
 
     @property
     def is_busy(self) -> bool:
-        """Return whether tasks are assigned to the worker, or others run there."""
-        return bool(self.tasks) or self.has_unassigned_runs
+        """Return whether the worker has tasks, other runs, or ends to forget."""
+        return bool(self.tasks) or self.has_unassigned_runs or self.ack_cursor > 0
 
     def is_suspect(self, now: float) -> bool:
         """Return whether tasks of several jobs failed here in a row, or a run stalled here."""
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -131,7 +131,9 @@
                 clock_ms=received.report.clock_ms,
                 room=Resources(),
             )
-            self.fleet.replace_incarnation(instance.id, instance, entry, received.answered_at)
+            self.fleet.replace_incarnation(
+                instance.id, instance, entry, received.answered_at, received.report.running
+            )
             return
         if instance.missed_polls:
             event(logger, Event.WORKER_RESPONDED, worker=instance.id, misses=instance.missed_polls)
@@ -141,6 +143,9 @@
             instance.extend_leases(received.answered_at, self.fleet.max_lease_s)
         instance.last_contact_at = received.answered_at
         instance.missed_polls = 0
+        instance.record_forgotten_ends(received)
+        # A worker removes its entry when it has left.
+        instance.has_deregistered = False
         unassigned_runs = list(apply_report(instance, received, self._attempt_limits.find))
         instance.has_unassigned_runs = bool(unassigned_runs)
         for unassigned in unassigned_runs:
@@ -289,7 +294,7 @@
         for instance in list(self.instances.values()):
             self._send_stops(instance, now)
             if all_stored and instance.last_acked_end < instance.last_seen_end:
-                instance.last_acked_end = instance.last_seen_end
+                instance.last_acked_end, instance.acked_at = instance.last_seen_end, now
                 instance.wake.set()
 
     def _has_unstored(self) -> bool:
@@ -408,7 +413,8 @@
     def _handle_stop_result(
         self, instance: WorkerInstance, task: Task, run: int, failure: WorkerError | None, at: float
     ) -> None:
-        if failure is None and task.run == run:
+        is_current = task.run == run and instance.tasks.get(task.name) is task
+        if failure is None and is_current:
             task.stop_confirmed_at = at
             if task.unconfirmed_since:
                 self.dispatcher.poll_now(instance)
--- a/tests/coordination/job/cluster.py
+++ b/tests/coordination/job/cluster.py
@@ -3,6 +3,7 @@
 import random
 from dataclasses import replace
 
+from gypsumplank.coordination.job.dispatcher import VERIFIED_FOR_S
 from gypsumplank.coordination.job.evidence import ReceivedReport
 from gypsumplank.coordination.job.leader import SchedulerLeader
 from gypsumplank.coordination.job.machine import MachineController
@@ -75,6 +76,7 @@
 
     def start(self, instance, make_order, on_result):
         def send():
+            self._verify(instance)
             if not self.may_extend_leases():
                 raise WorkerRefusedError(StartRefusal.FENCED, "this leader's lease has expired")
             until_ms = instance.try_extend_leases(self.clock.monotonic(), LEASE_S)
@@ -87,6 +89,19 @@
 
         self._send(instance, send, on_result)
 
+    def _verify(self, instance):
+        now = self.clock.monotonic()
+        if now - instance.last_contact_at <= VERIFIED_FOR_S:
+            return
+        try:
+            report = self.control.poll(instance.entry, self.token, None, 0, 0.0)
+        except WorkerError as exc:
+            raise WorkerRefusedError(StartRefusal.UNREACHABLE, exc.detail) from exc
+        received = ReceivedReport(report, now, now)
+        self.post(lambda: self.on_report(instance, received))
+        if report.born != instance.incarnation:
+            raise WorkerRefusedError(StartRefusal.OTHER_INSTANCE, "started again")
+
     def stop(self, instance, name, run, on_result):
         self._send(
             instance, lambda: self.control.stop(instance.entry, name, run, self.token), on_result
@@ -118,7 +133,7 @@
             until_ms = instance.try_extend_leases(now, LEASE_S) if extend else None
             try:
                 report = self.control.poll(
-                    instance.entry, self.token, until_ms, instance.last_acked_end, 0.0
+                    instance.entry, self.token, until_ms, instance.ack_cursor, 0.0
                 )
             except WorkerError:
                 instance.missed_polls += 1
--- a/tests/coordination/job/test_dispatcher.py
+++ b/tests/coordination/job/test_dispatcher.py
@@ -10,7 +10,14 @@
 from gypsumplank.coordination.job.watch import PeriodicThread
 from gypsumplank.errors import StateUnavailableError, WorkerUnknownError
 from gypsumplank.protocol.job import JobState, StoredJob
-from gypsumplank.protocol.worker import StartRefusal, WorkerEntry, WorkerReport, WorkerState
+from gypsumplank.protocol.worker import (
+    EndedTask,
+    EndKind,
+    StartRefusal,
+    WorkerEntry,
+    WorkerReport,
+    WorkerState,
+)
 from gypsumplank.state.clock import ManualClock, SystemClock
 from gypsumplank.state.job import LoadedJob
 from tests.coordination.job.cluster import CHAIN_ORDER, LEASE_S, MANIFEST, ROOM, SERVICE
@@ -78,7 +85,9 @@
     dispatcher = WorkerDispatcher(
         workers, clock, lambda work: work(), 1, lambda: lease_s, check_lease, None
     )
-    instance = WorkerInstance(ENTRY, 1, WorkerClock(0, 100.0), last_contact_at=100.0)
+    instance = WorkerInstance(
+        ENTRY, 1, WorkerClock(0, 100.0), last_contact_at=100.0, verified_at=100.0
+    )
     dispatcher.start(instance, lambda until_ms: until_ms, handle_result)
     assert ended.wait(10.0)
     dispatcher.close()
@@ -202,3 +211,80 @@
     dispatcher.close()
     assert most == FIRST_POLL_SLOTS
     assert workers.threads_at_first_poll >= WORKERS
+
+
+class AcknowledgingWorkers:
+    """List one end until it is acknowledged."""
+
+    def __init__(self):
+        self.acked = threading.Event()
+
+    def poll(self, worker, token, until_ms, ack, wait_s):
+        if ack >= 1:
+            self.acked.set()
+        ended = () if self.acked.is_set() else (EndedTask(1, "t", 1, EndKind.DONE),)
+        return WorkerReport(1, 5, (), ended)
+
+
+def test_last_end_of_a_worker_that_becomes_idle_is_acknowledged():
+    workers = AcknowledgingWorkers()
+    instance = WorkerInstance(ENTRY, 1, WorkerClock())
+
+    def handle_report(instance, received):
+        instance.last_contact_at = received.answered_at
+        instance.record_forgotten_ends(received)
+        instance.last_seen_end = instance.last_acked_end = 1
+        instance.wake.set()
+
+    dispatcher = WorkerDispatcher(
+        workers, SystemClock(), lambda work: work(), 1, lambda: LEASE_S, lambda: True, handle_report
+    )
+    dispatcher.begin_term([instance])
+    assert workers.acked.wait(10.0)
+    dispatcher.close()
+
+
+def start_on_idle_worker(workers):
+    """Start a task on a worker that has not been heard from for long; return the error."""
+    failures, ended = [], threading.Event()
+
+    def handle_result(failure, at):
+        failures.append(failure)
+        ended.set()
+
+    dispatcher = WorkerDispatcher(
+        workers,
+        ManualClock(100.0),
+        lambda work: work(),
+        1,
+        lambda: LEASE_S,
+        lambda: True,
+        lambda instance, received: None,
+    )
+    instance = WorkerInstance(ENTRY, 1, WorkerClock(), last_contact_at=90.0, verified_at=90.0)
+    dispatcher.start(instance, lambda until_ms: until_ms, handle_result)
+    assert ended.wait(10.0)
+    dispatcher.close()
+    return failures[0]
+
+
+def test_idle_worker_is_asked_for_its_instance_before_a_start():
+    workers = RecordingWorkers()
+    assert start_on_idle_worker(workers) is None
+    assert len(workers.started) == 1
+
+
+def test_start_is_not_sent_to_the_next_instance_of_an_idle_worker():
+    """Guard against TWICE: a worker that restarted under its id takes starts for its last life."""
+    workers = RecordingWorkers()
+    workers.poll = lambda *_: WorkerReport(2, 5, (), ())
+    assert start_on_idle_worker(workers).reason == StartRefusal.OTHER_INSTANCE
+    assert not workers.started
+
+
+@pytest.mark.parametrize("failure", [WorkerUnknownError("lost"), KeyError("x")])
+def test_start_is_not_sent_to_an_idle_worker_that_does_not_answer(failure):
+    workers = RecordingWorkers()
+    workers.failures = [failure]
+    assert start_on_idle_worker(workers) is not None
+    assert not workers.started
--- a/tests/coordination/job/test_evidence.py
+++ b/tests/coordination/job/test_evidence.py
@@ -6,7 +6,7 @@
 from gypsumplank.coordination.job.instance import WorkerClock, WorkerInstance
 from gypsumplank.coordination.job.model import Job
 from gypsumplank.coordination.job.report import apply_report
-from gypsumplank.protocol.job import StoredJob, TaskPhase
+from gypsumplank.protocol.job import Resources, StepDefinition, StepRecord, StoredJob, TaskPhase
 from gypsumplank.protocol.worker import (
     EndedTask,
     EndKind,
@@ -14,6 +14,7 @@
     WorkerReport,
     WorkerState,
 )
+from gypsumplank.state.job import TABLE_STEPS, decode
 from tests.coordination.job.cluster import (
     CHAIN_ORDER,
     QUEUE,
@@ -86,3 +87,65 @@
     cluster.run(20.0)
     assert not cluster.violations()
     assert {cluster.state(f"{number:016x}") for number in range(40)} == {"completed"}
+
+
+ONE_TASK = (StepDefinition(1, Resources(1000, 100), 500),)
+
+
+def restart_unheard_of(cluster, name="w0"):
+    """Restart an idle worker under its id while it is cut from the registry."""
+    workers = cluster.simulated_workers
+    workers.cut_from_registry(name)
+    workers.crash(name)
+    workers.restart(name)
+
+
+@pytest.mark.parametrize("spec", ["0.03", "0.2"])
+def test_acknowledgement_of_the_last_instance_forgets_no_end_of_the_next(spec):
+    """Guard against TWICE: each instance of a worker numbers its ends from 1."""
+    cluster = SimulatedCluster(1, workers=1, polls_idle=False)
+    cluster.run(1.0)
+    jobs = [f"{number:016x}" for number in range(4)]
+    for job in jobs[:3]:
+        cluster.submit(job, ONE_TASK)
+    cluster.run(3.0)
+    restart_unheard_of(cluster)
+    cluster.submit(jobs[3], ONE_TASK, spec=spec)
+    cluster.run(0.15)
+    cluster.simulated_workers.response_loss_share = 1.0
+    cluster.run(0.3)
+    cluster.simulated_workers.response_loss_share = 0.0
+    cluster.simulated_workers.reconnect_registry("w0")
+    cluster.run(10.0)
+    assert not cluster.violations()
+    assert {cluster.state(job) for job in jobs} == {"completed"}
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_late_start_at_a_restarted_worker_does_not_outlast_the_lease_waited_for(seed):
+    """Guard against TWICE: a start's deadline is on the clock of the instance that was known."""
+    cluster = SimulatedCluster(seed, workers=1, polls_idle=False)
+    workers = cluster.simulated_workers
+    cluster.run(20.0)
+    restart_unheard_of(cluster)
+    workers.response_loss_share = 1.0
+    cluster.submit("a" * 16, ONE_TASK, spec="6")
+    cluster.run(0.5)
+    workers.workers["w0"].reachable = False
+    workers.response_loss_share = 0.0
+    workers.add("w9", SERVICE, ROOM)
+    cluster.run(30.0)
+    assert not cluster.violations()
+    assert cluster.state("a" * 16) == "completed"
+
+
+def test_crash_before_a_start_is_not_blamed_on_the_task():
+    cluster = SimulatedCluster(3, workers=4, polls_idle=False)
+    cluster.run(1.0)
+    for name in cluster.simulated_workers.workers:
+        restart_unheard_of(cluster, name)
+        cluster.simulated_workers.reconnect_registry(name)
+    cluster.submit("a" * 16, ONE_TASK, spec="3")
+    cluster.run(0.5)
+    (record,) = (decode(row.value, StepRecord) for row in cluster.table.scan(TABLE_STEPS))
+    assert [task.crashes for task in record.tasks] == [0]
--- a/tests/coordination/job/test_fleet.py
+++ b/tests/coordination/job/test_fleet.py
@@ -173,6 +173,18 @@
     report(scheduler, clock, running)
     assert (task.phase, task.run) == (TaskPhase.ASSIGNED, 1)
     (instance,) = scheduler.instances.values()
+    instance.missed_polls = 2
+    scheduler.fleet.apply_entries([])
+    assert (task.phase, task.run) == (TaskPhase.ASSIGNED, 1)
+
+
+def test_runs_of_a_draining_worker_that_removed_its_entry_and_is_silent_are_queued_again():
+    clock = ManualClock(10.0)
+    scheduler, entry = make_scheduler(clock)
+    task = start_task(scheduler, clock)
+    scheduler.fleet.apply_entries([replace(entry, state=WorkerState.DRAINING, seq=1)])
+    clock.advance(0.5)
+    (instance,) = scheduler.instances.values()
     instance.missed_polls = 1
     scheduler.fleet.apply_entries([])
     assert (task.phase, task.run) == (TaskPhase.ASSIGNED, 1)
@@ -206,6 +218,7 @@
     for _ in range(3):
         scheduler.fleet.apply_entries([entry, other])
     assert (task.phase, task.run) == (TaskPhase.ASSIGNED, 1)
+    clock.advance(0.1)
     scheduler.instances["odd"].last_contact_at = clock.monotonic()
     scheduler.fleet.apply_entries([entry, other])
     assert task.phase is TaskPhase.WAITING
@@ -230,3 +243,83 @@
         assert not fleet.instances
     fleet.apply_entries([])
     assert not fleet._ended_instance_ids
+
+
+def test_report_requested_before_a_start_was_confirmed_proves_nothing():
+    clock = ManualClock(10.0)
+    scheduler, _ = make_scheduler(clock)
+    requested_at = clock.monotonic()
+    task = start_task(scheduler, clock)
+    clock.advance(0.2)
+    (instance,) = scheduler.instances.values()
+    received = ReceivedReport(WorkerReport(1, 500, (), ()), requested_at, clock.monotonic())
+    scheduler.handle_report(instance, received)
+    assert (task.phase, task.run) == (TaskPhase.ASSIGNED, 1)
+
+
+def test_report_requested_before_a_stop_was_confirmed_proves_nothing():
+    clock = ManualClock(10.0)
+    scheduler, _ = make_scheduler(clock)
+    task = start_task(scheduler, clock)
+    requested_at = clock.monotonic()
+    clock.advance(0.1)
+    task.start_confirmed_at, task.unconfirmed_since = 0.0, clock.monotonic()
+    task.stop_confirmed_at = clock.monotonic()
+    (instance,) = scheduler.instances.values()
+    received = ReceivedReport(WorkerReport(1, 500, (), ()), requested_at, clock.monotonic())
+    scheduler.handle_report(instance, received)
+    assert (task.phase, task.run) == (TaskPhase.ASSIGNED, 1)
+
+
+def test_stop_whose_answer_came_after_the_restart_is_sent_to_the_next_instance():
+    """Guard against TWICE: the instance that confirmed the stop is gone."""
+    clock = ManualClock(10.0)
+    scheduler, entry = make_scheduler(clock)
+    task = start_task(scheduler, clock)
+    results = []
+    scheduler.dispatcher.stop = lambda instance, name, run, on_result: results.append(on_result)
+    task.start_confirmed_at, task.unconfirmed_since = 0.0, clock.monotonic()
+    clock.advance(0.01)
+    report(scheduler, clock, WorkerReport(1, 400, (), ()))
+    scheduler.dispatch()
+    answered_at = clock.monotonic()
+    clock.advance(0.01)
+    scheduler.fleet.apply_entries([replace(entry, born=2)])
+    results[0](None, answered_at)
+    report(scheduler, clock, WorkerReport(2, 10, (), ()))
+    assert (task.phase, task.run, task.incarnation) == (TaskPhase.ASSIGNED, 1, 2)
+
+
+def test_tasks_of_two_earlier_instances_go_over_to_one():
+    """Guard against lost tasks: a take-over reads a stale entry, and the worker has restarted."""
+    clock = ManualClock(10.0)
+    scheduler, entry = make_scheduler(clock)
+    first = start_task(scheduler, clock)
+    stored = StoredJob("b" * 16, QUEUE.name, SERVICE, 0, ORDER)
+    job = scheduler.workload.add(LoadedJob(stored, JobState.QUEUED, 1, False, {}), 10.0)
+    (second,) = job.tasks()
+    second.assign("w", 2, 1)
+    scheduler.instances["w"].tasks.clear()
+    scheduler.fleet.restore([first, second], clock.monotonic())
+    assert set(scheduler.instances) == {"w", "w@2"}
+    scheduler.fleet.apply_entries([replace(entry, born=3, seq=1)])
+    assert set(scheduler.instances["w"].tasks) == {first.name, second.name}
+
+
+def test_silent_worker_is_not_replaced_by_one_that_answered_before_it_only():
+    """Guard against TWICE: clocks jump, so that a later worker may have the earlier start time."""
+    clock = ManualClock(10.0)
+    scheduler, entry = make_scheduler(clock, machine="m")
+    former = replace(entry, id="former", born=5)
+    scheduler.fleet.apply_entries([entry, former])
+    scheduler.instances["former"].last_contact_at = clock.monotonic()
+    clock.advance(4.0)
+    task = start_task(scheduler, clock)
+    instance = scheduler.instances["w"]
+    running = WorkerReport(1, 500, (RunningTask(task.name, 1),), ())
+    at = clock.monotonic()
+    scheduler.handle_report(instance, ReceivedReport(running, at, at))
+    clock.advance(3.1)
+    instance.missed_polls = 2
+    scheduler.fleet.apply_entries([entry, former])
+    assert (task.phase, task.run) == (TaskPhase.ASSIGNED, 1)
