--- a/gypsumplank/composition/platform.py
+++ b/gypsumplank/composition/platform.py
@@ -64,6 +64,8 @@
 # Share of the file descriptors for callers' connections; the rest is for files, workers, the store
 # and other daemons.
 CALLER_DESCRIPTOR_SHARE = 0.5
+# Share of the file descriptors for connections to workers that are kept while they are not in use.
+WORKER_DESCRIPTOR_SHARE = 0.4
 SETTINGS_POLL_S = 1.0
 
 logger = logging.getLogger("gypsumplank.daemon")
@@ -125,13 +127,13 @@
             if settings.advisor_address
             else None
         )
-        job_store = JobStore(self._fleet_rows)
+        job_store = JobStore(self._fleet_rows, settings.max_row_bytes)
         store_clock = self._fleet_rows.clock_range
         ports = PlatformPorts(
             job_store,
             self._fleet_rows,
             self._directory,
-            HttpWorkers(),
+            HttpWorkers(self._clock, int(settings.max_descriptors * WORKER_DESCRIPTOR_SHARE)),
             leases,
             advisor,
             store_clock,
@@ -163,12 +165,15 @@
             maintenance,
             heartbeat_s=settings.heartbeat_s,
             candidates=self._daemon_registry,
+            status_s=settings.status_s,
         )
 
     def _make_listeners(self) -> None:
         settings = self._settings
         job_service = JobService(
-            JobStore(self._relay_table), self._clock, lambda: self._manifest_watch.current
+            JobStore(self._relay_table, settings.max_row_bytes),
+            self._clock,
+            lambda: self._manifest_watch.current,
         )
         app = JobApp(job_service, self._metrics.record_request, log_error_response)
         max_connections = int(settings.max_descriptors * CALLER_DESCRIPTOR_SHARE)
--- a/gypsumplank/coordination/job/fleet.py
+++ b/gypsumplank/coordination/job/fleet.py
@@ -2,7 +2,7 @@
 
 import logging
 from collections import defaultdict
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from gypsumplank.coordination.job.crash import (
     CurrentWorkers,
@@ -17,7 +17,7 @@
 from gypsumplank.coordination.job.report import requeue_task
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.queue import Machine, MachineState
-from gypsumplank.protocol.worker import WorkerEntry, WorkerState
+from gypsumplank.protocol.worker import RunningTask, WorkerEntry, WorkerState
 from gypsumplank.state.clock import Clock
 
 # Time after the end of its own lease for which a leader still extends task leases, seconds; a store
@@ -26,6 +26,8 @@
 # Age of a draining worker's entry up to which its removal means a clean exit, in heartbeats; the
 # platform removes the entries of silent workers after three.
 CLEAN_EXIT_MAX_AGE_HEARTBEATS = 2.5
+# States in which a machine has no worker.
+STATES_WITHOUT_WORKER = frozenset({MachineState.DOWN, MachineState.MOVING, MachineState.UPKEEP})
 
 logger = logging.getLogger(__name__)
 
@@ -98,6 +100,11 @@
         If the entries are not `complete`, a worker that responds is kept although it has no entry.
         """
         now = self._clock.monotonic()
+        if complete:
+            # An ended instance whose entry is gone cannot be taken up again.
+            self._ended_instance_ids.intersection_update(
+                format_instance_id(entry.id, entry.born) for entry in entries
+            )
         entries = [
             entry
             for entry in entries
@@ -146,7 +153,7 @@
         """End an instance whose machine runs a later worker; its entry may still exist."""
         _log_crash(instance, successor)
         self._ended_instance_ids.add(instance.instance_id)
-        _record_crash(instance)
+        _record_crash(instance, instance.tasks.values())
         self.requeue_all(instance, now, "replaced")
         self._remove(key, instance)
 
@@ -187,18 +194,26 @@
         instance.entry = entry
 
     def replace_incarnation(
-        self, key: str, instance: WorkerInstance, entry: WorkerEntry, now: float
+        self,
+        key: str,
+        instance: WorkerInstance,
+        entry: WorkerEntry,
+        now: float,
+        running: Iterable[RunningTask] = (),
     ) -> None:
-        """Replace an instance by the next one of the same worker.
+        """Replace an instance by the next one of the same worker, where runs may be `running`.
 
         Runs that the instance has reported ended with it. The next instance may have executed the
         start of any other, or may still do so, as starts name the worker only.
         """
         tasks = list(instance.tasks.values())
+        started_later = {task.name for task in running}
         _log_crash(instance, entry)
-        _record_crash(instance)
+        _record_crash(instance, (task for task in tasks if task.name not in started_later))
         self._remove(key, instance)
-        successor = self._add_instance(entry, now)
+        successor = self.instances.get(entry.id)
+        if successor is None or successor.incarnation < entry.born:
+            successor = self._add_instance(entry, now)
         for task in tasks:
             instance.tasks.pop(task.name, None)
             if was_reported(task):
@@ -213,7 +228,7 @@
                 )
                 requeue_task(instance, task, now)
                 continue
-            task.incarnation = entry.born
+            task.incarnation = successor.incarnation
             if not task.start_confirmed_at:
                 task.unconfirmed_since = task.unconfirmed_since or now
             # The next instance does not know of starts that the last one was told to refuse.
@@ -231,23 +246,24 @@
         )
 
     def end_down(self, machines: Mapping[str, Machine], requested_at: float, now: float) -> None:
-        """End the instances whose machine was down in a list that was requested at `requested_at`.
+        """End the instances whose machine had no worker in a list requested at `requested_at`.
 
-        An instance that answered before the request has ended if its machine was down after it.
+        An instance that answered before the request has ended if its machine had none after it.
         """
         for key, instance in list(self.instances.items()):
             machine = machines.get(instance.entry.machine)
-            is_listed_down = machine is not None and machine.state is MachineState.DOWN
+            has_no_worker = machine is not None and machine.state in STATES_WITHOUT_WORKER
             answered_before = 0 < instance.last_contact_at < requested_at
-            if is_listed_down and answered_before and not instance.is_down:
+            if machine is not None and has_no_worker and answered_before and not instance.is_down:
+                if machine.state is MachineState.DOWN:
+                    _log_crash(instance)
+                    _record_crash(instance, instance.tasks.values())
                 self._end_down(key, instance, requested_at, now)
 
     def _end_down(
         self, key: str, instance: WorkerInstance, requested_at: float, now: float
     ) -> None:
         """Requeue confirmed runs; others may still be executed by the worker's next instance."""
-        _log_crash(instance)
-        _record_crash(instance)
         instance.is_down = True
         confirmed = [
             task
@@ -300,12 +316,6 @@
         instances = sorted(self.instances.values(), key=lambda instance: instance.incarnation)
         return {instance.entry.machine: instance for instance in instances if not instance.detached}
 
-    def end_incarnation(self, instance: WorkerInstance) -> None:
-        """Requeue the tasks of an instance that a move or maintenance of its machine ended."""
-        self._ended_instance_ids.add(instance.instance_id)
-        self.requeue_all(instance, self._clock.monotonic(), "machine")
-        self._remove(instance.id, instance)
-
 
 def _is_replaced(instance: WorkerInstance, latest: WorkerInstance, now: float) -> bool:
     """Return whether the latest worker on an instance's machine shows that the instance is over.
@@ -313,14 +323,15 @@
     A worker that answers is never taken for replaced, whatever the order of the start times is.
     """
     is_later = latest.id != instance.id and latest.incarnation > instance.incarnation
-    return is_later and not instance.is_in_contact(now)
+    has_answered_since = latest.last_contact_at > instance.last_contact_at
+    return is_later and has_answered_since and not instance.is_in_contact(now)
 
 
-def _record_crash(instance: WorkerInstance) -> None:
+def _record_crash(instance: WorkerInstance, tasks: Iterable[Task]) -> None:
     """Count a crash against the tasks of an instance, unless it may have left as it announced."""
     has_announced_exit = instance.entry.state is WorkerState.DRAINING and not instance.detached
     if not has_announced_exit and not instance.is_down:
-        record_crash(instance.tasks.values(), instance.last_contact_at)
+        record_crash(tasks, instance.last_contact_at)
 
 
 def _log_crash(instance: WorkerInstance, successor: WorkerEntry | None = None) -> None:
--- a/gypsumplank/coordination/job/maintenance.py
+++ b/gypsumplank/coordination/job/maintenance.py
@@ -1,10 +1,8 @@
 """Drain and maintain every machine of a wave, within the wave's cap and the disruption budgets."""
 
 import logging
-import math
 from collections import Counter
-from collections.abc import Iterator, Mapping, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Collection, Iterator, Mapping, Sequence
 from itertools import islice
 
 from gypsumplank.coordination.job.instance import WorkerInstance
@@ -13,19 +11,13 @@
 from gypsumplank.coordination.job.port import Directory
 from gypsumplank.coordination.job.preemption import may_interrupt
 from gypsumplank.coordination.job.scheduler import Scheduler
+from gypsumplank.coordination.job.wave import MachineWaveProgress, task_usage
 from gypsumplank.errors import MachineError, MachineRefusedError, StateError
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.queue import MachineState, MaintenanceWave
 
 # Interval between reads of the waves, seconds; far shorter than a wave.
 WAVE_POLL_INTERVAL_S = 1.0
-# Share of a wave's duration within which the maintenance of all its machines should have started;
-# the rest is reserved for machines that take longer to drain.
-TARGET_START_SHARE = 0.5
-# Time from choosing a machine that runs tasks to the end of its maintenance, seconds.
-MACHINE_CYCLE_S = 6.0
-# Interval between log lines about an open wave, seconds.
-LOG_INTERVAL_S = 2.0
 # Time after a take-over in which an earlier leader's stops may still end tasks, seconds; one and a
 # half times the platform's longest stop.
 TAKEOVER_QUIET_S = 1.5
@@ -35,75 +27,14 @@
 DRAIN_TIMEOUT_S = 4.0
 # Longest time for which draining waits for batch tasks with checkpoints to end, seconds.
 CHECKPOINT_WAIT_S = 1.0
-# Delay before a failed order is given again, seconds.
+# Delay before an order that was refused or not sent is given again, seconds.
 ORDER_RETRY_S = 1.0
+# Delay before an order that got no answer is repeated, seconds.
+UNANSWERED_RETRY_S = 0.3
 
 logger = logging.getLogger(__name__)
 
 
-@dataclass
-class MachineWaveProgress:
-    """Track one wave's progress; times are monotonic seconds.
-
-    `draining` and `down` map machines to the start of that state, `in_flight` are those with an
-    unanswered order, `ordered` those whose maintenance was accepted or is no longer needed, and
-    `inherited` those that an earlier leader's order may still keep down. `reported` is whether the
-    last report was that the wave is complete, None if there was no report.
-    """
-
-    wave: MaintenanceWave
-    first_seen_at: float = 0.0
-    reported: bool | None = None
-    draining: dict[str, float] = field(default_factory=dict)
-    in_flight: set[str] = field(default_factory=set)
-    down: dict[str, float] = field(default_factory=dict)
-    ordered: set[str] = field(default_factory=set)
-    retry_at: dict[str, float] = field(default_factory=dict)
-    inherited: set[str] = field(default_factory=set)
-    next_log_at: float = 0.0
-
-    @property
-    def is_complete(self) -> bool:
-        """Return whether every machine's maintenance has started."""
-        return self.ordered.issuperset(self.wave.machines)
-
-    @property
-    def down_count(self) -> int:
-        """Return how many machines are, or may be, down for the wave."""
-        return len(self.inherited.union(self.down, self.in_flight))
-
-    def required_concurrency(self, now: float) -> int:
-        """Return how many machines have to be drained or down at once to finish in time."""
-        left = len(self.wave.machines) - len(self.ordered.intersection(self.wave.machines))
-        left_s = self.first_seen_at + TARGET_START_SHARE * self.wave.duration_s - now
-        return math.ceil(left * MACHINE_CYCLE_S / max(MACHINE_CYCLE_S, left_s))
-
-    def log_progress(self, instances: Mapping[str, WorkerInstance], now: float) -> None:
-        """Log the progress at intervals while the wave is open."""
-        if self.is_complete or now < self.next_log_at:
-            return
-        self.next_log_at = now + LOG_INTERVAL_S
-        event(
-            logger,
-            Event.WAVE_PROGRESS,
-            wave=self.wave.number,
-            age_s=round(now - self.first_seen_at, 1),
-            done=len(self.ordered),
-            down=self.down_count,
-            draining=len(self.draining),
-            with_lasting=sum(
-                1 for machine in self.draining if _task_usage(instances.get(machine))[0]
-            ),
-            left=len(self.wave.machines) - len(self.ordered),
-            pace=self.required_concurrency(now),
-        )
-
-    def needs_drain(self, machine: str, now: float) -> bool:
-        """Return whether a machine still has to be drained and may be chosen now."""
-        is_taken = machine in self.ordered or machine in self.draining or machine in self.in_flight
-        return not is_taken and now >= self.retry_at.get(machine, 0.0)
-
-
 class MaintenancePlanner:
     """Run the open maintenance waves; used by the scheduler's thread only."""
 
@@ -135,7 +66,7 @@
 
         def poll() -> None:
             ages: dict[int, float] = {}
-            waves: Sequence[MaintenanceWave] = ()
+            waves: Sequence[MaintenanceWave] | None = None
             try:
                 completed = self._directory.completed_waves()
                 waves = [wave for wave in self._directory.waves() if wave.number not in completed]
@@ -152,9 +83,13 @@
         self._controller.run_async(poll)
 
     def _add_waves(
-        self, waves: Sequence[MaintenanceWave], ages: Mapping[int, float], now: float
+        self, waves: Sequence[MaintenanceWave] | None, ages: Mapping[int, float], now: float
     ) -> None:
+        """Add the waves that are new; drop those that are no longer open; None if not known."""
         self._poll_pending = False
+        if waves is None:
+            return
+        self._drop_closed({wave.number for wave in waves})
         for wave in waves:
             if wave.number in ages and wave.number not in self._waves:
                 self._waves[wave.number] = MachineWaveProgress(wave, now - ages[wave.number])
@@ -166,6 +101,13 @@
                     age_s=round(ages[wave.number], 1),
                 )
 
+    def _drop_closed(self, open_waves: Collection[int]) -> None:
+        """Drop the waves that are not read as open any more and whose machines are up again."""
+        for number, progress in list(self._waves.items()):
+            is_over = progress.is_complete and not progress.down_count and not progress.draining
+            if is_over and progress.reported and number not in open_waves:
+                del self._waves[number]
+
     def plan(self, scheduler: Scheduler, now: float) -> None:
         """Choose machines to drain and stop their tasks."""
         self._poll_waves(now)
@@ -175,9 +117,10 @@
             self._controller.refresh_list(now)
         instances = scheduler.fleet.by_machine()
         for progress in self._waves.values():
-            self._remove_recovered(progress)
+            self._remove_recovered(progress, instances)
             self._find_inherited(progress, now)
             self._add_maintained(progress)
+            self._add_unanswered(progress, now)
             self._choose_machines(progress, instances, now)
             for machine in progress.wave.machines:
                 instance = instances.get(machine)
@@ -194,14 +137,27 @@
                 if instance is not None:
                     drain_instance(scheduler, instance, now - since)
 
-    def _remove_recovered(self, progress: MachineWaveProgress) -> None:
-        """Remove machines from `down` that are up in a list read after their order succeeded."""
+    def _remove_recovered(
+        self, progress: MachineWaveProgress, instances: Mapping[str, WorkerInstance]
+    ) -> None:
+        """Remove machines from `down` that are up in a list requested after their order succeeded.
+
+        Their worker is a new one, or the order had been carried out before and had no effect.
+        """
         for machine, since in list(progress.down.items()):
-            listed = self._controller.machines.get(machine)
+            listed = self._controller.listed.get(machine)
             if self._controller.list_read_at > since and (
                 listed is None or listed.state is MachineState.UP
             ):
                 del progress.down[machine]
+                self._release(machine, instances)
+
+    def _release(self, machine: str, instances: Mapping[str, WorkerInstance]) -> None:
+        """Let a machine be chosen again, and its worker get tasks."""
+        self._controller.reserved.discard(machine)
+        instance = instances.get(machine)
+        if instance is not None:
+            instance.cordoned = False
 
     def _find_inherited(self, progress: MachineWaveProgress, now: float) -> None:
         """Find the machines that an earlier leader's order may still keep down."""
@@ -222,12 +178,24 @@
             if self._controller.maintained_wave.get(machine) == number
         )
 
+    def _add_unanswered(self, progress: MachineWaveProgress, now: float) -> None:
+        """Order again what an earlier leader ordered, if its acceptance is not recorded."""
+        number = progress.wave.number
+        for machine in progress.wave.machines:
+            is_ordered = self._controller.last_wave.get(machine) == number
+            is_answered = machine in progress.ordered or machine in progress.retry_at
+            if not is_ordered or is_answered:
+                continue
+            progress.unanswered.setdefault(machine, now)
+            is_taken = machine in progress.in_flight or machine in self._controller.reserved
+            if not is_taken and machine not in progress.draining:
+                progress.draining[machine] = now
+                self._controller.reserved.add(machine)
+
     def _choose_machines(
         self, progress: MachineWaveProgress, instances: dict[str, WorkerInstance], now: float
     ) -> None:
-        available_slots = (
-            progress.wave.cap + DRAIN_AHEAD_MACHINES - progress.down_count - len(progress.draining)
-        )
+        available_slots = progress.wave.cap + DRAIN_AHEAD_MACHINES - progress.taken_count
         if available_slots <= 0 or not self._controller.machines:
             return
         pending = [
@@ -235,32 +203,21 @@
             for machine in progress.wave.machines
             if progress.needs_drain(machine, now) and machine not in self._controller.reserved
         ]
-        # Maintenance that an earlier leader ordered has probably been carried out, even if its
-        # acceptance is not recorded. If it has not, a repeated order terminates running tasks, so
-        # these machines come last.
-        number = progress.wave.number
-        possibly_done = {
-            machine for machine in pending if self._controller.last_wave.get(machine) == number
-        }
-        if len(possibly_done) < len(pending):
-            pending = [machine for machine in pending if machine not in possibly_done]
         idle = [machine for machine in pending if not self._has_tasks(instances.get(machine))]
         occupied = [machine for machine in pending if self._has_tasks(instances.get(machine))]
         if idle and not progress.ordered and not set(instances).difference(progress.wave.machines):
             # First maintain idle machines, so that long-running tasks can move to those afterwards.
             occupied = [
-                machine for machine in occupied if not _task_usage(instances.get(machine))[0]
+                machine for machine in occupied if not task_usage(instances.get(machine))[0]
             ]
         # Machines with long-running tasks come first, as disruption budgets make them the slowest.
         occupied.sort(
             key=lambda machine: (
-                -_task_usage(instances.get(machine))[0],
-                _task_usage(instances.get(machine))[1],
+                -task_usage(instances.get(machine))[0],
+                task_usage(instances.get(machine))[1],
             )
         )
-        quota = max(
-            0, progress.required_concurrency(now) - progress.down_count - len(progress.draining)
-        )
+        quota = max(0, progress.required_concurrency(now) - progress.taken_count)
         ready = islice(self._interruptible(occupied, instances, now), quota)
         for machine in [*idle, *ready][:available_slots]:
             progress.draining[machine] = now
@@ -294,8 +251,8 @@
         instances = scheduler.fleet.by_machine()
         for progress in self._waves.values():
             for machine in list(progress.draining):
-                if progress.down_count >= progress.wave.cap:
-                    break
+                if not progress.may_order(machine, now):
+                    continue
                 instance = instances.get(machine)
                 if self._controller.is_handover_over(machine, now) and (
                     instance is None or not instance.tasks
@@ -318,9 +275,7 @@
         self._controller.order_maintenance(
             machine,
             number,
-            lambda failure: self._handle_order_result(
-                scheduler, progress, machine, instance, failure
-            ),
+            lambda failure: self._handle_order_result(scheduler, progress, machine, failure),
         )
 
     def _handle_order_result(
@@ -328,27 +283,31 @@
         scheduler: Scheduler,
         progress: MachineWaveProgress,
         machine: str,
-        instance: WorkerInstance | None,
         failure: MachineError | None,
     ) -> None:
+        """Record an order's result; success may mean that it had been carried out before.
+
+        So it ends no worker. The list of machines shows whether the one that is there has ended.
+        """
         progress.in_flight.discard(machine)
-        self._controller.reserved.discard(machine)
+        now = scheduler.now()
         reason = failure.reason if isinstance(failure, MachineRefusedError) else ""
-        if failure is None:
+        if failure is None or reason in {"missing", "wave"}:
             progress.ordered.add(machine)
-            progress.down[machine] = scheduler.now()
-            repeated = self._controller.last_wave.get(machine) == progress.wave.number
-            if instance is not None and not repeated:
-                scheduler.fleet.end_incarnation(instance)
-            elif instance is not None:
-                # An order that was executed before has no effect, so the worker keeps running.
-                instance.cordoned = False
+            progress.unanswered.pop(machine, None)
+        if failure is None:
+            progress.down[machine] = now
             return
-        if reason in {"missing", "wave"}:
-            progress.ordered.add(machine)
-        progress.retry_at[machine] = scheduler.now() + ORDER_RETRY_S
-        if instance is not None:
-            instance.cordoned = False
+        progress.retry_at[machine] = now + ORDER_RETRY_S
+        if failure.may_be_executed:
+            progress.unanswered[machine] = now
+        elif reason == "busy" and progress.is_order_void(machine, now):
+            progress.unanswered.pop(machine, None)
+        if machine in progress.unanswered:
+            progress.draining[machine] = now
+            progress.retry_at[machine] = now + UNANSWERED_RETRY_S
+            return
+        self._release(machine, scheduler.fleet.by_machine())
 
     def _report_state(self, progress: MachineWaveProgress) -> None:
         number, complete = progress.wave.number, progress.is_complete
@@ -383,11 +342,3 @@
         elif waited_s >= DRAIN_TIMEOUT_S or (order.checkpoints and waited_s >= CHECKPOINT_WAIT_S):
             stops.append(task)
     scheduler.request_stop(stops)
-
-
-def _task_usage(instance: WorkerInstance | None) -> tuple[int, int]:
-    """Return a worker's number of long-running tasks and its CPU in use, in 1/1000 core."""
-    if instance is None:
-        return (0, 0)
-    long_running = sum(1 for task in instance.tasks.values() if task.step.order.lasting)
-    return (long_running, instance.used().cpu)
--- a/gypsumplank/coordination/job/model.py
+++ b/gypsumplank/coordination/job/model.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from gypsumplank.protocol.job import (
+    FINAL_TASK_PHASES,
     JobState,
     LostWorker,
     StepDefinition,
@@ -19,6 +20,12 @@
 SETTLED_RUN_S = 0.25
 # Time after which a run that goes on counts as harmless to its worker, seconds.
 PROVEN_RUN_S = 10.0
+# Workers that a task remembers that its runs failed or stalled on; a worker's next instance has
+# another identifier, and the row of a step is limited.
+MAX_FAILED_ON = 16
+# Workers on which a task failed or stalled that are stored for a successor, the latest ones; bounds
+# the row of a step whose tasks run for weeks.
+MAX_STORED_FAILED_ON = 3
 
 
 @dataclass(eq=False)
@@ -30,10 +37,12 @@
     to a start was found to be missing, so that the run may or may not exist. `should_run` is False
     once the run has to stop. `progressed_at` is when `percent` last changed. `percent` is the
     progress of a batch task; for a long-running task it is the share of its capacity that serves,
-    and `load` its tail latency in ms. `failed_on` lists the workers on which a run failed or
-    stalled. `crashes` counts the workers that crashed under a run, `crashes_at_start` those that
-    did so right after its start, and `lost_on` lists those that may have crashed. `retry_at` is the
-    earliest next start after a crash.
+    and `load` its tail latency in ms. One percent took `percent_s` seconds last, and at most
+    `max_percent_s` in this run, 0 if that is not known; `has_progressed` is set once `percent` has
+    changed. `stalls` counts the runs that this leader has stopped as stalled. `failed_on` lists the
+    workers on which a run failed or stalled last. `crashes` counts the workers that crashed under a
+    run, `crashes_at_start` those that did so right after its start, and `lost_on` lists those that
+    may have crashed. `retry_at` is the earliest next start after a crash.
     """
 
     step: "Step"
@@ -58,6 +67,10 @@
     last_reported_at: float = 0.0
     progressed_at: float = 0.0
     percent: int = 0
+    percent_s: float = 0.0
+    max_percent_s: float = 0.0
+    has_progressed: bool = False
+    stalls: int = 0
     load: int = 0
     speed_limit_percent: int = 100
     speed_limit_set_at: float = 0.0
@@ -79,13 +92,24 @@
             self.worker,
             self.incarnation,
             self.checkpoint,
-            self.failed_on,
+            self.failed_on[-MAX_STORED_FAILED_ON:],
             self.machine,
             self.crashes,
             self.crashes_at_start,
             self.lost_on,
         )
 
+    @property
+    def is_final(self) -> bool:
+        """Return whether the task is done or has failed for good."""
+        return self.phase in FINAL_TASK_PHASES
+
+    @property
+    def counted_failures(self) -> int:
+        """Return the failed runs that count towards the limit, for a gang those of all members."""
+        members = self.step.tasks if self.step.order.gang else [self]
+        return sum(member.failures for member in members)
+
     @property
     def is_suspect(self) -> bool:
         """Return whether a worker was lost right after it started the task, or two were at all."""
@@ -102,7 +126,8 @@
     @property
     def may_have_begun(self) -> bool:
         """Return whether the current run may have been started on its worker."""
-        return bool(self.sent_at or self.start_confirmed_at or self.unconfirmed_since)
+        is_sent = bool(self.sent_at or self.start_confirmed_at or self.unconfirmed_since)
+        return is_sent and not self.is_final
 
     @property
     def has_settled(self) -> bool:
@@ -114,6 +139,22 @@
         """Return whether the current run was at work for PROVEN_RUN_S."""
         return bool(self.sent_at) and self.last_reported_at - self.sent_at >= PROVEN_RUN_S
 
+    def record_progress(self, percent: int, now: float) -> None:
+        """Set the percentage, and how long one percent took if it changed before."""
+        if self.progressed_at and percent == self.percent:
+            return
+        if self.has_progressed and percent > self.percent:
+            began_at = min(now, max(self.progressed_at, self.speed_limit_set_at))
+            self.percent_s = (now - began_at) / (percent - self.percent)
+            self.max_percent_s = max(self.max_percent_s, self.percent_s)
+        self.has_progressed = bool(self.progressed_at)
+        self.progressed_at, self.percent = now, percent
+
+    def record_failure_on(self, worker: str) -> None:
+        """Remember a worker on which a run failed or stalled, so that others are tried first."""
+        others = tuple(other for other in self.failed_on if other != worker)
+        self.failed_on = (*others, worker)[-MAX_FAILED_ON:]
+
     def assign(self, worker: str, incarnation: int, run: int, machine: str = "") -> None:
         """Assign the task's next run to an instance of a worker."""
         self.phase = TaskPhase.ASSIGNED
@@ -123,7 +164,12 @@
         self.step.dirty = True
 
     def requeue(self, now: float) -> None:
-        """Return the task to the queue; its last run must be known to be over everywhere."""
+        """Return the task to the queue, unless its phase is final.
+
+        Its last run must be known to be over everywhere.
+        """
+        if self.is_final:
+            return
         self.phase = TaskPhase.WAITING
         self._release_worker()
         self.queued_since = now
@@ -146,6 +192,8 @@
             0.0
         )
         self.percent = self.load = 0
+        self.percent_s = self.max_percent_s = 0.0
+        self.has_progressed = False
         self.speed_limit_percent = 100
         self.speed_limit_set_at = 0.0
         self.should_run = True
@@ -153,7 +201,10 @@
 
 
 class Step:
-    """Represent one occurrence of a step; `dirty` marks changes that are not stored yet."""
+    """Represent one occurrence of a step; `dirty` marks changes that are not stored yet.
+
+    `record_removed` is set once its stored row was deleted, as the job is over.
+    """
 
     def __init__(self, job: "Job", occurrence: int, position: int, order: StepDefinition) -> None:
         self.job = job
@@ -163,6 +214,12 @@
         self.key = step_key(job.id, occurrence, position)
         self.tasks = [Task(self, f"{self.key}.{index}", index) for index in range(order.tasks)]
         self.dirty = False
+        self.record_removed = False
+
+    @property
+    def has_record(self) -> bool:
+        """Return whether a stored row may exist; it is written once the first run is assigned."""
+        return not self.record_removed and any(task.run for task in self.tasks)
 
     @property
     def is_done(self) -> bool:
@@ -195,7 +252,9 @@
     """Represent one job; `version` is that of the stored row with its state.
 
     `arrived_at` is when this leader read the job, in monotonic seconds. `state_dirty` marks a
-    change of the state that is not stored yet.
+    change of the state that is not stored yet. `is_unstorable` tells that the store does not take
+    a row of one of its steps. `waits_for_queue` is set while no task of the job may start, as the
+    manifest does not name its queue.
     """
 
     stored: StoredJob
@@ -206,6 +265,8 @@
     cleaned: bool = False
     started: bool = False
     state_dirty: bool = False
+    is_unstorable: bool = False
+    waits_for_queue: bool = False
     arrived_at: float = 0.0
     steps: dict[tuple[int, int], Step] = field(default_factory=dict)
 
@@ -266,8 +327,9 @@
 
 def _critical_paths(steps: tuple[StepDefinition, ...]) -> list[int]:
     """Return for each step the duration in ms of the critical path that starts with it."""
-    paths_ms = [step.estimate_ms for step in steps]
+    paths_ms = [0] * len(steps)
     for position in range(len(steps) - 1, -1, -1):
-        followers = [paths_ms[i] for i, step in enumerate(steps) if position in step.after]
-        paths_ms[position] = steps[position].estimate_ms + max(followers, default=0)
+        paths_ms[position] += steps[position].estimate_ms
+        for predecessor in steps[position].after:
+            paths_ms[predecessor] = max(paths_ms[predecessor], paths_ms[position])
     return paths_ms
--- a/gypsumplank/coordination/job/report.py
+++ b/gypsumplank/coordination/job/report.py
@@ -11,7 +11,7 @@
 from gypsumplank.protocol.job import TaskPhase
 from gypsumplank.protocol.worker import EndedTask, EndKind, RunningTask
 
-MaxAttempts = Callable[[Task], int]
+MaxAttempts = Callable[[Task], int | None]
 
 logger = logging.getLogger(__name__)
 
@@ -21,7 +21,8 @@
 ) -> Iterator[RunningTask]:
     """Apply a report; yield the running tasks that are not assigned to the worker.
 
-    `max_attempts` returns the number of failed runs after which a batch task has failed for good.
+    `max_attempts` returns the number of failed runs after which a batch task has failed for good,
+    or None if that is not known yet.
     """
     report = received.report
     ended = {
@@ -35,6 +36,8 @@
         running_task = running.get(task.name)
         if end is not None:
             _apply_end(instance, task, end, received.answered_at, max_attempts)
+        elif task.is_final:
+            _release_if_over(instance, task, received)
         elif running_task is not None and running_task.run == task.run:
             _update_run(task, running_task, received)
         elif is_over_unlisted(task, received):
@@ -57,11 +60,13 @@
 
 
 def requeue_task(instance: WorkerInstance, task: Task, now: float) -> None:
-    """Return a task to the queue; its last run must be known to be over.
+    """Return a task to the queue, unless its phase is final; its last run must be known to be over.
 
     The other tasks of its gang are stopped. A task that crashed too many workers fails instead.
     """
     instance.tasks.pop(task.name, None)
+    if task.is_final:
+        return
     run = task.run
     task.requeue(now)
     give_up_if_deadly(task)
@@ -69,13 +74,11 @@
 
 
 def _update_run(task: Task, running: RunningTask, received: ReceivedReport) -> None:
-    if not task.progressed_at or running.percent != task.percent:
-        task.progressed_at = received.answered_at
+    task.record_progress(running.percent, received.answered_at)
     task.last_reported_at = received.answered_at
     task.sent_at = task.sent_at or received.sent_at
     task.start_confirmed_at = task.start_confirmed_at or received.answered_at
     task.unconfirmed_since = 0.0
-    task.percent = running.percent
     task.load = running.load
     if running.checkpoint:
         task.checkpoint = running.checkpoint
@@ -109,9 +112,10 @@
     order = task.step.order
     if not order.lasting:
         instance.record_task_end(job.id, end.kind is EndKind.FAILED, now)
+    if task.is_final:
+        return
     if end.kind is EndKind.DONE and not order.lasting:
-        for member in task.step.tasks if order.gang else [task]:
-            member.finish(TaskPhase.DONE)
+        _finish(task, now)
         return
     if end.kind is EndKind.FAILED:
         _count_failure(instance, task, max_attempts)
@@ -121,12 +125,31 @@
     _stop_gang(task, run)
 
 
+def _finish(task: Task, now: float) -> None:
+    """Mark a task, or all members of its gang, as done.
+
+    One member's end represents all, and shows that all have started. The others stay assigned to
+    their workers until a report shows what runs there now.
+    """
+    for member in task.step.tasks if task.step.order.gang else [task]:
+        member.finish(TaskPhase.DONE)
+        member.start_confirmed_at = now
+
+
+def _release_if_over(instance: WorkerInstance, task: Task, received: ReceivedReport) -> None:
+    """Release a task that ended elsewhere if the report was requested later.
+
+    If the report still lists the run, it is one that is not assigned to the worker.
+    """
+    if received.sent_at > task.start_confirmed_at:
+        del instance.tasks[task.name]
+
+
 def _count_failure(instance: WorkerInstance, task: Task, max_attempts: MaxAttempts) -> None:
     task.failures += 1
-    task.failed_on = tuple(dict.fromkeys((*task.failed_on, instance.id)))
-    order = task.step.order
-    failures = sum(member.failures for member in task.step.tasks) if order.gang else task.failures
-    if not order.lasting and failures >= max_attempts(task):
+    task.record_failure_on(instance.id)
+    limit = None if task.step.order.lasting else max_attempts(task)
+    if limit is not None and task.counted_failures >= limit:
         task.finish(TaskPhase.FAILED)
 
 
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Collection, Iterator, Mapping, Sequence
 from dataclasses import dataclass, replace
 
+from gypsumplank.coordination.job.attempt import AttemptLimits
 from gypsumplank.coordination.job.crash import is_withheld
 from gypsumplank.coordination.job.dispatcher import WorkerDispatcher
 from gypsumplank.coordination.job.evidence import ReceivedReport
@@ -13,6 +14,7 @@
     SUSPECT_PERIOD_S,
     WorkerInstance,
 )
+from gypsumplank.coordination.job.knownqueue import KnownQueues
 from gypsumplank.coordination.job.model import Job, Step, Task
 from gypsumplank.coordination.job.permit import PermitCache
 from gypsumplank.coordination.job.placement import PendingStep, Placement, PlacementRound, urgency
@@ -73,6 +75,8 @@
         self._clock = clock
         self._manifest = manifest
         self._token = token
+        self._queues = KnownQueues(manifest)
+        self._attempt_limits = AttemptLimits(self._queues)
         self.workload = Workload()
         self.fleet = Fleet(clock, max_lease_s, heartbeat_s)
         self.unsent_starts: list[PendingStart] = []
@@ -111,6 +115,7 @@
         for job in restored:
             for task in job.tasks():
                 self.fleet.undecided_losses.add(task)
+            self._attempt_limits.restore(job.tasks())
         for instance in self.instances.values():
             instance.extend_leases(now, EXTENSION_GRACE_S + self.fleet.max_lease_s)
 
@@ -126,7 +131,9 @@
                 clock_ms=received.report.clock_ms,
                 room=Resources(),
             )
-            self.fleet.replace_incarnation(instance.id, instance, entry, received.answered_at)
+            self.fleet.replace_incarnation(
+                instance.id, instance, entry, received.answered_at, received.report.running
+            )
             return
         if instance.missed_polls:
             event(logger, Event.WORKER_RESPONDED, worker=instance.id, misses=instance.missed_polls)
@@ -136,22 +143,14 @@
             instance.extend_leases(received.answered_at, self.fleet.max_lease_s)
         instance.last_contact_at = received.answered_at
         instance.missed_polls = 0
-        max_attempts = {name: self._max_attempts(task) for name, task in instance.tasks.items()}
-        unassigned_runs = list(
-            apply_report(instance, received, lambda task: max_attempts.get(task.name, 1))
-        )
+        instance.record_forgotten_ends(received)
+        # A worker removes its entry when it has left.
+        instance.has_deregistered = False
+        unassigned_runs = list(apply_report(instance, received, self._attempt_limits.find))
         instance.has_unassigned_runs = bool(unassigned_runs)
         for unassigned in unassigned_runs:
             self._stop_unassigned(instance, unassigned)
 
-    def _max_attempts(self, task: Task) -> int:
-        queue = self._queue(task.step.job)
-        return queue.max_attempts if queue else 1
-
-    def _queue(self, job: Job) -> Queue | None:
-        manifest = self._manifest()
-        return manifest.find_by_name(job.stored.queue) if manifest else None
-
     def _stop_unassigned(self, instance: WorkerInstance, unassigned: RunningTask) -> None:
         event(
             logger,
@@ -167,6 +166,8 @@
     def plan(self) -> None:
         """Requeue tasks whose leases have expired, and assign queued tasks to workers."""
         now = self._clock.monotonic()
+        self._queues.update(self.workload.jobs.values())
+        self._attempt_limits.apply()
         self._expire_leases(now)
         self.workload.update_job_states(self.workload.jobs.values(), now)
         wall_ms = self.wall_ms()
@@ -189,9 +190,10 @@
     def _pending_steps(self, job: Job, now: float, wall_ms: float) -> list[PendingStep]:
         if job.state in FINAL_JOB_STATES or job.cancelled:
             return []
-        queue = self._queue(job)
+        queue = self._queues.find_for_start(job)
+        job.waits_for_queue = queue is None
         if queue is None:
-            queue = Queue(job.stored.queue, "", "", job.service)
+            return []
         pending: list[PendingStep] = []
         for step in job.steps.values():
             tasks = [
@@ -250,7 +252,8 @@
     def _stop_stalled(self, task: Task, now: float) -> None:
         """Stop a run that makes no progress; its task is retried on another worker."""
         event(logger, Event.RUN_STALLED, task=task.name, run=task.run, worker=task.worker)
-        task.failed_on = tuple(dict.fromkeys((*task.failed_on, task.worker)))
+        task.stalls += 1
+        task.record_failure_on(task.worker)
         instance = self.instances.get(task.worker)
         if instance is not None:
             instance.suspect_until = now + SUSPECT_PERIOD_S
@@ -291,7 +294,7 @@
         for instance in list(self.instances.values()):
             self._send_stops(instance, now)
             if all_stored and instance.last_acked_end < instance.last_seen_end:
-                instance.last_acked_end = instance.last_seen_end
+                instance.last_acked_end, instance.acked_at = instance.last_seen_end, now
                 instance.wake.set()
 
     def _has_unstored(self) -> bool:
@@ -410,7 +413,8 @@
     def _handle_stop_result(
         self, instance: WorkerInstance, task: Task, run: int, failure: WorkerError | None, at: float
     ) -> None:
-        if failure is None and task.run == run:
+        is_current = task.run == run and instance.tasks.get(task.name) is task
+        if failure is None and is_current:
             task.stop_confirmed_at = at
             if task.unconfirmed_since:
                 self.dispatcher.poll_now(instance)
--- a/gypsumplank/coordination/job/term.py
+++ b/gypsumplank/coordination/job/term.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from gypsumplank.coordination.job.commit import JobCommitter
 from gypsumplank.coordination.job.dispatcher import Post, WorkerDispatcher
 from gypsumplank.coordination.job.evidence import ReceivedReport
 from gypsumplank.coordination.job.instance import WorkerInstance
@@ -66,7 +67,7 @@
         """Apply the list of machines; order the maintenance and moves that are due."""
         if scheduler.fleet.has_silent_tasks():
             self._controller.refresh_list(now)
-        scheduler.fleet.end_down(self._controller.machines, self._controller.list_read_at, now)
+        scheduler.fleet.end_down(self._controller.listed, self._controller.list_read_at, now)
         self.maintenance.order_ready_machines(scheduler, now)
         if manifest is not None:
             self._pools.plan_and_move(scheduler, manifest, now)
@@ -148,11 +149,18 @@
 
 
 class Term:
-    """Represent one leadership term: its epoch, scheduler, dispatcher and watchers."""
+    """Represent one leadership term: its epoch, scheduler, committer, dispatcher and watchers."""
 
-    def __init__(self, epoch: int, scheduler: Scheduler, dispatcher: WorkerDispatcher) -> None:
+    def __init__(
+        self,
+        epoch: int,
+        scheduler: Scheduler,
+        committer: JobCommitter,
+        dispatcher: WorkerDispatcher,
+    ) -> None:
         self.epoch = epoch
         self.scheduler = scheduler
+        self.committer = committer
         self.dispatcher = dispatcher
         self.watchers: Sequence[PeriodicThread] = ()
 
--- a/gypsumplank/coordination/job/workload.py
+++ b/gypsumplank/coordination/job/workload.py
@@ -1,9 +1,11 @@
 """Keep all jobs that have not ended, and collect their changes for commits to the store."""
 
 import logging
-from collections.abc import Iterable, Iterator, Sequence
+import re
+from collections.abc import Collection, Iterable, Iterator, Sequence
+from itertools import islice, takewhile
 
-from gypsumplank.coordination.job.model import Job, Step, Task
+from gypsumplank.coordination.job.model import Job, Task
 from gypsumplank.errors import EntryInvalidError
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.job import FINAL_JOB_STATES, JobState, TaskPhase
@@ -18,18 +20,22 @@
     JobUpdate,
     LoadedJob,
     pending_key,
+    sent_bytes,
     state_write,
     step_write,
+    take_fitting,
 )
 from gypsumplank.state.table import Check, Write
 
+NUMBER = re.compile(r"[0-9]{1,9}")
+
 logger = logging.getLogger(__name__)
 
 
 def parse_task_name(name: str) -> TaskName:
     """Parse a task's name; raise EntryInvalidError."""
     parts = name.split(".")
-    if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
+    if len(parts) != 4 or not all(NUMBER.fullmatch(part) for part in parts[1:]):
         raise EntryInvalidError(f"{name!r} is not a valid task name")
     return TaskName(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
 
@@ -43,12 +49,14 @@
 
     def add(self, loaded: LoadedJob, now: float) -> Job:
         """Add a job that was read from the store; `now` is in monotonic seconds."""
+        cancelled = loaded.cancelled or loaded.state is JobState.CANCELLED
         job = Job(
             loaded.job,
             loaded.job.service,
-            loaded.state,
+            # The state may have been read before the cancellation.
+            JobState.CANCELLED if cancelled else loaded.state,
             loaded.version,
-            loaded.cancelled or loaded.state is JobState.CANCELLED,
+            cancelled,
             arrived_at=now,
         )
         for step in job.steps.values():
@@ -74,7 +82,7 @@
     def cancel(self, job_id: str) -> None:
         """Mark a job as cancelled, as it is in the store."""
         job = self.jobs.get(job_id)
-        if job is not None and not job.cancelled:
+        if job is not None and not (job.cancelled and job.state is JobState.CANCELLED):
             job.cancelled = True
             job.state = JobState.CANCELLED
             job.state_dirty = False
@@ -107,31 +115,46 @@
                 took_ms=round((now - job.arrived_at) * 1000),
             )
 
-    def updates(self) -> Iterator[tuple[Job, JobUpdate]]:
-        """Yield the changes to commit, one update per job."""
+    def abandon(self, job: Job, now: float) -> None:
+        """Fail a job of which the store does not take a step's row; write no such row again."""
+        job.is_unstorable = True
+        if job.state not in FINAL_JOB_STATES:
+            self._set_state(job, JobState.FAILED, now)
+
+    def updates(self, held_back: Collection[str] = ()) -> Iterator[JobUpdate]:
+        """Yield the changes to commit, one update per job; none for jobs that are held back."""
         for job in list(self.jobs.values()):
+            if job.id in held_back:
+                continue
             update = (
                 self._cleanup_update(job) if self._is_finished(job) else self._progress_update(job)
             )
             if update is not None:
-                yield job, update
+                yield update
 
     def mark_stored(self, job: Job, update: JobUpdate, version: int, now: float) -> None:
         """Clear the dirty flags that a committed update covers; remove the job if it is over."""
         if any(write.table == TABLE_STATES for write in update.writes):
             job.version = version
             job.state_dirty = False
-        written = {write.key for write in update.writes if write.table == TABLE_STEPS}
+        written = {write.key: write for write in update.writes if write.table == TABLE_STEPS}
         for step in job.steps.values():
             if step.key in written:
                 step.dirty = False
+                step.record_removed = written[step.key].value is None
         if any(write.table == TABLE_ORDERS for write in update.writes):
             self.jobs.pop(job.id, None)
             self.ended_at[job.id] = now
 
     def expired(self, before: float, limit: int = MAX_TXN_ENTRIES) -> Sequence[str]:
         """Return jobs that ended before a time and whose state need not be kept any longer."""
-        return [job for job, at in self.ended_at.items() if at < before][:limit]
+        ended = takewhile(lambda item: item[1] < before, self.ended_at.items())
+        return [job for job, _ in islice(ended, limit)]
+
+    def forget(self, jobs: Iterable[str]) -> None:
+        """Forget ended jobs whose states were removed."""
+        for job in jobs:
+            self.ended_at.pop(job, None)
 
     @staticmethod
     def _is_finished(job: Job) -> bool:
@@ -139,20 +162,22 @@
 
     def _progress_update(self, job: Job) -> JobUpdate | None:
         dirty = [step for step in job.steps.values() if step.dirty]
+        if job.is_unstorable:
+            for step in dirty:
+                step.dirty = False
+            dirty = []
         if job.state_dirty or dirty:
             checks, writes = self._state_writes(job)
-            max_steps = MAX_TXN_ENTRIES - len(checks) - len(writes) - 1
-            writes.extend(step_write(step.key, step.record) for step in dirty[:max_steps])
+            size = sum(map(sent_bytes, checks)) + sum(map(sent_bytes, writes))
+            records = (step_write(step.key, step.record) for step in dirty)
+            writes.extend(take_fitting(records, len(checks) + len(writes), size))
             return JobUpdate(job.id, tuple(checks), tuple(writes))
         return None
 
     def _cleanup_update(self, job: Job) -> JobUpdate:
         checks, writes = self._state_writes(job)
-        stored = [step for step in job.steps.values() if _has_record(step)]
-        removed = [Write(TABLE_STEPS, step.key, None) for step in stored[: MAX_TXN_ENTRIES // 2]]
-        for step in stored[: MAX_TXN_ENTRIES // 2]:
-            _reset_run_numbers(step)
-        writes.extend(removed)
+        stored = [step for step in job.steps.values() if step.has_record]
+        writes.extend(Write(TABLE_STEPS, step.key, None) for step in stored[: MAX_TXN_ENTRIES // 2])
         if len(stored) <= MAX_TXN_ENTRIES // 2:
             writes.append(Write(TABLE_ORDERS, job.id, None))
             if job.cancelled:
@@ -167,14 +192,3 @@
         writes = [state_write(job.id, job.state, job.stored.queue)]
         writes.append(Write(TABLE_PENDING, pending_key(job.stored.queue, job.id), None))
         return checks, writes
-
-
-def _has_record(step: Step) -> bool:
-    """Return whether a step may have a stored row; it gets one when its first run is assigned."""
-    return any(task.run for task in step.tasks)
-
-
-def _reset_run_numbers(step: Step) -> None:
-    """Make `_has_record` return False for a step whose stored row is being deleted."""
-    for task in step.tasks:
-        task.run = 0
--- a/gypsumplank/errors.py
+++ b/gypsumplank/errors.py
@@ -3,6 +3,13 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+# Longest detail about a malformed input.
+MAX_DETAIL_CHARS = 200
+
+
+def _cut(detail: str) -> str:
+    return f"{detail[:MAX_DETAIL_CHARS]}..." if len(detail) > MAX_DETAIL_CHARS else detail
+
 
 class GypsumplankError(Exception):
     """Base class of all errors; `code` is stable and safe for scripts to match."""
@@ -301,10 +308,13 @@
 
 
 class PeerError(GypsumplankError):
-    """A message from another daemon is invalid and was dropped."""
+    """A message from another daemon is invalid and was dropped; a long detail is cut."""
 
     code = "peer"
 
+    def __init__(self, detail: str = "") -> None:
+        super().__init__(_cut(detail))
+
 
 class PeerMalformedError(PeerError):
     """The message cannot be decoded by this version."""
@@ -450,11 +460,18 @@
 
 
 class MachineError(GypsumplankError):
-    """A call to the machine service failed; it may still have been executed."""
+    """A call to the machine service failed; it may still have been executed.
+
+    `may_be_executed` is false if that is excluded, as the call was not sent or was refused.
+    """
 
     code = "machine"
     status = 503
 
+    def __init__(self, detail: str, may_be_executed: bool = True) -> None:
+        super().__init__(detail)
+        self.may_be_executed = may_be_executed
+
 
 class MachineRefusedError(MachineError):
     """The platform rejected a command for a machine; `reason` gives the cause."""
@@ -462,7 +479,7 @@
     code = "machine-refused"
 
     def __init__(self, reason: str) -> None:
-        super().__init__(reason)
+        super().__init__(reason, may_be_executed=False)
         self.reason = reason
 
 
@@ -474,10 +491,13 @@
 
 
 class EntryInvalidError(GypsumplankError):
-    """A row or name read from the platform is malformed."""
+    """A row, name or message from outside is malformed; a long detail is cut."""
 
     code = "entry-invalid"
 
+    def __init__(self, detail: str = "") -> None:
+        super().__init__(_cut(detail))
+
 
 class CallError(GypsumplankError):
     """A call received no response; `sent` is true if it may have been executed."""
--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -12,6 +12,9 @@
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/+@%,"
 )
 
+# Longest text in one field of a log line.
+MAX_FIELD_CHARS = 500
+
 
 class Event(StrEnum):
     """Enumerate the log events; `doc` is the description on the reference page."""
@@ -56,6 +59,7 @@
     JOB_REFUSED = "job-refused", "A job request was answered with an error."
     JOB_CANCELLED = "job-cancelled", "A cancellation was stored, or the scheduler learned of it."
     JOB_ENDED = "job-ended", "A job reached a final state."
+    JOB_UNSTORABLE = "job-unstorable", "The store takes no row of this size; its job has failed."
     RUN_STARTED = "task-started", "A run was stored and its start is sent to a worker."
     RUN_REFUSED = "task-refused", "A worker did not confirm the start of a run."
     RUN_ENDED = "task-ended", "A worker reported the end of a run; `how` gives the outcome."
@@ -123,5 +127,12 @@
 def event(
     logger: logging.Logger, event_type: Event, level: int = logging.INFO, **fields: Any
 ) -> None:
-    """Log one event with its fields."""
-    logger.log(level, event_type.value, extra=fields)
+    """Log one event with its fields; a longer text than MAX_FIELD_CHARS is cut."""
+    bounded = {name: _cut(value) for name, value in fields.items()}
+    logger.log(level, event_type.value, extra=bounded)
+
+
+def _cut(value: Any) -> Any:
+    if isinstance(value, str) and len(value) > MAX_FIELD_CHARS:
+        return f"{value[:MAX_FIELD_CHARS]}..."
+    return value
--- a/gypsumplank/platform/settings.py
+++ b/gypsumplank/platform/settings.py
@@ -1,19 +1,27 @@
 """Decode the settings file that the platform places on each machine."""
 
 import os
+import re
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
 
 import msgspec
 
-from gypsumplank.errors import Fault, SettingsError
+from gypsumplank.errors import EntryInvalidError, Fault, SettingsError
+from gypsumplank.protocol.decoder import Count, PositiveInt, decode_json
 from gypsumplank.settings import check_address
+from gypsumplank.state.job import DEFAULT_MAX_ROW_BYTES
 
 ENV_SETTINGS_PATH = "GYPSUMPLANK_BOOT"
 MS_PER_S = 1000.0
 
-PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
+# Bounds every setting that is a number; times are in ms or s.
+MAX_SETTING = 1e9
+# The daemon's name is sent in headers.
+NODE_NAME = re.compile(r"[!-~]{1,200}")
+
+PositiveFloat = Annotated[float, msgspec.Meta(gt=0, le=MAX_SETTING)]
 
 
 class WireListen(msgspec.Struct, rename="kebab"):
@@ -26,19 +34,23 @@
 class WireLimits(msgspec.Struct, rename="kebab"):
     """Store resource limits; `cores` is the speed of a core relative to a reference core."""
 
-    max_fds: int = 1024
+    max_fds: PositiveInt = 1024
     cpu_share: PositiveFloat = 1.0
     cores: PositiveFloat = 1
 
 
 class WireBounds(msgspec.Struct, rename="kebab"):
-    """Store the platform's time limits; `max-hold-ms` is the longest task lease."""
+    """Store the platform's time limits; `max-hold-ms` is the longest task lease.
+
+    `status_s` is how long the state of an ended job must be shown.
+    """
 
     max_hold_ms: PositiveFloat = 6000
     lease_ms: PositiveFloat = 3000
     grace_s: PositiveFloat = 6
     maintenance_s: PositiveFloat = 2
     move_s: PositiveFloat = 1.5
+    status_s: PositiveFloat = msgspec.field(default=120, name="status_s")
 
 
 class WireService(msgspec.Struct, rename="kebab"):
@@ -47,6 +59,13 @@
     address: str
 
 
+class WirePlatform(msgspec.Struct, rename="kebab"):
+    """Store the platform's address, and the longest value of a row in its store."""
+
+    address: str
+    row_bytes: PositiveInt = DEFAULT_MAX_ROW_BYTES
+
+
 class WireSettings(msgspec.Struct, rename="kebab"):
     """Represent the settings file."""
 
@@ -54,13 +73,13 @@
     ip: str
     zone: str
     listen: WireListen
-    platform: WireService
+    platform: WirePlatform
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
     bounds: WireBounds = msgspec.field(default_factory=WireBounds)
     cloud: WireService | None = None
     hint: str | None = None
     heartbeat_ms: PositiveFloat = 1500
-    port_range: tuple[int, int] = (7060, 7075)
+    port_range: tuple[Count, Count] = (7060, 7075)
 
 
 @dataclass(frozen=True)
@@ -68,7 +87,8 @@
     """Store a daemon's settings on the platform; times in seconds, `cpu_cores` in reference cores.
 
     `peer_address` is where this daemon serves other daemons. `lease_handover_s` is the minimum time
-    between orders for one machine by two different lease holders.
+    between orders for one machine by two different lease holders. `max_row_bytes` is the longest
+    value of a row in the store, `status_s` how long the state of an ended job must be shown.
     """
 
     daemon: str
@@ -86,6 +106,8 @@
     grace_s: float
     heartbeat_s: float
     peer_address: str
+    max_row_bytes: int
+    status_s: float
 
 
 def settings_path() -> Path:
@@ -101,21 +123,29 @@
 def load_platform_settings(path: Path) -> PlatformSettings:
     """Load the settings from a file; raise SettingsError."""
     try:
-        wire = msgspec.json.decode(path.read_bytes(), type=WireSettings)
+        wire = decode_json(path.read_bytes(), WireSettings)
     except OSError as exc:
         raise SettingsError((Fault("unreadable", "$", str(exc), str(path)),)) from exc
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
-        raise SettingsError((Fault("value-invalid", "$", str(exc), str(path)),)) from exc
+    except EntryInvalidError as exc:
+        raise SettingsError((Fault("value-invalid", "$", exc.detail, str(path)),)) from exc
+    peer_address = f"{wire.ip}:{wire.port_range[0]}"
     addresses = {
         "listen.front": wire.listen.front,
         "listen.ready": wire.listen.ready,
         "platform.address": wire.platform.address,
+        "ip": peer_address,
     }
+    if wire.cloud is not None:
+        addresses["cloud.address"] = wire.cloud.address
+    if wire.hint:
+        addresses["hint"] = wire.hint
     faults = [
         Fault("value-invalid", key, problem, str(path))
         for key, value in addresses.items()
         if (problem := check_address(value))
     ]
+    if not NODE_NAME.fullmatch(wire.node):
+        faults.append(Fault("value-invalid", "node", "must fit a header", str(path)))
     if faults:
         raise SettingsError(faults)
     return PlatformSettings(
@@ -133,5 +163,7 @@
         wire.bounds.lease_ms / MS_PER_S,
         wire.bounds.grace_s,
         wire.heartbeat_ms / MS_PER_S,
-        f"{wire.ip}:{wire.port_range[0]}",
+        peer_address,
+        wire.platform.row_bytes,
+        wire.bounds.status_s,
     )
--- a/gypsumplank/state/job.py
+++ b/gypsumplank/state/job.py
@@ -3,7 +3,8 @@
 import logging
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from math import ceil
 from typing import TypeVar
 
 import msgspec
@@ -12,10 +13,13 @@
     EntryInvalidError,
     JobMissingError,
     StateConflictError,
+    StateTooLargeError,
     StateUnknownError,
 )
 from gypsumplank.log import Event, event
+from gypsumplank.protocol.decoder import Count, decode_json
 from gypsumplank.protocol.job import FINAL_JOB_STATES, JobState, StepRecord, StoredJob
+from gypsumplank.state.row import RowDecoder
 from gypsumplank.state.table import ABSENT, Check, Row, Table, Txn, Write, scan_all
 
 TABLE_ORDERS = "orders"
@@ -28,6 +32,18 @@
 
 # Entries per transaction; the platform accepts 100.
 MAX_TXN_ENTRIES = 90
+# Bytes per transaction, as sent; the platform accepts 1 MB.
+MAX_TXN_BYTES = 800_000
+# Bytes that an entry adds as sent beside its table, key and value: the JSON around these, the
+# partition, and the version that a check has.
+ENTRY_OVERHEAD_BYTES = 100
+# Bytes of a row's key that the platform accepts.
+MAX_KEY_BYTES = 200
+# Bytes of a row's value, where the settings file gives no other limit.
+DEFAULT_MAX_ROW_BYTES = 65_536
+# Bytes of a step's row that are reserved for each of its tasks when the job is submitted; the
+# workers that the task failed on are left out if they do not fit.
+TASK_RECORD_BYTES = 210
 # Jobs that a load decodes between two checks of the lease; a slow daemon decodes them in less time
 # than passes between two renewals.
 LOAD_CHUNK_JOBS = 10
@@ -60,6 +76,11 @@
         """Return how many transaction entries the changes use."""
         return len(self.checks) + len(self.writes)
 
+    @property
+    def sent_bytes(self) -> int:
+        """Return how many bytes of a transaction the changes use."""
+        return sum(map(sent_bytes, self.checks)) + sum(map(sent_bytes, self.writes))
+
 
 @dataclass(frozen=True)
 class LoadedJob:
@@ -74,10 +95,17 @@
 
 def decode(raw: bytes, kind: type[T]) -> T:
     """Return a stored value; raise EntryInvalidError."""
-    try:
-        return msgspec.json.decode(raw, type=kind)
-    except msgspec.MsgspecError as exc:
-        raise EntryInvalidError(str(exc)) from exc
+    return decode_json(raw, kind)
+
+
+def decode_order(row: Row) -> StoredJob:
+    """Return the job of a row; raise EntryInvalidError."""
+    job = decode(row.value, StoredJob)
+    if job.id != row.key:
+        raise EntryInvalidError(f"the job is {job.id!r}")
+    if fault := job.order.find_fault():
+        raise EntryInvalidError(fault)
+    return job
 
 
 def pending_key(queue: str, job: str) -> str:
@@ -95,25 +123,59 @@
     return Write(TABLE_STATES, job, msgspec.json.encode(StateValue(state, queue)))
 
 
-def step_write(key: str, record: StepRecord) -> Write:
-    """Return the write that stores a step's progress."""
-    return Write(TABLE_STEPS, key, msgspec.json.encode(record))
+def step_write(key: str, record: StepRecord, max_bytes: int = DEFAULT_MAX_ROW_BYTES) -> Write:
+    """Return the write that stores a step's progress, in at most `max_bytes` if possible.
+
+    Which workers a task failed on only guides placement, so it is left out of a row too long.
+    """
+    value = msgspec.json.encode(record)
+    if len(value) > max_bytes:
+        shortened = (replace(task, failed_on=()) for task in record.tasks)
+        value = msgspec.json.encode(StepRecord(tuple(shortened)))
+    return Write(TABLE_STEPS, key, value)
+
+
+def sent_bytes(entry: Check | Write) -> int:
+    """Return the bytes that an entry of a transaction adds as sent, with its value in base64."""
+    value = entry.value or b"" if isinstance(entry, Write) else b""
+    key_bytes = len(entry.table.encode()) + len(entry.key.encode())
+    return ENTRY_OVERHEAD_BYTES + key_bytes + 4 * ceil(len(value) / 3)
+
+
+def take_fitting(writes: Iterable[Write], entries: int, size: int) -> Iterator[Write]:
+    """Yield the first writes that fit into a transaction beside `entries` of `size` bytes."""
+    for write in writes:
+        entries += 1
+        size += sent_bytes(write)
+        if entries > MAX_TXN_ENTRIES or size > MAX_TXN_BYTES:
+            return
+        yield write
 
 
 def group_into_txns(updates: Iterable[JobUpdate]) -> Iterator[list[JobUpdate]]:
-    """Group updates into transactions of at most MAX_TXN_ENTRIES entries."""
+    """Group updates into transactions of at most MAX_TXN_ENTRIES entries and MAX_TXN_BYTES.
+
+    An update that exceeds these alone becomes a transaction of its own.
+    """
     batch: list[JobUpdate] = []
-    entries = 0
+    entries = size = 0
     for update in updates:
-        if batch and entries + update.entries > MAX_TXN_ENTRIES:
+        update_bytes = update.sent_bytes
+        is_full = entries + update.entries > MAX_TXN_ENTRIES or size + update_bytes > MAX_TXN_BYTES
+        if batch and is_full:
             yield batch
-            batch, entries = [], 0
+            batch, entries, size = [], 0, 0
         batch.append(update)
         entries += update.entries
+        size += update_bytes
     if batch:
         yield batch
 
 
+def _decode_count(row: Row) -> int:
+    return decode_json(row.value, Count)
+
+
 def _is_final(row: Row) -> bool:
     try:
         return decode(row.value, StateValue).state in FINAL_JOB_STATES
@@ -123,15 +185,37 @@
 
 def _decode_job(row: Row, state: Row | None, cancelled: bool, steps: Iterable[Row]) -> LoadedJob:
     value = decode(state.value, StateValue) if state else None
+    job = decode_order(row)
+    task_counts = _task_counts(job)
     return LoadedJob(
-        decode(row.value, StoredJob),
+        job,
         value.state if value else JobState.QUEUED,
         state.version if state else row.version,
         cancelled,
-        {step.key: decode(step.value, StepRecord) for step in steps},
+        {
+            step.key: _decode_step(step, task_counts[step.key])
+            for step in steps
+            if step.key in task_counts
+        },
     )
 
 
+def _task_counts(job: StoredJob) -> dict[str, int]:
+    """Return the number of tasks of each occurrence of a step, by the key of its row."""
+    return {
+        step_key(job.id, occurrence, position): step.tasks
+        for occurrence in range(max(1, job.order.schedule.count))
+        for position, step in enumerate(job.order.steps)
+    }
+
+
+def _decode_step(row: Row, tasks: int) -> StepRecord:
+    record = decode(row.value, StepRecord)
+    if len(record.tasks) != tasks:
+        raise EntryInvalidError(f"{row.key} has {len(record.tasks)} of {tasks} tasks")
+    return record
+
+
 def _in_chunks(rows: Iterable[Row], on_chunk: Callable[[], None]) -> Iterator[Row]:
     """Yield the rows; call `on_chunk` after each LOAD_CHUNK_JOBS of them."""
     for number, row in enumerate(rows, 1):
@@ -141,18 +225,26 @@
 
 
 class JobStore:
-    """Read and write jobs; every method may raise StateError."""
+    """Read and write jobs; every method may raise StateError.
+
+    `max_row_bytes` is the longest value of a row that the store accepts.
+    """
 
-    def __init__(self, table: Table) -> None:
+    def __init__(self, table: Table, max_row_bytes: int = DEFAULT_MAX_ROW_BYTES) -> None:
         self._table = table
+        self.max_row_bytes = max_row_bytes
+        self._number_decoder = RowDecoder(_decode_count)
 
     def submit(self, job: StoredJob, timeout_s: float | None = None) -> bool:
         """Store a new job; return False if it is stored already.
 
-        `timeout_s` limits the wait for the response, in seconds.
+        `timeout_s` limits the wait for the response, in seconds. Raises StateTooLargeError if the
+        job, or the progress of one of its steps, does not fit into a row.
         """
+        order = msgspec.json.encode(job)
+        self._check_row_sizes(job, order)
         writes = (
-            Write(TABLE_ORDERS, job.id, msgspec.json.encode(job)),
+            Write(TABLE_ORDERS, job.id, order),
             state_write(job.id, JobState.QUEUED, job.queue),
             Write(TABLE_PENDING, pending_key(job.queue, job.id), b"1"),
         )
@@ -162,6 +254,16 @@
             return False
         return True
 
+    def _check_row_sizes(self, job: StoredJob, order: bytes) -> None:
+        if len(order) > self.max_row_bytes:
+            raise StateTooLargeError(f"job of {len(order)} bytes exceeds {self.max_row_bytes}")
+        max_tasks = self.max_row_bytes // TASK_RECORD_BYTES
+        for position, step in enumerate(job.order.steps):
+            if step.tasks > max_tasks:
+                raise StateTooLargeError(
+                    f"step {position} has {step.tasks} tasks, more than {max_tasks}"
+                )
+
     def state(self, job: str) -> tuple[StateValue, int]:
         """Return a job's state and its row's version; raise JobMissingError."""
         row = self._table.get(TABLE_STATES, job)
@@ -211,36 +313,55 @@
     def initial_pool_sizes(self, present: Mapping[str, int]) -> dict[str, int]:
         """Return the initial machine count of each pool; store the counts of new pools."""
         rows = scan_all(self._table, TABLE_POOLS)
-        known = {row.key: decode(row.value, int) for row in rows}
+        known = self._decode_counts(rows)
+        # A malformed row is replaced, as nothing else is known of the pool.
+        versions = {row.key: row.version for row in rows}
         for pool, size in present.items():
             if pool in known:
                 continue
+            check = Check(TABLE_POOLS, pool, versions.get(pool, ABSENT))
             write = Write(TABLE_POOLS, pool, msgspec.json.encode(size))
             try:
-                self._table.commit(Txn((Check(TABLE_POOLS, pool, ABSENT),), (write,)))
+                self._table.commit(Txn((check,), (write,)))
             except StateConflictError:
                 return self.initial_pool_sizes(present)
             known[pool] = size
         return known
 
     def silent_workers(self) -> dict[str, int]:
-        """Return since when each silent worker instance counts as silent, in store clock ms."""
-        return {row.key: decode(row.value, int) for row in scan_all(self._table, TABLE_SILENCES)}
+        """Return since when each silent worker instance counts as silent, in store clock ms.
+
+        A malformed row is left out, so that the instance's lease is waited for in full.
+        """
+        return self._decode_counts(scan_all(self._table, TABLE_SILENCES))
+
+    def _decode_counts(self, rows: Iterable[Row]) -> dict[str, int]:
+        decoded = ((row.key, self._number_decoder.decode(row)) for row in rows)
+        return {key: count for key, count in decoded if count is not None}
 
     def update_silent_workers(
         self, fence: Check, since: Mapping[str, int], ended: Iterable[str]
     ) -> None:
-        """Add silent worker instances and remove others, if the fence check passes."""
-        writes = [
+        """Add silent worker instances and remove others, if the fence check passes.
+
+        An instance whose name is too long for a key is left out; a successor then waits for the
+        longest lease that it may have.
+        """
+        records = (
             *(
                 Write(TABLE_SILENCES, instance, msgspec.json.encode(at))
                 for instance, at in since.items()
             ),
             *(Write(TABLE_SILENCES, instance, None) for instance in ended),
-        ]
+        )
+        writes = [write for write in records if len(write.key.encode()) <= MAX_KEY_BYTES]
         for first in range(0, len(writes), MAX_TXN_ENTRIES):
             self._table.commit(Txn((fence,), tuple(writes[first : first + MAX_TXN_ENTRIES])))
 
+    def remove_states(self, fence: Check, jobs: Iterable[str]) -> None:
+        """Remove the states of ended jobs that are cleaned up, if the fence check passes."""
+        self._table.commit(Txn((fence,), tuple(Write(TABLE_STATES, job, None) for job in jobs)))
+
     def load(
         self, on_progress: Callable[[], None] = lambda: None
     ) -> tuple[list[LoadedJob], list[str]]:
--- a/standins/simulator.py
+++ b/standins/simulator.py
@@ -1,6 +1,7 @@
 """Simulate workers that run the tasks of jobs, on a simulated clock and with injected faults."""
 
 import random
+from collections import defaultdict
 from dataclasses import dataclass, field, replace
 
 from gypsumplank.errors import WorkerRefusedError, WorkerUnknownError
@@ -25,13 +26,18 @@
 RETURN_DELAY_S = 3.2
 # Ends that one report lists; the others follow once these are acknowledged.
 MAX_LISTED_ENDS = 500
+# Time for which a run of a gang waits for the other members, seconds.
+GANG_TIMEOUT_S = 3.0
 # A start order whose response is lost may still be applied up to this much later.
 MAX_START_DELAY_S = 8.0
 
 
 @dataclass
 class ActiveRun:
-    """Represent a run in progress; times are simulated seconds."""
+    """Represent a run in progress; times are simulated seconds.
+
+    `joined` is set once all members of its gang were present.
+    """
 
     name: str
     run: int
@@ -39,6 +45,7 @@
     ends_at: float
     kind: EndKind
     stop_at: float = 0.0
+    joined: bool = False
 
 
 @dataclass
@@ -68,7 +75,8 @@
     `highest_closed_run` keeps, per task, the highest run that has ended or been stopped; a start
     of that run or an older one is refused. `expired_ends` keeps the numbers of the ends that were
     unacknowledged while the lease was expired. A `doomed` worker crashes in the next step.
-    `reported_room` is the capacity in its registration, as of `reported_at`.
+    `reported_room` is the capacity in its registration, as of `reported_at`. `speed` is the share
+    of its full speed at which its runs proceed; at 0 they stand still.
     """
 
     entry: WorkerEntry
@@ -87,6 +95,7 @@
     reported_at: float = 0.0
     reported_room: Resources = Resources()
     next_report_at: float = 0.0
+    speed: float = 1.0
 
 
 @dataclass(frozen=True)
@@ -99,6 +108,10 @@
     room: Resources
 
 
+def _step_of(run: ActiveRun) -> str:
+    return run.name.rpartition(".")[0]
+
+
 class SimulatedWorkers:
     """Simulate a set of workers; implement the scheduler's WorkerControl port.
 
@@ -107,7 +120,9 @@
     after `return_delay_s`, under its old id if `keeps_id` is set. `entry_ttl_s` is the time for
     which the entry of a crashed worker remains. `room_changes` records the workers' capacity; a
     change is registered with the next heartbeat, and none is while `registry_unavailable` is set.
-    A report lists the first `max_listed_ends` ends only.
+    A report lists the first `max_listed_ends` ends only. A run of more than `lasting_run_s` counts
+    as long-running, and reports 100 percent. `gang_sizes` is how many tasks the steps have that are
+    gangs, by the prefix of their names.
     """
 
     def __init__(self, rng: random.Random) -> None:
@@ -125,12 +140,22 @@
         self.room_changes: list[RoomChange] = []
         self.registry_unavailable = False
         self.max_listed_ends = MAX_LISTED_ENDS
+        self._cut_off_entries: dict[str, tuple[float, WorkerEntry]] = {}
+        self.lasting_run_s = 1000.0
+        self.gang_sizes: dict[str, int] = {}
         self._returns: list[tuple[float, str]] = []
 
     def add(self, name: str, service: str, room: Resources, machine: str = "") -> SimulatedWorker:
         """Add a worker and return it."""
         entry = WorkerEntry(
-            name, service, f"{name}:80", "z", WorkerState.READY, room, ("a", "r1"), machine or name
+            name,
+            service,
+            "127.0.0.1:80",
+            "z",
+            WorkerState.READY,
+            room,
+            ("a", "r1"),
+            machine or name,
         )
         worker = SimulatedWorker(replace(entry, born=int(self.now * 1000) + 1), booted_at=self.now)
         self.workers[name] = worker
@@ -141,15 +166,33 @@
     def entries(self) -> list[WorkerEntry]:
         """Return the registrations of all workers that are up, or crashed lately."""
         return [
-            replace(
+            entry
+            for entry in map(self._registered_entry, self.workers.values())
+            if entry is not None
+        ]
+
+    def _registered_entry(self, worker: SimulatedWorker) -> WorkerEntry | None:
+        since, entry = self._cut_off_entries.get(worker.entry.id, (self.now, None))
+        if entry is not None:
+            return entry if self.now < since + ENTRY_TTL_S else None
+        if worker.up or self.now < worker.crashed_at + self.entry_ttl_s:
+            return replace(
                 worker.entry,
                 room=worker.reported_room,
                 clock_ms=self._clock_ms(worker, worker.reported_at),
                 seq=int(worker.reported_at / HEARTBEAT_INTERVAL_S),
             )
-            for worker in self.workers.values()
-            if worker.up or self.now < worker.crashed_at + self.entry_ttl_s
-        ]
+        return None
+
+    def cut_from_registry(self, name: str) -> None:
+        """Keep a worker's entry as it is until it expires; calls reach the worker."""
+        entry = self._registered_entry(self.workers[name])
+        if entry is not None:
+            self._cut_off_entries.setdefault(name, (self.now, entry))
+
+    def reconnect_registry(self, name: str) -> None:
+        """Let a worker write its entry again."""
+        self._cut_off_entries.pop(name, None)
 
     def set_room(self, name: str, room: Resources) -> None:
         """Change a worker's capacity; what runs goes on."""
@@ -217,8 +260,17 @@
             if worker.doomed:
                 self.crash_and_return(name)
             elif worker.up:
+                self._hold_up_runs(worker, seconds)
                 self._end_due_runs(worker)
                 self._report(worker)
+        self._end_due_gangs()
+
+    @staticmethod
+    def _hold_up_runs(worker: SimulatedWorker, seconds: float) -> None:
+        """Delay the runs on a worker that is not at full speed by the work that it did not do."""
+        for run in worker.running.values():
+            run.begun += seconds * (1 - worker.speed)
+            run.ends_at += seconds * (1 - worker.speed)
 
     def _start_without_response(self, worker: SimulatedWorker, order: StartCommand) -> None:
         try:
@@ -235,9 +287,34 @@
                 self._end_run(worker, run, EndKind.LEASE_EXPIRED)
             elif run.stop_at and self.now >= run.stop_at:
                 self._end_run(worker, run, EndKind.STOPPED)
-            elif self.now >= run.ends_at:
+            elif self.now >= run.ends_at and _step_of(run) not in self.gang_sizes:
                 self._end_run(worker, run, run.kind)
 
+    def _end_due_gangs(self) -> None:
+        """End the members of gangs: together when due, or as others have ended or are missing."""
+        gangs: defaultdict[tuple[str, int], list[tuple[SimulatedWorker, ActiveRun]]] = defaultdict(
+            list
+        )
+        for worker in self.workers.values():
+            for run in worker.running.values() if worker.up else ():
+                if _step_of(run) in self.gang_sizes:
+                    gangs[_step_of(run), run.run].append((worker, run))
+        for (step, _), members in gangs.items():
+            runs = [run for _, run in members]
+            is_complete = len(runs) == self.gang_sizes[step]
+            is_due = is_complete and self.now >= max(run.ends_at for run in runs)
+            has_failed = is_due and any(run.kind is EndKind.FAILED for run in runs)
+            for worker, run in members:
+                run.joined = run.joined or is_complete
+                if has_failed and run.kind is not EndKind.FAILED:
+                    self._end_run(worker, run, EndKind.GANG_MEMBER_ENDED)
+                elif is_due:
+                    self._end_run(worker, run, run.kind)
+                elif run.joined and not is_complete:
+                    self._end_run(worker, run, EndKind.GANG_MEMBER_ENDED)
+                elif not is_complete and self.now >= run.begun + GANG_TIMEOUT_S:
+                    self._end_run(worker, run, EndKind.GANG_TIMEOUT)
+
     def _end_run(self, worker: SimulatedWorker, run: ActiveRun, kind: EndKind | None) -> None:
         del worker.running[run.name]
         for record in self.history:
@@ -308,7 +385,7 @@
         )
 
     def _progress_percent(self, run: ActiveRun) -> int:
-        if run.ends_at - run.begun > 1000:
+        if run.ends_at - run.begun > self.lasting_run_s:
             return 100
         return int(100 * (self.now - run.begun) / (run.ends_at - run.begun))
 
--- a/tests/coordination/job/cluster.py
+++ b/tests/coordination/job/cluster.py
@@ -3,6 +3,7 @@
 import random
 from dataclasses import replace
 
+from gypsumplank.coordination.job.dispatcher import VERIFIED_FOR_S
 from gypsumplank.coordination.job.evidence import ReceivedReport
 from gypsumplank.coordination.job.leader import SchedulerLeader
 from gypsumplank.coordination.job.machine import MachineController
@@ -12,15 +13,22 @@
 from gypsumplank.coordination.job.term import MachineManager, PlatformPorts
 from gypsumplank.coordination.job.watch import StoreSnapshot
 from gypsumplank.coordination.lease import LeaseManager
-from gypsumplank.errors import GypsumplankError, StateError, WorkerError, WorkerRefusedError
+from gypsumplank.errors import (
+    GypsumplankError,
+    MachineError,
+    MachineRefusedError,
+    StateError,
+    WorkerError,
+    WorkerRefusedError,
+)
 from gypsumplank.protocol.job import JobDefinition, Resources, StepDefinition
 from gypsumplank.protocol.queue import Machine, MachineState, Manifest, Queue, ServicePolicy
 from gypsumplank.protocol.worker import StartRefusal
 from gypsumplank.state.clock import ClockRange, ManualClock
-from gypsumplank.state.feed import MemoryFeedTable
 from gypsumplank.state.job import JobStore
 from gypsumplank.state.lease import LeaseStore
 from gypsumplank.state.machine import MachineOrderLog
+from standins.limit import LimitedFeedTable
 from standins.simulator import SimulatedWorkers
 from standins.violations import find_violations
 from tests.faulty import ScriptedFaultTable
@@ -41,9 +49,13 @@
 
 
 class SteppedDispatcher:
-    """Send commands immediately, and poll every worker once per step."""
+    """Send commands immediately, and poll the workers once per step.
+
+    Unless `polls_idle` is set, idle ones are left alone, as the real dispatcher does for 30 s.
+    """
 
-    def __init__(self, control, clock, post, token, may_extend_leases, on_report):
+    def __init__(self, control, clock, post, token, may_extend_leases, on_report, polls_idle):
+        self.polls_idle = polls_idle
         self.control, self.clock, self.post = control, clock, post
         self.token, self.may_extend_leases, self.on_report = token, may_extend_leases, on_report
         self.instances = []
@@ -64,6 +76,7 @@
 
     def start(self, instance, make_order, on_result):
         def send():
+            self._verify(instance)
             if not self.may_extend_leases():
                 raise WorkerRefusedError(StartRefusal.FENCED, "this leader's lease has expired")
             until_ms = instance.try_extend_leases(self.clock.monotonic(), LEASE_S)
@@ -76,6 +89,19 @@
 
         self._send(instance, send, on_result)
 
+    def _verify(self, instance):
+        now = self.clock.monotonic()
+        if now - instance.last_contact_at <= VERIFIED_FOR_S:
+            return
+        try:
+            report = self.control.poll(instance.entry, self.token, None, 0, 0.0)
+        except WorkerError as exc:
+            raise WorkerRefusedError(StartRefusal.UNREACHABLE, exc.detail) from exc
+        received = ReceivedReport(report, now, now)
+        self.post(lambda: self.on_report(instance, received))
+        if report.born != instance.incarnation:
+            raise WorkerRefusedError(StartRefusal.OTHER_INSTANCE, "started again")
+
     def stop(self, instance, name, run, on_result):
         self._send(
             instance, lambda: self.control.stop(instance.entry, name, run, self.token), on_result
@@ -100,11 +126,14 @@
     def poll_now(self, *selected):
         for instance in selected or list(self.instances):
             now = self.clock.monotonic()
+            is_idle = instance.last_contact_at and not (instance.missed_polls or instance.is_busy)
+            if is_idle and not self.polls_idle and not selected:
+                continue
             extend = instance.tasks and not instance.missed_polls and self.may_extend_leases()
             until_ms = instance.try_extend_leases(now, LEASE_S) if extend else None
             try:
                 report = self.control.poll(
-                    instance.entry, self.token, until_ms, instance.last_acked_end, 0.0
+                    instance.entry, self.token, until_ms, instance.ack_cursor, 0.0
                 )
             except WorkerError:
                 instance.missed_polls += 1
@@ -119,14 +148,20 @@
 class SteppedTermFactory:
     """Create dispatchers that the simulation steps."""
 
-    def __init__(self, control, clock):
-        self.control, self.clock = control, clock
+    def __init__(self, control, clock, polls_idle):
+        self.control, self.clock, self.polls_idle = control, clock, polls_idle
         self.dispatcher = None
         self.on_snapshot = None
 
     def create_dispatcher(self, token, post, may_extend_leases, on_report):
         self.dispatcher = SteppedDispatcher(
-            self.control, self.clock, post, token, may_extend_leases, on_report
+            self.control,
+            self.clock,
+            post,
+            token,
+            may_extend_leases,
+            on_report,
+            self.polls_idle,
         )
         return self.dispatcher
 
@@ -160,7 +195,11 @@
 
 
 class SimulatedMachines:
-    """Simulate moves and maintenance: they terminate the worker, and a new one starts later."""
+    """Simulate moves and maintenance: they terminate the worker, and a new one starts later.
+
+    While `loses_answers` is set, orders are carried out and their answers lost; while
+    `order_delay_s` is also set, they are carried out after that time.
+    """
 
     def __init__(self, cluster):
         self.cluster = cluster
@@ -172,6 +211,9 @@
         self.lists_crashed = True
         self.max_down = 0
         self.started_workers = 0
+        self.loses_answers = False
+        self.order_delay_s = 0.0
+        self.delayed_orders = []
 
     def list_machines(self):
         simulated_workers = self.cluster.simulated_workers
@@ -201,10 +243,33 @@
 
     def start_maintenance(self, machine, wave, holder, token):
         self.maintenance_calls.append(machine)
+        self._execute(lambda: self._maintain(machine, wave, token))
+
+    def move(self, machine, pool, holder, token):
+        self._execute(lambda: self._move(machine, pool, token))
+
+    def _execute(self, order):
+        if not self.loses_answers:
+            order()
+            return
+        if self.order_delay_s:
+            self.delayed_orders.append((self.cluster.clock.now + self.order_delay_s, order))
+        else:
+            self._execute_unheard(order)
+        raise MachineError("answer lost")
+
+    @staticmethod
+    def _execute_unheard(order):
+        try:
+            order()
+        except MachineRefusedError:
+            return
+
+    def _maintain(self, machine, wave, token):
         if (wave, machine) in self.maintained:
             return
-        self.maintained.add((wave, machine))
         pool = STANDBY if machine in self.standby else self._shut_down(machine)
+        self.maintained.add((wave, machine))
         self.standby.pop(machine, None)
         self._send(machine, pool, ("upkeep", wave, token), 2.0)
         down = {
@@ -214,7 +279,9 @@
         }
         self.max_down = max(self.max_down, len(down))
 
-    def move(self, machine, pool, holder, token):
+    def _move(self, machine, pool, token):
+        if any(one.name == machine and one.pool == pool for one in self.list_machines()):
+            return
         if machine in self.standby:
             del self.standby[machine]
         else:
@@ -223,11 +290,16 @@
 
     def _shut_down(self, machine):
         simulated_workers = self.cluster.simulated_workers
-        (worker,) = (
-            worker
-            for worker in simulated_workers.workers.values()
-            if worker.entry.machine == machine and worker.up
+        worker = next(
+            (
+                worker
+                for worker in simulated_workers.workers.values()
+                if worker.entry.machine == machine and worker.up
+            ),
+            None,
         )
+        if worker is None:
+            raise MachineRefusedError("busy")
         simulated_workers.crash(worker.entry.id)
         del simulated_workers.workers[worker.entry.id]
         return worker.entry.service
@@ -238,6 +310,12 @@
         self.orders.append((order[0], machine, *order[1:], self.cluster.clock.now))
 
     def step(self):
+        due = [order for at, order in self.delayed_orders if at <= self.cluster.clock.now]
+        self.delayed_orders = [
+            one for one in self.delayed_orders if one[0] > self.cluster.clock.now
+        ]
+        for order in due:
+            self._execute_unheard(order)
         for machine, (at, pool, _) in list(self.unavailable.items()):
             if self.cluster.clock.now >= at:
                 del self.unavailable[machine]
@@ -274,7 +352,9 @@
         cluster = self.cluster
         self.suspended = False
         store = JobStore(self.table)
-        self.term_factory = SteppedTermFactory(cluster.simulated_workers, cluster.clock)
+        self.term_factory = SteppedTermFactory(
+            cluster.simulated_workers, cluster.clock, cluster.polls_idle
+        )
         self.leases = LeaseManager(
             LeaseStore(self.table), cluster.clock, self.name, 2.0, 0.1, cluster.store_clock
         )
@@ -309,6 +389,7 @@
             lambda: LEASE_S,
             machine_manager,
             self.term_factory,
+            status_s=cluster.status_s,
         )
         self.store = store
         self.job_service = JobService(store, cluster.clock, lambda: MANIFEST)
@@ -340,10 +421,11 @@
 class SimulatedCluster:
     """Simulate a whole cluster, and check the runs that its workers have seen."""
 
-    def __init__(self, seed, daemons=2, workers=3):
+    def __init__(self, seed, daemons=2, workers=3, polls_idle=True, status_s=120.0):
+        self.polls_idle = polls_idle
         self.rng = random.Random(seed)
         self.clock = ManualClock(100.0)
-        self.table = MemoryFeedTable()
+        self.table = LimitedFeedTable()
         self.simulated_workers = SimulatedWorkers(self.rng)
         self.simulated_workers.now = self.clock.now
         for index in range(workers):
@@ -351,6 +433,7 @@
         self.machines = SimulatedMachines(self)
         self.waves = []
         self.reported = {}
+        self.status_s = status_s
         self.manifest = MANIFEST
         self.daemons = [Daemon(self, f"d{index}") for index in range(daemons)]
         self.submitted = {}
@@ -359,10 +442,10 @@
         now_ms = int(self.clock.now * 1000)
         return ClockRange(now_ms, now_ms)
 
-    def run(self, seconds):
-        for _ in range(round(seconds / STEP_S)):
-            self.clock.advance(STEP_S)
-            self.simulated_workers.advance(STEP_S)
+    def run(self, seconds, step_s=STEP_S):
+        for _ in range(round(seconds / step_s)):
+            self.clock.advance(step_s)
+            self.simulated_workers.advance(step_s)
             self.machines.step()
             for daemon in self.daemons:
                 daemon.step()
--- a/tests/coordination/job/test_machines.py
+++ b/tests/coordination/job/test_machines.py
@@ -498,3 +498,48 @@
     controller.order_move("a", "p", results.append)
     assert results[0].code == "machine"
     assert controller.in_flight == set()
+
+
+def test_waves_that_are_complete_are_forgotten(cluster):
+    for number in range(1, 5):
+        machine = next(
+            worker.entry.machine
+            for worker in cluster.simulated_workers.workers.values()
+            if worker.up
+        )
+        cluster.waves.append(MaintenanceWave(number, (machine,), 30.0, 1))
+        cluster.run(8.0)
+    daemon = cluster.leader()
+    assert daemon.directory.reported == dict.fromkeys(range(1, 5), True)
+    assert len(cluster.machines.maintained) == 4
+    planner = daemon.scheduler_leader._machine_manager.maintenance
+    assert not planner._waves
+
+
+def test_wave_whose_completion_is_not_read_yet_is_not_taken_up_again(cluster):
+    start_wave(cluster, cap=6)
+    cluster.run(20.0)
+    daemon = cluster.leader()
+    assert daemon.directory.reported == {1: True}
+    daemon.directory.reported.clear()
+    cluster.run(5.0)
+    assert len(cluster.machines.orders) == 6
+
+
+def test_machines_that_are_gone_are_forgotten(cluster):
+    cluster.manifest = Manifest(
+        2, (QUEUE,), {**MANIFEST.services, STANDBY: ServicePolicy(STANDBY, standby=True)}
+    )
+    scaler = cluster.leader().scheduler_leader._machine_manager._pools
+    for number in range(20):
+        name = f"x{number}"
+        cluster.simulated_workers.add(name, SERVICE, ROOM)
+        cluster.run(1.0)
+        assert name in scaler._machines_seen_with_worker
+        scaler._retry_at[name] = cluster.clock.now
+        cluster.simulated_workers.crash(name)
+        del cluster.simulated_workers.workers[name]
+        cluster.run(1.0)
+    # The list of machines is read every 0.6 s.
+    assert len(scaler._machines_seen_with_worker) <= len(cluster.simulated_workers.workers) + 1
+    assert len(scaler._retry_at) <= 1
