demo: give each job cluster a loopback network of its own

Cause: JobCluster took 127.N.9.M with N from the process id and did not look whether the daemons' fixed metrics port is free there. A script that draws the same N, or a second cluster of the same process id modulo 250, made the daemon end with "Address already in use"; the test then waited 20 s for its readiness.

Change: a cluster draws a network, reserves it for as long as it runs by listening on its first address, and starts daemons only at addresses whose metrics port is free.

Evidence: test_clusters_that_run_at_once_share_no_metrics_address fails before (TimeoutError for the second daemon's /api/readyz) and passes now; tests/test_platform_daemon.py: 5 passed.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -34,7 +34,7 @@
     one before the caller listens on it.
     """
     candidates = (f"{host}:{port}" for port in _port_candidates)
-    return list(itertools.islice(filter(_is_free, candidates), count))
+    return list(itertools.islice(filter(is_free, candidates), count))
 
 
 def own_loopback() -> str:
@@ -43,7 +43,8 @@
     return f"127.{1 + pid // 65_536 % 250}.{pid // 256 % 256}.{pid % 256}"
 
 
-def _is_free(address: str) -> bool:
+def is_free(address: str) -> bool:
+    """Return whether no socket listens on an address."""
     host, _, port = address.rpartition(":")
     with socket.socket() as sock:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/demo/job.py
+++ b/demo/job.py
@@ -1,15 +1,18 @@
 """Run a job on real daemons and a stand-in of the users' platform."""
 
 import json
-import os
+import random
+import socket
 import sys
 import time
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
 import urllib3
 
-from demo.cluster import POLL_INTERVAL_S, Cluster, free_addresses
+from demo.cluster import POLL_INTERVAL_S, Cluster, free_addresses, is_free
+from gypsumplank.composition.platform import METRICS_PORT
 from gypsumplank.platform.settings import ENV_SETTINGS_PATH
 
 HOST_HEADER = "desk.example"
@@ -18,6 +21,28 @@
 STEPS = [{"replicas": 2, "cpu": 500, "estimate-ms": 300}, {"replicas": 1, "cpu": 500, "after": [0]}]
 STATE_TIMEOUT_S = 20.0
 DAEMON_COUNT = 2
+# Networks of 254 loopback addresses that are tried before a cluster gives up.
+MAX_NETWORK_ATTEMPTS = 100
+
+
+def reserve_network() -> tuple[socket.socket, str]:
+    """Return a socket that reserves a loopback network, and the network's first three octets.
+
+    The daemons' metrics port is fixed, so clusters that run at once need addresses of their own.
+    Raise OSError if no network is free.
+    """
+    rng = random.SystemRandom()
+    for _ in range(MAX_NETWORK_ATTEMPTS):
+        network = f"127.{rng.randrange(1, 255)}.{rng.randrange(256)}"
+        reservation = socket.socket()
+        try:
+            reservation.bind((f"{network}.1", METRICS_PORT))
+            reservation.listen()
+        except OSError:
+            reservation.close()
+            continue
+        return reservation, network
+    raise OSError(f"no loopback network is free after {MAX_NETWORK_ATTEMPTS} attempts")
 
 
 class JobCluster(Cluster):
@@ -26,6 +51,13 @@
     def __init__(self, folder: Path) -> None:
         super().__init__(folder)
         self.callers_of: dict[str, str] = {}
+        self._reservation, network = reserve_network()
+        self._free_ips = _free_ips(network)
+
+    def close(self) -> None:
+        """Terminate the remaining processes, and give the loopback network back."""
+        super().close()
+        self._reservation.close()
 
     def start_users_platform(self) -> None:
         """Start the platform stand-in with its workers."""
@@ -35,7 +67,7 @@
 
     def start_entry(self, number: int) -> str:
         """Start a daemon on its own loopback IP address; return its address for callers."""
-        name, ip = f"entry-{number}", f"127.{1 + os.getpid() % 250}.9.{number + 1}"
+        name, ip = f"entry-{number}", next(self._free_ips)
         caller_address, ready_address, peer_address = free_addresses(3, ip)
         first_port = int(peer_address.rpartition(":")[2])
         path = self.folder / f"{name}.json"
@@ -73,6 +105,12 @@
         }
 
 
+def _free_ips(network: str) -> Iterator[str]:
+    """Yield the addresses of a reserved network at which the metrics port is free."""
+    ips = (f"{network}.{number}" for number in range(2, 255))
+    return (ip for ip in ips if is_free(f"{ip}:{METRICS_PORT}"))
+
+
 def call(address: str, method: str, path: str, body: Any = None) -> tuple[int, Any]:
     """Send a request to a daemon as a caller; return the status and the decoded body."""
     resp = urllib3.request(
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -55,6 +55,18 @@
     assert wait_for_state(other, JOB, "completed")
 
 
+def test_clusters_that_run_at_once_share_no_metrics_address(cluster, tmp_path):
+    """Guard against daemons that end with an address in use, as their metrics port is fixed."""
+    folder = tmp_path / "second"
+    folder.mkdir()
+    cluster.start_entry(0)
+    with JobCluster(folder) as second:
+        second.start_users_platform()
+        address = second.start_entry(0)
+        assert submit(address) == 200
+        assert wait_for_state(address, JOB, "completed")
+
+
 def test_settings_reload_and_graceful_stop(cluster):
     cluster.start_entry(0)
     path = cluster.folder / "entry-0.json"
