End with a typed error and one line if an address is taken

Cause: neither daemon handled a bind that fails. The exception of waitress or pynng ended the main thread with a bare traceback, that of pynng without the address. If the address for peers was taken, gypsumplankd did not end at all: its actors had started and are not daemon threads.

Change: Listener, RelayServer and PeerBus raise ListenError, with the listener's name and address; both daemons log one `listen-failed` line and exit with 4. The peers' address is taken before anything else is started, and the supervisor can be stopped before its thread has started.

Evidence: the six cases of test_daemon_whose_address_is_taken_ends_with_one_line_that_names_it fail before (traceback, or still running after 20 s) and pass now.

--- a/gypsumplank/coordination/supervisor.py
+++ b/gypsumplank/coordination/supervisor.py
@@ -76,7 +76,8 @@
     def stop(self) -> None:
         """Stop the thread and all actors, after the ticks in progress have finished."""
         self._stop.set()
-        self._thread.join()
+        if self._thread.is_alive():
+            self._thread.join()
         for supervised in self._supervised.values():
             supervised.ref.stop()
 
--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -40,7 +40,7 @@
 from gypsumplank.coordination.slot import SlotTracker
 from gypsumplank.coordination.supervisor import PeriodicAction, Supervisor, make_periodic_action
 from gypsumplank.coordination.usage import ServingHostClient
-from gypsumplank.errors import SettingsError
+from gypsumplank.errors import ListenError, SettingsError
 from gypsumplank.gauges import GaugeReaders, add_gauges
 from gypsumplank.log import Event, configure_logging, event
 from gypsumplank.metrics import Instrument, Metrics
@@ -81,6 +81,7 @@
 EXIT_OK = 0
 EXIT_SETTINGS = 2
 EXIT_REQUESTS_CUT_OFF = 3
+EXIT_LISTEN = 4
 OPERATOR_THREADS = 4
 OPERATOR_GRACE_S = 2.0
 CONNECTIONS_PER_ENDPOINT = 64
@@ -344,9 +345,16 @@
         self._stop_requested.set()
 
     def run(self) -> int:
-        """Serve until a stop is requested, shut down and return the exit code."""
+        """Serve until a stop is requested, shut down and return the exit code.
+
+        Raise ListenError if the address for peers is taken.
+        """
+        try:
+            self._peers.start()
+        except ListenError:
+            self._supervisor.stop()
+            raise
         self._operator_listener.start()
-        self._peers.start()
         self._claims.start()
         self._tasks.start()
         self._supervisor.start()
@@ -397,10 +405,14 @@
     if args.check:
         return EXIT_OK
     configure_logging(cfg.log_format, cfg.log_level)
-    daemon = Daemon(cfg)
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: daemon.stop())
-    return daemon.run()
+    try:
+        daemon = Daemon(cfg)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: daemon.stop())
+        return daemon.run()
+    except ListenError as exc:
+        event(logger, Event.LISTEN_FAILED, logging.ERROR, code=exc.code, detail=exc.detail)
+        return EXIT_LISTEN
 
 
 if __name__ == "__main__":
--- a/gypsumplank/errors.py
+++ b/gypsumplank/errors.py
@@ -53,6 +53,12 @@
     code = "settings-invalid"
 
 
+class ListenError(GypsumplankError):
+    """A daemon cannot listen at an address of its settings, for example as it is in use."""
+
+    code = "listen-failed"
+
+
 class RecordsError(FaultsError):
     """One or more records are invalid."""
 
--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -29,6 +29,7 @@
         return member
 
     STARTED = "started", "The daemon started and accepts connections."
+    LISTEN_FAILED = "listen-failed", "The daemon ended: it cannot listen at one of its addresses."
     READY = "ready", "The daemon is ready to receive callers' requests."
     STOPPING = "stopping", "A planned stop began; the daemon will soon accept no new connections."
     STOPPED = "stopped", "The daemon stopped; `cut_off` requests were still in flight, normally 0."
--- a/gypsumplank/transport/listener.py
+++ b/gypsumplank/transport/listener.py
@@ -9,6 +9,8 @@
 from waitress.server import create_server
 from waitress.task import ThreadedTaskDispatcher
 
+from gypsumplank.errors import ListenError
+
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 Application = Callable[[dict[str, Any], StartResponse], Iterable[bytes]]
 
@@ -49,7 +51,7 @@
 
 
 class Listener:
-    """Serve a WSGI application on one address until closed."""
+    """Serve a WSGI application on one address until closed; raise ListenError if it is taken."""
 
     def __init__(
         self,
@@ -61,18 +63,21 @@
         connection_limit: int = CONNECTION_LIMIT,
     ) -> None:
         self._dispatcher = dispatcher
-        self._server = create_server(
-            app,
-            listen=address,
-            _dispatcher=self._dispatcher,
-            max_request_body_size=max_body_bytes,
-            channel_request_lookahead=REQUEST_LOOKAHEAD,
-            connection_limit=connection_limit,
-            backlog=ACCEPT_BACKLOG,
-            asyncore_use_poll=True,
-            ident=None,
-            clear_untrusted_proxy_headers=True,
-        )
+        try:
+            self._server = create_server(
+                app,
+                listen=address,
+                _dispatcher=self._dispatcher,
+                max_request_body_size=max_body_bytes,
+                channel_request_lookahead=REQUEST_LOOKAHEAD,
+                connection_limit=connection_limit,
+                backlog=ACCEPT_BACKLOG,
+                asyncore_use_poll=True,
+                ident=None,
+                clear_untrusted_proxy_headers=True,
+            )
+        except OSError as exc:
+            raise ListenError(f"{name} at {address}: {exc.strerror or exc}") from exc
         self._server.channel_class = dispatcher.channel_class
         self._thread = threading.Thread(target=self._server.run, name=name, daemon=True)
 
--- a/gypsumplank/transport/peer.py
+++ b/gypsumplank/transport/peer.py
@@ -8,7 +8,7 @@
 
 import pynng
 
-from gypsumplank.errors import PeerError, PeerTooLargeError
+from gypsumplank.errors import ListenError, PeerError, PeerTooLargeError
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.envelope import (
     BROADCAST,
@@ -88,8 +88,11 @@
         self.subscribe(Hello, self._record_hello)
 
     def start(self) -> None:
-        """Start listening, sending and receiving."""
-        self._pull.listen(f"tcp://{self._listen}")
+        """Start listening, sending and receiving; raise ListenError if the address is taken."""
+        try:
+            self._pull.listen(f"tcp://{self._listen}")
+        except pynng.NNGException as exc:
+            raise ListenError(f"peers at {self._listen}: {exc}") from exc
         for thread in self._threads:
             thread.start()
 
--- a/gypsumplank/transport/relay.py
+++ b/gypsumplank/transport/relay.py
@@ -12,6 +12,7 @@
 from gypsumplank.errors import (
     CallError,
     EntryInvalidError,
+    ListenError,
     StateConflictError,
     StateError,
     StateTooLargeError,
@@ -79,11 +80,19 @@
 
 
 class RelayServer:
-    """Execute table service calls for other daemons, unless they fail here too."""
+    """Execute table service calls for other daemons, unless they fail here too.
+
+    Raise ListenError if the address is taken.
+    """
 
     def __init__(self, table: DirectTable, address: str) -> None:
         self._table = table
-        self._socket = pynng.Rep0(listen=f"tcp://{address}", recv_timeout=STOP_POLL_INTERVAL_MS)
+        self._socket = pynng.Rep0(recv_timeout=STOP_POLL_INTERVAL_MS)
+        try:
+            self._socket.listen(f"tcp://{address}")
+        except pynng.NNGException as exc:
+            self._socket.close()
+            raise ListenError(f"peers at {address}: {exc}") from exc
         self._closed = threading.Event()
         self._threads = [
             threading.Thread(target=self._serve, name="relay", daemon=True)
--- a/reference/advice.py
+++ b/reference/advice.py
@@ -18,6 +18,7 @@
     "machine": "Check the platform's machine service; the call is retried.",
     "machine-refused": "See the reason in the log line; a call to a busy machine is retried.",
     "manifest-missing": "The daemon has just started, or has not been able to reach the store.",
+    "listen-failed": "Free the address in the log line, or change it in the settings.",
     "queue-missing": "Compare the host and path with the manifest in force.",
     "state-history-lost": "Harmless if rare: the daemon reads the missed state in full.",
     "worker": "Check the worker named in the log line.",
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -6,7 +6,9 @@
 
 import pytest
 
+from demo.cluster import free_addresses
 from demo.job import JOB, PREFIX, STEPS, JobCluster, call, wait_for_state
+from gypsumplank.composition.platform import METRICS_PORT
 
 pytestmark = pytest.mark.process
 
@@ -67,6 +69,29 @@
         assert wait_for_state(address, JOB, "completed")
 
 
+@pytest.mark.parametrize("taken", ["callers", "metrics", "peers"])
+def test_daemon_whose_address_is_taken_ends_with_one_line_that_names_it(cluster, taken):
+    """Guard against a bare traceback, which does not tell an operator which address is in use."""
+    cluster.start_entry(0)
+    settings = json.loads((cluster.folder / "entry-0.json").read_text())
+    addresses = {
+        "callers": settings["listen"]["front"],
+        "metrics": f"{settings['ip']}:{METRICS_PORT}",
+        "peers": f"{settings['ip']}:{settings['port-range'][0]}",
+    }
+    first_port = settings["port-range"][0]
+    if taken != "peers":
+        settings["port-range"] = [first_port + 1, first_port + 15]
+    if taken == "metrics":
+        settings["listen"] = dict(zip(("front", "ready"), free_addresses(2), strict=True))
+    (cluster.folder / "second.json").write_text(json.dumps(settings))
+    cluster.restart_entry("second")
+    assert cluster.processes["second"].wait(20.0) == 4
+    (line,) = cluster.log("second").splitlines()
+    assert json.loads(line)["event"] == "listen-failed"
+    assert addresses[taken] in json.loads(line)["detail"]
+
+
 def test_settings_reload_and_graceful_stop(cluster):
     cluster.start_entry(0)
     path = cluster.folder / "entry-0.json"
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -88,3 +88,18 @@
     page = urllib3.request("GET", f"http://{fleet.operators('entry-0')}/metrics").data.decode()
     assert "gypsumplank_requests_total{" in page
     assert "event=config-in-force" in fleet.log("entry-0")
+
+
+@pytest.mark.parametrize("taken", ["callers", "operators", "peers"])
+def test_daemon_whose_address_is_taken_ends_with_one_line_that_names_it(cluster, taken):
+    """Guard against a bare traceback, which does not tell an operator which address is in use."""
+    cluster.start_platform()
+    cluster.start_daemon("entry-0", "kochi-a")
+    listen = dict(zip(("callers", "operators", "peers"), free_addresses(3), strict=True))
+    listen[taken] = cluster.settings["entry-0"]["listen"][taken]
+    cluster.settings["entry-1"] = {**cluster.settings["entry-0"], "listen": listen}
+    cluster.start_daemon_process("entry-1")
+    assert cluster.processes["entry-1"].wait(20.0) == 4
+    (line,) = cluster.log("entry-1").splitlines()
+    assert "listen-failed" in line
+    assert listen[taken] in line
