gypsumplankd: answer SIGHUP with a log line

Cause: the product's daemon had no handler for SIGHUP, which the daemon on the users' platform takes as a request to read its settings again.

Evidence: test_hangup_signal_is_answered_by_a_log_line_and_ends_nothing, with two signals in series, a request after them and a clean stop.

--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -103,6 +103,8 @@
     def __init__(self, cfg: Settings) -> None:
         self._cfg = cfg
         self._stop_requested = threading.Event()
+        self._wake = threading.Event()
+        self._reload_requested = False
         self._clock = SystemClock()
         self._in_flight_counter = InFlightCounter()
         self._current_view = CurrentView()
@@ -343,6 +345,12 @@
     def stop(self) -> None:
         """Request a graceful stop."""
         self._stop_requested.set()
+        self._wake.set()
+
+    def reject_reload(self) -> None:
+        """Request a log line which tells that the settings are read at the start only."""
+        self._reload_requested = True
+        self._wake.set()
 
     def run(self) -> int:
         """Serve until a stop is requested, shut down and return the exit code.
@@ -360,9 +368,19 @@
         self._supervisor.start()
         self._caller_listener.start()
         event(logger, Event.STARTED, daemon=self._cfg.id, callers=self._cfg.callers)
-        self._stop_requested.wait()
+        self._wait_for_stop()
         return self._shut_down()
 
+    def _wait_for_stop(self) -> None:
+        # Signal handlers run in this thread, so they set flags, and what they ask for is done here.
+        while not self._stop_requested.is_set():
+            self._wake.wait()
+            self._wake.clear()
+            if self._reload_requested:
+                self._reload_requested = False
+                detail = "settings are read at the start only; restart the daemon"
+                event(logger, Event.SETTINGS_RELOADED, logging.WARNING, detail=detail)
+
     def _shut_down(self) -> int:
         event(logger, Event.STOPPING, in_flight=self._in_flight_counter.in_flight)
         self._caller_listener.start_closing_connections()
@@ -409,6 +427,7 @@
         daemon = Daemon(cfg)
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: daemon.stop())
+        signal.signal(signal.SIGHUP, lambda *_: daemon.reject_reload())
         return daemon.run()
     except ListenError as exc:
         event(logger, Event.LISTEN_FAILED, logging.ERROR, code=exc.code, detail=exc.detail)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -1,6 +1,7 @@
 """Test requests and operator commands with real daemons and stand-ins on loopback."""
 
 import json
+import signal
 import threading
 import time
 
@@ -90,6 +91,18 @@
     assert "event=config-in-force" in fleet.log("entry-0")
 
 
+def test_hangup_signal_is_answered_by_a_log_line_and_ends_nothing(fleet):
+    """Guard against an operator who takes changed settings for being in force."""
+    for count in (1, 2):
+        fleet.signal("entry-0", signal.SIGHUP)
+        deadline = time.monotonic() + 10
+        while fleet.log("entry-0").count("event=reloaded") < count and time.monotonic() < deadline:
+            time.sleep(0.05)
+    assert fleet.log("entry-0").count("restart the daemon") == 2
+    assert send(fleet, "entry-0").status == 200
+    assert fleet.stop("entry-0") == 0
+
+
 @pytest.mark.parametrize("taken", ["callers", "operators", "peers"])
 def test_daemon_whose_address_is_taken_ends_with_one_line_that_names_it(cluster, taken):
     """Guard against a bare traceback, which does not tell an operator which address is in use."""
