--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -11,6 +11,14 @@
 EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
 
 
+def test_example_of_the_first_steps_names_only_addresses_of_this_machine():
+    """Guard against a first request that goes to whatever answers at an example's address."""
+    view = build_view(1, porcelain.validate([EXAMPLES / "loopback"]))
+    assert not view.unreadable
+    assert {service.pool for service in view.services.values()} == set(view.pools)
+    assert {host.address for host in view.hosts.values()} == {"127.0.0.1:8100", "127.0.0.1:8101"}
+
+
 @pytest.mark.parametrize(
     ("name", "zones", "workers", "spare"),
     [("cartofold", 4, 8, "dispatch-desk"), ("mossbrush", 3, 6, "backoffice")],
