tests: show what halving and the row limit of a commit are for

Both are needed. Without halving, one such row is tried for ever together with the changes of up to 90 jobs, and none of them is stored. Without the check a job that is known not to fit is tried for 3 s and costs its round a refused call and its halves.

--- a/tests/coordination/job/test_commit.py
+++ b/tests/coordination/job/test_commit.py
@@ -12,7 +12,7 @@
     StoredJob,
 )
 from gypsumplank.state.clock import ManualClock
-from gypsumplank.state.job import TABLE_STEPS, JobStore, LoadedJob
+from gypsumplank.state.job import DEFAULT_MAX_ROW_BYTES, TABLE_STEPS, JobStore, LoadedJob
 from gypsumplank.state.table import ABSENT, Check
 from standins.limit import LimitedFeedTable
 from tests.coordination.job.cluster import SERVICE, SimulatedCluster, long_running_step
@@ -88,6 +88,54 @@
     assert not cluster.violations()
 
 
+class ImpatientTable(LimitedFeedTable):
+    """End a test in which refused transactions are tried again without end."""
+
+    def commit(self, txn):
+        assert self.refused < 5
+        return super().commit(txn)
+
+
+def make_workload(*row_bytes):
+    """Return jobs with one changed step each, whose row has about this many bytes."""
+    workload = Workload()
+    for number, size in enumerate(row_bytes):
+        definition = JobDefinition("0.5", (StepDefinition(1, SMALL, 500),))
+        stored = StoredJob(f"{number:016x}", "proofs", "desk", 0, definition)
+        job = workload.add(LoadedJob(stored, JobState.RUNNING, ABSENT, False, {}), 0.0)
+        (task,) = job.tasks()
+        task.checkpoint = "x" * size
+        task.step.dirty = True
+    return workload
+
+
+def make_committer(table, max_row_bytes):
+    return JobCommitter(
+        JobStore(table, max_row_bytes), ManualClock(1.0), lambda: FENCE, lambda: None
+    )
+
+
+def test_row_that_the_store_refuses_holds_up_no_job_of_the_same_transaction():
+    """Guard against LOST: the store may accept shorter rows than the settings say."""
+    table = ImpatientTable()
+    workload = make_workload(10, 70_000, 10, 10)
+    assert make_committer(table, 1 << 20).commit(workload)
+    stored = {row.key.partition(".")[0] for row in table.scan(TABLE_STEPS)}
+    assert stored == workload.jobs.keys() - {f"{1:016x}"}
+
+
+def test_row_over_the_known_limit_fails_its_job_in_the_round_that_made_it():
+    """Guard against a job that is known not to be storable and is tried for seconds."""
+    table = LimitedFeedTable()
+    workload = make_workload(10, 70_000)
+    committer = make_committer(table, DEFAULT_MAX_ROW_BYTES)
+    assert committer.commit(workload)
+    assert committer.commit(workload)
+    assert list(workload.jobs) == [f"{0:016x}"]
+    assert JobStore(table).state(f"{1:016x}")[0].state is JobState.FAILED
+    assert table.refused == 0
+
+
 def test_one_job_with_over_1_mb_of_changed_steps_is_stored():
     table = LimitedFeedTable()
     workload = Workload()
