tests: an earlier leader's order may come late while its machine drains

It is needed: an order of an earlier leader may be carried out for 12 s. If its machine has tasks, the new leader drains it for up to 4 s before it gives the order again, and meanwhile the machine has to count against the cap.

--- a/tests/coordination/job/test_unanswered_orders.py
+++ b/tests/coordination/job/test_unanswered_orders.py
@@ -106,6 +106,35 @@
     assert wave_is_complete(cluster)
 
 
+@pytest.mark.parametrize("delay_s", [4.0, 5.0, 7.0])
+def test_late_order_of_an_earlier_leader_counts_against_the_cap_while_its_machine_drains(delay_s):
+    """Guard against LIMIT: the order may be carried out long after machines change hands."""
+    cluster = make_cluster(workers=6)
+    start_wave(cluster, cap=2)
+    cluster.machines.loses_answers, cluster.machines.order_delay_s = True, delay_s
+    while len(cluster.machines.maintenance_calls) < 2:
+        cluster.run(0.05)
+    ordered = set(cluster.machines.maintenance_calls)
+    cluster.leader().suspended = True
+    cluster.machines.loses_answers = False
+    while cluster.leader() is None:
+        cluster.run(0.05)
+    # All workers get a task before the new leader plans the wave; the ordered machines end theirs
+    # last, so that the others are idle while these are drained.
+    busy = (StepDefinition(6, Resources(8000, 100), 500, max_per_worker=1),)
+    cluster.submit("a" * 16, busy, spec="9", daemon=1)
+    cluster.run(0.5)
+    assert {start.worker for start in cluster.simulated_workers.history} == {
+        worker.entry.id for worker in cluster.simulated_workers.workers.values()
+    }
+    for name, worker in cluster.simulated_workers.workers.items():
+        if name not in ordered:
+            worker.speed = 10.0
+    cluster.run(40.0)
+    assert cluster.machines.max_down <= 2
+    assert wave_is_complete(cluster)
+
+
 class HoldingSender:
     """Send orders immediately, and hold their answers until they are released."""
 
