job: wait for a late start that a restarted worker may have received

Cause: a start's deadline is on the clock of the instance that it was meant for. If the worker restarted within the second after its last report, the next instance receives the start and executes it whatever the deadline is, up to 12 s later, under a lease that begins then. A worker that was silent from then on was waited out for 6 s from the sending only.

Callers see two runs of one work item at the same time (TWICE).

Change: a start without an answer binds by its deadline only if the instance that it was meant for has answered a report requested later. Otherwise, and if it went over to the next instance, its task waits until no start can come and its lease is over: 12 s + 6.1 s after the call. All other tasks of a silent worker are queued again as before, and so are long-running ones, as their users miss them meanwhile (LOST counts them from 6 s on).

Not covered: a successor does not know which starts had no answer, and waits 9 s as before.

--- a/gypsumplank/coordination/job/fleet.py
+++ b/gypsumplank/coordination/job/fleet.py
@@ -11,8 +11,14 @@
     record_loss,
 )
 from gypsumplank.coordination.job.dispatcher import WorkerDispatcher
-from gypsumplank.coordination.job.evidence import was_reported
-from gypsumplank.coordination.job.instance import WorkerClock, WorkerInstance, format_instance_id
+from gypsumplank.coordination.job.evidence import may_start_late, was_reported
+from gypsumplank.coordination.job.instance import (
+    LEASE_EXPIRY_MARGIN_S,
+    MIN_CLOCK_RATE,
+    WorkerClock,
+    WorkerInstance,
+    format_instance_id,
+)
 from gypsumplank.coordination.job.model import Task
 from gypsumplank.coordination.job.report import requeue_task
 from gypsumplank.log import Event, event
@@ -294,10 +300,18 @@
             requeue_task(instance, task, now)
 
     def requeue_expired(self, instance: WorkerInstance, now: float) -> None:
-        """Requeue every task of a silent instance whose leases have expired."""
-        for task in record_loss(instance.tasks.values(), instance.id):
+        """Requeue the tasks of a silent instance whose leases have expired, unless one may come."""
+        lease_s = self.max_lease_s / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN_S
+        over = [
+            task
+            for task in instance.tasks.values()
+            if not may_start_late(
+                task, instance.incarnation, instance.last_request_at, lease_s, now
+            )
+        ]
+        for task in record_loss(over, instance.id):
             self.undecided_losses.add(task)
-        self.requeue_all(instance, now, "lease-over")
+        self._requeue(instance, over, now, "lease-over")
 
     def remove_if_idle(self, key: str, instance: WorkerInstance) -> None:
         """Remove an instance that is not registered and has no tasks."""
--- a/gypsumplank/coordination/job/instance.py
+++ b/gypsumplank/coordination/job/instance.py
@@ -57,7 +57,8 @@
     `incarnation` is the worker's start in ms since 1970. `registered` tells whether the worker has
     an entry, and `entry_changed_after` when it was last known not to have changed yet. A worker
     that `has_deregistered` removed its entry on leaving, or that expired. `verified_at` is when
-    this instance last answered, `last_contact_at` when that was processed. All leases that were
+    this instance last answered, `last_contact_at` when that was processed, and `last_request_at`
+    when the report was requested. All leases that were
     granted end by `leased_until`; while `extension_suspended` is set, none is extended.
     `last_seen_end`, `last_acked_end` and `last_forgotten_end` number the task ends that were
     processed, acknowledged (at `acked_at`) and are gone. A `cordoned` worker gets no new tasks, one
@@ -74,6 +75,7 @@
     entry_changed_after: float = 0.0
     has_deregistered: bool = False
     last_contact_at: float = 0.0
+    last_request_at: float = 0.0
     verified_at: float = 0.0
     missed_polls: int = 0
     leased_until: float = 0.0
--- a/gypsumplank/coordination/job/model.py
+++ b/gypsumplank/coordination/job/model.py
@@ -33,7 +33,8 @@
     """Represent one task and its current run; times are monotonic seconds, 0 if not happened yet.
 
     `run` counts the starts of the task, `worker` and `incarnation` identify the process that the
-    run is assigned to, and `machine` is where that runs. `unconfirmed_since` is when the response
+    run is assigned to, and `machine` is where that runs. `sent_to` is the incarnation that
+    the start was meant for, 0 if this leader sent none. `unconfirmed_since` is when the response
     to a start was found to be missing, so that the run may or may not exist. `should_run` is False
     once the run has to stop. `progressed_at` is when `percent` last changed. `percent` is the
     progress of a batch task; for a long-running task it is the share of its capacity that serves,
@@ -54,6 +55,7 @@
     worker: str = ""
     incarnation: int = 0
     machine: str = ""
+    sent_to: int = 0
     checkpoint: str = ""
     failed_on: tuple[str, ...] = ()
     crashes: int = 0
@@ -187,6 +189,7 @@
         self.worker, self.incarnation, self.machine = "", 0, ""
 
     def _reset_run(self) -> None:
+        self.sent_to = 0
         self.sent_at = self.start_confirmed_at = self.unconfirmed_since = 0.0
         self.stop_sent_at = self.stop_confirmed_at = self.last_reported_at = self.progressed_at = (
             0.0
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -141,7 +141,7 @@
             # From now on the worker rejects the fencing tokens of earlier leaders.
             instance.leased_until = 0.0
             instance.extend_leases(received.answered_at, self.fleet.max_lease_s)
-        instance.last_contact_at = received.answered_at
+        instance.last_contact_at, instance.last_request_at = received.answered_at, received.sent_at
         instance.missed_polls = 0
         instance.record_forgotten_ends(received)
         # A worker removes its entry when it has left.
@@ -308,7 +308,7 @@
         if is_over or instance.is_overfull:
             requeue_task(instance, task, now)
             return
-        task.sent_at = now
+        task.sent_at, task.sent_to = now, instance.incarnation
         checkpoint = _shared_checkpoint(task)
         event(logger, Event.RUN_STARTED, task=task.name, run=task.run, worker=instance.id)
         self.dispatcher.start(
--- a/tests/coordination/job/test_evidence.py
+++ b/tests/coordination/job/test_evidence.py
@@ -2,11 +2,18 @@
 
 import pytest
 
-from gypsumplank.coordination.job.evidence import ReceivedReport
+from gypsumplank.coordination.job.evidence import ReceivedReport, may_start_late
 from gypsumplank.coordination.job.instance import WorkerClock, WorkerInstance
 from gypsumplank.coordination.job.model import Job
 from gypsumplank.coordination.job.report import apply_report
-from gypsumplank.protocol.job import Resources, StepDefinition, StepRecord, StoredJob, TaskPhase
+from gypsumplank.protocol.job import (
+    JobDefinition,
+    Resources,
+    StepDefinition,
+    StepRecord,
+    StoredJob,
+    TaskPhase,
+)
 from gypsumplank.protocol.worker import (
     EndedTask,
     EndKind,
@@ -21,6 +28,7 @@
     ROOM,
     SERVICE,
     SimulatedCluster,
+    long_running_step,
 )
 
 ENTRY = WorkerEntry("w", SERVICE, "w:80", "z", WorkerState.READY, ROOM, born=1)
@@ -149,3 +157,86 @@
     cluster.run(0.5)
     (record,) = (decode(row.value, StepRecord) for row in cluster.table.scan(TABLE_STEPS))
     assert [task.crashes for task in record.tasks] == [0]
+
+
+def restart_after_report(cluster, name="w0"):
+    """Restart a worker under its id within a second after its last report."""
+    cluster.submit("b" * 16, ONE_TASK, spec="0.2")
+    while cluster.state("b" * 16) != "completed":
+        cluster.run(0.05)
+    restart_unheard_of(cluster, name)
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_start_at_a_worker_that_restarted_after_its_report_does_not_outlast_the_lease(seed):
+    """Guard against TWICE: no report tells that the start will meet the next instance."""
+    cluster = SimulatedCluster(seed, workers=1, polls_idle=False)
+    workers = cluster.simulated_workers
+    cluster.run(20.0)
+    restart_after_report(cluster)
+    workers.response_loss_share = 1.0
+    cluster.submit("a" * 16, ONE_TASK, spec="6")
+    cluster.run(0.1)
+    workers.workers["w0"].reachable = False
+    workers.response_loss_share = 0.0
+    workers.add("w9", SERVICE, ROOM)
+    cluster.run(40.0)
+    assert not cluster.violations()
+    assert cluster.state("a" * 16) == "completed"
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_late_start_at_an_instance_that_was_heard_of_does_not_outlast_the_lease(seed):
+    """Guard against TWICE: the next instance's first report does not show a start that is late."""
+    cluster = SimulatedCluster(seed, workers=1, polls_idle=False)
+    workers = cluster.simulated_workers
+    cluster.run(20.0)
+    restart_after_report(cluster)
+    workers.response_loss_share = 1.0
+    cluster.submit("a" * 16, ONE_TASK, spec="6")
+    cluster.run(0.1)
+    workers.response_loss_share = 0.0
+    workers.reconnect_registry("w0")
+    cluster.run(0.05)
+    workers.workers["w0"].reachable = False
+    workers.add("w9", SERVICE, ROOM)
+    cluster.run(40.0)
+    assert not cluster.violations()
+    assert cluster.state("a" * 16) == "completed"
+
+
+# A start of instance 1 that was found to be unanswered at 10 s, with leases of 6 s.
+UNANSWERED_AT, START_LEASE_S = 10.0, 6.0
+
+
+@pytest.mark.parametrize(
+    ("incarnation", "last_request_at", "now", "expected"),
+    [
+        (1, 9.9, 27.9, True),
+        (1, 9.9, 28.1, False),
+        # The instance that the deadline is for has received the start.
+        (1, 10.1, 16.5, False),
+        # The start went over to the next instance, whose clock is another.
+        (2, 10.1, 16.5, True),
+    ],
+)
+def test_deadline_of_a_start_binds_only_the_instance_that_received_it(
+    incarnation, last_request_at, now, expected
+):
+    job = Job(StoredJob("a" * 16, QUEUE.name, SERVICE, 0, CHAIN_ORDER), SERVICE)
+    task = next(job.tasks())
+    task.assign("w", 1, 1)
+    task.sent_to, task.unconfirmed_since = 1, UNANSWERED_AT
+    assert may_start_late(task, incarnation, last_request_at, START_LEASE_S, now) is expected
+    task.start_confirmed_at = UNANSWERED_AT
+    assert not may_start_late(task, incarnation, last_request_at, START_LEASE_S, now)
+
+
+def test_long_running_task_of_a_silent_worker_waits_for_its_lease_only():
+    """Guard against LOST: its users miss it while it waits."""
+    order = JobDefinition("1", (long_running_step(1),))
+    job = Job(StoredJob("a" * 16, QUEUE.name, SERVICE, 0, order), SERVICE)
+    task = next(job.tasks())
+    task.assign("w", 1, 1)
+    task.sent_to, task.unconfirmed_since = 1, UNANSWERED_AT
+    assert not may_start_late(task, 1, 0.0, START_LEASE_S, UNANSWERED_AT + START_LEASE_S)
