job: let one module declare runs over

Fleet, report, scheduler and crash each decided for themselves what a report, a restart, a list of machines, a missing entry or a lapsed lease proves, so each new case of "proof about one thing counted for another" had to be found in another place.

Change: evidence.py returns a Proof, or None, for each kind of observation, and requeue_task takes that proof and logs it. ReceivedReport moves to observation.py, as instances refer to it. No decision changes but one: a start that went over to another instance before it was sent is not freed by the check before its sending any more. `task-missing` has `crashes` for each reason now, and is also logged for refused and unsent starts.

--- a/gypsumplank/coordination/job/crash.py
+++ b/gypsumplank/coordination/job/crash.py
@@ -1,10 +1,9 @@
 """Count the workers that crash under a task, so that it is not started without limit."""
 
 import logging
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from collections.abc import Iterable
 
-from gypsumplank.coordination.job.instance import WorkerInstance
+from gypsumplank.coordination.job.evidence import CurrentWorkers, has_crashed, has_survived
 from gypsumplank.coordination.job.model import Task
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.job import FINAL_JOB_STATES, LostWorker, TaskPhase
@@ -25,14 +24,6 @@
 logger = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True)
-class CurrentWorkers:
-    """Store known instances by worker, and the latest on each machine that has answered."""
-
-    instances: Mapping[str, WorkerInstance]
-    latest_by_machine: Mapping[str, WorkerInstance]
-
-
 def record_crash(tasks: Iterable[Task], last_contact_at: float) -> None:
     """Count the crash of a worker that had these tasks against those that may be the cause."""
     for task in _possible_causes(tasks):
@@ -120,11 +111,11 @@
             if not task.lost_on or task.step.job.state in FINAL_JOB_STATES:
                 self._tasks.discard(task)
                 continue
-            crashed = [lost for lost in task.lost_on if _has_crashed(lost, workers)]
+            crashed = [lost for lost in task.lost_on if has_crashed(lost, workers)]
             undecided = tuple(
                 lost
                 for lost in task.lost_on
-                if lost not in crashed and not _has_survived(lost, workers, now)
+                if lost not in crashed and not has_survived(lost, workers, now)
             )
             if undecided != task.lost_on:
                 task.crashes += len(crashed)
@@ -132,20 +123,3 @@
                 task.lost_on = undecided
                 task.step.dirty = True
                 give_up_if_deadly(task)
-
-
-def _has_crashed(lost: LostWorker, workers: CurrentWorkers) -> bool:
-    """Return whether the worker, or its machine, has started again."""
-    instance = workers.instances.get(lost.worker)
-    latest = workers.latest_by_machine.get(lost.machine)
-    has_restarted = instance is not None and instance.incarnation > lost.born
-    return has_restarted or (
-        latest is not None and latest.id != lost.worker and latest.incarnation > lost.born
-    )
-
-
-def _has_survived(lost: LostWorker, workers: CurrentWorkers, now: float) -> bool:
-    instance = workers.instances.get(lost.worker)
-    return (
-        instance is not None and instance.incarnation == lost.born and instance.is_in_contact(now)
-    )
--- a/gypsumplank/coordination/job/dispatcher.py
+++ b/gypsumplank/coordination/job/dispatcher.py
@@ -7,8 +7,8 @@
 from contextlib import AbstractContextManager, nullcontext
 from typing import Any
 
-from gypsumplank.coordination.job.evidence import ReceivedReport
 from gypsumplank.coordination.job.instance import WorkerInstance
+from gypsumplank.coordination.job.observation import ReceivedReport
 from gypsumplank.coordination.job.port import WorkerControl
 from gypsumplank.errors import WorkerError, WorkerRefusedError, WorkerUnknownError
 from gypsumplank.log import Event, event
--- a/gypsumplank/coordination/job/fleet.py
+++ b/gypsumplank/coordination/job/fleet.py
@@ -4,21 +4,20 @@
 from collections import defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 
-from gypsumplank.coordination.job.crash import (
-    CurrentWorkers,
-    UndecidedLosses,
-    record_crash,
-    record_loss,
-)
+from gypsumplank.coordination.job.crash import UndecidedLosses, record_crash, record_loss
 from gypsumplank.coordination.job.dispatcher import WorkerDispatcher
-from gypsumplank.coordination.job.evidence import may_start_late, was_reported
-from gypsumplank.coordination.job.instance import (
-    LEASE_EXPIRY_MARGIN_S,
-    MIN_CLOCK_RATE,
-    WorkerClock,
-    WorkerInstance,
-    format_instance_id,
+from gypsumplank.coordination.job.evidence import (
+    CurrentWorkers,
+    Proof,
+    find_proof_in_lease,
+    find_proof_in_list,
+    find_proof_in_restart,
+    find_proof_of_departure,
+    find_proof_of_replacement,
+    has_deregistered,
+    has_no_worker,
 )
+from gypsumplank.coordination.job.instance import WorkerClock, WorkerInstance, format_instance_id
 from gypsumplank.coordination.job.model import Task
 from gypsumplank.coordination.job.report import requeue_task
 from gypsumplank.log import Event, event
@@ -29,12 +28,6 @@
 # Time after the end of its own lease for which a leader still extends task leases, seconds; a store
 # outage that is shorter ends no task.
 EXTENSION_GRACE_S = 3.0
-# Age of a draining worker's entry up to which its removal means a clean exit, in heartbeats; the
-# platform removes the entries of silent workers after three.
-CLEAN_EXIT_MAX_AGE_HEARTBEATS = 2.5
-# States in which a machine has no worker.
-STATES_WITHOUT_WORKER = frozenset({MachineState.DOWN, MachineState.MOVING, MachineState.UPKEEP})
-
 logger = logging.getLogger(__name__)
 
 
@@ -121,19 +114,20 @@
         for key, instance in list(self.instances.items()):
             entry = entries_by_id.get(instance.id)
             latest = latest_by_machine.get(instance.entry.machine)
-            if latest is not None and _is_replaced(instance, latest, now):
-                self._end_replaced(key, instance, latest.entry, now)
+            proof = find_proof_of_replacement(instance, latest, now)
+            if proof is not None and latest is not None:
+                self._end_replaced(key, instance, latest.entry, proof, now)
                 continue
             if entry is not None and not instance.detached and entry.born == instance.incarnation:
                 self._update_entry(instance, entry, now)
                 continue
             if entry is None and not complete and instance.is_in_contact(now):
                 continue
-            if complete and instance.registered and self._was_removed_fresh(instance, now):
+            if complete and has_deregistered(instance, self.heartbeat_s, now):
                 instance.has_deregistered = True
             instance.registered = False
-            if instance.has_deregistered and not instance.is_reachable:
-                self.requeue_all(instance, now, "left")
+            if departure := find_proof_of_departure(instance):
+                self._requeue_all(instance, now, departure)
             if entry is not None and entry.born > instance.incarnation:
                 self.replace_incarnation(key, instance, entry, now)
             self.remove_if_idle(key, instance)
@@ -154,21 +148,20 @@
         }
 
     def _end_replaced(
-        self, key: str, instance: WorkerInstance, successor: WorkerEntry, now: float
+        self,
+        key: str,
+        instance: WorkerInstance,
+        successor: WorkerEntry,
+        proof: Proof,
+        now: float,
     ) -> None:
         """End an instance whose machine runs a later worker; its entry may still exist."""
         _log_crash(instance, successor)
         self._ended_instance_ids.add(instance.instance_id)
         _record_crash(instance, instance.tasks.values())
-        self.requeue_all(instance, now, "replaced")
+        self._requeue_all(instance, now, proof)
         self._remove(key, instance)
 
-    def _was_removed_fresh(self, instance: WorkerInstance, now: float) -> bool:
-        """Return whether a draining worker's entry is missing that can't have expired yet."""
-        age_s = now - instance.entry_changed_after
-        draining = instance.entry.state is WorkerState.DRAINING and instance.entry_changed_after > 0
-        return draining and age_s < CLEAN_EXIT_MAX_AGE_HEARTBEATS * self.heartbeat_s
-
     def _add_instance(self, entry: WorkerEntry, now: float) -> WorkerInstance:
         instance = WorkerInstance(entry, entry.born, WorkerClock(entry.clock_ms, now))
         self.instances[entry.id] = instance
@@ -222,17 +215,8 @@
             successor = self._add_instance(entry, now)
         for task in tasks:
             instance.tasks.pop(task.name, None)
-            if was_reported(task):
-                event(
-                    logger,
-                    Event.RUN_MISSING,
-                    task=task.name,
-                    run=task.run,
-                    worker=instance.id,
-                    why="restarted",
-                    crashes=task.crashes,
-                )
-                requeue_task(instance, task, now)
+            if proof := find_proof_in_restart(task):
+                requeue_task(instance, task, now, proof)
                 continue
             task.incarnation = successor.incarnation
             if not task.start_confirmed_at:
@@ -252,66 +236,43 @@
         )
 
     def end_down(self, machines: Mapping[str, Machine], requested_at: float, now: float) -> None:
-        """End the instances whose machine had no worker in a list requested at `requested_at`.
-
-        An instance that answered before the request has ended if its machine had none after it.
-        """
+        """End the instances whose machine had no worker in a list requested at `requested_at`."""
         for key, instance in list(self.instances.items()):
             machine = machines.get(instance.entry.machine)
-            has_no_worker = machine is not None and machine.state in STATES_WITHOUT_WORKER
-            answered_before = 0 < instance.last_contact_at < requested_at
-            if machine is not None and has_no_worker and answered_before and not instance.is_down:
-                if machine.state is MachineState.DOWN:
-                    _log_crash(instance)
-                    _record_crash(instance, instance.tasks.values())
-                self._end_down(key, instance, requested_at, now)
+            if instance.is_down or not has_no_worker(instance, machine, requested_at):
+                continue
+            if machine is not None and machine.state is MachineState.DOWN:
+                _log_crash(instance)
+                _record_crash(instance, instance.tasks.values())
+            self._end_down(key, instance, requested_at, now)
 
     def _end_down(
         self, key: str, instance: WorkerInstance, requested_at: float, now: float
     ) -> None:
-        """Requeue confirmed runs; others may still be executed by the worker's next instance."""
         instance.is_down = True
-        confirmed = [
-            task
-            for task in instance.tasks.values()
-            if 0 < task.start_confirmed_at < requested_at and not task.unconfirmed_since
-        ]
-        self._requeue(instance, confirmed, now, "down")
+        for task in list(instance.tasks.values()):
+            if proof := find_proof_in_list(task, requested_at):
+                requeue_task(instance, task, now, proof)
         if not instance.tasks:
             self._ended_instance_ids.add(instance.instance_id)
             self._remove(key, instance)
 
-    def requeue_all(self, instance: WorkerInstance, now: float, reason: str) -> None:
-        """Requeue every task of an instance that has ended; `reason` is logged."""
-        self._requeue(instance, list(instance.tasks.values()), now, reason)
-
     @staticmethod
-    def _requeue(instance: WorkerInstance, tasks: Sequence[Task], now: float, reason: str) -> None:
-        for task in tasks:
-            event(
-                logger,
-                Event.RUN_MISSING,
-                task=task.name,
-                run=task.run,
-                worker=instance.id,
-                why=reason,
-                crashes=task.crashes,
-            )
-            requeue_task(instance, task, now)
+    def _requeue_all(instance: WorkerInstance, now: float, proof: Proof) -> None:
+        for task in list(instance.tasks.values()):
+            requeue_task(instance, task, now, proof)
 
     def requeue_expired(self, instance: WorkerInstance, now: float) -> None:
-        """Requeue the tasks of a silent instance whose leases have expired, unless one may come."""
-        lease_s = self.max_lease_s / MIN_CLOCK_RATE + LEASE_EXPIRY_MARGIN_S
-        over = [
-            task
+        """Requeue the tasks of a silent instance whose leases have expired."""
+        proofs = {
+            task: proof
             for task in instance.tasks.values()
-            if not may_start_late(
-                task, instance.incarnation, instance.last_request_at, lease_s, now
-            )
-        ]
-        for task in record_loss(over, instance.id):
+            if (proof := find_proof_in_lease(task, instance, self.max_lease_s, now))
+        }
+        for task in record_loss(proofs, instance.id):
             self.undecided_losses.add(task)
-        self._requeue(instance, over, now, "lease-over")
+        for task, proof in proofs.items():
+            requeue_task(instance, task, now, proof)
 
     def remove_if_idle(self, key: str, instance: WorkerInstance) -> None:
         """Remove an instance that is not registered and has no tasks."""
@@ -331,16 +292,6 @@
         return {instance.entry.machine: instance for instance in instances if not instance.detached}
 
 
-def _is_replaced(instance: WorkerInstance, latest: WorkerInstance, now: float) -> bool:
-    """Return whether the latest worker on an instance's machine shows that the instance is over.
-
-    A worker that answers is never taken for replaced, whatever the order of the start times is.
-    """
-    is_later = latest.id != instance.id and latest.incarnation > instance.incarnation
-    has_answered_since = latest.last_contact_at > instance.last_contact_at
-    return is_later and has_answered_since and not instance.is_in_contact(now)
-
-
 def _record_crash(instance: WorkerInstance, tasks: Iterable[Task]) -> None:
     """Count a crash against the tasks of an instance, unless it may have left as it announced."""
     has_announced_exit = instance.entry.state is WorkerState.DRAINING and not instance.detached
--- a/gypsumplank/coordination/job/instance.py
+++ b/gypsumplank/coordination/job/instance.py
@@ -3,8 +3,8 @@
 import threading
 from dataclasses import dataclass, field
 
-from gypsumplank.coordination.job.evidence import ReceivedReport
 from gypsumplank.coordination.job.model import Task
+from gypsumplank.coordination.job.observation import ReceivedReport
 from gypsumplank.protocol.job import Resources
 from gypsumplank.protocol.worker import WorkerEntry, WorkerState
 
--- a/gypsumplank/coordination/job/report.py
+++ b/gypsumplank/coordination/job/report.py
@@ -4,9 +4,10 @@
 from collections.abc import Callable, Iterator
 
 from gypsumplank.coordination.job.crash import give_up_if_deadly
-from gypsumplank.coordination.job.evidence import ReceivedReport, is_over_unlisted
+from gypsumplank.coordination.job.evidence import Proof, find_proof_in_report, is_released_by
 from gypsumplank.coordination.job.instance import WorkerInstance
 from gypsumplank.coordination.job.model import Task
+from gypsumplank.coordination.job.observation import ReceivedReport
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.job import TaskPhase
 from gypsumplank.protocol.worker import EndedTask, EndKind, RunningTask
@@ -37,19 +38,12 @@
         if end is not None:
             _apply_end(instance, task, end, received.answered_at, max_attempts)
         elif task.is_final:
-            _release_if_over(instance, task, received)
+            if is_released_by(task, received):
+                del instance.tasks[task.name]
         elif running_task is not None and running_task.run == task.run:
             _update_run(task, running_task, received)
-        elif is_over_unlisted(task, received):
-            event(
-                logger,
-                Event.RUN_MISSING,
-                task=task.name,
-                run=task.run,
-                worker=instance.id,
-                why="unlisted",
-            )
-            requeue_task(instance, task, received.answered_at)
+        elif proof := find_proof_in_report(task, received):
+            requeue_task(instance, task, received.answered_at, proof)
     instance.last_seen_end = max(
         instance.last_seen_end, max((end.number for end in report.ended), default=0)
     )
@@ -59,11 +53,20 @@
             yield running_task
 
 
-def requeue_task(instance: WorkerInstance, task: Task, now: float) -> None:
-    """Return a task to the queue, unless its phase is final; its last run must be known to be over.
+def requeue_task(instance: WorkerInstance, task: Task, now: float, proof: Proof) -> None:
+    """Return a task to the queue, unless its phase is final; `proof` shows that its run is over.
 
     The other tasks of its gang are stopped. A task that crashed too many workers fails instead.
     """
+    event(
+        logger,
+        Event.RUN_MISSING,
+        task=task.name,
+        run=task.run,
+        worker=instance.id,
+        why=proof.value,
+        crashes=task.crashes,
+    )
     instance.tasks.pop(task.name, None)
     if task.is_final:
         return
@@ -136,15 +139,6 @@
         member.start_confirmed_at = now
 
 
-def _release_if_over(instance: WorkerInstance, task: Task, received: ReceivedReport) -> None:
-    """Release a task that ended elsewhere if the report was requested later.
-
-    If the report still lists the run, it is one that is not assigned to the worker.
-    """
-    if received.sent_at > task.start_confirmed_at:
-        del instance.tasks[task.name]
-
-
 def _count_failure(instance: WorkerInstance, task: Task, max_attempts: MaxAttempts) -> None:
     task.failures += 1
     task.record_failure_on(instance.id)
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -7,7 +7,11 @@
 from gypsumplank.coordination.job.attempt import AttemptLimits
 from gypsumplank.coordination.job.crash import is_withheld
 from gypsumplank.coordination.job.dispatcher import WorkerDispatcher
-from gypsumplank.coordination.job.evidence import ReceivedReport
+from gypsumplank.coordination.job.evidence import (
+    are_leases_over,
+    find_proof_before_start,
+    find_proof_in_failure,
+)
 from gypsumplank.coordination.job.fleet import EXTENSION_GRACE_S, Fleet
 from gypsumplank.coordination.job.instance import (
     REFUSAL_BACKOFF_S,
@@ -16,6 +20,7 @@
 )
 from gypsumplank.coordination.job.knownqueue import KnownQueues
 from gypsumplank.coordination.job.model import Job, Step, Task
+from gypsumplank.coordination.job.observation import ReceivedReport
 from gypsumplank.coordination.job.permit import PermitCache
 from gypsumplank.coordination.job.placement import PendingStep, Placement, PlacementRound, urgency
 from gypsumplank.coordination.job.preemption import (
@@ -273,11 +278,7 @@
 
     def _expire_leases(self, now: float) -> None:
         for key, instance in list(self.instances.items()):
-            if (
-                instance.tasks
-                and not instance.is_in_contact(now)
-                and instance.leases_have_expired(now)
-            ):
+            if instance.tasks and are_leases_over(instance, now):
                 self.fleet.requeue_expired(instance, now)
             self.fleet.remove_if_idle(key, instance)
 
@@ -308,7 +309,8 @@
             return
         is_over = task.step.job.cancelled or task.step.job.state in FINAL_JOB_STATES
         if is_over or instance.is_overfull:
-            requeue_task(instance, task, now)
+            if proof := find_proof_before_start(task):
+                requeue_task(instance, task, now, proof)
             return
         task.sent_at, task.sent_to = now, instance.incarnation
         checkpoint = _shared_checkpoint(task)
@@ -358,7 +360,8 @@
             code=failure.code,
             detail=failure.detail,
         )
-        if not isinstance(failure, WorkerRefusedError):
+        proof = find_proof_in_failure(failure)
+        if proof is None or not isinstance(failure, WorkerRefusedError):
             task.unconfirmed_since = at
             instance.missed_polls += 1
             self.dispatcher.poll_now(instance)
@@ -369,7 +372,7 @@
         self.fenced = self.fenced or failure.reason == StartRefusal.FENCED
         if failure.reason == StartRefusal.NO_PERMIT and self.permits is not None:
             self.permits.invalidate(task.step.key)
-        requeue_task(instance, task, at)
+        requeue_task(instance, task, at, proof)
 
     def _send_speed_limit(self, change: SpeedChange, now: float) -> None:
         task, previous_percent = change.task, change.task.speed_limit_percent
--- a/gypsumplank/coordination/job/term.py
+++ b/gypsumplank/coordination/job/term.py
@@ -6,10 +6,10 @@
 
 from gypsumplank.coordination.job.commit import JobCommitter
 from gypsumplank.coordination.job.dispatcher import Post, WorkerDispatcher
-from gypsumplank.coordination.job.evidence import ReceivedReport
 from gypsumplank.coordination.job.instance import WorkerInstance
 from gypsumplank.coordination.job.machine import MachineController
 from gypsumplank.coordination.job.maintenance import MaintenancePlanner
+from gypsumplank.coordination.job.observation import ReceivedReport
 from gypsumplank.coordination.job.port import Advisor, Directory, WorkerControl
 from gypsumplank.coordination.job.scaling import PoolScaler
 from gypsumplank.coordination.job.scheduler import Scheduler
--- a/tests/coordination/job/cluster.py
+++ b/tests/coordination/job/cluster.py
@@ -4,10 +4,10 @@
 from dataclasses import replace
 
 from gypsumplank.coordination.job.dispatcher import VERIFIED_FOR_S
-from gypsumplank.coordination.job.evidence import ReceivedReport
 from gypsumplank.coordination.job.leader import SchedulerLeader
 from gypsumplank.coordination.job.machine import MachineController
 from gypsumplank.coordination.job.maintenance import MaintenancePlanner
+from gypsumplank.coordination.job.observation import ReceivedReport
 from gypsumplank.coordination.job.scaling import PoolScaler
 from gypsumplank.coordination.job.submission import JobService
 from gypsumplank.coordination.job.term import MachineManager, PlatformPorts
--- a/tests/coordination/job/test_fleet.py
+++ b/tests/coordination/job/test_fleet.py
@@ -1,6 +1,6 @@
 from dataclasses import replace
 
-from gypsumplank.coordination.job.evidence import ReceivedReport
+from gypsumplank.coordination.job.observation import ReceivedReport
 from gypsumplank.coordination.job.scheduler import Scheduler
 from gypsumplank.protocol.job import (
     JobDefinition,
