job: split the scheduler, the leader and the scaler

The commands to workers (starts, stops, speed limits, acknowledgements) move from scheduler.py to command.py, and what the store tells of jobs from leader.py to intake.py; PendingMove joins the other types of balance.py. No logic changes.

--- a/gypsumplank/coordination/job/balance.py
+++ b/gypsumplank/coordination/job/balance.py
@@ -17,6 +17,18 @@
     keeps: int
 
 
+@dataclass(frozen=True)
+class PendingMove:
+    """Store a move in progress: its target pool, start, and the machine's previous instance.
+
+    `since` is in monotonic seconds; `instance_id` is empty if the machine had no worker.
+    """
+
+    pool: str
+    since: float
+    instance_id: str
+
+
 @dataclass(frozen=True)
 class Balance:
     """Store machine counts by pool for one planning round.
--- a/gypsumplank/coordination/job/leader.py
+++ b/gypsumplank/coordination/job/leader.py
@@ -8,6 +8,7 @@
 from gypsumplank.coordination.job.commit import JobCommitter
 from gypsumplank.coordination.job.cutoff import CutOffDetector
 from gypsumplank.coordination.job.fleet import EXTENSION_GRACE_S
+from gypsumplank.coordination.job.intake import JobIntake
 from gypsumplank.coordination.job.model import Job
 from gypsumplank.coordination.job.permit import PermitCache
 from gypsumplank.coordination.job.retention import StateRetention
@@ -25,19 +26,15 @@
 )
 from gypsumplank.coordination.job.watch import StoreSnapshot
 from gypsumplank.errors import (
-    EntryInvalidError,
     GypsumplankError,
-    JobMissingError,
     StateConflictError,
     StateError,
     StateUnknownError,
 )
 from gypsumplank.log import Event, event
-from gypsumplank.protocol.job import FINAL_JOB_STATES, JobState
 from gypsumplank.protocol.queue import Manifest
 from gypsumplank.state.clock import Clock
-from gypsumplank.state.job import LoadedJob, StateValue, decode_order
-from gypsumplank.state.table import Check, Row
+from gypsumplank.state.table import Check
 
 SCHEDULER_LEASE = "scheduler"
 # Duration of the scheduler's lease, seconds; long enough for several store calls that are slow but
@@ -93,6 +90,7 @@
         self._term: Term | None = None
         self._silent_workers = SilentWorkers(ports.store, ports.store_clock)
         self._retention = StateRetention(ports.store, status_s)
+        self._intake = JobIntake(ports.store, clock)
         self._cut_off = CutOffDetector(clock)
         self._suspension_log = SuspensionLog()
         self._next_lease_check_at = 0.0
@@ -221,7 +219,7 @@
         )
         scheduler.use_dispatcher(dispatcher)
         if self._ports.advisor is not None:
-            scheduler.permits = PermitCache(self._ports.advisor, self._clock, post)
+            scheduler.commands.permits = PermitCache(self._ports.advisor, self._clock, post)
         committer = JobCommitter(
             self._ports.store,
             self._clock,
@@ -235,7 +233,7 @@
         term.watchers = self._term_factory.create_watchers(
             fence.version,
             lambda snapshot: post(lambda: self._apply_snapshot(term, snapshot)),
-            lambda rows: post(lambda: self._add_new_jobs(term, rows)),
+            lambda rows: post(lambda: self._intake.add_new_jobs(scheduler.workload, rows)),
         )
         for watcher in term.watchers:
             watcher.start()
@@ -309,45 +307,10 @@
             self._machine_manager.end_term()
             event(logger, Event.SCHEDULER_STOPPED, epoch=term.epoch, why=reason)
 
-    # Incoming changes
-
-    def _add_new_jobs(self, term: Term, rows: Iterable[Row]) -> None:
-        for row in rows:
-            if row.key not in term.scheduler.workload.jobs:
-                self._add_job(term, row)
-
-    def _add_job(self, term: Term, row: Row) -> None:
-        try:
-            stored = decode_order(row)
-        except EntryInvalidError as exc:
-            event(
-                logger,
-                Event.ENTRY_DROPPED,
-                logging.ERROR,
-                job=row.key,
-                code=exc.code,
-                detail=exc.detail,
-            )
-            return
-        workload = term.scheduler.workload
-        if stored.id in workload.ended_at:
-            return
-        workload.add(
-            LoadedJob(stored, JobState.QUEUED, row.version, False, {}), self._clock.monotonic()
-        )
-
     def _apply_snapshot(self, term: Term, snapshot: StoreSnapshot) -> None:
-        workload = term.scheduler.workload
-        complete = self._clock.monotonic() >= self._store_recovered_at + ENTRY_RECOVERY_S
-        term.scheduler.fleet.apply_entries(
-            snapshot.entries, complete and not self._store_unavailable, snapshot.requested_at
-        )
-        for job_id in snapshot.pending - workload.jobs.keys():
-            row = self._ports.store.find_order(job_id)
-            if row is not None:
-                self._add_job(term, row)
-        for job_id in snapshot.cancels:
-            workload.cancel(job_id)
+        are_entries_back = self._clock.monotonic() >= self._store_recovered_at + ENTRY_RECOVERY_S
+        is_complete = are_entries_back and not self._store_unavailable
+        self._intake.apply_snapshot(term.scheduler, snapshot, is_complete)
 
     # Rounds
 
@@ -368,8 +331,8 @@
             self._try_write(
                 lambda fence: self._retention.remove_expired(fence, scheduler.workload, now())
             )
-        if scheduler.fenced:
-            scheduler.fenced = False
+        if scheduler.commands.fenced:
+            scheduler.commands.fenced = False
             self._next_lease_check_at = 0.0
 
     def _renew(self) -> bool:
@@ -432,17 +395,5 @@
     def _recheck_states(self, term: Term, jobs: Iterable[Job]) -> None:
         """Check after a conflict whether the lease or the state of a job has changed."""
         self._tick_lease()
-        if self._term is not term:
-            return
-        for job in jobs:
-            if not job.state_dirty:
-                continue
-            try:
-                value, version = self._ports.store.state(job.id)
-            except JobMissingError:
-                value, version = StateValue(job.state, job.stored.queue), 0
-            job.version = version
-            if value.state is JobState.CANCELLED:
-                term.scheduler.workload.cancel(job.id)
-            elif value.state in FINAL_JOB_STATES and value.state is job.state:
-                job.state_dirty = False
+        if self._term is term:
+            self._intake.recheck_states(term.scheduler.workload, jobs)
--- a/gypsumplank/coordination/job/scaling.py
+++ b/gypsumplank/coordination/job/scaling.py
@@ -2,11 +2,12 @@
 
 import logging
 from collections.abc import Mapping
-from dataclasses import asdict, dataclass, replace
+from dataclasses import asdict, replace
 from typing import Protocol
 
 from gypsumplank.coordination.job.balance import (
     Balance,
+    PendingMove,
     PoolSize,
     active_members,
     is_active,
@@ -50,18 +51,6 @@
         """Return the initial sizes; store the present size of each pool that has none."""
 
 
-@dataclass(frozen=True)
-class PendingMove:
-    """Store a move in progress: its target pool, start, and the machine's previous instance.
-
-    `since` is in monotonic seconds; `instance_id` is empty if the machine had no worker.
-    """
-
-    pool: str
-    since: float
-    instance_id: str
-
-
 class PoolScaler:
     """Plan and order moves between pools; used by the scheduler's thread only."""
 
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -2,26 +2,23 @@
 
 import logging
 from collections.abc import Callable, Collection, Iterator, Mapping, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from gypsumplank.coordination.job.attempt import AttemptLimits
+from gypsumplank.coordination.job.command import CommandSender, PendingStart
 from gypsumplank.coordination.job.crash import is_withheld
 from gypsumplank.coordination.job.dispatcher import WorkerDispatcher
 from gypsumplank.coordination.job.evidence import (
     are_leases_over,
-    find_proof_before_start,
-    find_proof_in_failure,
 )
 from gypsumplank.coordination.job.fleet import EXTENSION_GRACE_S, Fleet
 from gypsumplank.coordination.job.instance import (
-    REFUSAL_BACKOFF_S,
     SUSPECT_PERIOD_S,
     WorkerInstance,
 )
 from gypsumplank.coordination.job.knownqueue import KnownQueues
 from gypsumplank.coordination.job.model import Job, Step, Task
 from gypsumplank.coordination.job.observation import ReceivedReport
-from gypsumplank.coordination.job.permit import PermitCache
 from gypsumplank.coordination.job.placement import PendingStep, Placement, PlacementRound, urgency
 from gypsumplank.coordination.job.preemption import (
     PREEMPTION_WAIT_S,
@@ -29,18 +26,12 @@
     runs_to_evacuate,
     stalled_runs,
 )
-from gypsumplank.coordination.job.refusal import STOP_RETRY_S, RefusedStarts
-from gypsumplank.coordination.job.report import apply_report, requeue_task
-from gypsumplank.coordination.job.throttle import SpeedChange, speed_changes
+from gypsumplank.coordination.job.report import apply_report
 from gypsumplank.coordination.job.workload import Workload
-from gypsumplank.errors import WorkerError, WorkerRefusedError
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.job import FINAL_JOB_STATES, Resources, TaskPhase
 from gypsumplank.protocol.queue import Manifest, Queue
 from gypsumplank.protocol.worker import (
-    RunningTask,
-    StartCommand,
-    StartRefusal,
     WorkerEntry,
 )
 from gypsumplank.state.clock import Clock
@@ -53,20 +44,8 @@
 logger = logging.getLogger(__name__)
 
 
-@dataclass(frozen=True)
-class PendingStart:
-    """Represent a start that has to be committed before it is sent."""
-
-    task: Task
-    instance: WorkerInstance
-    run: int
-
-
 class Scheduler:
-    """Decide on starts and stops of tasks from jobs, workers' entries and workers' reports.
-
-    `fenced` is set when a worker has seen a newer fencing token than this term's.
-    """
+    """Decide on starts and stops of tasks from jobs, workers' entries and workers' reports."""
 
     def __init__(
         self,
@@ -78,19 +57,15 @@
     ) -> None:
         self._clock = clock
         self._manifest = manifest
-        self._token = token
         self._queues = KnownQueues(manifest)
         self._attempt_limits = AttemptLimits(self._queues)
         self.workload = Workload()
         self.fleet = Fleet(clock, max_lease_s, heartbeat_s)
-        self.unsent_starts: list[PendingStart] = []
-        self._refused_starts = RefusedStarts()
-        self.permits: PermitCache | None = None
-        self.fenced = False
+        self.commands = CommandSender(clock, token, self._is_capacity_known)
 
     def use_dispatcher(self, dispatcher: WorkerDispatcher) -> None:
         """Set the dispatcher of this term."""
-        self.fleet.dispatcher = dispatcher
+        self.fleet.dispatcher = self.commands.dispatcher = dispatcher
 
     def now(self) -> float:
         """Return the monotonic time in seconds."""
@@ -100,12 +75,6 @@
         """Return the time of day in milliseconds since 1970."""
         return self._clock.wall() * 1000
 
-    @property
-    def dispatcher(self) -> WorkerDispatcher:
-        """Return the dispatcher of this term."""
-        assert self.fleet.dispatcher is not None
-        return self.fleet.dispatcher
-
     @property
     def instances(self) -> dict[str, WorkerInstance]:
         """Return the worker instances, keyed by worker or, if not registered, by instance."""
@@ -154,17 +123,7 @@
         unassigned_runs = list(apply_report(instance, received, self._attempt_limits.find))
         instance.has_unassigned_runs = bool(unassigned_runs)
         for unassigned in unassigned_runs:
-            self._stop_unassigned(instance, unassigned)
-
-    def _stop_unassigned(self, instance: WorkerInstance, unassigned: RunningTask) -> None:
-        event(
-            logger,
-            Event.RUN_UNASSIGNED,
-            task=unassigned.name,
-            run=unassigned.run,
-            worker=instance.id,
-        )
-        self.dispatcher.stop(instance, unassigned.name, unassigned.run, lambda _failure, _at: None)
+            self.commands.stop_unassigned(instance, unassigned)
 
     # Rounds
 
@@ -217,7 +176,7 @@
         return pending
 
     def _permits_for(self, step: Step, queue: Queue) -> Mapping[str, str] | None:
-        if queue.advice is None or self.permits is None:
+        if queue.advice is None or self.commands.permits is None:
             return None
         now = self._clock.monotonic()
         candidates = [
@@ -225,15 +184,7 @@
             for instance in self.instances.values()
             if instance.entry.service == step.job.service and instance.accepts_tasks(now)
         ]
-        return self.permits.get(step.key, candidates, queue.advice.valid_ms / 1000)
-
-    def _is_capacity_known(self, instance: WorkerInstance, now: float) -> bool:
-        """Return whether the worker checks its capacity itself, or has reported it lately."""
-        manifest = self._manifest()
-        policy = manifest.services.get(instance.entry.service) if manifest else None
-        if policy is None or policy.checks_capacity:
-            return True
-        return instance.entry_age_s(now) <= MAX_CAPACITY_AGE_HEARTBEATS * self.fleet.heartbeat_s
+        return self.commands.permits.get(step.key, candidates, queue.advice.valid_ms / 1000)
 
     def _evict(
         self, pending: Sequence[PendingStep], instances: Sequence[WorkerInstance], now: float
@@ -274,7 +225,7 @@
             instance.tasks[task.name] = task
             # Until the start is sent, assume that it is already on its way with a full lease.
             instance.extend_leases(self._clock.monotonic(), self.fleet.max_lease_s)
-            self.unsent_starts.append(PendingStart(task, instance, run))
+            self.commands.unsent_starts.append(PendingStart(task, instance, run))
 
     def _expire_leases(self, now: float) -> None:
         for key, instance in list(self.instances.items()):
@@ -282,148 +233,18 @@
                 self.fleet.requeue_expired(instance, now)
             self.fleet.remove_if_idle(key, instance)
 
+    def _is_capacity_known(self, instance: WorkerInstance, now: float) -> bool:
+        """Return whether the worker checks its capacity itself, or has reported it lately."""
+        manifest = self._manifest()
+        policy = manifest.services.get(instance.entry.service) if manifest else None
+        if policy is None or policy.checks_capacity:
+            return True
+        return instance.entry_age_s(now) <= MAX_CAPACITY_AGE_HEARTBEATS * self.fleet.heartbeat_s
+
     def dispatch(self) -> None:
         """Send what has been committed: starts, stops and acknowledgements of task ends."""
-        now = self._clock.monotonic()
-        ready = [start for start in self.unsent_starts if not start.task.step.dirty]
-        self.unsent_starts = [start for start in self.unsent_starts if start.task.step.dirty]
-        for start in ready:
-            self._send_start(start, now)
-        for change in list(speed_changes(self.instances.values(), now)):
-            self._send_speed_limit(change, now)
-        self._refused_starts.remove_expired(now)
-        all_stored = not self._has_unstored()
-        for instance in list(self.instances.values()):
-            self._send_stops(instance, now)
-            self._refused_starts.bar(instance, now, self.dispatcher.stop)
-            if all_stored and instance.last_acked_end < instance.last_seen_end:
-                instance.last_acked_end, instance.acked_at = instance.last_seen_end, now
-                instance.wake.set()
-
-    def _has_unstored(self) -> bool:
-        return any(step.dirty for job in self.workload.jobs.values() for step in job.steps.values())
-
-    def _send_start(self, start: PendingStart, now: float) -> None:
-        task, instance = start.task, start.instance
-        if task.run != start.run or task.phase is not TaskPhase.ASSIGNED:
-            return
-        is_over = task.step.job.cancelled or task.step.job.state in FINAL_JOB_STATES
-        if is_over or instance.is_overfull:
-            if proof := find_proof_before_start(task):
-                requeue_task(instance, task, now, proof)
-            return
-        task.sent_at, task.sent_to = now, instance.incarnation
-        checkpoint = _shared_checkpoint(task)
-        event(logger, Event.RUN_STARTED, task=task.name, run=task.run, worker=instance.id)
-        self.dispatcher.start(
-            instance,
-            lambda until_ms: self._start_command(start, until_ms, checkpoint),
-            lambda failure, at: self._handle_start_result(start, failure, at),
-        )
-        instance.wake.set()
-
-    def _start_command(
-        self, start: PendingStart, until_ms: int, checkpoint: str
-    ) -> StartCommand | None:
-        """Return the start command for a worker; None if the run was abandoned meanwhile.
-
-        Raises WorkerRefusedError if the worker's capacity is not known any more.
-        """
-        task = start.task
-        if task.run != start.run or start.instance.tasks.get(task.name) is not task:
-            return None
-        if not self._is_capacity_known(start.instance, self._clock.monotonic()):
-            raise WorkerRefusedError(
-                StartRefusal.NO_CAPACITY, f"{start.instance.id} has not reported its capacity"
-            )
-        spec = task.step.job.stored.order.spec
-        return StartCommand(
-            task.name, start.run, spec, until_ms, self._token, checkpoint, task.permit
-        )
-
-    def _handle_start_result(
-        self, start: PendingStart, failure: WorkerError | None, at: float
-    ) -> None:
-        task, instance = start.task, start.instance
-        if task.run != start.run or instance.tasks.get(task.name) is not task:
-            return
-        if failure is None:
-            task.start_confirmed_at = at
-            return
-        event(
-            logger,
-            Event.RUN_REFUSED,
-            logging.WARNING,
-            task=task.name,
-            run=task.run,
-            worker=instance.id,
-            code=failure.code,
-            detail=failure.detail,
-        )
-        proof = find_proof_in_failure(failure)
-        if proof is None or not isinstance(failure, WorkerRefusedError):
-            task.unconfirmed_since = at
-            instance.missed_polls += 1
-            self.dispatcher.poll_now(instance)
-            return
-        if failure.reason == StartRefusal.UNREACHABLE:
-            instance.missed_polls += 1
-        instance.refused_until = at + REFUSAL_BACKOFF_S
-        self.fenced = self.fenced or failure.reason == StartRefusal.FENCED
-        if failure.reason == StartRefusal.NO_PERMIT and self.permits is not None:
-            self.permits.invalidate(task.step.key)
-        requeue_task(instance, task, at, proof)
-
-    def _send_speed_limit(self, change: SpeedChange, now: float) -> None:
-        task, previous_percent = change.task, change.task.speed_limit_percent
-        task.speed_limit_percent, task.speed_limit_set_at = change.percent, now
-        event(
-            logger,
-            Event.TASK_SPEED_CHANGED,
-            task=task.name,
-            run=task.run,
-            worker=change.instance.id,
-            percent=change.percent,
-        )
-
-        def handle_result(failure: WorkerError | None, _at: float) -> None:
-            if failure is not None and task.speed_limit_percent == change.percent:
-                task.speed_limit_percent = previous_percent
-
-        self.dispatcher.set_speed_limit(
-            change.instance, task.name, task.run, change.percent, handle_result
-        )
-
-    def _send_stops(self, instance: WorkerInstance, now: float) -> None:
-        if instance.detached:
-            return
-        for task in list(instance.tasks.values()):
-            if task.sent_at == 0 and not task.unconfirmed_since:
-                continue
-            if (
-                _must_stop(task, instance)
-                and now >= task.stop_sent_at + STOP_RETRY_S
-                and not task.stop_confirmed_at
-            ):
-                task.stop_sent_at = now
-                self.dispatcher.stop(
-                    instance,
-                    task.name,
-                    task.run,
-                    lambda failure, at, task=task, run=task.run: self._handle_stop_result(  # type: ignore[misc]
-                        instance, task, run, failure, at
-                    ),
-                )
-
-    def _handle_stop_result(
-        self, instance: WorkerInstance, task: Task, run: int, failure: WorkerError | None, at: float
-    ) -> None:
-        is_current = task.run == run and instance.tasks.get(task.name) is task
-        if failure is None and is_current:
-            task.stop_confirmed_at = at
-            if task.unconfirmed_since:
-                self._refused_starts.record(instance, task.name, run, at)
-                self.dispatcher.poll_now(instance)
+        steps = (step for job in self.workload.jobs.values() for step in job.steps.values())
+        self.commands.send(self.instances.values(), not any(step.dirty for step in steps))
 
     def request_stop(self, tasks: Collection[Task]) -> None:
         """Mark runs to be stopped; their tasks keep their checkpoints."""
@@ -441,17 +262,3 @@
     others = tuple(task for task in tasks if task not in suspects)
     if others:
         yield others
-
-
-def _must_stop(task: Task, instance: WorkerInstance) -> bool:
-    job = task.step.job
-    is_over = job.cancelled or job.state in FINAL_JOB_STATES
-    is_missing = 0 < task.unconfirmed_since < instance.last_contact_at
-    return is_over or is_missing or not task.should_run
-
-
-def _shared_checkpoint(task: Task) -> str:
-    """Return the checkpoint that a task resumes from; the tasks of a gang share one."""
-    if not task.step.order.gang:
-        return task.checkpoint
-    return next((member.checkpoint for member in task.step.tasks if member.checkpoint), "")
--- a/tests/coordination/job/replay.py
+++ b/tests/coordination/job/replay.py
@@ -122,12 +122,12 @@
             self.scheduler.instances[task.worker].tasks.pop(task.name)
             task.finish(TaskPhase.DONE)
         self.scheduler.plan()
-        for start in self.scheduler.unsent_starts:
+        for start in self.scheduler.commands.unsent_starts:
             task = start.task
             task.sent_at = now
             took_s = task.step.order.estimate_ms / 1000 * self.rng.uniform(0.8, 1.2)
             heapq.heappush(self.ends, (now + took_s, task.name, task))
-        self.scheduler.unsent_starts = []
+        self.scheduler.commands.unsent_starts = []
         self.remove_ended(now)
 
     def remove_ended(self, now):
--- a/tests/coordination/job/test_fleet.py
+++ b/tests/coordination/job/test_fleet.py
@@ -108,7 +108,7 @@
     for step in job.steps.values():
         step.dirty = False
     scheduler.dispatch()
-    (on_result,) = scheduler.dispatcher.start_results
+    (on_result,) = scheduler.commands.dispatcher.start_results
     clock.advance(0.01)
     on_result(None, clock.monotonic())
     return task
@@ -131,7 +131,7 @@
     assert (task.phase, task.run, task.incarnation) == (TaskPhase.ASSIGNED, 1, 2)
     report(scheduler, clock, WorkerReport(2, 510, (RunningTask(task.name, 1),), ()))
     assert (task.phase, task.run, task.incarnation) == (TaskPhase.ASSIGNED, 1, 2)
-    assert not scheduler.dispatcher.stopped
+    assert not scheduler.commands.dispatcher.stopped
 
 
 def test_run_that_the_crashed_instance_reported_is_queued_again_at_once():
@@ -157,7 +157,7 @@
     report(scheduler, clock, WorkerReport(2, 500, (), ()))
     assert (task.phase, task.run, task.incarnation) == (TaskPhase.ASSIGNED, 1, 2)
     scheduler.dispatch()
-    assert scheduler.dispatcher.stopped == [(task.name, 1)]
+    assert scheduler.commands.dispatcher.stopped == [(task.name, 1)]
 
 
 def test_draining_worker_that_answers_keeps_its_run_when_its_entry_vanishes():
@@ -277,7 +277,7 @@
     scheduler, entry = make_scheduler(clock)
     task = start_task(scheduler, clock)
     results = []
-    scheduler.dispatcher.stop = lambda instance, name, run, on_result: results.append(on_result)
+    scheduler.commands.dispatcher.stop = lambda instance, name, run, on_result: results.append(on_result)
     task.start_confirmed_at, task.unconfirmed_since = 0.0, clock.monotonic()
     clock.advance(0.01)
     report(scheduler, clock, WorkerReport(1, 400, (), ()))
