--- a/tests/coordination/job/test_fleet.py
+++ b/tests/coordination/job/test_fleet.py
@@ -277,7 +277,9 @@
     scheduler, entry = make_scheduler(clock)
     task = start_task(scheduler, clock)
     results = []
-    scheduler.commands.dispatcher.stop = lambda instance, name, run, on_result: results.append(on_result)
+    scheduler.commands.dispatcher.stop = lambda instance, name, run, on_result: results.append(
+        on_result
+    )
     task.start_confirmed_at, task.unconfirmed_since = 0.0, clock.monotonic()
     clock.advance(0.01)
     report(scheduler, clock, WorkerReport(1, 400, (), ()))
