--- a/tests/coordination/job/cluster.py
+++ b/standins/cluster.py
@@ -1,9 +1,12 @@
 """Simulate a cluster of daemons, workers and the store in virtual time, step by step."""
 
 import random
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import replace
+from typing import Any
 
-from gypsumplank.coordination.job.dispatcher import VERIFIED_FOR_S
+from gypsumplank.coordination.job.dispatcher import VERIFIED_FOR_S, Post, ResultCallback
+from gypsumplank.coordination.job.instance import WorkerInstance
 from gypsumplank.coordination.job.leader import SchedulerLeader
 from gypsumplank.coordination.job.machine import MachineController
 from gypsumplank.coordination.job.maintenance import MaintenancePlanner
@@ -22,16 +25,23 @@
     WorkerRefusedError,
 )
 from gypsumplank.protocol.job import JobDefinition, Resources, StepDefinition
-from gypsumplank.protocol.queue import Machine, MachineState, Manifest, Queue, ServicePolicy
-from gypsumplank.protocol.worker import StartRefusal
+from gypsumplank.protocol.queue import (
+    Machine,
+    MachineState,
+    MaintenanceWave,
+    Manifest,
+    Queue,
+    ServicePolicy,
+)
+from gypsumplank.protocol.worker import StartCommand, StartRefusal, WorkerEntry
 from gypsumplank.state.clock import ClockRange, ManualClock
 from gypsumplank.state.job import JobStore
 from gypsumplank.state.lease import LeaseStore
 from gypsumplank.state.machine import MachineOrderLog
+from standins.faulty import ScriptedFaultTable
 from standins.limit import LimitedFeedTable
 from standins.simulator import SimulatedWorkers
 from standins.violations import find_violations
-from tests.faulty import ScriptedFaultTable
 
 STEP_S = 0.05
 LEASE_S = 6.0
@@ -47,6 +57,9 @@
 )
 CHAIN_ORDER = JobDefinition("0.5", CHAIN)
 
+OnReport = Callable[[WorkerInstance, ReceivedReport], None]
+MakeOrder = Callable[[int], StartCommand | None]
+
 
 class SteppedDispatcher:
     """Send commands immediately, and poll the workers once per step.
@@ -54,28 +67,45 @@
     Unless `polls_idle` is set, idle ones are left alone, as the real dispatcher does for 30 s.
     """
 
-    def __init__(self, control, clock, post, token, may_extend_leases, on_report, polls_idle):
+    def __init__(
+        self,
+        control: SimulatedWorkers,
+        clock: ManualClock,
+        post: Post,
+        token: int,
+        may_extend_leases: Callable[[], bool],
+        on_report: OnReport,
+        polls_idle: bool,
+    ) -> None:
         self.polls_idle = polls_idle
         self.control, self.clock, self.post = control, clock, post
         self.token, self.may_extend_leases, self.on_report = token, may_extend_leases, on_report
-        self.instances = []
+        self.instances: list[WorkerInstance] = []
 
-    def begin_term(self, instances):
+    def begin_term(self, instances: Iterable[WorkerInstance]) -> None:
+        """Start polling the workers that are known at the beginning of the term."""
         for instance in instances:
             self.start_polling(instance)
 
-    def start_polling(self, instance):
+    def start_polling(self, instance: WorkerInstance) -> None:
+        """Poll a worker from now on."""
         self.instances.append(instance)
 
-    def stop_polling(self, instance):
+    def stop_polling(self, instance: WorkerInstance) -> None:
+        """Stop polling a worker."""
         instance.detached = True
         self.instances = [other for other in self.instances if other is not instance]
 
-    def close(self):
+    def close(self) -> None:
+        """Stop polling all workers."""
         self.instances = []
 
-    def start(self, instance, make_order, on_result):
-        def send():
+    def start(
+        self, instance: WorkerInstance, make_order: MakeOrder, on_result: ResultCallback
+    ) -> None:
+        """Start a task on a worker, as the real dispatcher does."""
+
+        def send() -> None:
             self._verify(instance)
             if not self.may_extend_leases():
                 raise WorkerRefusedError(StartRefusal.FENCED, "this leader's lease has expired")
@@ -89,7 +119,7 @@
 
         self._send(instance, send, on_result)
 
-    def _verify(self, instance):
+    def _verify(self, instance: WorkerInstance) -> None:
         now = self.clock.monotonic()
         if now - instance.last_contact_at <= VERIFIED_FOR_S:
             return
@@ -102,19 +132,27 @@
         if report.born != instance.incarnation:
             raise WorkerRefusedError(StartRefusal.OTHER_INSTANCE, "started again")
 
-    def stop(self, instance, name, run, on_result):
+    def stop(
+        self, instance: WorkerInstance, name: str, run: int, on_result: ResultCallback
+    ) -> None:
+        """Stop a run on a worker."""
         self._send(
             instance, lambda: self.control.stop(instance.entry, name, run, self.token), on_result
         )
 
-    def set_speed_limit(self, instance, name, run, percent, on_result):
+    def set_speed_limit(
+        self, instance: WorkerInstance, name: str, run: int, percent: int, on_result: ResultCallback
+    ) -> None:
+        """Throttle a run."""
         self._send(
             instance,
             lambda: self.control.set_speed_limit(instance.entry, name, run, percent, self.token),
             on_result,
         )
 
-    def _send(self, instance, work, on_result):
+    def _send(
+        self, instance: WorkerInstance, work: Callable[[], None], on_result: ResultCallback
+    ) -> None:
         failure = None
         try:
             work()
@@ -123,7 +161,8 @@
         at = self.clock.monotonic()
         self.post(lambda: on_result(failure, at))
 
-    def poll_now(self, *selected):
+    def poll_now(self, *selected: WorkerInstance) -> None:
+        """Poll these workers, or else all that are not idle."""
         for instance in selected or list(self.instances):
             now = self.clock.monotonic()
             is_idle = instance.last_contact_at and not (instance.missed_polls or instance.is_busy)
@@ -141,19 +180,28 @@
             instance.clock.observe(report.clock_ms, now)
             received = ReceivedReport(report, now, now)
             self.post(
-                lambda instance=instance, received=received: self.on_report(instance, received)
+                lambda instance=instance, received=received: self.on_report(  # type: ignore[misc]
+                    instance, received
+                )
             )
 
 
 class SteppedTermFactory:
     """Create dispatchers that the simulation steps."""
 
-    def __init__(self, control, clock, polls_idle):
+    def __init__(self, control: SimulatedWorkers, clock: ManualClock, polls_idle: bool) -> None:
         self.control, self.clock, self.polls_idle = control, clock, polls_idle
-        self.dispatcher = None
-        self.on_snapshot = None
-
-    def create_dispatcher(self, token, post, may_extend_leases, on_report):
+        self.dispatcher: Any = None
+        self.on_snapshot: Any = None
+
+    def create_dispatcher(
+        self,
+        token: int,
+        post: Post,
+        may_extend_leases: Callable[[], bool],
+        on_report: OnReport,
+    ) -> Any:
+        """Create the dispatcher of one term."""
         self.dispatcher = SteppedDispatcher(
             self.control,
             self.clock,
@@ -165,7 +213,8 @@
         )
         return self.dispatcher
 
-    def create_watchers(self, after, on_snapshot, on_new_jobs):
+    def create_watchers(self, after: int, on_snapshot: Any, on_new_jobs: Any) -> tuple[()]:
+        """Return no watchers, as the simulation sends the snapshots."""
         self.on_snapshot = on_snapshot
         return ()
 
@@ -173,24 +222,31 @@
 class SimulatedDirectory:
     """Return the simulated workers and the fixed manifest."""
 
-    def __init__(self, simulated_workers, waves=()):
+    def __init__(
+        self, simulated_workers: SimulatedWorkers, waves: Sequence[MaintenanceWave] = ()
+    ) -> None:
         self.simulated_workers = simulated_workers
         self.open_waves = waves
-        self.reported = {}
+        self.reported: dict[int, bool] = {}
 
-    def manifest(self):
+    def manifest(self) -> Manifest:
+        """Return the manifest."""
         return MANIFEST
 
-    def workers(self):
+    def workers(self) -> list[WorkerEntry]:
+        """Return the workers' entries."""
         return self.simulated_workers.entries()
 
-    def waves(self):
+    def waves(self) -> Sequence[MaintenanceWave]:
+        """Return the open waves."""
         return self.open_waves
 
-    def completed_waves(self):
+    def completed_waves(self) -> frozenset[int]:
+        """Return the numbers of the waves that were reported as complete."""
         return frozenset(number for number, done in self.reported.items() if done)
 
-    def report_wave(self, number, completed):
+    def report_wave(self, number: int, completed: bool) -> None:
+        """Record the report of a wave."""
         self.reported[number] = completed
 
 
@@ -201,21 +257,22 @@
     `order_delay_s` is also set, they are carried out after that time.
     """
 
-    def __init__(self, cluster):
+    def __init__(self, cluster: "SimulatedCluster") -> None:
         self.cluster = cluster
-        self.standby = {}
-        self.unavailable = {}
-        self.orders = []
-        self.maintained = set()
-        self.maintenance_calls = []
+        self.standby: dict[str, bool] = {}
+        self.unavailable: dict[str, tuple[float, str, MachineState]] = {}
+        self.orders: list[tuple[Any, ...]] = []
+        self.maintained: set[tuple[int, str]] = set()
+        self.maintenance_calls: list[str] = []
         self.lists_crashed = True
         self.max_down = 0
         self.started_workers = 0
         self.loses_answers = False
         self.order_delay_s = 0.0
-        self.delayed_orders = []
+        self.delayed_orders: list[tuple[float, Callable[[], None]]] = []
 
-    def list_machines(self):
+    def list_machines(self) -> list[Machine]:
+        """Return all machines."""
         simulated_workers = self.cluster.simulated_workers
         up = [
             Machine(
@@ -241,14 +298,16 @@
             *(Machine(name, STANDBY, MachineState.UP, "z", "") for name in self.standby),
         ]
 
-    def start_maintenance(self, machine, wave, holder, token):
+    def start_maintenance(self, machine: str, wave: int, holder: str, token: int) -> None:
+        """Carry out the maintenance of a machine."""
         self.maintenance_calls.append(machine)
         self._execute(lambda: self._maintain(machine, wave, token))
 
-    def move(self, machine, pool, holder, token):
+    def move(self, machine: str, pool: str, holder: str, token: int) -> None:
+        """Move a machine to another pool."""
         self._execute(lambda: self._move(machine, pool, token))
 
-    def _execute(self, order):
+    def _execute(self, order: Callable[[], None]) -> None:
         if not self.loses_answers:
             order()
             return
@@ -259,13 +318,13 @@
         raise MachineError("answer lost")
 
     @staticmethod
-    def _execute_unheard(order):
+    def _execute_unheard(order: Callable[[], None]) -> None:
         try:
             order()
         except MachineRefusedError:
             return
 
-    def _maintain(self, machine, wave, token):
+    def _maintain(self, machine: str, wave: int, token: int) -> None:
         if (wave, machine) in self.maintained:
             return
         pool = STANDBY if machine in self.standby else self._shut_down(machine)
@@ -279,7 +338,7 @@
         }
         self.max_down = max(self.max_down, len(down))
 
-    def _move(self, machine, pool, token):
+    def _move(self, machine: str, pool: str, token: int) -> None:
         if any(one.name == machine and one.pool == pool for one in self.list_machines()):
             return
         if machine in self.standby:
@@ -288,7 +347,7 @@
             self._shut_down(machine)
         self._send(machine, pool, ("move", pool, token), 1.5)
 
-    def _shut_down(self, machine):
+    def _shut_down(self, machine: str) -> str:
         simulated_workers = self.cluster.simulated_workers
         worker = next(
             (
@@ -304,12 +363,13 @@
         del simulated_workers.workers[worker.entry.id]
         return worker.entry.service
 
-    def _send(self, machine, pool, order, seconds):
+    def _send(self, machine: str, pool: str, order: tuple[Any, ...], seconds: float) -> None:
         state = MachineState.MOVING if order[0] == "move" else MachineState.UPKEEP
         self.unavailable[machine] = (self.cluster.clock.now + seconds, pool, state)
         self.orders.append((order[0], machine, *order[1:], self.cluster.clock.now))
 
-    def step(self):
+    def step(self) -> None:
+        """Carry out late orders, and bring machines back whose time is over."""
         due = [order for at, order in self.delayed_orders if at <= self.cluster.clock.now]
         self.delayed_orders = [
             one for one in self.delayed_orders if one[0] > self.cluster.clock.now
@@ -330,25 +390,28 @@
     """Run a controller's calls immediately in the calling thread."""
 
     @classmethod
-    def start(cls):
+    def start(cls) -> "ImmediateRunner":
+        """Return a runner."""
         return cls()
 
-    def tell(self, work):
+    def tell(self, work: Callable[[], None]) -> None:
+        """Run a call."""
         work()
 
-    def stop(self, block):
-        pass
+    def stop(self, block: bool) -> None:
+        """Do nothing, as no thread runs."""
 
 
 class Daemon:
     """Represent one daemon with its own, possibly faulty, connection to the store."""
 
-    def __init__(self, cluster, name):
+    def __init__(self, cluster: "SimulatedCluster", name: str) -> None:
         self.cluster, self.name = cluster, name
-        self.table = ScriptedFaultTable(cluster.table)
+        self.table: Any = ScriptedFaultTable(cluster.table)
         self.restart()
 
-    def restart(self):
+    def restart(self) -> None:
+        """Start the daemon again, with none of its former state."""
         cluster = self.cluster
         self.suspended = False
         store = JobStore(self.table)
@@ -376,7 +439,7 @@
         )
         ports = PlatformPorts(
             store,
-            None,
+            None,  # type: ignore[arg-type]
             self.directory,
             cluster.simulated_workers,
             self.leases,
@@ -394,7 +457,8 @@
         self.store = store
         self.job_service = JobService(store, cluster.clock, lambda: MANIFEST)
 
-    def step(self):
+    def step(self) -> None:
+        """Poll the workers and run one round."""
         if self.suspended:
             return
         try:
@@ -405,7 +469,7 @@
         except GypsumplankError:
             pass
 
-    def _send_snapshot(self):
+    def _send_snapshot(self) -> None:
         try:
             snapshot = StoreSnapshot(
                 self.cluster.clock.now,
@@ -421,7 +485,14 @@
 class SimulatedCluster:
     """Simulate a whole cluster, and check the runs that its workers have seen."""
 
-    def __init__(self, seed, daemons=2, workers=3, polls_idle=True, status_s=120.0):
+    def __init__(
+        self,
+        seed: int,
+        daemons: int = 2,
+        workers: int = 3,
+        polls_idle: bool = True,
+        status_s: float = 120.0,
+    ) -> None:
         self.polls_idle = polls_idle
         self.rng = random.Random(seed)
         self.clock = ManualClock(100.0)
@@ -431,18 +502,19 @@
         for index in range(workers):
             self.simulated_workers.add(f"w{index}", SERVICE, ROOM)
         self.machines = SimulatedMachines(self)
-        self.waves = []
-        self.reported = {}
+        self.waves: list[MaintenanceWave] = []
         self.status_s = status_s
         self.manifest = MANIFEST
         self.daemons = [Daemon(self, f"d{index}") for index in range(daemons)]
-        self.submitted = {}
+        self.submitted: dict[str, JobDefinition] = {}
 
-    def store_clock(self):
+    def store_clock(self) -> ClockRange:
+        """Return the time of the store."""
         now_ms = int(self.clock.now * 1000)
         return ClockRange(now_ms, now_ms)
 
-    def run(self, seconds, step_s=STEP_S):
+    def run(self, seconds: float, step_s: float = STEP_S) -> None:
+        """Advance the simulated time."""
         for _ in range(round(seconds / step_s)):
             self.clock.advance(step_s)
             self.simulated_workers.advance(step_s)
@@ -450,15 +522,24 @@
             for daemon in self.daemons:
                 daemon.step()
 
-    def submit(self, job_id, steps=None, spec="0.5", daemon=0):
+    def submit(
+        self,
+        job_id: str,
+        steps: tuple[StepDefinition, ...] | None = None,
+        spec: str = "0.5",
+        daemon: int = 0,
+    ) -> bool:
+        """Submit a job to a daemon; by default one of two tasks of half a second."""
         order = JobDefinition(spec, steps or (StepDefinition(2, Resources(1000, 100), 500),))
         self.submitted[job_id] = order
         return self.daemons[daemon].job_service.submit(QUEUE, job_id, order, 0.0)
 
-    def state(self, job_id):
+    def state(self, job_id: str) -> str:
+        """Return a job's state as stored."""
         return JobStore(self.table).state(job_id)[0].state.value
 
-    def leader(self):
+    def leader(self) -> Daemon | None:
+        """Return the daemon that leads, if it is not suspended."""
         return next(
             (
                 daemon
@@ -468,10 +549,11 @@
             None,
         )
 
-    def violations(self):
+    def violations(self) -> list[str]:
         """Return violations of the rules about runs."""
         return find_violations(self.simulated_workers.history, self.submitted)
 
 
-def long_running_step(tasks=2, may_miss=1):
+def long_running_step(tasks: int = 2, may_miss: int = 1) -> StepDefinition:
+    """Return a step whose tasks run until the job is cancelled."""
     return replace(StepDefinition(tasks, Resources(1000, 100)), lasting=True, may_miss=may_miss)
--- a/tests/faulty.py
+++ b/standins/faulty.py
@@ -2,8 +2,11 @@
 
 import contextlib
 import threading
+from collections.abc import Sequence
+from typing import Any
 
 from gypsumplank.errors import StateConflictError, StateUnavailableError, StateUnknownError
+from gypsumplank.state.table import Row, Txn
 
 
 class ScriptedFaultTable:
@@ -17,25 +20,30 @@
     `apply_delayed()`, "then-out" applies the commit and starts an outage.
     """
 
-    def __init__(self, table):
+    def __init__(self, table: Any) -> None:
         self.table = table
-        self.commit_faults = []
+        self.commit_faults: list[str] = []
         self.unavailable = False
-        self.late = []
+        self.late: list[Txn] = []
         self.commits = 0
-        self.commit_gate = None
+        self.commit_gate: threading.Event | None = None
         self.blocked_commits = 0
         self.lock = threading.Lock()
 
-    def get(self, table, key):
+    def get(self, table: str, key: str) -> Row | None:
+        """Return a row, unless the store is unavailable."""
         self._raise_if_out()
         return self.table.get(table, key)
 
-    def scan(self, table, prefix="", after="", limit=1000):
+    def scan(
+        self, table: str, prefix: str = "", after: str = "", limit: int = 1000
+    ) -> Sequence[Row]:
+        """Return rows, unless the store is unavailable."""
         self._raise_if_out()
         return self.table.scan(table, prefix, after, limit)
 
-    def commit(self, txn):
+    def commit(self, txn: Txn) -> int:
+        """Commit a transaction, with the next fault of `commit_faults`, if any."""
         self._raise_if_out()
         self.blocked_commits += 1
         if self.commit_gate is not None:
@@ -59,7 +67,7 @@
                 raise StateUnknownError("late")
         return self.table.commit(txn)
 
-    def apply_delayed(self):
+    def apply_delayed(self) -> None:
         """Apply the delayed commits in order; skip those in conflict."""
         while self.late:
             try:
@@ -67,6 +75,6 @@
             except StateConflictError:
                 continue
 
-    def _raise_if_out(self):
+    def _raise_if_out(self) -> None:
         if self.unavailable:
             raise StateUnavailableError("out")
--- a/tests/coordination/job/test_capacity.py
+++ b/tests/coordination/job/test_capacity.py
@@ -7,9 +7,7 @@
 from gypsumplank.protocol.job import JobDefinition, Resources, StepDefinition
 from gypsumplank.protocol.queue import ServicePolicy
 from gypsumplank.protocol.worker import StartCommand
-from standins.simulator import HEARTBEAT_INTERVAL_S
-from standins.violations import SHRINK_GRACE_S, find_overfull_starts
-from tests.coordination.job.cluster import (
+from standins.cluster import (
     MANIFEST,
     ROOM,
     SERVICE,
@@ -17,6 +15,8 @@
     SimulatedCluster,
     long_running_step,
 )
+from standins.simulator import HEARTBEAT_INTERVAL_S
+from standins.violations import SHRINK_GRACE_S, find_overfull_starts
 
 SMALL_ROOM = Resources(1000, 8000)
 STEP = StepDefinition(1, Resources(1000, 100), 500)
--- a/tests/coordination/job/test_commit.py
+++ b/tests/coordination/job/test_commit.py
@@ -14,8 +14,8 @@
 from gypsumplank.state.clock import ManualClock
 from gypsumplank.state.job import DEFAULT_MAX_ROW_BYTES, TABLE_STEPS, JobStore, LoadedJob
 from gypsumplank.state.table import ABSENT, Check
+from standins.cluster import SERVICE, SimulatedCluster, long_running_step
 from standins.limit import LimitedFeedTable
-from tests.coordination.job.cluster import SERVICE, SimulatedCluster, long_running_step
 
 FENCE = Check("leases", "scheduler", ABSENT)
 SMALL = Resources(100, 10)
--- a/tests/coordination/job/test_crash.py
+++ b/tests/coordination/job/test_crash.py
@@ -9,15 +9,15 @@
 from gypsumplank.coordination.job.model import SETTLED_RUN_S
 from gypsumplank.protocol.job import Resources, StepDefinition, TaskPhase
 from gypsumplank.protocol.queue import Machine, MachineState
-from standins.simulator import ENTRY_TTL_S
-from standins.violations import find_deadly_restarts
-from tests.coordination.job.cluster import (
+from standins.cluster import (
     ROOM,
     SERVICE,
     STEP_S,
     SimulatedCluster,
     long_running_step,
 )
+from standins.simulator import ENTRY_TTL_S
+from standins.violations import find_deadly_restarts
 
 DEADLY_JOB = "d" * 16
 DEADLY_TASK = f"{DEADLY_JOB}.0.0.0"
--- a/tests/coordination/job/test_cutoff.py
+++ b/tests/coordination/job/test_cutoff.py
@@ -4,8 +4,8 @@
 from gypsumplank.errors import StateUnknownError
 from gypsumplank.state.clock import ManualClock
 from gypsumplank.state.lease import LeaseStore
-from tests.coordination.job.cluster import SimulatedCluster
-from tests.faulty import ScriptedFaultTable
+from standins.cluster import SimulatedCluster
+from standins.faulty import ScriptedFaultTable
 
 
 def test_failures_count_as_cut_off_only_without_any_answer_between_them():
--- a/tests/coordination/job/test_dropped_queue.py
+++ b/tests/coordination/job/test_dropped_queue.py
@@ -7,7 +7,7 @@
 from gypsumplank.coordination.job.model import Job
 from gypsumplank.protocol.job import JobDefinition, Resources, StepDefinition, StoredJob, TaskPhase
 from gypsumplank.protocol.queue import Manifest
-from tests.coordination.job.cluster import (
+from standins.cluster import (
     MANIFEST,
     QUEUE,
     SERVICE,
--- a/tests/coordination/job/test_evidence.py
+++ b/tests/coordination/job/test_evidence.py
@@ -26,7 +26,7 @@
     WorkerState,
 )
 from gypsumplank.state.job import TABLE_STEPS, decode
-from tests.coordination.job.cluster import (
+from standins.cluster import (
     CHAIN_ORDER,
     QUEUE,
     ROOM,
--- a/tests/coordination/job/test_gang.py
+++ b/tests/coordination/job/test_gang.py
@@ -23,7 +23,7 @@
     WorkerReport,
     WorkerState,
 )
-from tests.coordination.job.cluster import SimulatedCluster
+from standins.cluster import SimulatedCluster
 
 ROOM = Resources(8000, 8000)
 NEED = Resources(6000, 100)
--- a/tests/coordination/job/test_gang_machine.py
+++ b/tests/coordination/job/test_gang_machine.py
@@ -9,7 +9,7 @@
 
 from gypsumplank.protocol.job import Resources, StepDefinition, StepRecord, TaskPhase
 from gypsumplank.state.job import TABLE_STEPS, decode
-from tests.coordination.job.cluster import MANIFEST, QUEUE, SimulatedCluster
+from standins.cluster import MANIFEST, QUEUE, SimulatedCluster
 
 WORKERS = 3
 MAX_JOBS = 5
--- a/tests/coordination/job/test_leader.py
+++ b/tests/coordination/job/test_leader.py
@@ -9,7 +9,7 @@
 from gypsumplank.protocol.job import JobState, StoredJob, TaskPhase
 from gypsumplank.state.job import TABLE_STEPS, JobStore, LoadedJob, StateValue, decode
 from gypsumplank.state.table import Txn, Write
-from tests.coordination.job.cluster import (
+from standins.cluster import (
     CHAIN,
     CHAIN_ORDER,
     MANIFEST,
--- a/tests/coordination/job/test_machines.py
+++ b/tests/coordination/job/test_machines.py
@@ -18,7 +18,7 @@
 from gypsumplank.state.clock import ClockRange
 from gypsumplank.state.machine import MachineOrderLog
 from gypsumplank.state.table import MemoryTable
-from tests.coordination.job.cluster import (
+from standins.cluster import (
     MANIFEST,
     QUEUE,
     ROOM,
--- a/tests/coordination/job/test_malformed.py
+++ b/tests/coordination/job/test_malformed.py
@@ -8,7 +8,7 @@
 from gypsumplank.state.feed import MemoryFeedTable
 from gypsumplank.state.job import TABLE_ORDERS, TABLE_STATES, pending_key, state_write
 from gypsumplank.state.table import Txn, Write
-from tests.coordination.job.cluster import CHAIN, SimulatedCluster
+from standins.cluster import CHAIN, SimulatedCluster
 from tests.malformed import MALFORMED_JSON
 
 JOB, BAD_JOB = "a" * 16, "b" * 16
--- a/tests/coordination/job/test_random_faults.py
+++ b/tests/coordination/job/test_random_faults.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from standins.cluster import SimulatedCluster
 from standins.simulator import SimulatedWorker
-from tests.coordination.job.cluster import SimulatedCluster
 
 JOBS = 40
 
--- a/tests/coordination/job/test_retention.py
+++ b/tests/coordination/job/test_retention.py
@@ -5,7 +5,7 @@
 from gypsumplank.coordination.job import retention
 from gypsumplank.errors import JobMissingError, StateUnavailableError
 from gypsumplank.state.table import Write
-from tests.coordination.job.cluster import SimulatedCluster, long_running_step
+from standins.cluster import SimulatedCluster, long_running_step
 
 STATUS_S = 4.0
 MARGIN_S = 6.0
--- a/tests/coordination/job/test_run_machine.py
+++ b/tests/coordination/job/test_run_machine.py
@@ -13,8 +13,8 @@
 from gypsumplank.protocol.job import Resources, StepDefinition, StepRecord, TaskPhase
 from gypsumplank.protocol.queue import MaintenanceWave
 from gypsumplank.state.job import TABLE_STEPS, decode
+from standins.cluster import ROOM, SimulatedCluster
 from standins.violations import find_deadly_restarts, find_overfull_starts
-from tests.coordination.job.cluster import ROOM, SimulatedCluster
 
 WORKERS = 4
 MAX_JOBS = 8
--- a/tests/coordination/job/test_stall.py
+++ b/tests/coordination/job/test_stall.py
@@ -4,7 +4,7 @@
 
 from gypsumplank.protocol.job import Resources, StepDefinition
 from gypsumplank.protocol.worker import EndKind
-from tests.coordination.job.cluster import SimulatedCluster
+from standins.cluster import SimulatedCluster
 
 JOB = "a" * 16
 OTHER_JOB = "b" * 16
--- a/tests/coordination/job/test_submission.py
+++ b/tests/coordination/job/test_submission.py
@@ -16,8 +16,8 @@
 from gypsumplank.protocol.queue import Queue
 from gypsumplank.state.clock import ManualClock
 from gypsumplank.state.job import JobStore, step_write
+from standins.faulty import ScriptedFaultTable
 from standins.limit import MAX_ROW_BYTES, LimitedFeedTable
-from tests.faulty import ScriptedFaultTable
 
 QUEUE = Queue("proofs", "h.example", "/p/", "desk")
 SMALL = Resources(100, 10)
--- a/tests/coordination/job/test_throttle.py
+++ b/tests/coordination/job/test_throttle.py
@@ -12,7 +12,7 @@
 from gypsumplank.protocol.job import JobDefinition, Resources, StepDefinition, StoredJob
 from gypsumplank.protocol.worker import WorkerEntry, WorkerState
 from gypsumplank.state.clock import ManualClock
-from tests.coordination.job.cluster import QUEUE, ROOM, SERVICE, long_running_step
+from standins.cluster import QUEUE, ROOM, SERVICE, long_running_step
 
 NOW = 100.0
 SERVING_STEP = replace(long_running_step(1), tail_target_ms=100)
--- a/tests/coordination/job/test_unanswered_orders.py
+++ b/tests/coordination/job/test_unanswered_orders.py
@@ -6,7 +6,7 @@
 
 from gypsumplank.protocol.job import Resources, StepDefinition
 from gypsumplank.protocol.queue import MaintenanceWave, Manifest, ServicePolicy
-from tests.coordination.job.cluster import (
+from standins.cluster import (
     MANIFEST,
     QUEUE,
     ROOM,
--- a/tests/coordination/test_claim.py
+++ b/tests/coordination/test_claim.py
@@ -26,7 +26,7 @@
 from gypsumplank.state.session import Session
 from gypsumplank.state.table import MemoryTable
 from gypsumplank.state.writer import UNAVAILABLE_BACKOFF_S, BatchWriter
-from tests.faulty import ScriptedFaultTable
+from standins.faulty import ScriptedFaultTable
 
 OK = EndpointResponse(201, (("X-Price", "7"), ("Set-Cookie", "a"), ("Set-Cookie", "b")), b"ok")
 NOT_RUN = Refusal("endpoint-connect", Outcome.NOT_RUN, 502, "refused", 1)
--- a/tests/platform/test_app.py
+++ b/tests/platform/test_app.py
@@ -13,7 +13,7 @@
 )
 from gypsumplank.platform.app import DEFAULT_REMAINING_S, JobApp, ReadyApp, decode_job
 from gypsumplank.protocol.job import JobState, Resources
-from tests.coordination.job.cluster import QUEUE
+from standins.cluster import QUEUE
 from tests.malformed import BAD_NUMBERS, MALFORMED_JSON, with_fields
 
 JOB_ID = "5c0e7a21d94b36f8"
--- a/tests/platform/test_table.py
+++ b/tests/platform/test_table.py
@@ -20,7 +20,7 @@
 from gypsumplank.state.feed import MemoryFeedTable
 from gypsumplank.state.job import JobStore, StoredJob
 from gypsumplank.state.table import ABSENT, Check, Row, Txn, Write, scan_all
-from tests.coordination.job.cluster import CHAIN_ORDER
+from standins.cluster import CHAIN_ORDER
 
 
 @pytest.fixture(params=["memory", "rows"])
--- a/tests/state/test_writer.py
+++ b/tests/state/test_writer.py
@@ -15,7 +15,7 @@
 from gypsumplank.state.clock import ManualClock
 from gypsumplank.state.table import ABSENT, MAX_ROW_BYTES, MemoryTable, Txn, Write
 from gypsumplank.state.writer import SLOW_COMMIT_S, UNAVAILABLE_BACKOFF_S, BatchWriter, RowChange
-from tests.faulty import ScriptedFaultTable
+from standins.faulty import ScriptedFaultTable
 
 WAIT_S = 20.0
 
--- a/tests/transport/test_relay.py
+++ b/tests/transport/test_relay.py
@@ -10,7 +10,7 @@
 from gypsumplank.errors import StateConflictError, StateUnavailableError, StateUnknownError
 from gypsumplank.state.table import ABSENT, Check, MemoryTable, Txn, Write
 from gypsumplank.transport.relay import SERVER_THREADS, PeerTable, RelayServer, RelayTable
-from tests.faulty import ScriptedFaultTable
+from standins.faulty import ScriptedFaultTable
 from tests.malformed import IMPOSSIBLE_ADDRESSES
 
 
