--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -18,12 +18,19 @@
     "wave",
     "planner",
 )
+# Measurements of ten minutes or more, which run only if they are named.
+LONG_MEASUREMENTS = ("days",)
 
 
 def main() -> None:
     """Run the measurements one after another."""
     parser = argparse.ArgumentParser(prog="python -m bench", description=__doc__)
-    parser.add_argument("names", nargs="*", choices=[*MEASUREMENTS, []], help="default: all")
+    parser.add_argument(
+        "names",
+        nargs="*",
+        choices=[*MEASUREMENTS, *LONG_MEASUREMENTS, []],
+        help="default: all short ones",
+    )
     args = parser.parse_args()
     for name in args.names or MEASUREMENTS:
         sys.stdout.write(f"== {name}\n")
