job: withdraw a stop whose permission has run out

Cause: the stop of a long-running task is decided within its step's budget and sent once all changes are stored. While the store is out that takes seconds, and the budget was not looked at again: other tasks of the step that were lost meanwhile were not counted.

Callers see more tasks of a long-running step missing than `may-miss`.

Change: a stop that was requested and not sent yet is withdrawn if the budget does not allow it any more (`stop-withdrawn`); the wave asks again later. Tasks on draining workers, of cancelled jobs and of broken gangs are stopped as before.

Test: test_stop_that_waited_for_the_store_is_withdrawn_once_others_are_away fails before (the task is stopped) and passes now. test_machines, test_leader, test_unanswered_orders and test_crash passed.

--- a/gypsumplank/coordination/job/command.py
+++ b/gypsumplank/coordination/job/command.py
@@ -9,6 +9,7 @@
 from gypsumplank.coordination.job.instance import REFUSAL_BACKOFF_S, WorkerInstance
 from gypsumplank.coordination.job.model import Task
 from gypsumplank.coordination.job.permit import PermitCache
+from gypsumplank.coordination.job.preemption import is_stop_void
 from gypsumplank.coordination.job.refusal import STOP_RETRY_S, RefusedStarts
 from gypsumplank.coordination.job.report import requeue_task
 from gypsumplank.coordination.job.throttle import SpeedChange, speed_changes
@@ -189,6 +190,10 @@
                 and now >= task.stop_sent_at + STOP_RETRY_S
                 and not task.stop_confirmed_at
             ):
+                if not task.stop_sent_at and is_stop_void(task, instance, now):
+                    task.should_run, task.stop_requested_at = True, 0.0
+                    event(logger, Event.STOP_WITHDRAWN, task=task.name, worker=instance.id)
+                    continue
                 task.stop_sent_at = now
                 self._dispatcher.stop(
                     instance,
--- a/gypsumplank/coordination/job/preemption.py
+++ b/gypsumplank/coordination/job/preemption.py
@@ -7,7 +7,7 @@
 from gypsumplank.coordination.job.instance import FULL_CAPACITY_PERCENT, WorkerInstance
 from gypsumplank.coordination.job.model import Task
 from gypsumplank.coordination.job.placement import resource_need
-from gypsumplank.protocol.job import Resources, StepDefinition, TaskPhase
+from gypsumplank.protocol.job import FINAL_JOB_STATES, Resources, StepDefinition, TaskPhase
 from gypsumplank.protocol.worker import WorkerState
 
 # Age of a task's last report up to which it counts as serving, seconds; shorter than the time after
@@ -55,6 +55,17 @@
     return unavailable < max(1, task.step.order.may_miss)
 
 
+def is_stop_void(task: Task, instance: WorkerInstance, now: float) -> bool:
+    """Return whether the stop of a long-running task that was requested is no longer permitted.
+
+    Stops wait for the store, and meanwhile other tasks of the step may have become unavailable.
+    """
+    is_over = task.step.job.cancelled or task.step.job.state in FINAL_JOB_STATES
+    is_leaving = instance.entry.state is WorkerState.DRAINING
+    is_voluntary = task.step.order.lasting and bool(task.stop_requested_at) and not is_leaving
+    return is_voluntary and not is_over and not may_interrupt(task, now)
+
+
 def runs_to_evacuate(instances: Iterable[WorkerInstance]) -> Iterator[Task]:
     """Yield the runs to stop on draining workers.
 
--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -66,6 +66,7 @@
     RUN_ENDED = "task-ended", "A worker reported the end of a run; `how` gives the outcome."
     RUN_MISSING = "task-missing", "A run can no longer be active; its task is queued again."
     TASK_GIVEN_UP = "task-given-up", "A task failed: `crashes` workers had crashed under it."
+    STOP_WITHDRAWN = "stop-withdrawn", "A stop was not sent, as its step's budget is used up now."
     RUN_STALLED = "task-stalled", "A run made no progress; it is stopped and retried elsewhere."
     REPORT_CUT_OFF = "report-cut-off", "A worker has more ends than one report lists."
     RUN_UNASSIGNED = "task-unwanted", "A worker executes a run not assigned to it; it is stopped."
