--- a/bench/days.py
+++ b/bench/days.py
@@ -37,7 +37,7 @@
 # scheduler's lease lasts.
 IDLE_STEP_S = 1.0
 # Time after a disturbance for which the clock advances in small steps, seconds.
-UNREST_S = 15.0
+SETTLE_S = 15.0
 # Time between two samples, seconds.
 SAMPLE_INTERVAL_S = 6 * 3600.0
 # Mean times between events, seconds.
@@ -98,13 +98,13 @@
         self.workers = self.cluster.simulated_workers
         self.workers.keeps_id = True
         self.started_at = self.cluster.clock.now
-        self.unrest_until = 0.0
+        self.settled_at = 0.0
         self.open: dict[str, float] = {}
         self.counts = dict.fromkeys(("jobs", "completed", "failed", "lost", "takeovers"), 0)
         self.broken: set[str] = set()
         self.leaderless_since: float | None = None
         self.longest_takeover_s = 0.0
-        self.heals: list[tuple[float, Callable[[], None]]] = []
+        self.repairs: list[tuple[float, Callable[[], None]]] = []
         self.next_at = {
             event: self.now + self.rng.expovariate(1 / mean) for event, mean in self.events()
         }
@@ -153,13 +153,13 @@
         self.workers.cut_from_registry(name)
         self.workers.crash(name)
         self.workers.restart(name)
-        self.heals.append((self.now + 8.0, lambda: self.workers.reconnect_registry(name)))
+        self.repairs.append((self.now + 8.0, lambda: self.workers.reconnect_registry(name)))
 
     def cut_worker_off(self) -> None:
         """Cut a worker off for some seconds."""
         worker = self.workers.workers[self._random_worker()]
         worker.reachable = False
-        self.heals.append(
+        self.repairs.append(
             (self.now + self.rng.uniform(1.0, 8.0), lambda: setattr(worker, "reachable", True))
         )
 
@@ -170,7 +170,7 @@
             return
         leader.suspended = True
         self.leaderless_since = self.now
-        self.heals.append((self.now + 5.0, leader.restart))
+        self.repairs.append((self.now + 5.0, leader.restart))
 
     def take_store_out(self) -> None:
         """Take the store out for some seconds."""
@@ -178,11 +178,11 @@
         for table in tables:
             table.unavailable = True
 
-        def heal() -> None:
+        def repair() -> None:
             for table in tables:
                 table.unavailable = False
 
-        self.heals.append((self.now + self.rng.uniform(1.0, 5.0), heal))
+        self.repairs.append((self.now + self.rng.uniform(1.0, 5.0), repair))
 
     def start_wave(self) -> None:
         """Start a wave over all machines; for half of them answers to first orders are lost."""
@@ -192,7 +192,7 @@
         if self.rng.random() < 0.5:
             service = self.cluster.machines
             service.loses_answers, service.order_delay_s = True, self.rng.choice([0.0, 3.0])
-            self.heals.append((self.now + 10.0, lambda: setattr(service, "loses_answers", False)))
+            self.repairs.append((self.now + 10.0, lambda: setattr(service, "loses_answers", False)))
 
     def run(self, until: float) -> None:
         """Play until a simulated time."""
@@ -202,10 +202,10 @@
                     event()
                     self.next_at[event] = self.now + self.rng.expovariate(1 / mean_s)
                     if event != self.submit:
-                        self.unrest_until = self.now + UNREST_S
-            for at, heal in [item for item in self.heals if item[0] <= self.now]:
-                self.heals.remove((at, heal))
-                heal()
+                        self.settled_at = self.now + SETTLE_S
+            for at, repair in [item for item in self.repairs if item[0] <= self.now]:
+                self.repairs.remove((at, repair))
+                repair()
             step_s = STEP_S if self._is_busy() else IDLE_STEP_S
             self.cluster.run(step_s, step_s)
             self._observe_leader()
@@ -213,7 +213,7 @@
 
     def _is_busy(self) -> bool:
         leader = self.cluster.leader()
-        if leader is None or self.heals or self.now < self.unrest_until:
+        if leader is None or self.repairs or self.now < self.settled_at:
             return True
         term = leader.scheduler_leader._term
         return bool(term and term.scheduler.workload.jobs) or self._has_open_wave()
--- a/gypsumplank/coordination/job/evidence.py
+++ b/gypsumplank/coordination/job/evidence.py
@@ -20,8 +20,8 @@
 from gypsumplank.protocol.queue import Machine, MachineState
 from gypsumplank.protocol.worker import WorkerState
 
-# Longest time after which a start without an answer may still be executed, seconds; the platform's
-# pages say "seconds".
+# Longest time after which a start without an answer may still be executed, seconds; the platform
+# states no figure.
 MAX_START_DELAY_S = 12.0
 # Age of a draining worker's entry up to which its removal means a clean exit, in heartbeats; the
 # platform removes the entries of silent workers after three.
