job: do not rely on workers of a service that the manifest lacks to check capacity

Cause: a service without an entry in the manifest, and an entry without `enforces-capacity`, were taken for services whose workers check their capacity themselves.

What callers would see: a worker that takes whatever it is told gets a start by an entry that is old, after it has shrunk (LIMIT), while the service's entry is out of the manifest.

Change: only a service of which the manifest says so is relied on. Others get starts only by an entry of at most two heartbeats, as where workers don't check. Two test harnesses (replay.py, test_fleet.py) ran a manifest without services and workers without heartbeats; they name their service now. No check changed.

--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -237,7 +237,7 @@
         """Return whether the worker checks its capacity itself, or has reported it lately."""
         manifest = self._manifest()
         policy = manifest.services.get(instance.entry.service) if manifest else None
-        if policy is None or policy.checks_capacity:
+        if policy is not None and policy.checks_capacity:
             return True
         return instance.entry_age_s(now) <= MAX_CAPACITY_AGE_HEARTBEATS * self.fleet.heartbeat_s
 
--- a/gypsumplank/platform/directory.py
+++ b/gypsumplank/platform/directory.py
@@ -84,10 +84,13 @@
 
 
 class WireService(msgspec.Struct, rename="kebab"):
-    """Represent one service's policy."""
+    """Represent one service's policy.
+
+    A service that does not say that its workers enforce their capacity is not relied on to do so.
+    """
 
     name: NonEmptyStr
-    enforces_capacity: bool = True
+    enforces_capacity: bool = False
     standby: bool = False
 
 
--- a/tests/coordination/job/replay.py
+++ b/tests/coordination/job/replay.py
@@ -14,7 +14,7 @@
     StoredJob,
     TaskPhase,
 )
-from gypsumplank.protocol.queue import Manifest, Queue
+from gypsumplank.protocol.queue import Manifest, Queue, ServicePolicy
 from gypsumplank.protocol.worker import WorkerEntry, WorkerState
 from gypsumplank.state.clock import ManualClock
 from gypsumplank.state.job import LoadedJob
@@ -23,6 +23,7 @@
 SERVICE = "proofing"
 WORKER_ROOM = Resources(64_000, 131_072)
 QUEUE = Queue("proofs", "h.example", "/p/", SERVICE, 0, 3, 1.6, 600)
+MANIFEST = Manifest(1, (QUEUE,), {SERVICE: ServicePolicy(SERVICE)})
 
 
 @dataclass(frozen=True)
@@ -65,7 +66,7 @@
     def __init__(self, turn, seed, workers):
         self.clock = ManualClock()
         self.rng = random.Random(seed)
-        self.scheduler = Scheduler(self.clock, lambda: Manifest(1, (QUEUE,)), 1, 6.0)
+        self.scheduler = Scheduler(self.clock, lambda: MANIFEST, 1, 6.0)
         self.turn = turn
         self.workers = 0
         self.ends = []
--- a/tests/coordination/job/test_fleet.py
+++ b/tests/coordination/job/test_fleet.py
@@ -10,11 +10,11 @@
     StoredJob,
     TaskPhase,
 )
-from gypsumplank.protocol.queue import Machine, MachineState, Manifest
+from gypsumplank.protocol.queue import Machine, MachineState
 from gypsumplank.protocol.worker import RunningTask, WorkerEntry, WorkerReport, WorkerState
 from gypsumplank.state.clock import ManualClock
 from gypsumplank.state.job import LoadedJob
-from tests.coordination.job.replay import QUEUE, SERVICE, WORKER_ROOM
+from tests.coordination.job.replay import MANIFEST, QUEUE, SERVICE, WORKER_ROOM
 
 LEASE_S = 6.0
 
@@ -46,7 +46,7 @@
 
 
 def make_scheduler(clock, machine=""):
-    scheduler = Scheduler(clock, lambda: Manifest(1, (QUEUE,)), 1, LEASE_S)
+    scheduler = Scheduler(clock, lambda: MANIFEST, 1, LEASE_S)
     entry = WorkerEntry(
         "w", SERVICE, "w:80", "z", WorkerState.READY, WORKER_ROOM, machine=machine, born=1
     )
--- /dev/null
+++ b/tests/coordination/job/test_incomplete_manifest.py
@@ -0,0 +1,56 @@
+"""Test that what a manifest lacks is not taken for a fact about services and their pools."""
+
+from dataclasses import replace
+
+import msgspec
+import pytest
+
+from gypsumplank.platform.directory import decode_manifest
+from gypsumplank.protocol.job import Resources, StepDefinition
+from gypsumplank.protocol.queue import Manifest, ServicePolicy
+from standins.cluster import MANIFEST, QUEUE, SERVICE, STANDBY, SimulatedCluster
+from standins.simulator import HEARTBEAT_INTERVAL_S
+from standins.violations import find_overfull_starts
+
+STEP = StepDefinition(1, Resources(1000, 100), 500)
+SERVICES = {**MANIFEST.services, STANDBY: ServicePolicy(STANDBY, standby=True)}
+COMPLETE = Manifest(2, (QUEUE,), SERVICES)
+
+
+def make_cluster(manifest, workers=6, standby=4):
+    cluster = SimulatedCluster(1, workers=workers)
+    cluster.manifest = manifest
+    cluster.run(2.0)
+    for number in range(standby):
+        cluster.machines.standby[f"m-{number}"] = True
+    return cluster
+
+
+@pytest.mark.parametrize("restarts", [False, True])
+def test_worker_of_a_service_that_the_manifest_lacks_is_not_relied_on_to_check(restarts):
+    """Guard against LIMIT: a start by an old entry at a worker that takes whatever it is told."""
+    services = {SERVICE: ServicePolicy(SERVICE, checks_capacity=False)}
+    cluster = make_cluster(replace(MANIFEST, services=services), workers=1, standby=0)
+    cluster.submit("a" * 16, (STEP,), spec="60")
+    cluster.run(1.0)
+    cluster.manifest = replace(MANIFEST, version=2, services={})
+    if restarts:
+        cluster.leader().restart()
+    cluster.run(4.0)
+    workers = cluster.simulated_workers
+    workers.registry_unavailable = True
+    workers.set_room("w0", Resources(1000, 8000))
+    cluster.run(3 * HEARTBEAT_INTERVAL_S)
+    cluster.submit("b" * 16, (STEP,), spec="1")
+    cluster.run(2.0)
+    assert len(workers.history) == 1
+    assert not find_overfull_starts(workers.history, cluster.submitted, workers.room_changes)
+    workers.registry_unavailable = False
+
+
+def test_service_that_does_not_say_so_is_not_relied_on_to_check_capacity():
+    """Guard against LIMIT: a field that the manifest lacks is taken for true."""
+    wire = {"version": 1, "services": [{"name": "a"}, {"name": "b", "enforces-capacity": True}]}
+    services = decode_manifest(msgspec.json.encode(wire)).services
+    assert not services["a"].checks_capacity
+    assert services["b"].checks_capacity
