job: apply the limit of attempts when a run would start

Cause: a task's failed runs were compared with its queue's limit when a run failed, and, for limits that were not known then, in a set of undecided tasks with rules of its own.

Change: one place. In each round, the waiting tasks of a job whose failed runs have reached the limit of its queue fail the job, before anything else of it is placed (attempt.py, find_exhausted). A run at work goes on, as it may end done. report.py only counts. `AttemptLimits` and its set are gone, so nothing is left to grow.

Calls of apply_report in test_gang.py and test_evidence.py lose the argument that is gone; no check changed.

--- a/gypsumplank/coordination/job/report.py
+++ b/gypsumplank/coordination/job/report.py
@@ -1,7 +1,7 @@
 """Apply a worker's report to the tasks that are assigned to it."""
 
 import logging
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
 from gypsumplank.coordination.job.crash import give_up_if_deadly
 from gypsumplank.coordination.job.evidence import Proof, find_proof_in_report, is_released_by
@@ -12,19 +12,11 @@
 from gypsumplank.protocol.job import TaskPhase
 from gypsumplank.protocol.worker import EndedTask, EndKind, RunningTask
 
-MaxAttempts = Callable[[Task], int | None]
-
 logger = logging.getLogger(__name__)
 
 
-def apply_report(
-    instance: WorkerInstance, received: ReceivedReport, max_attempts: MaxAttempts
-) -> Iterator[RunningTask]:
-    """Apply a report; yield the running tasks that are not assigned to the worker.
-
-    `max_attempts` returns the number of failed runs after which a batch task has failed for good,
-    or None if that is not known yet.
-    """
+def apply_report(instance: WorkerInstance, received: ReceivedReport) -> Iterator[RunningTask]:
+    """Apply a report; yield the running tasks that are not assigned to the worker."""
     report = received.report
     ended = {
         (end.name, end.run): end for end in report.ended if end.number > instance.last_seen_end
@@ -36,7 +28,7 @@
         end = ended.get((task.name, task.run))
         running_task = running.get(task.name)
         if end is not None:
-            _apply_end(instance, task, end, received.answered_at, max_attempts)
+            _apply_end(instance, task, end, received.answered_at)
         elif task.is_final:
             if is_released_by(task, received):
                 del instance.tasks[task.name]
@@ -94,9 +86,7 @@
         task.unavailable_since = task.unavailable_since or received.answered_at
 
 
-def _apply_end(
-    instance: WorkerInstance, task: Task, end: EndedTask, now: float, max_attempts: MaxAttempts
-) -> None:
+def _apply_end(instance: WorkerInstance, task: Task, end: EndedTask, now: float) -> None:
     instance.tasks.pop(task.name, None)
     job = task.step.job
     event(
@@ -121,10 +111,10 @@
         _finish(task, now)
         return
     if end.kind is EndKind.FAILED:
-        _count_failure(instance, task, max_attempts)
+        task.failures += 1
+        task.record_failure_on(instance.id)
     run = task.run
-    if task.phase is not TaskPhase.FAILED:
-        task.requeue(now)
+    task.requeue(now)
     _stop_gang(task, run)
 
 
@@ -139,14 +129,6 @@
         member.start_confirmed_at = now
 
 
-def _count_failure(instance: WorkerInstance, task: Task, max_attempts: MaxAttempts) -> None:
-    task.failures += 1
-    task.record_failure_on(instance.id)
-    limit = None if task.step.order.lasting else max_attempts(task)
-    if limit is not None and task.counted_failures >= limit:
-        task.finish(TaskPhase.FAILED)
-
-
 def _stop_gang(task: Task, run: int) -> None:
     """Stop the other members of a gang run that has lost one."""
     if not task.step.order.gang:
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -1,10 +1,10 @@
 """Schedule all jobs while this daemon is the leader; used by the scheduler's thread only."""
 
 import logging
-from collections.abc import Callable, Collection, Iterator, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping, Sequence
 from dataclasses import replace
 
-from gypsumplank.coordination.job.attempt import AttemptLimits
+from gypsumplank.coordination.job.attempt import find_exhausted
 from gypsumplank.coordination.job.command import CommandSender, PendingStart
 from gypsumplank.coordination.job.crash import is_withheld
 from gypsumplank.coordination.job.dispatcher import WorkerDispatcher
@@ -58,7 +58,6 @@
         self._clock = clock
         self._manifest = manifest
         self._queues = KnownQueues(manifest)
-        self._attempt_limits = AttemptLimits(self._queues)
         self.workload = Workload()
         self.fleet = Fleet(clock, max_lease_s, heartbeat_s)
         self.commands = CommandSender(clock, token, self._is_capacity_known)
@@ -89,7 +88,6 @@
         for job in restored:
             for task in job.tasks():
                 self.fleet.undecided_losses.add(task)
-            self._attempt_limits.restore(job.tasks())
         for instance in self.instances.values():
             instance.extend_leases(now, EXTENSION_GRACE_S + self.fleet.max_lease_s)
 
@@ -120,7 +118,7 @@
         instance.record_forgotten_ends(received)
         # A worker removes its entry when it has left.
         instance.has_deregistered = False
-        unassigned_runs = list(apply_report(instance, received, self._attempt_limits.find))
+        unassigned_runs = list(apply_report(instance, received))
         instance.has_unassigned_runs = bool(unassigned_runs)
         for unassigned in unassigned_runs:
             self.commands.stop_unassigned(instance, unassigned)
@@ -131,7 +129,6 @@
         """Requeue tasks whose leases have expired, and assign queued tasks to workers."""
         now = self._clock.monotonic()
         self._queues.update(self.workload.jobs.values())
-        self._attempt_limits.apply()
         self._expire_leases(now)
         self.workload.update_job_states(self.workload.jobs.values(), now)
         wall_ms = self.wall_ms()
@@ -160,11 +157,11 @@
             return []
         pending: list[PendingStep] = []
         for step in job.steps.values():
-            tasks = [
-                task
-                for task in step.tasks
-                if task.phase is TaskPhase.WAITING and not is_withheld(task, now)
-            ]
+            waiting = [task for task in step.tasks if task.phase is TaskPhase.WAITING]
+            if exhausted := find_exhausted(waiting, queue.max_attempts):
+                self._give_up(job, exhausted, now)
+                return []
+            tasks = [task for task in waiting if not is_withheld(task, now)]
             if not tasks or (step.order.gang and len(tasks) < len(step.tasks)):
                 continue
             if job.is_ready(step, wall_ms):
@@ -175,6 +172,11 @@
                 )
         return pending
 
+    def _give_up(self, job: Job, exhausted: Iterable[Task], now: float) -> None:
+        for task in exhausted:
+            task.finish(TaskPhase.FAILED)
+        self.workload.update_job_states([job], now)
+
     def _permits_for(self, step: Step, queue: Queue) -> Mapping[str, str] | None:
         if queue.advice is None or self.commands.permits is None:
             return None
--- a/tests/coordination/job/test_dropped_queue.py
+++ b/tests/coordination/job/test_dropped_queue.py
@@ -7,9 +7,11 @@
 from gypsumplank.coordination.job.model import Job
 from gypsumplank.protocol.job import JobDefinition, Resources, StepDefinition, StoredJob, TaskPhase
 from gypsumplank.protocol.queue import Manifest
+from gypsumplank.protocol.worker import EndKind
 from standins.cluster import (
     MANIFEST,
     QUEUE,
+    ROOM,
     SERVICE,
     SimulatedCluster,
     long_running_step,
@@ -29,10 +31,10 @@
     return cluster
 
 
-def submit_failing(cluster, step=STEP):
+def submit_failing(cluster, step=STEP, spec="1"):
     """Start a job whose first runs all fail; the runs after those are done."""
     cluster.simulated_workers.failure_share = 1.0
-    cluster.submit(JOB, (step,), spec="1")
+    cluster.submit(JOB, (step,), spec=spec)
     cluster.run(0.3)
     assert cluster.simulated_workers.history
     cluster.simulated_workers.failure_share = 0.0
@@ -103,6 +105,60 @@
     assert runs(cluster) == (2 if state == "completed" else 1)
 
 
+@pytest.mark.parametrize(
+    ("manifest", "state"), [(WITH_QUEUE_AGAIN, "completed"), (ONE_ATTEMPT, "failed")]
+)
+def test_run_that_fails_under_a_leader_that_never_saw_the_queue_ends_no_job(
+    cluster, manifest, state
+):
+    """Guard against LOST: a leader that does not know the limit fails the job (review case 5)."""
+    cluster.simulated_workers.failure_share = 1.0
+    cluster.submit(JOB, (STEP,), spec="4")
+    cluster.run(1.0)
+    cluster.manifest = WITHOUT_QUEUE
+    cluster.leader().restart()
+    cluster.run(14.0)
+    cluster.simulated_workers.failure_share = 0.0
+    assert [start.kind for start in cluster.simulated_workers.history] == [EndKind.FAILED]
+    assert cluster.state(JOB) == "running"
+    cluster.manifest = manifest
+    cluster.run(8.0)
+    assert cluster.state(JOB) == state
+    assert runs(cluster) == (2 if state == "completed" else 1)
+
+
+def test_run_at_work_goes_on_when_its_limit_turns_out_to_be_used_up(cluster):
+    """Guard against LOST: a run that may still end done is given up by a limit read late."""
+    submit_failing(cluster, spec="8")
+    cluster.run(9.0)
+    assert runs(cluster) == 2
+    cluster.manifest = WITHOUT_QUEUE
+    cluster.leader().restart()
+    cluster.run(4.0)
+    cluster.manifest = ONE_ATTEMPT
+    cluster.run(6.0)
+    assert cluster.state(JOB) == "completed"
+    assert runs(cluster) == 2
+
+
+def set_cordoned(cluster, cordoned):
+    for instance in cluster.leader().scheduler_leader._term.scheduler.instances.values():
+        instance.cordoned = cordoned
+
+
+def test_task_whose_limit_was_lowered_while_it_waited_is_not_started_again(cluster):
+    """Guard against BUDGET: the limit in force counts when a run starts."""
+    submit_failing(cluster)
+    set_cordoned(cluster, True)
+    cluster.run(2.0)
+    assert cluster.state(JOB) == "running"
+    cluster.manifest = ONE_ATTEMPT
+    set_cordoned(cluster, False)
+    cluster.run(4.0)
+    assert cluster.state(JOB) == "failed"
+    assert runs(cluster) == 1
+
+
 def test_job_that_waits_for_its_queue_demands_only_what_it_runs():
     steps = (STEP, replace(STEP, tasks=4), long_running_step(tasks=3))
     job = Job(StoredJob(JOB, QUEUE.name, SERVICE, 0, JobDefinition("", steps)), SERVICE)
@@ -123,6 +179,21 @@
     assert loads[SERVICE].total == Resources()
 
 
+def test_job_is_failed_in_the_round_in_which_its_limit_is_reached(cluster):
+    """Guard against LOST and UNASKED: other tasks start although the job can't be done."""
+    first = replace(STEP, tasks=3, max_per_worker=1)
+    second = replace(STEP, tasks=3, need=ROOM, max_per_worker=1)
+    cluster.manifest = ONE_ATTEMPT
+    cluster.simulated_workers.failure_share = 1.0
+    cluster.submit(JOB, (first, second), spec="1")
+    cluster.run(0.3)
+    job = cluster.leader().scheduler_leader._term.scheduler.workload.jobs[JOB]
+    while not any(task.phase is TaskPhase.FAILED for task in job.tasks()):
+        cluster.run(0.05)
+    assert cluster.state(JOB) == "failed"
+    assert [task.run for task in job.steps[0, 1].tasks] == [0, 0, 0]
+
+
 def test_dropped_queue_is_forgotten_once_it_has_no_jobs():
     manifests = [MANIFEST, WITHOUT_QUEUE, Manifest(4), Manifest(5)]
     queues = KnownQueues(lambda: manifests[0])
--- a/tests/coordination/job/test_evidence.py
+++ b/tests/coordination/job/test_evidence.py
@@ -90,10 +90,10 @@
         instance.tasks[task.name] = task
     ends = (EndedTask(1, first.name, 1, EndKind.DONE),)
     cut_off = WorkerReport(1, 500, (), ends, ends_complete=False)
-    assert not list(apply_report(instance, ReceivedReport(cut_off, 2.0, 2.1), lambda _: 3))
+    assert not list(apply_report(instance, ReceivedReport(cut_off, 2.0, 2.1)))
     assert (first.phase, second.phase) == (TaskPhase.DONE, TaskPhase.ASSIGNED)
     whole = replace(cut_off, ends_complete=True, ended=())
-    assert not list(apply_report(instance, ReceivedReport(whole, 3.0, 3.1), lambda _: 3))
+    assert not list(apply_report(instance, ReceivedReport(whole, 3.0, 3.1)))
     assert second.phase is TaskPhase.WAITING
 
 
--- a/tests/coordination/job/test_gang.py
+++ b/tests/coordination/job/test_gang.py
@@ -29,7 +29,6 @@
 NEED = Resources(6000, 100)
 # When the runs were started, and when the gang's end was heard, monotonic seconds.
 STARTED_AT, ENDED_AT = 10.0, 20.0
-MAX_ATTEMPTS = 3
 
 
 class Gang:
@@ -72,7 +71,7 @@
         answered_at if sent_at is None else sent_at,
         answered_at,
     )
-    return list(apply_report(instance, received, lambda _: MAX_ATTEMPTS))
+    return list(apply_report(instance, received))
 
 
 DONE = [TaskPhase.DONE, TaskPhase.DONE]
