job: do not take a limit that a queue lacks for one attempt

Change: `Queue.max_attempts` is None if the manifest does not give it. The last limit that is known of the queue goes on to hold; if there is none, a task that has failed waits, and the others start, as any limit allows their first run.

What callers would see: jobs shown as `failed` after one run (LOST).

--- a/gypsumplank/coordination/job/knownqueue.py
+++ b/gypsumplank/coordination/job/knownqueue.py
@@ -1,6 +1,7 @@
-"""Remember the queues that the manifest has dropped, for their jobs that have begun."""
+"""Remember what manifests have told of queues, for jobs whose queue the newest one lacks."""
 
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 
 from gypsumplank.coordination.job.model import Job
 from gypsumplank.protocol.queue import Manifest, Queue
@@ -27,7 +28,9 @@
         self._in_force = manifest
         with_jobs = {job.stored.queue for job in jobs}
         known = self._dropped | self._current
-        self._current = {queue.name: queue for queue in manifest.queues}
+        self._current = {
+            queue.name: _with_known_limit(queue, known.get(queue.name)) for queue in manifest.queues
+        }
         self._dropped = {
             name: queue
             for name, queue in known.items()
@@ -40,6 +43,12 @@
         return self._current.get(name) or (self._dropped.get(name) if job.started else None)
 
     def max_attempts(self, name: str) -> int | None:
-        """Return the limit of attempts of a queue; None if this leader has never seen the queue."""
+        """Return the limit of attempts of a queue; None if this leader does not know it."""
         queue = self._current.get(name) or self._dropped.get(name)
         return queue.max_attempts if queue else None
+
+
+def _with_known_limit(queue: Queue, last: Queue | None) -> Queue:
+    if queue.max_attempts is not None or last is None:
+        return queue
+    return replace(queue, max_attempts=last.max_attempts)
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Collection, Iterable, Iterator, Mapping, Sequence
 from dataclasses import replace
 
-from gypsumplank.coordination.job.attempt import find_exhausted
+from gypsumplank.coordination.job.attempt import find_exhausted, find_startable
 from gypsumplank.coordination.job.command import CommandSender, PendingStart
 from gypsumplank.coordination.job.crash import is_withheld
 from gypsumplank.coordination.job.dispatcher import WorkerDispatcher
@@ -161,7 +161,8 @@
             if exhausted := find_exhausted(waiting, queue.max_attempts):
                 self._give_up(job, exhausted, now)
                 return []
-            tasks = [task for task in waiting if not is_withheld(task, now)]
+            startable = find_startable(waiting, queue.max_attempts)
+            tasks = [task for task in startable if not is_withheld(task, now)]
             if not tasks or (step.order.gang and len(tasks) < len(step.tasks)):
                 continue
             if job.is_ready(step, wall_ms):
--- a/gypsumplank/platform/directory.py
+++ b/gypsumplank/platform/directory.py
@@ -77,7 +77,7 @@
     prefix: str
     service: NonEmptyStr
     priority: Int = 0
-    max_attempts: Int = 1
+    max_attempts: Int | None = None
     stretch: Finite = 1.0
     slo_ms: Finite = 0
     hint: WireAdvice | None = None
@@ -154,7 +154,7 @@
         route.prefix,
         route.service,
         route.priority,
-        max(1, route.max_attempts),
+        None if route.max_attempts is None else max(1, route.max_attempts),
         route.stretch,
         int(route.slo_ms),
         advice,
--- a/gypsumplank/protocol/queue.py
+++ b/gypsumplank/protocol/queue.py
@@ -22,7 +22,8 @@
 class Queue:
     """Describe one queue; priority 0 comes first.
 
-    A job should end within `stretch` times its critical path plus `objective_ms`.
+    A job should end within `stretch` times its critical path plus `objective_ms`. `max_attempts` is
+    None if the manifest does not give it.
     """
 
     name: str
@@ -30,7 +31,7 @@
     prefix: str
     service: str
     priority: int = 0
-    max_attempts: int = 1
+    max_attempts: int | None = None
     stretch: float = 1.0
     objective_ms: int = 0
     advice: AdvicePolicy | None = None
--- a/tests/coordination/job/test_dropped_queue.py
+++ b/tests/coordination/job/test_dropped_queue.py
@@ -21,6 +21,7 @@
 STEP = StepDefinition(1, Resources(1000, 100), 500)
 WITHOUT_QUEUE = replace(MANIFEST, version=2, queues=())
 WITH_QUEUE_AGAIN = replace(MANIFEST, version=3)
+WITHOUT_LIMIT = replace(MANIFEST, version=2, queues=(replace(QUEUE, max_attempts=None),))
 ONE_ATTEMPT = replace(MANIFEST, version=3, queues=(replace(QUEUE, max_attempts=1),))
 
 
@@ -159,6 +160,30 @@
     assert runs(cluster) == 1
 
 
+@pytest.mark.parametrize(("failure_share", "state"), [(0.0, "completed"), (1.0, "failed")])
+def test_queue_without_a_limit_keeps_the_last_known_one(cluster, failure_share, state):
+    """Guard against LOST: a limit that a manifest lacks is taken for 1 (review case 5)."""
+    submit_failing(cluster)
+    cluster.simulated_workers.failure_share = failure_share
+    cluster.manifest = WITHOUT_LIMIT
+    cluster.run(10.0)
+    assert cluster.state(JOB) == state
+    assert runs(cluster) == (QUEUE.max_attempts if failure_share else 2)
+
+
+def test_failed_task_waits_while_no_manifest_has_given_a_limit(cluster):
+    cluster.manifest = WITHOUT_LIMIT
+    cluster.leader().restart()
+    cluster.run(10.0)
+    submit_failing(cluster)
+    cluster.run(5.0)
+    assert cluster.state(JOB) == "running"
+    assert runs(cluster) == 1
+    cluster.manifest = WITH_QUEUE_AGAIN
+    cluster.run(4.0)
+    assert cluster.state(JOB) == "completed"
+
+
 def test_job_that_waits_for_its_queue_demands_only_what_it_runs():
     steps = (STEP, replace(STEP, tasks=4), long_running_step(tasks=3))
     job = Job(StoredJob(JOB, QUEUE.name, SERVICE, 0, JobDefinition("", steps)), SERVICE)
--- a/tests/coordination/job/test_incomplete_manifest.py
+++ b/tests/coordination/job/test_incomplete_manifest.py
@@ -54,3 +54,12 @@
     services = decode_manifest(msgspec.json.encode(wire)).services
     assert not services["a"].checks_capacity
     assert services["b"].checks_capacity
+
+
+def test_limit_that_a_queue_lacks_is_not_taken_for_one_attempt():
+    """Guard against LOST: a job fails with its first failed run (review case 5)."""
+    route = {"name": "r", "host": "h", "prefix": "/p/", "service": "a"}
+    wire = {"version": 1, "routes": [route, {**route, "name": "s", "max-attempts": 0}]}
+    unlimited, limited = decode_manifest(msgspec.json.encode(wire)).queues
+    assert unlimited.max_attempts is None
+    assert limited.max_attempts == 1
