job: let begun jobs go on under a leader that never saw their queue

Cause: let a leader that never saw a dropped queue start nothing of it, as it does not know the limit of attempts. But the limit is needed only for batch tasks that have failed. Long-running tasks have none, and any limit allows a task that has not failed to start.

What callers saw: after a change of leader while a route is out, a long-running task that ended was not started again, and a job with a next step stood still, until the route was back (LOST: a task that lasts has to run again 6 s after its last run).

Change: such a job goes on with a queue of the lowest priority and no limit; its failed tasks wait, as before.

Tests, failed on: test_long_running_task_is_restarted_by_a_leader_that_ never_saw_the_queue (one run), test_later_steps_are_started_by_a_leader_that_ never_saw_the_queue (running, not completed). Unchanged and passing: test_leader_that_never_saw_the_queue_limits_attempts_once_it_does.

--- a/gypsumplank/coordination/job/knownqueue.py
+++ b/gypsumplank/coordination/job/knownqueue.py
@@ -40,13 +40,21 @@
     def find_for_start(self, job: Job) -> Queue | None:
         """Return the queue by which a job's tasks may start; None if the job has to wait."""
         name = job.stored.queue
-        return self._current.get(name) or (self._dropped.get(name) if job.started else None)
+        queue = self._current.get(name)
+        if queue is not None or not job.started:
+            return queue
+        return self._dropped.get(name) or self._make_unseen(job)
 
     def max_attempts(self, name: str) -> int | None:
         """Return the limit of attempts of a queue; None if this leader does not know it."""
         queue = self._current.get(name) or self._dropped.get(name)
         return queue.max_attempts if queue else None
 
+    def _make_unseen(self, job: Job) -> Queue:
+        """Return a queue of the lowest priority, without a limit, for one that was never seen."""
+        priority = max((queue.priority for queue in self._current.values()), default=0)
+        return Queue(job.stored.queue, "", "", job.service, priority)
+
 
 def _with_known_limit(queue: Queue, last: Queue | None) -> Queue:
     if queue.max_attempts is not None or last is None:
--- a/tests/coordination/job/test_dropped_queue.py
+++ b/tests/coordination/job/test_dropped_queue.py
@@ -142,6 +142,29 @@
     assert runs(cluster) == 2
 
 
+def test_long_running_task_is_restarted_by_a_leader_that_never_saw_the_queue(cluster):
+    """Guard against LOST: the queue's limit does not apply to a task that lasts."""
+    cluster.submit(JOB, (long_running_step(tasks=1),), spec="10000")
+    cluster.run(1.0)
+    cluster.manifest = WITHOUT_QUEUE
+    cluster.leader().restart()
+    cluster.run(10.0)
+    cluster.simulated_workers.crash(cluster.simulated_workers.history[0].worker)
+    cluster.run(8.0)
+    assert runs(cluster) == 2
+    assert not cluster.violations()
+
+
+def test_later_steps_are_started_by_a_leader_that_never_saw_the_queue(cluster):
+    """Guard against LOST: a task that has not failed needs no limit."""
+    cluster.submit(JOB, (STEP, replace(STEP, after=(0,))), spec="4")
+    cluster.run(1.0)
+    cluster.manifest = WITHOUT_QUEUE
+    cluster.leader().restart()
+    cluster.run(20.0)
+    assert cluster.state(JOB) == "completed"
+
+
 def set_cordoned(cluster, cordoned):
     for instance in cluster.leader().scheduler_leader._term.scheduler.instances.values():
         instance.cordoned = cordoned
@@ -219,6 +242,16 @@
     assert [task.run for task in job.steps[0, 1].tasks] == [0, 0, 0]
 
 
+def test_queue_that_was_never_seen_has_the_lowest_priority():
+    queues = KnownQueues(lambda: Manifest(1, (QUEUE, replace(QUEUE, name="late", priority=2))))
+    queues.update([])
+    job = Job(StoredJob(JOB, "unseen", SERVICE, 0, JobDefinition("", (STEP,))), SERVICE)
+    assert queues.find_for_start(job) is None
+    job.started = True
+    found = queues.find_for_start(job)
+    assert (found.priority, found.max_attempts) == (2, None)
+
+
 def test_dropped_queue_is_forgotten_once_it_has_no_jobs():
     manifests = [MANIFEST, WITHOUT_QUEUE, Manifest(4), Manifest(5)]
     queues = KnownQueues(lambda: manifests[0])
