job: remember dropped queues over a change of leader

Cause: what a leader knows of queues was made anew with each term, although each daemon reads every manifest. A successor that had read the queue before it was dropped did not know its limit, so tasks that had failed waited until the route was back, for good if it stays out.

Change: a daemon keeps its KnownQueues while it does not lead. As it does not know then which queues have jobs, it keeps the last 1,000 that were dropped. Only a daemon that started after the drop has never seen the queue.

Tests: test_successor_that_saw_the_queue_knows_its_limit fails without the line in `run_once` (the job is running, its task waits), and passes with it; test_queues_that_a_follower_remembers_are_bounded.

--- a/gypsumplank/coordination/job/knownqueue.py
+++ b/gypsumplank/coordination/job/knownqueue.py
@@ -6,12 +6,15 @@
 from gypsumplank.coordination.job.model import Job
 from gypsumplank.protocol.queue import Manifest, Queue
 
+# Dropped queues that a daemon remembers while it does not lead, and does not know which have jobs.
+MAX_DROPPED_QUEUES = 1000
+
 
 class KnownQueues:
     """Find the queues of jobs, also those that the manifest has dropped while they had jobs.
 
-    Used by the scheduler's thread only. Jobs that have begun go on if their queue is dropped, by
-    its last definition; others wait until the manifest names it again.
+    Used by one thread only. Jobs that have begun go on if their queue is dropped, by its last
+    definition; others wait until the manifest names it again.
     """
 
     def __init__(self, manifest: Callable[[], Manifest | None]) -> None:
@@ -20,22 +23,24 @@
         self._current: dict[str, Queue] = {}
         self._dropped: dict[str, Queue] = {}
 
-    def update(self, jobs: Iterable[Job]) -> None:
-        """Follow the manifest; of the dropped queues, only those of the given jobs are kept."""
+    def update(self, jobs: Iterable[Job] | None = None) -> None:
+        """Follow the manifest; of the dropped queues, only those of the given jobs are kept.
+
+        Without jobs, the last MAX_DROPPED_QUEUES are kept.
+        """
         manifest = self._manifest()
         if manifest is None or manifest is self._in_force:
             return
         self._in_force = manifest
-        with_jobs = {job.stored.queue for job in jobs}
         known = self._dropped | self._current
         self._current = {
             queue.name: _with_known_limit(queue, known.get(queue.name)) for queue in manifest.queues
         }
-        self._dropped = {
-            name: queue
-            for name, queue in known.items()
-            if name in with_jobs and name not in self._current
-        }
+        dropped = [queue for name, queue in known.items() if name not in self._current]
+        if jobs is not None:
+            with_jobs = {job.stored.queue for job in jobs}
+            dropped = [queue for queue in dropped if queue.name in with_jobs]
+        self._dropped = {queue.name: queue for queue in dropped[-MAX_DROPPED_QUEUES:]}
 
     def find_for_start(self, job: Job) -> Queue | None:
         """Return the queue by which a job's tasks may start; None if the job has to wait."""
--- a/gypsumplank/coordination/job/leader.py
+++ b/gypsumplank/coordination/job/leader.py
@@ -9,6 +9,7 @@
 from gypsumplank.coordination.job.cutoff import CutOffDetector
 from gypsumplank.coordination.job.fleet import EXTENSION_GRACE_S
 from gypsumplank.coordination.job.intake import JobIntake
+from gypsumplank.coordination.job.knownqueue import KnownQueues
 from gypsumplank.coordination.job.model import Job
 from gypsumplank.coordination.job.permit import PermitCache
 from gypsumplank.coordination.job.retention import StateRetention
@@ -82,6 +83,7 @@
         self._term_factory = term_factory or ThreadedTermFactory(ports, clock, max_lease_s)
         self._clock = clock
         self._manifest = manifest
+        self._queues = KnownQueues(manifest)
         self._max_lease_s = max_lease_s
         self._machine_manager = machine_manager
         self._inbox: queue.SimpleQueue[Callable[[], None]] = queue.SimpleQueue()
@@ -135,7 +137,9 @@
             call()
             self._check_lease_if_due()
         self._check_lease_if_due()
-        if self._term is not None:
+        if self._term is None:
+            self._queues.update()
+        else:
             self._run_round(self._term)
 
     def _queued_calls(self, wait_s: float) -> Iterable[Callable[[], None]]:
@@ -151,8 +155,6 @@
         if self._clock.monotonic() >= self._next_lease_check_at:
             self._tick_lease()
 
-    # Lease
-
     def _tick_lease(self) -> None:
         leases = self._ports.leases
         self._next_lease_check_at = self._clock.monotonic() + LEASE_CHECK_INTERVAL_S
@@ -180,11 +182,8 @@
     def _should_yield(self) -> bool:
         """Return whether to hand the lease over to a faster daemon now."""
         now = self._clock.monotonic()
-        if (
-            now < self._next_yield_at
-            or self._store_unavailable
-            or not self._candidates.any_faster()
-        ):
+        may_yield = now >= self._next_yield_at and not self._store_unavailable
+        if not (may_yield and self._candidates.any_faster()):
             return False
         self._next_yield_at = now + MIN_YIELD_INTERVAL_S
         return True
@@ -258,14 +257,14 @@
         jobs, ended = self._ports.store.load(self._renew_if_due)
         entries = self._ports.directory.workers()
         self._renew_if_due()
+        lease_s = self._max_lease_s()
         scheduler = Scheduler(
-            self._clock, self._manifest, epoch, self._max_lease_s(), self._heartbeat_s
+            self._clock, self._manifest, epoch, lease_s, self._heartbeat_s, self._queues
         )
         scheduler.load(jobs, entries)
         self._renew_if_due()
         now = self._clock.monotonic()
-        max_remaining_lease_s = EXTENSION_GRACE_S + self._max_lease_s()
-        self._silent_workers.load(scheduler.instances.values(), max_remaining_lease_s, now)
+        self._silent_workers.load(scheduler.instances.values(), EXTENSION_GRACE_S + lease_s, now)
         scheduler.workload.ended_at.update(dict.fromkeys(ended, now))
         return scheduler
 
@@ -312,8 +311,6 @@
         is_complete = are_entries_back and not self._store_unavailable
         self._intake.apply_snapshot(term.scheduler, snapshot, is_complete)
 
-    # Rounds
-
     def _run_round(self, term: Term) -> None:
         fence = self._ports.leases.fence(SCHEDULER_LEASE)
         scheduler = term.scheduler
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -54,10 +54,11 @@
         token: int,
         max_lease_s: float,
         heartbeat_s: float = 1.5,
+        queues: KnownQueues | None = None,
     ) -> None:
         self._clock = clock
         self._manifest = manifest
-        self._queues = KnownQueues(manifest)
+        self._queues = queues or KnownQueues(manifest)
         self.workload = Workload()
         self.fleet = Fleet(clock, max_lease_s, heartbeat_s)
         self.commands = CommandSender(clock, token, self._is_capacity_known)
--- a/tests/coordination/job/test_dropped_queue.py
+++ b/tests/coordination/job/test_dropped_queue.py
@@ -3,7 +3,7 @@
 import pytest
 
 from gypsumplank.coordination.job.demand import estimate_loads
-from gypsumplank.coordination.job.knownqueue import KnownQueues
+from gypsumplank.coordination.job.knownqueue import MAX_DROPPED_QUEUES, KnownQueues
 from gypsumplank.coordination.job.model import Job
 from gypsumplank.protocol.job import JobDefinition, Resources, StepDefinition, StoredJob, TaskPhase
 from gypsumplank.protocol.queue import Manifest
@@ -207,6 +207,17 @@
     assert cluster.state(JOB) == "completed"
 
 
+def test_successor_that_saw_the_queue_knows_its_limit(cluster):
+    """Guard against LOST: what a daemon has read of queues is lost with a change of leader."""
+    submit_failing(cluster)
+    cluster.manifest = WITHOUT_QUEUE
+    cluster.run(0.1)
+    cluster.leader().suspended = True
+    cluster.run(14.0)
+    assert cluster.state(JOB) == "completed"
+    assert runs(cluster) == 2
+
+
 def test_job_that_waits_for_its_queue_demands_only_what_it_runs():
     steps = (STEP, replace(STEP, tasks=4), long_running_step(tasks=3))
     job = Job(StoredJob(JOB, QUEUE.name, SERVICE, 0, JobDefinition("", steps)), SERVICE)
@@ -252,6 +263,20 @@
     assert (found.priority, found.max_attempts) == (2, None)
 
 
+def test_queues_that_a_follower_remembers_are_bounded():
+    versions = [
+        Manifest(number, (replace(QUEUE, name=f"q{number}"),))
+        for number in range(MAX_DROPPED_QUEUES + 2)
+    ]
+    queues = KnownQueues(lambda: versions[0])
+    while len(versions) > 1:
+        queues.update()
+        del versions[0]
+    queues.update()
+    known = [queues.max_attempts(f"q{number}") for number in range(MAX_DROPPED_QUEUES + 2)]
+    assert known == [None, *[QUEUE.max_attempts] * (MAX_DROPPED_QUEUES + 1)]
+
+
 def test_dropped_queue_is_forgotten_once_it_has_no_jobs():
     manifests = [MANIFEST, WITHOUT_QUEUE, Manifest(4), Manifest(5)]
     queues = KnownQueues(lambda: manifests[0])
