job: plan the pools of jobs whose queue the manifest dropped

Cause: only pools of services that a queue of the manifest names were planned. Jobs that have begun go on without their queue, but their pool stood still: it got no machine for them, and machines that they no longer needed stayed in it. "The manifest has no queue for it" was taken for "nothing runs".

What callers saw: a job with a wide next step waits behind as many machines as its pool had when the route went out.

Change: the services of open jobs are planned too, if their pools have machines (knownpool.py); jobs that wait for their queue still ask for none. The planner's order of services is fixed.

--- a/gypsumplank/coordination/job/balance.py
+++ b/gypsumplank/coordination/job/balance.py
@@ -7,6 +7,10 @@
 from gypsumplank.protocol.job import Resources
 from gypsumplank.protocol.worker import WorkerState
 
+# The active workers of each pool, and all workers, keyed by machine.
+PoolMembers = dict[str, list[WorkerInstance]]
+MachineWorkers = dict[str, WorkerInstance]
+
 
 @dataclass(frozen=True)
 class PoolSize:
--- a/gypsumplank/coordination/job/port.py
+++ b/gypsumplank/coordination/job/port.py
@@ -72,3 +72,10 @@
 
     def report_wave(self, number: int, completed: bool) -> None:
         """Report to the operators whether a wave is running or completed."""
+
+
+class SizeStore(Protocol):
+    """Persist how many machines each pool had initially; may raise StateError."""
+
+    def initial_pool_sizes(self, present: Mapping[str, int]) -> dict[str, int]:
+        """Return the initial sizes; store the present size of each pool that has none."""
--- a/gypsumplank/coordination/job/scaling.py
+++ b/gypsumplank/coordination/job/scaling.py
@@ -3,11 +3,12 @@
 import logging
 from collections.abc import Mapping
 from dataclasses import asdict, replace
-from typing import Protocol
 
 from gypsumplank.coordination.job.balance import (
     Balance,
+    MachineWorkers,
     PendingMove,
+    PoolMembers,
     PoolSize,
     active_members,
     is_active,
@@ -21,7 +22,9 @@
     minimum_sizes,
 )
 from gypsumplank.coordination.job.instance import WorkerInstance
+from gypsumplank.coordination.job.knownpool import find_services
 from gypsumplank.coordination.job.machine import MachineController
+from gypsumplank.coordination.job.port import SizeStore
 from gypsumplank.coordination.job.scheduler import Scheduler
 from gypsumplank.errors import MachineError, StateError
 from gypsumplank.log import Event, event
@@ -44,13 +47,6 @@
 logger = logging.getLogger(__name__)
 
 
-class SizeStore(Protocol):
-    """Persist how many machines each pool had initially; may raise StateError."""
-
-    def initial_pool_sizes(self, present: Mapping[str, int]) -> dict[str, int]:
-        """Return the initial sizes; store the present size of each pool that has none."""
-
-
 class PoolScaler:
     """Plan and order moves between pools; used by the scheduler's thread only."""
 
@@ -86,20 +82,13 @@
             return
         self._next_plan_at = now + PLAN_INTERVAL_S
         self._controller.refresh_list(now)
-        services = {queue.service for queue in manifest.queues} - {standby}
         if not self._controller.machines or not self._controller.can_order(now):
             return
-        if services - self._demands.keys():
-            self._request_initial_sizes(services, now)
-            return
         instances = scheduler.fleet.by_machine()
-        self._machines_seen_with_worker.update(instances)
-        self._forget_gone(now)
-        members = {service: active_members(service, instances) for service in services}
-        loads = estimate_loads(scheduler.workload.jobs.values(), now, scheduler.wall_ms())
-        self._update_demands(loads, members, now)
         self._remove_arrived(instances, now)
-        self._plan(members, standby, instances, now)
+        loads = estimate_loads(scheduler.workload.jobs.values(), now, scheduler.wall_ms())
+        services = find_services(manifest, loads, self._controller.machines.values())
+        self._plan_pools(services - {standby}, standby, loads, instances, now)
         self._execute_moves(scheduler, instances, now)
 
     def _forget_gone(self, now: float) -> None:
@@ -107,7 +96,7 @@
         self._machines_seen_with_worker.intersection_update(self._controller.machines)
         self._retry_at = {machine: at for machine, at in self._retry_at.items() if now < at}
 
-    def _request_initial_sizes(self, services: set[str], now: float) -> None:
+    def _request_initial_sizes(self, services: frozenset[str], now: float) -> None:
         if now < self._next_sizes_request_at:
             return
         self._next_sizes_request_at = now + SIZES_RETRY_S
@@ -130,9 +119,7 @@
         for service, size in sizes.items():
             self._demands.setdefault(service, ServiceDemand(size))
 
-    def _update_demands(
-        self, loads: Mapping[str, Load], members: dict[str, list[WorkerInstance]], now: float
-    ) -> None:
+    def _update_demands(self, loads: Mapping[str, Load], members: PoolMembers, now: float) -> None:
         all_capacities = [
             instance.entry.room for instances in members.values() for instance in instances
         ]
@@ -146,7 +133,7 @@
                 machines_needed(load.total, size), machines_needed(load.batch, size), now
             )
 
-    def _remove_arrived(self, instances: dict[str, WorkerInstance], now: float) -> None:
+    def _remove_arrived(self, instances: MachineWorkers, now: float) -> None:
         for machine, move in list(self._moves_in_flight.items()):
             if machine in self._controller.in_flight:
                 continue
@@ -158,12 +145,26 @@
                 if instance is not None:
                     instance.cordoned = False
 
-    def _plan(
+    def _plan_pools(
         self,
-        members: dict[str, list[WorkerInstance]],
+        services: frozenset[str],
         standby: str,
-        instances: dict[str, WorkerInstance],
+        loads: Mapping[str, Load],
+        instances: MachineWorkers,
         now: float,
+    ) -> None:
+        """Plan moves between the pools of these services; ask for their initial sizes first."""
+        if services - self._demands.keys():
+            self._request_initial_sizes(services, now)
+            return
+        self._machines_seen_with_worker.update(instances)
+        self._forget_gone(now)
+        members = {service: active_members(service, instances) for service in sorted(services)}
+        self._update_demands(loads, members, now)
+        self._plan_moves(members, standby, instances, now)
+
+    def _plan_moves(
+        self, members: PoolMembers, standby: str, instances: MachineWorkers, now: float
     ) -> None:
         balance = self._balance(members, instances, now)
         for name, pool_members in members.items():
@@ -182,12 +183,7 @@
             ]:
                 self._plan_move(machine, standby)
 
-    def _balance(
-        self,
-        members: dict[str, list[WorkerInstance]],
-        instances: dict[str, WorkerInstance],
-        now: float,
-    ) -> Balance:
+    def _balance(self, members: PoolMembers, instances: MachineWorkers, now: float) -> Balance:
         minimums = minimum_sizes(self._demands, now)
         balance = Balance()
         for name, pool_members in members.items():
@@ -234,7 +230,7 @@
         return len(kept)
 
     def _take_from_donor(
-        self, members: dict[str, list[WorkerInstance]], balance: Balance, recipient: str, now: float
+        self, members: PoolMembers, balance: Balance, recipient: str, now: float
     ) -> bool:
         """Plan the move of a surplus or lendable machine to a pool; return whether there is one."""
         for donor in balance.donors(recipient):
@@ -263,7 +259,7 @@
         return not (is_taken or must_wait or machine in self._planned_moves)
 
     def _projected_size(
-        self, service: str, members: list[WorkerInstance], instances: dict[str, WorkerInstance]
+        self, service: str, members: list[WorkerInstance], instances: MachineWorkers
     ) -> int:
         """Return the size that a pool will have after all planned moves and maintenance."""
         leaving = sum(1 for instance in members if self._is_leaving(instance))
@@ -302,9 +298,7 @@
         drainable.sort(key=lambda instance: instance.used().cpu)
         return [instance.entry.machine for instance in drainable]
 
-    def _execute_moves(
-        self, scheduler: Scheduler, instances: dict[str, WorkerInstance], now: float
-    ) -> None:
+    def _execute_moves(self, scheduler: Scheduler, instances: MachineWorkers, now: float) -> None:
         for machine, pool in list(self._planned_moves.items()):
             instance = instances.get(machine)
             if self._is_carried_out(machine, pool, instance):
@@ -365,10 +359,7 @@
         )
 
     def _handle_move_result(
-        self,
-        scheduler: Scheduler,
-        machine: str,
-        failure: MachineError | None,
+        self, scheduler: Scheduler, machine: str, failure: MachineError | None
     ) -> None:
         """Record an order's result; success may mean that it had been carried out before.
 
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -528,11 +528,12 @@
         steps: tuple[StepDefinition, ...] | None = None,
         spec: str = "0.5",
         daemon: int = 0,
+        queue: Queue = QUEUE,
     ) -> bool:
         """Submit a job to a daemon; by default one of two tasks of half a second."""
         order = JobDefinition(spec, steps or (StepDefinition(2, Resources(1000, 100), 500),))
         self.submitted[job_id] = order
-        return self.daemons[daemon].job_service.submit(QUEUE, job_id, order, 0.0)
+        return self.daemons[daemon].job_service.submit(queue, job_id, order, 0.0)
 
     def state(self, job_id: str) -> str:
         """Return a job's state as stored."""
--- a/tests/coordination/job/test_incomplete_manifest.py
+++ b/tests/coordination/job/test_incomplete_manifest.py
@@ -1,5 +1,6 @@
 """Test that what a manifest lacks is not taken for a fact about services and their pools."""
 
+from collections import Counter
 from dataclasses import replace
 
 import msgspec
@@ -26,6 +27,54 @@
     return cluster
 
 
+def submit_backlog(cluster, queue=QUEUE):
+    second = StepDefinition(4, Resources(4000, 100), 2000, after=(0,))
+    for number in range(12):
+        cluster.submit(f"{number:016x}", (STEP, second), spec="4", queue=queue)
+
+
+def pool_sizes(cluster):
+    return Counter(machine.pool for machine in cluster.machines.list_machines())
+
+
+@pytest.mark.parametrize(
+    "manifest",
+    [Manifest(3, (), SERVICES)],
+    ids=["without queues"],
+)
+def test_pool_gets_machines_for_jobs_that_have_begun(manifest):
+    """Guard against LOST: the pool of a service that the manifest lacks takes no machine more."""
+    cluster = make_cluster(COMPLETE)
+    submit_backlog(cluster)
+    cluster.run(0.2)
+    assert {cluster.state(job) for job in cluster.submitted} == {"running"}
+    cluster.manifest = manifest
+    cluster.run(8.0)
+    assert pool_sizes(cluster)[SERVICE] == 10
+    cluster.run(60.0)
+    assert {cluster.state(job) for job in cluster.submitted} == {"completed"}
+    assert pool_sizes(cluster) == {SERVICE: 6, STANDBY: 4}
+
+
+def test_no_machine_is_moved_to_a_pool_that_does_not_exist():
+    """Guard against waste: standby machines wait for moves that the machine service refuses."""
+    cluster = make_cluster(replace(COMPLETE, queues=(replace(QUEUE, service="gone"),)), workers=3)
+    submit_backlog(cluster, replace(QUEUE, service="gone"))
+    cluster.run(1.0)
+    cluster.manifest = replace(COMPLETE, version=3)
+    cluster.run(5.0)
+    assert cluster.machines.orders == []
+
+
+def test_machines_are_not_listed_if_there_is_nothing_to_move():
+    cluster = make_cluster(MANIFEST, standby=0)
+    listed = []
+    list_machines = cluster.machines.list_machines
+    cluster.machines.list_machines = lambda: listed.append(1) or list_machines()
+    cluster.run(5.0)
+    assert not listed
+
+
 @pytest.mark.parametrize("restarts", [False, True])
 def test_worker_of_a_service_that_the_manifest_lacks_is_not_relied_on_to_check(restarts):
     """Guard against LIMIT: a start by an old entry at a worker that takes whatever it is told."""
