job: end or resume planned moves if the manifest names no standby pool

Cause: without a service marked as standby the planner returned at once. Workers that were to be moved stayed cordoned: they took no tasks, and their machines were chosen for no wave, for as long as the manifest named no such service.

What callers would see: idle workers that are not used (LOST), a wave that does not end (MIXED).

Change: a manifest that lacks the service of the standby pool has not ended it, so moves go on. One that lists the service without the mark has: planned moves are cancelled then, but for those without an answer, which are settled first.

--- a/gypsumplank/coordination/job/knownpool.py
+++ b/gypsumplank/coordination/job/knownpool.py
@@ -5,6 +5,20 @@
 from gypsumplank.protocol.queue import Machine, Manifest
 
 
+class KnownPools:
+    """Find the standby pool and the services that have pools."""
+
+    def __init__(self) -> None:
+        self._standby: str | None = None
+
+    def find_standby(self, manifest: Manifest) -> str | None:
+        """Return the standby pool; a manifest that lacks its service has not ended it."""
+        named = next((policy.name for policy in manifest.services.values() if policy.standby), None)
+        if named is not None or self._standby in manifest.services:
+            self._standby = named
+        return self._standby
+
+
 def find_services(
     manifest: Manifest, loads: Iterable[str], machines: Iterable[Machine]
 ) -> frozenset[str]:
--- a/gypsumplank/coordination/job/scaling.py
+++ b/gypsumplank/coordination/job/scaling.py
@@ -22,7 +22,7 @@
     minimum_sizes,
 )
 from gypsumplank.coordination.job.instance import WorkerInstance
-from gypsumplank.coordination.job.knownpool import find_services
+from gypsumplank.coordination.job.knownpool import KnownPools, find_services
 from gypsumplank.coordination.job.machine import MachineController
 from gypsumplank.coordination.job.port import SizeStore
 from gypsumplank.coordination.job.scheduler import Scheduler
@@ -53,6 +53,7 @@
     def __init__(self, controller: MachineController, sizes: SizeStore) -> None:
         self._controller = controller
         self._sizes = sizes
+        self._pools = KnownPools()
         self._demands: dict[str, ServiceDemand] = {}
         self._moves_in_flight: dict[str, PendingMove] = {}
         self._planned_moves: dict[str, str] = {}
@@ -75,10 +76,9 @@
 
     def plan_and_move(self, scheduler: Scheduler, manifest: Manifest, now: float) -> None:
         """Plan moves at intervals, and order those whose machines are empty."""
-        standby = next(
-            (policy.name for policy in manifest.services.values() if policy.standby), None
-        )
-        if standby is None or now < self._next_plan_at:
+        standby = self._pools.find_standby(manifest)
+        has_moves = bool(self._planned_moves or self._moves_in_flight)
+        if now < self._next_plan_at or (standby is None and not has_moves):
             return
         self._next_plan_at = now + PLAN_INTERVAL_S
         self._controller.refresh_list(now)
@@ -86,9 +86,12 @@
             return
         instances = scheduler.fleet.by_machine()
         self._remove_arrived(instances, now)
-        loads = estimate_loads(scheduler.workload.jobs.values(), now, scheduler.wall_ms())
-        services = find_services(manifest, loads, self._controller.machines.values())
-        self._plan_pools(services - {standby}, standby, loads, instances, now)
+        if standby is None:
+            self._cancel_moves(list(instances.values()), len(instances))
+        else:
+            loads = estimate_loads(scheduler.workload.jobs.values(), now, scheduler.wall_ms())
+            services = find_services(manifest, loads, self._controller.machines.values())
+            self._plan_pools(services - {standby}, standby, loads, instances, now)
         self._execute_moves(scheduler, instances, now)
 
     def _forget_gone(self, now: float) -> None:
--- a/tests/coordination/job/test_incomplete_manifest.py
+++ b/tests/coordination/job/test_incomplete_manifest.py
@@ -6,6 +6,7 @@
 import msgspec
 import pytest
 
+from gypsumplank.coordination.job.maintenance import MaintenanceWave
 from gypsumplank.platform.directory import decode_manifest
 from gypsumplank.protocol.job import Resources, StepDefinition
 from gypsumplank.protocol.queue import Manifest, ServicePolicy
@@ -39,8 +40,8 @@
 
 @pytest.mark.parametrize(
     "manifest",
-    [Manifest(3, (), SERVICES)],
-    ids=["without queues"],
+    [Manifest(3, (QUEUE,)), Manifest(3), Manifest(3, (), SERVICES)],
+    ids=["without services", "empty", "without queues"],
 )
 def test_pool_gets_machines_for_jobs_that_have_begun(manifest):
     """Guard against LOST: the pool of a service that the manifest lacks takes no machine more."""
@@ -75,6 +76,39 @@
     assert not listed
 
 
+def cordon_by_moves(cluster):
+    """Let moves to the standby pool wait for runs; return the machines that are to be moved."""
+    submit_backlog(cluster)
+    cluster.run(8.0)
+    assert pool_sizes(cluster)[SERVICE] == 10
+    cluster.submit("f" * 16, (replace(STEP, tasks=10, max_per_worker=1),), spec="40")
+    cluster.run(10.0)
+    scheduler = cluster.leader().scheduler_leader._term.scheduler
+    machines = {each.entry.machine for each in scheduler.instances.values() if each.cordoned}
+    assert machines
+    return machines
+
+
+@pytest.mark.parametrize("services", [{STANDBY: ServicePolicy(STANDBY)}, {}])
+def test_planned_moves_end_if_the_manifest_names_no_standby_pool(services):
+    """Guard against LOST and MIXED: workers that wait for a move take no tasks and no wave."""
+    cluster = make_cluster(COMPLETE)
+    machines = cordon_by_moves(cluster)
+    cluster.manifest = replace(COMPLETE, version=3, services=services)
+    cluster.run(50.0)
+    cordoned = {
+        instance.entry.machine
+        for instance in cluster.leader().scheduler_leader._term.scheduler.instances.values()
+        if instance.cordoned
+    }
+    assert not cordoned & machines
+    assert pool_sizes(cluster)[SERVICE] == (10 if services else 6)
+    wave = MaintenanceWave(1, tuple(machines), 30.0, 4)
+    cluster.waves.append(wave)
+    cluster.run(20.0)
+    assert {order[1] for order in cluster.machines.orders if order[0] == "upkeep"} == machines
+
+
 @pytest.mark.parametrize("restarts", [False, True])
 def test_worker_of_a_service_that_the_manifest_lacks_is_not_relied_on_to_check(restarts):
     """Guard against LIMIT: a start by an old entry at a worker that takes whatever it is told."""
