job: judge after the starts of a round whether ends may be acknowledged

What callers could see: a start that is given up in a round (its job was cancelled while the assignment waited for the store) is a change that is not stored, and ends were acknowledged all the same. By reading, these ends are stored by then, so no rule is broken; it is an unintended change all the same.

Change: the order is as it was before.

--- a/gypsumplank/coordination/job/command.py
+++ b/gypsumplank/coordination/job/command.py
@@ -59,8 +59,13 @@
         assert self.dispatcher is not None
         return self.dispatcher
 
-    def send(self, instances: Iterable[WorkerInstance], all_stored: bool) -> None:
-        """Send what has been committed; ends are acknowledged only if all changes are stored."""
+    def send(
+        self, instances: Iterable[WorkerInstance], are_changes_stored: Callable[[], bool]
+    ) -> None:
+        """Send what has been committed; ends are acknowledged only if all changes are stored.
+
+        A start that is given up is a change.
+        """
         now = self._clock.monotonic()
         instances = list(instances)
         ready = [start for start in self.unsent_starts if not start.task.step.dirty]
@@ -70,10 +75,11 @@
         for change in list(speed_changes(instances, now)):
             self._send_speed_limit(change, now)
         self._refused_starts.remove_expired(now)
+        may_acknowledge = are_changes_stored()
         for instance in instances:
             self._send_stops(instance, now)
             self._refused_starts.bar(instance, now, self._dispatcher.stop)
-            if all_stored and instance.last_acked_end < instance.last_seen_end:
+            if may_acknowledge and instance.last_acked_end < instance.last_seen_end:
                 instance.last_acked_end, instance.acked_at = instance.last_seen_end, now
                 instance.wake.set()
 
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -247,8 +247,11 @@
 
     def dispatch(self) -> None:
         """Send what has been committed: starts, stops and acknowledgements of task ends."""
+        self.commands.send(self.instances.values(), self._are_steps_stored)
+
+    def _are_steps_stored(self) -> bool:
         steps = (step for job in self.workload.jobs.values() for step in job.steps.values())
-        self.commands.send(self.instances.values(), not any(step.dirty for step in steps))
+        return not any(step.dirty for step in steps)
 
     def request_stop(self, tasks: Collection[Task]) -> None:
         """Mark runs to be stopped; their tasks keep their checkpoints."""
--- a/tests/coordination/job/test_fleet.py
+++ b/tests/coordination/job/test_fleet.py
@@ -11,7 +11,14 @@
     TaskPhase,
 )
 from gypsumplank.protocol.queue import Machine, MachineState
-from gypsumplank.protocol.worker import RunningTask, WorkerEntry, WorkerReport, WorkerState
+from gypsumplank.protocol.worker import (
+    EndedTask,
+    EndKind,
+    RunningTask,
+    WorkerEntry,
+    WorkerReport,
+    WorkerState,
+)
 from gypsumplank.state.clock import ManualClock
 from gypsumplank.state.job import LoadedJob
 from tests.coordination.job.replay import MANIFEST, QUEUE, SERVICE, WORKER_ROOM
@@ -122,6 +129,32 @@
     scheduler.plan()
 
 
+def mark_stored(scheduler):
+    for job in scheduler.workload.jobs.values():
+        for step in job.steps.values():
+            step.dirty = False
+
+
+def test_ends_are_acknowledged_after_a_start_given_up_in_the_same_round_is_stored():
+    """Guard against an end that is forgotten before the changes of its round are stored."""
+    clock = ManualClock()
+    clock.advance(10.0)
+    scheduler, entry = make_scheduler(clock)
+    task = start_task(scheduler, clock)
+    end = EndedTask(1, task.name, 1, EndKind.DONE, "")
+    other = StoredJob("b" * 16, QUEUE.name, SERVICE, 0, ORDER)
+    scheduler.workload.add(LoadedJob(other, JobState.QUEUED, 1, False, {}), clock.monotonic())
+    report(scheduler, clock, WorkerReport(entry.born, 0, (), (end,)))
+    mark_stored(scheduler)
+    scheduler.workload.cancel(other.id)
+    (instance,) = scheduler.instances.values()
+    scheduler.dispatch()
+    assert instance.last_acked_end == 0
+    mark_stored(scheduler)
+    scheduler.dispatch()
+    assert instance.last_acked_end == 1
+
+
 def test_start_confirmed_by_the_next_instance_is_not_repeated():
     """Guard against TWICE: an idle worker restarts under its id and executes a start."""
     clock = ManualClock(10.0)
