job: acknowledge ends only to a worker instance that answered lately

Cause: the last acknowledgement was repeated until a report showed that the worker had forgotten these ends. Where that answer was missing and the worker had restarted under its id, its next instance, which numbers its ends from 1, forgot ends that no report had listed. The next report lacked them, so their runs counted as missing and were started again, after they had ended `done`.

What callers would see: a work item that runs twice, one after the other (TWICE).

Change: while a poll is unanswered, and if the last answer is older than 1 s (a daemon that was suspended), the worker is asked first, without an acknowledgement. It costs one short poll then.

--- a/gypsumplank/coordination/job/dispatcher.py
+++ b/gypsumplank/coordination/job/dispatcher.py
@@ -7,7 +7,7 @@
 from contextlib import AbstractContextManager, nullcontext
 from typing import Any
 
-from gypsumplank.coordination.job.instance import WorkerInstance
+from gypsumplank.coordination.job.instance import VERIFIED_FOR_S, WorkerInstance
 from gypsumplank.coordination.job.observation import ReceivedReport
 from gypsumplank.coordination.job.port import WorkerControl
 from gypsumplank.errors import WorkerError, WorkerRefusedError, WorkerUnknownError
@@ -36,11 +36,6 @@
 # tasks is not polled.
 IDLE_CHECK_INTERVAL_S = 30.0
 
-# Time after a worker's last report for which starts are sent without asking it first, seconds. A
-# worker that restarted under its id executes a start that was meant for its last instance, by a
-# deadline on another clock.
-VERIFIED_FOR_S = 1.0
-
 Post = Callable[[Callable[[], None]], None]
 StartOrderFactory = Callable[[int], StartCommand | None]
 ResultCallback = Callable[[WorkerError | None, float], None]
@@ -263,9 +258,10 @@
             if instance.needs_frequent_reports()
             else max_wait_s
         )
-        if not instance.last_contact_at or instance.missed_polls:
+        ack = instance.sendable_ack_cursor(sent_at)
+        if not instance.last_contact_at or instance.missed_polls or ack != instance.ack_cursor:
             wait_s = 0.0
-        return self._poll_once(instance, until_ms, instance.ack_cursor, wait_s)
+        return self._poll_once(instance, until_ms, ack, wait_s)
 
     def _poll_once(
         self, instance: WorkerInstance, until_ms: int | None, ack: int, wait_s: float
--- a/gypsumplank/coordination/job/instance.py
+++ b/gypsumplank/coordination/job/instance.py
@@ -26,6 +26,10 @@
 # Time without further starts on a worker after it refused one, for example for lack of resources or
 # health, seconds.
 REFUSAL_BACKOFF_S = 0.5
+# Time after a worker's last report for which it counts as still the known instance, seconds. One
+# that restarted under its id executes a start that was meant for its last instance, by a deadline
+# on another clock, and forgets ends that are acknowledged by the last one's numbers.
+VERIFIED_FOR_S = 1.0
 
 
 def format_instance_id(worker: str, incarnation: int) -> str:
@@ -114,11 +118,18 @@
 
     @property
     def ack_cursor(self) -> int:
-        """Return the end to acknowledge; 0 once the worker has forgotten the acknowledged ends.
+        """Return the end to acknowledge; 0 once the worker has forgotten the acknowledged ends."""
+        return self.last_acked_end if self.last_acked_end > self.last_forgotten_end else 0
+
+    def sendable_ack_cursor(self, now: float) -> int:
+        """Return the end to acknowledge now; 0 until the worker has answered lately.
 
-        The worker's next instance numbers its ends anew, and would forget them unseen.
+        It may have started again under its id. The next instance numbers its ends anew, and would
+        forget them unseen.
         """
-        return self.last_acked_end if self.last_acked_end > self.last_forgotten_end else 0
+        answered_at = max(self.last_contact_at, self.verified_at)
+        is_known = not self.missed_polls and now - answered_at <= VERIFIED_FOR_S
+        return self.ack_cursor if is_known else 0
 
     def record_forgotten_ends(self, received: ReceivedReport) -> None:
         """Note that the worker has forgotten the acknowledged ends, if a report proves it."""
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 from typing import Any
 
-from gypsumplank.coordination.job.dispatcher import VERIFIED_FOR_S, Post, ResultCallback
-from gypsumplank.coordination.job.instance import WorkerInstance
+from gypsumplank.coordination.job.dispatcher import Post, ResultCallback
+from gypsumplank.coordination.job.instance import VERIFIED_FOR_S, WorkerInstance
 from gypsumplank.coordination.job.leader import SchedulerLeader
 from gypsumplank.coordination.job.machine import MachineController
 from gypsumplank.coordination.job.maintenance import MaintenancePlanner
@@ -171,9 +171,8 @@
             extend = instance.tasks and not instance.missed_polls and self.may_extend_leases()
             until_ms = instance.try_extend_leases(now, LEASE_S) if extend else None
             try:
-                report = self.control.poll(
-                    instance.entry, self.token, until_ms, instance.ack_cursor, 0.0
-                )
+                ack = instance.sendable_ack_cursor(now)
+                report = self.control.poll(instance.entry, self.token, until_ms, ack, 0.0)
             except WorkerError:
                 instance.missed_polls += 1
                 continue
--- a/tests/coordination/job/test_evidence.py
+++ b/tests/coordination/job/test_evidence.py
@@ -174,6 +174,42 @@
     assert {cluster.state(job) for job in jobs} == {"completed"}
 
 
+@pytest.mark.parametrize(
+    ("now", "missed_polls", "cursor"), [(10.5, 0, 7), (11.5, 0, 0), (10.5, 1, 0)]
+)
+def test_ends_are_acknowledged_only_to_an_instance_that_answered_lately(now, missed_polls, cursor):
+    """Guard against TWICE: a daemon that was suspended, or got no answer, forgets unseen ends."""
+    instance = WorkerInstance(ENTRY, 1, WorkerClock(), verified_at=10.0, last_acked_end=7)
+    instance.missed_polls = missed_polls
+    assert instance.sendable_ack_cursor(now) == cursor
+    assert instance.is_busy
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_acknowledgement_without_an_answer_forgets_no_end_of_the_next_instance(seed):
+    """Guard against TWICE: an end is forgotten unseen, its run counts as missing."""
+    cluster = SimulatedCluster(seed, workers=1, polls_idle=False)
+    workers = cluster.simulated_workers
+    cluster.run(1.0)
+    (instance,) = cluster.leader().scheduler_leader._term.scheduler.instances.values()
+    cluster.submit("a" * 16, ONE_TASK, spec="0.2")
+    while not instance.last_acked_end:
+        cluster.run(0.05)
+    # The worker restarts before the acknowledgement is sent, and answers nothing for a while.
+    restart_unheard_of(cluster)
+    workers.response_loss_share = 1.0
+    cluster.submit("b" * 16, ONE_TASK, spec="0.5")
+    cluster.run(0.1)
+    workers.response_loss_share = 0.0
+    workers.workers["w0"].reachable = False
+    cluster.run(3.0)
+    workers.workers["w0"].reachable = True
+    workers.reconnect_registry("w0")
+    cluster.run(30.0)
+    assert cluster.state("b" * 16) == "completed"
+    assert not cluster.violations()
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_late_start_at_a_restarted_worker_does_not_outlast_the_lease_waited_for(seed):
     """Guard against TWICE: a start's deadline is on the clock of the instance that was known."""
