--- a/bench/days.py
+++ b/bench/days.py
@@ -33,9 +33,9 @@
 DAYS = 14
 DAY_S = 86_400.0
 WORKERS = 6
-# Step of the clock while no job is open and nothing is disturbed, seconds; half of what the
-# scheduler's lease lasts.
-IDLE_STEP_S = 1.0
+# Step of the clock while no job is open and nothing is disturbed, seconds; shorter than the
+# scheduler's lease (2 s), which the leader renews in each step.
+IDLE_STEP_S = 1.9
 # Time after a disturbance for which the clock advances in small steps, seconds.
 SETTLE_S = 15.0
 # Time between two samples, seconds.
