--- a/standins/simulator.py
+++ b/standins/simulator.py
@@ -55,6 +55,7 @@
     `ended` and `kind` are None while the run is active; `kind` stays None if the worker crashed.
     `acknowledged` is set once the scheduler has confirmed the end of the run. `delayed` is set if
     the response to the start command was lost, so the command may be older than `started_at`.
+    `spec` is what the worker was told to run, None if that is not checked.
     """
 
     worker: str
@@ -66,6 +67,7 @@
     kind: EndKind | None = None
     acknowledged: bool = False
     delayed: bool = False
+    spec: str | None = None
 
 
 @dataclass
@@ -433,7 +435,13 @@
         )
         self.history.append(
             StartRecord(
-                worker.entry.id, worker.entry.born, order.name, order.run, self.now, delayed=delayed
+                worker.entry.id,
+                worker.entry.born,
+                order.name,
+                order.run,
+                self.now,
+                delayed=delayed,
+                spec=order.spec,
             )
         )
 
