soak: abort the proxy's connections before its event loop is closed

Cause: the proxy closed its loop with connections open. One failure of 2,828 tests; the log's warning names the same test.

Change: the server is closed, each handler aborts both of its connections, and the loop runs once more before it is closed.

Test: test_closing_a_proxy_with_open_connections_raises_nothing_later failed 3 of 3 times before, passes 3 of 3 now; the warnings are gone from tests/soak.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -45,32 +45,50 @@
 
     def _run(self) -> None:
         asyncio.set_event_loop(self._loop)
-        self._loop.run_until_complete(asyncio.start_server(self._handle_connection, *self._listen))
+        server = self._loop.run_until_complete(
+            asyncio.start_server(self._handle_connection, *self._listen)
+        )
         self._ready.set()
         self._loop.run_forever()
-        open_tasks = asyncio.all_tasks(self._loop)
-        for task in open_tasks:
-            task.cancel()
-        self._loop.run_until_complete(asyncio.gather(*open_tasks, return_exceptions=True))
+        self._loop.run_until_complete(self._close_connections(server))
         self._loop.close()
 
+    async def _close_connections(self, server: asyncio.Server) -> None:
+        server.close()
+        # Handlers that have not begun could not abort their connections.
+        await asyncio.sleep(0)
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        # The loop tells of aborted connections in its next iteration.
+        await asyncio.sleep(0)
+
     async def _handle_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         if self.mode is Mode.RESET:
             writer.transport.abort()
             return
+        try:
+            await self._connect(reader, writer)
+        finally:
+            writer.transport.abort()
+
+    async def _connect(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             target_reader, target_writer = await asyncio.open_connection(*self._target)
         except OSError:
-            writer.transport.abort()
             return
         directions = (
             self._forward(reader, target_writer, False),
             self._forward(target_reader, writer, True),
         )
-        with contextlib.suppress(asyncio.CancelledError):
-            await asyncio.gather(*directions, return_exceptions=True)
+        try:
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.gather(*directions, return_exceptions=True)
+        finally:
+            target_writer.transport.abort()
 
     async def _forward(
         self, source: asyncio.StreamReader, sink: asyncio.StreamWriter, is_response: bool
