--- a/gypsumplank/coordination/job/knownpool.py
+++ b/gypsumplank/coordination/job/knownpool.py
@@ -6,7 +6,7 @@
 
 
 class KnownPools:
-    """Find the standby pool and the services that have pools."""
+    """Remember which pool is on standby."""
 
     def __init__(self) -> None:
         self._standby: str | None = None
