--- a/gypsumplank/errors.py
+++ b/gypsumplank/errors.py
@@ -17,9 +17,10 @@
     code = "internal"
     status = 500
 
-    def __init__(self, detail: str = "") -> None:
+    def __init__(self, detail: str = "", retry_after_s: float | None = None) -> None:
         super().__init__(detail or self.code)
         self.detail = detail or self.code
+        self.retry_after_s = retry_after_s
 
 
 @dataclass(frozen=True)
@@ -435,6 +436,34 @@
     status = 410
 
 
+class KeyRejectedError(GypsumplankError):
+    """A call has no API key, or one that the manifest does not list."""
+
+    code = "key-rejected"
+    status = 401
+
+
+class KeyUnverifiedError(GypsumplankError):
+    """The manifest was confirmed too long ago to tell whether an API key is still valid."""
+
+    code = "key-unverified"
+    status = 503
+
+
+class AccountLimitError(GypsumplankError):
+    """A client account submits more jobs than its weight allows; the job was not stored."""
+
+    code = "account-limit"
+    status = 429
+
+
+class OverloadedError(GypsumplankError):
+    """A job cannot end in time on the capacity that there will be; it was not stored."""
+
+    code = "overloaded"
+    status = 503
+
+
 class ManifestMissingError(GypsumplankError):
     """This daemon has not loaded a manifest yet; nothing was stored."""
 
--- a/gypsumplank/platform/directory.py
+++ b/gypsumplank/platform/directory.py
@@ -6,7 +6,16 @@
 import msgspec
 
 from gypsumplank.errors import EntryInvalidError
-from gypsumplank.protocol.decoder import Count, Finite, Int, NonEmptyStr, PositiveInt, decode_json
+from gypsumplank.protocol.account import Account, hash_key
+from gypsumplank.protocol.decoder import (
+    Count,
+    Finite,
+    Int,
+    NonEmptyStr,
+    NonNegativeFloat,
+    PositiveInt,
+    decode_json,
+)
 from gypsumplank.protocol.job import Resources
 from gypsumplank.protocol.queue import (
     AdvicePolicy,
@@ -81,6 +90,7 @@
     stretch: Finite = 1.0
     slo_ms: Finite = 0
     hint: WireAdvice | None = None
+    public: bool = False
 
 
 class WireService(msgspec.Struct, rename="kebab"):
@@ -94,12 +104,23 @@
     standby: bool = False
 
 
+class WireTenant(msgspec.Struct, rename="kebab"):
+    """Represent one client account; `weight` is in jobs per second."""
+
+    name: NonEmptyStr
+    api_keys: tuple[str, ...] = ()
+    priority: Int = 0
+    weight: NonNegativeFloat = 0.0
+    cap: WireCapacity = msgspec.field(default_factory=WireCapacity)
+
+
 class WireManifest(msgspec.Struct, rename="kebab"):
     """Represent one version of the manifest."""
 
     version: Int
     routes: tuple[WireRoute, ...] = ()
     services: tuple[WireService, ...] = ()
+    tenants: tuple[WireTenant, ...] | None = None
 
 
 class WireWave(msgspec.Struct, rename="kebab"):
@@ -119,7 +140,8 @@
         service.name: ServicePolicy(service.name, service.enforces_capacity, service.standby)
         for service in wire.services
     }
-    return Manifest(wire.version, queues, services)
+    accounts = None if wire.tenants is None else tuple(map(_decode_account, wire.tenants))
+    return Manifest(wire.version, queues, services, accounts)
 
 
 def decode_worker(row: Row) -> WorkerEntry:
@@ -158,6 +180,17 @@
         route.stretch,
         int(route.slo_ms),
         advice,
+        route.public,
+    )
+
+
+def _decode_account(tenant: WireTenant) -> Account:
+    return Account(
+        tenant.name,
+        frozenset(map(hash_key, tenant.api_keys)),
+        tenant.priority,
+        tenant.weight,
+        tenant.cap.decode(),
     )
 
 
--- a/gypsumplank/platform/settings.py
+++ b/gypsumplank/platform/settings.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from gypsumplank.errors import EntryInvalidError, Fault, SettingsError
-from gypsumplank.protocol.decoder import Count, PositiveInt, decode_json
+from gypsumplank.protocol.decoder import Count, NonNegativeFloat, PositiveInt, decode_json
 from gypsumplank.settings import check_address
 from gypsumplank.state.job import DEFAULT_MAX_ROW_BYTES
 
@@ -18,6 +18,9 @@
 
 # Bounds every setting that is a number; times are in ms or s.
 MAX_SETTING = 1e9
+# Assumed where the settings file gives no limit of the daemon's memory.
+DEFAULT_MEMORY_MB = 1024
+BYTES_PER_MB = 1 << 20
 # The daemon's name is sent in headers.
 NODE_NAME = re.compile(r"[!-~]{1,200}")
 
@@ -37,6 +40,7 @@
     max_fds: PositiveInt = 1024
     cpu_share: PositiveFloat = 1.0
     cores: PositiveFloat = 1
+    memory_mb: PositiveFloat = DEFAULT_MEMORY_MB
 
 
 class WireBounds(msgspec.Struct, rename="kebab"):
@@ -51,6 +55,10 @@
     maintenance_s: PositiveFloat = 2
     move_s: PositiveFloat = 1.5
     status_s: PositiveFloat = msgspec.field(default=120, name="status_s")
+    strict_revoke: bool = False
+    revoke_ms: PositiveFloat = 5000
+    config_apply_ms: PositiveFloat = 2000
+    quota_overage: NonNegativeFloat = 0.0
 
 
 class WireService(msgspec.Struct, rename="kebab"):
@@ -60,10 +68,17 @@
 
 
 class WirePlatform(msgspec.Struct, rename="kebab"):
-    """Store the platform's address, and the longest value of a row in its store."""
+    """Store the platform's address, the longest value of a row in its store, and its write rates.
+
+    The rates are of the whole store and of one partition, in transactions per second.
+    """
 
     address: str
     row_bytes: PositiveInt = DEFAULT_MAX_ROW_BYTES
+    writes_per_s: PositiveFloat | None = None
+    partition_writes_per_s: PositiveFloat | None = msgspec.field(
+        default=None, name="partition-writes-s"
+    )
 
 
 class WireSettings(msgspec.Struct, rename="kebab"):
@@ -88,7 +103,11 @@
 
     `peer_address` is where this daemon serves other daemons. `lease_handover_s` is the minimum time
     between orders for one machine by two different lease holders. `max_row_bytes` is the longest
-    value of a row in the store, `status_s` how long the state of an ended job must be shown.
+    value of a row in the store, `status_s` how long the state of an ended job must be shown. With
+    `strict_revoke`, no request sent `revoke_s` after its key was withdrawn may succeed.
+    `config_apply_s` is the time within which a manifest must be in force, `quota_overage` the share
+    by which a client account may exceed its cap. `partition_writes_per_s` and `store_writes_per_s`
+    are None if the platform does not state them.
     """
 
     daemon: str
@@ -108,6 +127,13 @@
     peer_address: str
     max_row_bytes: int
     status_s: float
+    strict_revoke: bool
+    revoke_s: float
+    config_apply_s: float
+    quota_overage: float
+    memory_bytes: int
+    store_writes_per_s: float | None
+    partition_writes_per_s: float | None
 
 
 def settings_path() -> Path:
@@ -166,4 +192,11 @@
         peer_address,
         wire.platform.row_bytes,
         wire.bounds.status_s,
+        wire.bounds.strict_revoke,
+        wire.bounds.revoke_ms / MS_PER_S,
+        wire.bounds.config_apply_ms / MS_PER_S,
+        wire.bounds.quota_overage,
+        int(wire.limits.memory_mb * BYTES_PER_MB),
+        wire.platform.writes_per_s,
+        wire.platform.partition_writes_per_s,
     )
--- a/gypsumplank/protocol/job.py
+++ b/gypsumplank/protocol/job.py
@@ -134,13 +134,17 @@
 
 @dataclass(frozen=True)
 class StoredJob:
-    """Represent an accepted job; `accepted_ms` is wall-clock time since 1970."""
+    """Represent an accepted job; `accepted_ms` is wall-clock time since 1970.
+
+    `account` is empty for a job that belongs to no client account.
+    """
 
     id: str
     queue: str
     service: str
     accepted_ms: Count
     order: JobDefinition
+    account: str = ""
 
 
 class TaskPhase(StrEnum):
--- a/gypsumplank/protocol/queue.py
+++ b/gypsumplank/protocol/queue.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from gypsumplank.protocol.account import Account
 from gypsumplank.protocol.decoder import Count
 
 MS_PER_S = 1000.0
@@ -23,7 +24,7 @@
     """Describe one queue; priority 0 comes first.
 
     A job should end within `stretch` times its critical path plus `objective_ms`. `max_attempts` is
-    None if the manifest does not give it.
+    None if the manifest does not give it. Calls to a `public` queue need no key.
     """
 
     name: str
@@ -35,6 +36,7 @@
     stretch: float = 1.0
     objective_ms: int = 0
     advice: AdvicePolicy | None = None
+    public: bool = False
 
 
 @dataclass(frozen=True)
@@ -48,11 +50,15 @@
 
 @dataclass(frozen=True)
 class Manifest:
-    """Represent one version of the queues and services."""
+    """Represent one version of the queues, services and client accounts.
+
+    `accounts` is None if the manifest has no list of accounts; then no call needs a key.
+    """
 
     version: int
     queues: tuple[Queue, ...] = ()
     services: Mapping[str, ServicePolicy] = field(default_factory=dict)
+    accounts: tuple[Account, ...] | None = None
 
     def find(self, host: str, path: str) -> Queue | None:
         """Return the queue of this host with the longest prefix of the path, if any."""
--- a/tests/platform/test_directory.py
+++ b/tests/platform/test_directory.py
@@ -7,6 +7,7 @@
 from gypsumplank.platform.client import Client, Response
 from gypsumplank.platform.directory import PlatformDirectory, decode_manifest
 from gypsumplank.platform.machine import HttpAdvisor, HttpMachines
+from gypsumplank.protocol.account import Account, hash_key
 from gypsumplank.protocol.job import Resources
 from gypsumplank.protocol.queue import MachineState, MaintenanceWave
 from gypsumplank.state.row import MAX_LOGGED_ENTRIES
@@ -245,3 +246,26 @@
         assert directory.workers() == []
     assert len(directory._worker_decoder._log._logged_details) <= MAX_LOGGED_ENTRIES
     assert len(caplog.records) == 2 * MAX_LOGGED_ENTRIES
+
+
+def test_accounts_are_decoded_with_digests_in_place_of_keys():
+    tenant = {
+        "name": "team-a",
+        "api-keys": ["k1", "k2"],
+        "priority": 1,
+        "weight": 104,
+        "cap": {"cpu": 8000, "mem-mb": 900, "gpu": 0},
+    }
+    route = {"name": "r", "host": "h", "prefix": "/p/", "service": "desk", "public": True}
+    manifest = decode_manifest(
+        msgspec.json.encode({"version": 1, "routes": [route], "tenants": [tenant]})
+    )
+    digests = frozenset({hash_key("k1"), hash_key("k2")})
+    assert manifest.accounts == (Account("team-a", digests, 1, 104, Resources(8000, 900)),)
+    assert manifest.queues[0].public
+
+
+def test_manifest_without_a_list_of_accounts_differs_from_one_with_an_empty_list():
+    without = decode_manifest(msgspec.json.encode({"version": 1}))
+    empty = decode_manifest(msgspec.json.encode({"version": 1, "tenants": []}))
+    assert (without.accounts, empty.accounts) == (None, ())
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -89,3 +89,22 @@
 def test_missing_settings_file_is_rejected(tmp_path):
     with pytest.raises(SettingsError):
         load_platform_settings(tmp_path / "none")
+
+
+def test_limits_of_accounts_keys_and_memory_are_read_and_have_defaults(tmp_path):
+    plain = load_platform_settings(write_settings(tmp_path, SETTINGS))
+    assert not plain.strict_revoke
+    assert (plain.store_writes_per_s, plain.partition_writes_per_s) == (None, None)
+    bounds = {"strict-revoke": True, "revoke-ms": 5000, "config-apply-ms": 3000}
+    platform = {**SETTINGS["platform"], "writes-per-s": 1200, "partition-writes-s": 200}
+    full = {
+        **SETTINGS,
+        "bounds": {**bounds, "quota-overage": 0.1},
+        "limits": {"memory-mb": 200},
+        "platform": platform,
+    }
+    settings = load_platform_settings(write_settings(tmp_path, full))
+    assert (settings.strict_revoke, settings.revoke_s) == (True, 5.0)
+    assert (settings.config_apply_s, settings.quota_overage) == (3.0, 0.1)
+    assert settings.memory_bytes == 200 << 20
+    assert (settings.store_writes_per_s, settings.partition_writes_per_s) == (1200, 200)
