Check API keys against the newest manifest and its age

Cause: manifests may list client accounts, but no call was checked for a key.

Change: calls on routes that are not public need a key that the manifest in force lists (401). Jobs store their account; Retry-After follows the error on 429 and 503.

--- a/gypsumplank/composition/platform.py
+++ b/gypsumplank/composition/platform.py
@@ -4,9 +4,12 @@
 import random
 import signal
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 
+from opentelemetry.metrics import Observation
+
+from gypsumplank.coordination.job.freshness import KeyPolicy
 from gypsumplank.coordination.job.leader import LEASE_DURATION_S, SCHEDULER_LEASE, SchedulerLeader
 from gypsumplank.coordination.job.machine import ORDER_SENDERS, MachineController
 from gypsumplank.coordination.job.maintenance import MaintenancePlanner
@@ -16,6 +19,7 @@
 from gypsumplank.coordination.job.submission import JobService, log_error_response
 from gypsumplank.coordination.job.term import MachineManager, PlatformPorts
 from gypsumplank.coordination.lease import LeaseManager
+from gypsumplank.errors import GypsumplankError, KeyRejectedError, KeyUnverifiedError
 from gypsumplank.eventcount import EventCounter
 from gypsumplank.log import Event, event
 from gypsumplank.metrics import Metrics
@@ -67,6 +71,11 @@
 # Share of the file descriptors for connections to workers that are kept while they are not in use.
 WORKER_DESCRIPTOR_SHARE = 0.4
 SETTINGS_POLL_S = 1.0
+# Values of the label `reason` of rejected requests, by error code.
+REJECTION_REASONS = {
+    KeyRejectedError.code: "unknown-key",
+    KeyUnverifiedError.code: "unverified-key",
+}
 
 logger = logging.getLogger("gypsumplank.daemon")
 
@@ -80,6 +89,16 @@
         self._clock = SystemClock()
         self._metrics = Metrics()
         logging.getLogger().addHandler(EventCounter(self._metrics))
+        self._count_rejected = self._metrics.counter(
+            "gypsumplank.requests.rejected",
+            "Requests that were rejected for their API key, by reason",
+        )
+        self._metrics.gauge(
+            "gypsumplank.manifest.age",
+            "s",
+            "Time since the sending of the last call that confirmed the manifest in force",
+            self._observe_manifest_age,
+        )
         self._wake = threading.Event()
         self._stop_requested = False
         self._stopping = False
@@ -109,7 +128,7 @@
         self._operator_rows = RowTable(store_client, "")
         self._directory = PlatformDirectory(self._operator_rows)
         self._manifest_watch = ManifestWatch(
-            self._directory, self._operator_rows, TABLE_OPERATOR, self._clock
+            self._directory, self._operator_rows, TABLE_OPERATOR, self._clock, self._key_policy
         )
 
     def _make_scheduler(self) -> None:
@@ -173,9 +192,10 @@
         job_service = JobService(
             JobStore(self._relay_table, settings.max_row_bytes),
             self._clock,
-            lambda: self._manifest_watch.current,
+            lambda: self._manifest_watch.in_force,
+            self._key_policy,
         )
-        app = JobApp(job_service, self._metrics.record_request, log_error_response)
+        app = JobApp(job_service, self._metrics.record_request, self._record_error)
         max_connections = int(settings.max_descriptors * CALLER_DESCRIPTOR_SHARE)
         self._caller_listener = self._make_listener(
             app, settings.caller_address, CALLER_THREADS, "callers", max_connections
@@ -199,6 +219,19 @@
         dispatcher = ClosingDispatcher(threads)
         return Listener(app, address, dispatcher, MAX_BODY_BYTES, name, connections)  # type: ignore[arg-type]
 
+    def _key_policy(self) -> KeyPolicy:
+        settings = self._settings
+        return KeyPolicy(settings.strict_revoke, settings.revoke_s, settings.config_apply_s)
+
+    def _record_error(self, exc: GypsumplankError, method: str, target: str) -> None:
+        log_error_response(exc, method, target)
+        if reason := REJECTION_REASONS.get(exc.code):
+            self._count_rejected(1, {"reason": reason})
+
+    def _observe_manifest_age(self) -> Iterable[Observation]:
+        age_s = self._manifest_watch.age_s()
+        return [] if age_s is None else [Observation(age_s)]
+
     def _is_ready(self) -> bool:
         store_fresh = has_recent_contact(self._manifest_watch, self._clock, MAX_READY_STORE_AGE_S)
         return self._manifest_watch.current is not None and store_fresh and not self._stopping
--- a/gypsumplank/coordination/job/submission.py
+++ b/gypsumplank/coordination/job/submission.py
@@ -4,6 +4,7 @@
 import threading
 from collections.abc import Callable
 
+from gypsumplank.coordination.job.freshness import ConfirmedManifest, KeyPolicy
 from gypsumplank.errors import (
     GypsumplankError,
     ManifestMissingError,
@@ -13,7 +14,7 @@
 )
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.job import JobDefinition, JobState, StoredJob
-from gypsumplank.protocol.queue import Manifest, Queue
+from gypsumplank.protocol.queue import Queue
 from gypsumplank.state.clock import Clock
 from gypsumplank.state.job import JobStore
 
@@ -40,32 +41,48 @@
     """Serve callers' requests about jobs; each method may raise GypsumplankError."""
 
     def __init__(
-        self, store: JobStore, clock: Clock, manifest: Callable[[], Manifest | None]
+        self,
+        store: JobStore,
+        clock: Clock,
+        in_force: Callable[[], ConfirmedManifest | None],
+        policy: Callable[[], KeyPolicy] = KeyPolicy,
     ) -> None:
         self._store = store
         self._clock = clock
-        self._manifest = manifest
+        self._in_force = in_force
+        self._policy = policy
         self._pause = threading.Event()
         self._pending_counts: dict[str, tuple[float, int]] = {}
 
-    def find_queue(self, host: str, path: str) -> Queue:
-        """Return the queue of a request; raise QueueMissingError or ManifestMissingError."""
-        manifest = self._manifest()
-        if manifest is None:
+    def authorize(self, host: str, path: str, digest: bytes | None) -> tuple[Queue, str]:
+        """Return the queue of a complete request and the account of its key, which may be empty.
+
+        Raise ManifestMissingError, QueueMissingError, KeyRejectedError or KeyUnverifiedError.
+        """
+        confirmed = self._in_force()
+        if confirmed is None:
             raise ManifestMissingError("no manifest has been read yet")
-        found = manifest.find(host, path)
-        if found is None:
+        queue = confirmed.manifest.find(host, path)
+        if queue is None:
             raise QueueMissingError(f"no queue at {host}{path}")
-        return found
+        now = self._clock.monotonic()
+        return queue, confirmed.identify(queue, digest, now, self._policy())
 
-    def submit(self, queue: Queue, job_id: str, order: JobDefinition, remaining_s: float) -> bool:
+    def submit(
+        self,
+        queue: Queue,
+        job_id: str,
+        order: JobDefinition,
+        remaining_s: float,
+        account: str = "",
+    ) -> bool:
         """Store a job; return whether it is new. Raise StateUnknownError if the outcome is unknown.
 
         An attempt with an unknown outcome may be retried, as the job's row is inserted only once.
         `remaining_s` is the time that the caller still waits, in seconds.
         """
         accepted_ms = int(self._clock.wall() * 1000)
-        job = StoredJob(job_id, queue.name, queue.service, accepted_ms, order)
+        job = StoredJob(job_id, queue.name, queue.service, accepted_ms, order, account)
         started_at = self._clock.monotonic()
         deadline = started_at + remaining_s * RETRY_BUDGET_SHARE
         answer_by = started_at + remaining_s * ANSWER_SHARE
@@ -84,7 +101,15 @@
                 delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
                 attempts += 1
                 continue
-            event(logger, Event.JOB_ACCEPTED, job=job_id, queue=queue.name, new=new, tries=attempts)
+            event(
+                logger,
+                Event.JOB_ACCEPTED,
+                job=job_id,
+                queue=queue.name,
+                account=account,
+                new=new,
+                tries=attempts,
+            )
             return new
 
     def state(self, job_id: str) -> JobState:
--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -78,6 +78,11 @@
     WORKER_RESPONDED = "worker-heard", "A worker that had stopped responding responds again."
     ENTRY_DROPPED = "entry-dropped", "A malformed row or name was ignored."
     MANIFEST_IN_FORCE = "manifest-in-force", "A newer manifest is in force on this daemon."
+    MANIFEST_UNCONFIRMED = (
+        "manifest-unconfirmed",
+        "The store has no manifest, a malformed one or an older one; keys stay unverified.",
+    )
+    KEY_SHARED = "key-shared", "Two accounts list the same keys; they belong to `account`."
     STORE_CALL_FAILED = "store-call-failed", "A read from the store failed; it will be retried."
     ADVICE_FAILED = "advice-failed", "A request for permits failed; it will be retried."
     TASK_SPEED_CHANGED = "task-paced", "The speed limit of a task that uses spare capacity changed."
--- a/gypsumplank/platform/app.py
+++ b/gypsumplank/platform/app.py
@@ -1,5 +1,6 @@
 """Serve the platform's HTTP API for jobs, readiness and metrics."""
 
+import math
 import re
 import time
 from collections.abc import Callable, Iterable
@@ -15,6 +16,7 @@
     JobMissingError,
     StateTooLargeError,
 )
+from gypsumplank.protocol.account import hash_key_bytes
 from gypsumplank.protocol.decoder import Count, decode_json
 from gypsumplank.protocol.job import JobDefinition, JobState, Resources, Schedule, StepDefinition
 from gypsumplank.protocol.queue import Queue
@@ -27,7 +29,13 @@
 REMAINING_MS = re.compile(r"[0-9]{1,9}")
 # Assumed when the caller sends no deadline header; the usual deadline on the platform.
 DEFAULT_REMAINING_S = 3.0
-# Sent with a 503: nothing was stored, so the caller may retry.
+ENVIRON_AUTHORIZATION = "HTTP_AUTHORIZATION"
+AUTH_SCHEME = "Bearer"
+# Optional whitespace of header values (RFC 9110 section 5.6.3). Others may be bytes of a key.
+HEADER_SPACE = " \t"
+# Statuses that promise that nothing was stored, so that the caller may retry.
+RETRY_STATUSES = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
+# Sent with them unless the error states a time, seconds.
 RETRY_AFTER_S = 1
 # Methods that metrics tell apart; callers may send any other.
 METHODS = frozenset({"GET", "POST", "DELETE"})
@@ -75,10 +83,17 @@
 class JobApi(Protocol):
     """Submit, query and cancel jobs; every method may raise GypsumplankError."""
 
-    def find_queue(self, host: str, path: str) -> Queue:
-        """Return the queue that serves a host and path."""
+    def authorize(self, host: str, path: str, digest: bytes | None) -> tuple[Queue, str]:
+        """Return the queue that serves a host and path, and the account of the key's digest."""
 
-    def submit(self, queue: Queue, job_id: str, order: JobDefinition, remaining_s: float) -> bool:
+    def submit(
+        self,
+        queue: Queue,
+        job_id: str,
+        order: JobDefinition,
+        remaining_s: float,
+        account: str = "",
+    ) -> bool:
         """Store a job; return whether it is new."""
 
     def state(self, job_id: str) -> JobState:
@@ -144,6 +159,7 @@
         """Handle one HTTP request."""
         started = time.monotonic()
         method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        headers = [("Content-Type", JSON_TYPE)]
         try:
             status, value = self._handle(method, path, environ)
         except GypsumplankError as exc:
@@ -153,9 +169,7 @@
                 value = {"error": exc.code}
             else:
                 value = {"error": exc.code, "detail": exc.detail}
-        headers = [("Content-Type", JSON_TYPE)]
-        if status == HTTPStatus.SERVICE_UNAVAILABLE:
-            headers.append(("Retry-After", str(RETRY_AFTER_S)))
+            headers += _error_headers(status, exc)
         body = msgspec.json.encode(value)
         headers.append(("Content-Length", str(len(body))))
         start_response(STATUS_STRINGS[status], headers)
@@ -165,14 +179,17 @@
 
     def _handle(self, method: str, path: str, environ: dict[str, Any]) -> tuple[int, Any]:
         host = environ.get("HTTP_HOST", "").partition(":")[0]
-        queue = self._jobs.find_queue(host, path)
+        # The server calls the application once it has the whole request, so that this check comes
+        # after the body has arrived, and before it is decoded.
+        queue, account = self._jobs.authorize(host, path, _key_digest(environ))
         job_id = path.removeprefix(queue.prefix)
         match method:
             case "GET" if not job_id:
                 return HTTPStatus.OK, {"pending-count": self._jobs.pending_count(queue)}
             case "POST":
                 order = decode_job(environ["wsgi.input"].read())
-                self._jobs.submit(queue, _parse_job_id(job_id), order, _remaining_s(environ))
+                remaining_s = _remaining_s(environ)
+                self._jobs.submit(queue, _parse_job_id(job_id), order, remaining_s, account)
                 return HTTPStatus.OK, {}
             case "GET":
                 return HTTPStatus.OK, {"state": self._jobs.state(_parse_job_id(job_id)).value}
@@ -181,6 +198,26 @@
         raise JobInvalidError(f"unsupported method {method}")
 
 
+def _error_headers(status: int, exc: GypsumplankError) -> list[tuple[str, str]]:
+    if status == HTTPStatus.UNAUTHORIZED:
+        return [("WWW-Authenticate", AUTH_SCHEME)]
+    if status not in RETRY_STATUSES:
+        return []
+    retry_s = RETRY_AFTER_S if exc.retry_after_s is None else math.ceil(exc.retry_after_s)
+    return [("Retry-After", str(retry_s))]
+
+
+def _key_digest(environ: dict[str, Any]) -> bytes | None:
+    """Return the digest of a request's API key, None if it has no key."""
+    header = environ.get(ENVIRON_AUTHORIZATION, "").strip(HEADER_SPACE)
+    scheme, _, key = header.partition(" ")
+    key = key.strip(HEADER_SPACE)
+    if scheme.lower() != AUTH_SCHEME.lower() or not key:
+        return None
+    # WSGI gives the header's bytes as Latin-1 (PEP 3333).
+    return hash_key_bytes(key.encode("latin-1"))
+
+
 def _parse_job_id(text: str) -> str:
     if len(text) != JOB_ID_LENGTH or not HEX_DIGITS.issuperset(text.lower()):
         raise JobMissingError(f"{text!r} is not a job id")
--- a/gypsumplank/platform/directory.py
+++ b/gypsumplank/platform/directory.py
@@ -1,5 +1,6 @@
 """Decode the manifest, workers and maintenance waves in the platform's store."""
 
+import hashlib
 import re
 from collections.abc import Sequence
 
@@ -207,11 +208,23 @@
         self._manifest_decoder = RowDecoder(lambda row: decode_manifest(row.value))
         self._worker_decoder = RowDecoder(decode_worker)
         self._wave_decoder = RowDecoder(_decode_wave)
+        self._last_manifest: tuple[bytes, Manifest] | None = None
 
     def manifest(self) -> Manifest | None:
         """Return the newest manifest, or None if there is no valid one."""
         row = self._table.get(TABLE_OPERATOR, KEY_MANIFEST)
-        return None if row is None else self._manifest_decoder.decode(row)
+        if row is None:
+            return None
+        # Decoding thousands of keys takes milliseconds, and the manifest is read every second. The
+        # row itself is not kept, as it holds the keys.
+        digest = hashlib.blake2b(row.value).digest()
+        last = self._last_manifest
+        if last is not None and last[0] == digest:
+            return last[1]
+        found = self._manifest_decoder.decode(row)
+        if found is not None:
+            self._last_manifest = (digest, found)
+        return found
 
     def workers(self) -> Sequence[WorkerEntry]:
         """Return all valid worker entries."""
--- a/gypsumplank/protocol/account.py
+++ b/gypsumplank/protocol/account.py
@@ -1,7 +1,7 @@
 """Define client accounts: which keys identify them, and what they may use."""
 
 import hashlib
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from gypsumplank.protocol.job import Resources
 
@@ -17,7 +17,7 @@
     """
 
     name: str
-    key_digests: frozenset[bytes] = frozenset()
+    key_digests: frozenset[bytes] = field(default=frozenset(), repr=False)
     priority: int = 0
     weight: float = 0.0
     cap: Resources = Resources()
@@ -25,4 +25,9 @@
 
 def hash_key(key: str) -> bytes:
     """Return the digest by which an API key is stored and compared."""
-    return hashlib.blake2b(key.encode(), digest_size=KEY_DIGEST_BYTES).digest()
+    return hash_key_bytes(key.encode())
+
+
+def hash_key_bytes(raw: bytes) -> bytes:
+    """Return the digest of an API key that is given as UTF-8."""
+    return hashlib.blake2b(raw, digest_size=KEY_DIGEST_BYTES).digest()
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from gypsumplank.coordination.job.dispatcher import Post, ResultCallback
+from gypsumplank.coordination.job.freshness import ConfirmedManifest
 from gypsumplank.coordination.job.instance import VERIFIED_FOR_S, WorkerInstance
 from gypsumplank.coordination.job.leader import SchedulerLeader
 from gypsumplank.coordination.job.machine import MachineController
@@ -454,7 +455,7 @@
             status_s=cluster.status_s,
         )
         self.store = store
-        self.job_service = JobService(store, cluster.clock, lambda: MANIFEST)
+        self.job_service = JobService(store, cluster.clock, lambda: ConfirmedManifest(MANIFEST))
 
     def step(self) -> None:
         """Poll the workers and run one round."""
--- a/tests/platform/test_app.py
+++ b/tests/platform/test_app.py
@@ -30,13 +30,13 @@
         self.error = error
         self.submitted = []
 
-    def find_queue(self, host, path):
+    def authorize(self, host, path, digest):
         if isinstance(self.error, QueueMissingError | ManifestMissingError):
             raise self.error
         assert host == "h.example"
-        return QUEUE
+        return QUEUE, ""
 
-    def submit(self, queue, job_id, order, remaining_s):
+    def submit(self, queue, job_id, order, remaining_s, account=""):
         self._raise_error()
         self.submitted.append((job_id, order, remaining_s))
         return True
--- a/tests/test_malformed_inputs.py
+++ b/tests/test_malformed_inputs.py
@@ -233,8 +233,8 @@
 
 
 class StubJobs:
-    def find_queue(self, host, path):
-        return type("Queue", (), {"prefix": "/p/"})
+    def authorize(self, host, path, digest):
+        return type("Queue", (), {"prefix": "/p/"}), ""
 
     def submit(self, *_):
         return True
