--- a/demo/job.py
+++ b/demo/job.py
@@ -51,6 +51,8 @@
     def __init__(self, folder: Path) -> None:
         super().__init__(folder)
         self.callers_of: dict[str, str] = {}
+        # Added to the bounds in the settings of the daemons that start later.
+        self.bounds: dict[str, Any] = {}
         self._reservation, network = reserve_network()
         self._free_ips = _free_ips(network)
 
@@ -59,10 +61,10 @@
         super().close()
         self._reservation.close()
 
-    def start_users_platform(self) -> None:
-        """Start the platform stand-in with its workers."""
+    def start_users_platform(self, *args: str) -> None:
+        """Start the platform stand-in with its workers and with further arguments."""
         (self.platform,) = free_addresses(1, self.host)
-        self.start_module("platform", "standins.users_platform", "--listen", self.platform)
+        self.start_module("platform", "standins.users_platform", "--listen", self.platform, *args)
         self.wait_http(f"http://{self.platform}/api/machines")
 
     def start_entry(self, number: int) -> str:
@@ -99,7 +101,7 @@
             "port-range": [first_port, first_port + 15],
             "platform": {"address": self.platform},
             "cloud": {"address": self.platform},
-            "bounds": {"max-hold-ms": 6000, "lease-ms": 3000, "grace-s": 1},
+            "bounds": {"max-hold-ms": 6000, "lease-ms": 3000, "grace-s": 1, **self.bounds},
             "limits": {"max-fds": 1024},
             "heartbeat-ms": 500,
         }
@@ -111,13 +113,18 @@
     return (ip for ip in ips if is_free(f"{ip}:{METRICS_PORT}"))
 
 
-def call(address: str, method: str, path: str, body: Any = None) -> tuple[int, Any]:
+def call(
+    address: str, method: str, path: str, body: Any = None, key: str | None = None
+) -> tuple[int, Any]:
     """Send a request to a daemon as a caller; return the status and the decoded body."""
+    headers = {"Host": HOST_HEADER, "Content-Type": "application/json"}
+    if key is not None:
+        headers["Authorization"] = f"Bearer {key}"
     resp = urllib3.request(
         method,
         f"http://{address}{path}",
         body=json.dumps(body) if body is not None else None,
-        headers={"Host": HOST_HEADER, "Content-Type": "application/json"},
+        headers=headers,
         retries=False,
         timeout=5.0,
     )
--- a/reference/advice.py
+++ b/reference/advice.py
@@ -43,6 +43,8 @@
     "idempotency-key-in-use": "The first request with this key is still running; retry later.",
     "idempotency-key-reused": "The caller reused a key for a different request; fix the caller.",
     "endpoint": "See the codes that begin with `endpoint-`.",
+    "key-rejected": "Compare the account's keys with the manifest in force on that daemon.",
+    "key-unverified": "Check the store: no read has confirmed the manifest; the caller retries.",
     "lease-lost": "The request did not run; the daemon was paused or could not reach the platform.",
     "internal": "Report it with the daemon's log.",
     "invariant": "Report it with the daemon's log; the step was stopped before it did harm.",
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -313,9 +313,11 @@
     """Serve a platform with a manifest and three workers at the `--listen` address."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--listen", required=True)
+    parser.add_argument("--tenants", help="JSON list of client accounts, default: no list")
     args = parser.parse_args()
     server, users = make_users_platform(args.listen)
-    users.put("op", "config", msgspec.json.encode(MANIFEST))
+    tenants = {} if args.tenants is None else {"tenants": msgspec.json.decode(args.tenants)}
+    users.put("op", "config", msgspec.json.encode({**MANIFEST, **tenants}))
     for number in range(3):
         worker = users.simulated_workers.add(f"w{number}", "desk", Resources(8000, 8000))
         worker.entry = replace(worker.entry, address=args.listen)
--- a/tests/test_platform_daemon.py
+++ b/tests/test_platform_daemon.py
@@ -1,10 +1,12 @@
 """Test the job-scheduling daemon with real processes on a stand-in of the users' platform."""
 
 import json
+import re
 import signal
 import time
 
 import pytest
+import urllib3
 
 from demo.cluster import free_addresses
 from demo.job import JOB, PREFIX, STEPS, JobCluster, call, wait_for_state
@@ -111,3 +113,34 @@
             return True
         time.sleep(0.05)
     return False
+
+
+def test_keys_are_refused_once_the_store_has_been_silent_for_the_time_limit(tmp_path):
+    """Guard against a daemon that goes on to accept keys, as it cannot see them withdrawn."""
+    with JobCluster(tmp_path) as keyed:
+        keyed.bounds = {"strict-revoke": True, "revoke-ms": 2000, "config-apply-ms": 3000}
+        tenants = [{"name": "team-a", "api-keys": ["secret-one"]}]
+        keyed.start_users_platform("--tenants", json.dumps(tenants))
+        address = keyed.start_entry(0)
+        job = {"spec": "0.2", "steps": STEPS}
+        path = f"{PREFIX}{JOB}"
+        assert call(address, "POST", path, job)[0] == 401
+        assert call(address, "POST", path, job, "secret-none")[0] == 401
+        assert call(address, "POST", path, job, "secret-one")[0] == 200
+        keyed.signal("platform", signal.SIGSTOP)
+        time.sleep(2.0)
+        status, body = call(address, "GET", path, key="secret-one")
+        assert (status, body["error"]) == (503, "key-unverified")
+        keyed.signal("platform", signal.SIGCONT)
+        deadline = time.monotonic() + 10.0
+        while call(address, "GET", path, key="secret-one")[0] != 200:
+            assert time.monotonic() < deadline
+            time.sleep(0.1)
+        ip = json.loads((keyed.folder / "entry-0.json").read_text())["ip"]
+        metrics = urllib3.request("GET", f"http://{ip}:{METRICS_PORT}/metrics").data.decode()
+        rejected = r'gypsumplank_requests_rejected_total{.*reason="([a-z-]+)"} ([0-9.]+)'
+        counts = {reason: float(count) for reason, count in re.findall(rejected, metrics)}
+        assert counts["unknown-key"] == 2
+        assert counts["unverified-key"] >= 1
+        assert "gypsumplank_manifest_age_seconds" in metrics
+        assert "secret" not in metrics + keyed.log("entry-0")
