--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -17,6 +17,7 @@
     "capacity",
     "wave",
     "planner",
+    "leader",
 )
 # Measurements of ten minutes or more, which run only if they are named.
 LONG_MEASUREMENTS = ("days",)
