Examine only the jobs that changed in a round of the scheduler

With 1,200 waiting jobs a round walked all of them five times: for their states, their ready steps, their urgency, their changes and whether these are stored. Jobs now tell of each change, ready steps are kept sorted by urgency, and steps that fit on no worker are skipped without a try.

--- a/gypsumplank/coordination/job/crash.py
+++ b/gypsumplank/coordination/job/crash.py
@@ -69,13 +69,22 @@
     return crashes_at_start >= MAX_CRASHES_AT_START or crashes >= MAX_CRASHES
 
 
-def is_withheld(task: Task, now: float) -> bool:
-    """Return whether a task must wait after a crash, or until its silent workers are known."""
+def withheld_until(task: Task) -> float:
+    """Return until when a task waits after a crash, or for its silent workers to be known.
+
+    In monotonic seconds; 0 if it does not wait.
+    """
     if not task.losses:
-        return False
+        return 0.0
     lost_at_start = sum(1 for lost in task.lost_on if lost.at_start)
     is_undecided = _is_deadly(task.crashes_at_start + lost_at_start, task.losses)
-    return now < task.retry_at or (is_undecided and now < task.queued_since + CRASH_PROOF_WAIT_S)
+    proven_at = task.queued_since + CRASH_PROOF_WAIT_S if is_undecided else 0.0
+    return max(task.retry_at, proven_at)
+
+
+def is_withheld(task: Task, now: float) -> bool:
+    """Return whether a task must wait after a crash, or until its silent workers are known."""
+    return now < withheld_until(task)
 
 
 def give_up_if_deadly(task: Task) -> None:
--- a/gypsumplank/coordination/job/knownqueue.py
+++ b/gypsumplank/coordination/job/knownqueue.py
@@ -14,12 +14,14 @@
     """Find the queues of jobs, also those that the manifest has dropped while they had jobs.
 
     Used by one thread only. Jobs that have begun go on if their queue is dropped, by its last
-    definition; others wait until the manifest names it again.
+    definition; others wait until the manifest names it again. `generation` changes whenever queues
+    may have changed.
     """
 
     def __init__(self, manifest: Callable[[], Manifest | None]) -> None:
         self._manifest = manifest
         self._in_force: Manifest | None = None
+        self.generation = 0
         self._current: dict[str, Queue] = {}
         self._dropped: dict[str, Queue] = {}
 
@@ -32,6 +34,7 @@
         if manifest is None or manifest is self._in_force:
             return
         self._in_force = manifest
+        self.generation += 1
         known = self._dropped | self._current
         self._current = {
             queue.name: _with_known_limit(queue, known.get(queue.name)) for queue in manifest.queues
--- a/gypsumplank/coordination/job/model.py
+++ b/gypsumplank/coordination/job/model.py
@@ -1,6 +1,6 @@
 """Represent jobs, steps and tasks in the scheduler's memory."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 
 from gypsumplank.protocol.job import (
@@ -204,7 +204,7 @@
 
 
 class Step:
-    """Represent one occurrence of a step; `dirty` marks changes that are not stored yet.
+    """Represent one occurrence of a step.
 
     `record_removed` is set once its stored row was deleted, as the job is over.
     """
@@ -216,9 +216,20 @@
         self.order = order
         self.key = step_key(job.id, occurrence, position)
         self.tasks = [Task(self, f"{self.key}.{index}", index) for index in range(order.tasks)]
-        self.dirty = False
+        self._dirty = False
         self.record_removed = False
 
+    @property
+    def dirty(self) -> bool:
+        """Return whether there are changes that are not stored yet."""
+        return self._dirty
+
+    @dirty.setter
+    def dirty(self, value: bool) -> None:
+        self._dirty = value
+        if value:
+            self.job.note_change()
+
     @property
     def has_record(self) -> bool:
         """Return whether a stored row may exist; it is written once the first run is assigned."""
@@ -254,10 +265,11 @@
 class Job:
     """Represent one job; `version` is that of the stored row with its state.
 
-    `arrived_at` is when this leader read the job, in monotonic seconds. `state_dirty` marks a
-    change of the state that is not stored yet. `is_unstorable` tells that the store does not take
-    a row of one of its steps. `waits_for_queue` is set while no task of the job may start, as the
-    manifest does not name its queue.
+    `arrived_at` is when this leader read the job, in monotonic seconds. `is_unstorable` tells that
+    the store does not take a row of one of its steps. `waits_for_queue` is set while no task of the
+    job may start, as the manifest does not name its queue. `number` is the job's place in the order
+    in which this leader read all jobs, and `on_change` is called after each change of its state or
+    of its tasks.
     """
 
     stored: StoredJob
@@ -267,19 +279,38 @@
     cancelled: bool = False
     cleaned: bool = False
     started: bool = False
-    state_dirty: bool = False
     is_unstorable: bool = False
     waits_for_queue: bool = False
     arrived_at: float = 0.0
     steps: dict[tuple[int, int], Step] = field(default_factory=dict)
+    number: int = 0
+    on_change: Callable[["Job"], None] | None = None
 
     def __post_init__(self) -> None:
-        """Create the steps of every occurrence."""
+        """Create the steps of every occurrence; `longest_path_ms` is the job's critical path."""
         order = self.stored.order
         for occurrence in range(max(1, order.schedule.count)):
             for position, step in enumerate(order.steps):
                 self.steps[occurrence, position] = Step(self, occurrence, position, step)
         self._critical_paths = _critical_paths(order.steps)
+        self.longest_path_ms = max(self._critical_paths, default=0)
+        self._state_dirty = False
+
+    @property
+    def state_dirty(self) -> bool:
+        """Return whether a change of the state is not stored yet."""
+        return self._state_dirty
+
+    @state_dirty.setter
+    def state_dirty(self, value: bool) -> None:
+        self._state_dirty = value
+        if value:
+            self.note_change()
+
+    def note_change(self) -> None:
+        """Tell that the job's state or its tasks have changed."""
+        if self.on_change is not None:
+            self.on_change(self)
 
     @property
     def id(self) -> str:
@@ -300,11 +331,6 @@
         """Return the estimated duration of the critical path from a step on, in milliseconds."""
         return self._critical_paths[position]
 
-    @property
-    def longest_path_ms(self) -> int:
-        """Return the estimated duration of the job's critical path, in milliseconds."""
-        return max(self._critical_paths, default=0)
-
     def tasks(self) -> Iterator[Task]:
         """Iterate over all tasks."""
         return (task for step in self.steps.values() for task in step.tasks)
--- a/gypsumplank/coordination/job/placement.py
+++ b/gypsumplank/coordination/job/placement.py
@@ -4,6 +4,7 @@
 come first, so that those that can't do not make the others late too.
 """
 
+import math
 from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
@@ -22,6 +23,9 @@
 RESERVE_SHARE = 0.2
 START_DELAY_S = 0.1
 
+# Margin for the rounding of times, seconds.
+ROUNDING_S = 1e-6
+
 # Largest share of a service's workers that is reserved for the start of tasks that may crash them.
 MAX_RESERVED_SHARE = 0.5
 
@@ -81,6 +85,19 @@
     return (3, queue.priority, eligible_at)
 
 
+def urgency_ends_at(pending: PendingStep, current: tuple[int, int, float]) -> float:
+    """Return when a step's urgency changes although its job does not, in monotonic seconds.
+
+    That is a microsecond early, for the sake of rounding, and infinite for steps whose urgency
+    stays. For a step with a schedule it depends on the time of day, and is not known.
+    """
+    if pending.job.has_schedule or current[0] not in {1, 2}:
+        return math.inf
+    remaining_s = pending.step.remaining_path_ms() / 1000
+    reserve_s = RESERVE_SHARE * remaining_s + START_DELAY_S if current[0] == 1 else 0.0
+    return current[2] - reserve_s - ROUNDING_S
+
+
 def resource_need(order: StepDefinition) -> Resources:
     """Return the resources that a task reserves on its worker; best-effort tasks take no CPU."""
     need = order.need
@@ -98,6 +115,8 @@
         self.instances = instances
         self.not_suspect = [each for each in instances if not each.is_suspect(now)] or instances
         self.unplaceable: list[Resources] = []
+        # The largest free amount of each resource on any worker; None if it has changed.
+        self.most_free: Resources | None = None
 
     def is_unplaceable(self, need: Resources) -> bool:
         """Return whether a need is known to fit on no worker."""
@@ -119,6 +138,18 @@
         }
         self._groups: dict[tuple[str, str], CandidateGroup] = {}
 
+    def may_fit(self, pending: PendingStep) -> bool:
+        """Return False if the free resources are too small for any task of a step."""
+        group = self._group(pending)
+        if group.most_free is None:
+            free = [self._free[each.id] for each in group.instances]
+            group.most_free = Resources(
+                max((each.cpu for each in free), default=-1),
+                max((each.memory_mb for each in free), default=-1),
+                max((each.accelerators for each in free), default=-1),
+            )
+        return group.most_free.can_fit(resource_need(pending.step.order))
+
     def place(self, pending: PendingStep) -> list[Placement]:
         """Return placements of as many tasks as fit; a gang is placed as a whole or not at all."""
         order = pending.step.order
@@ -147,6 +178,9 @@
                 for group in self._groups.values():
                     group.unplaceable.clear()
             return []
+        if placed:
+            for group in self._groups.values():
+                group.most_free = None
         return placed
 
     def _group(self, pending: PendingStep) -> CandidateGroup:
--- /dev/null
+++ b/gypsumplank/coordination/job/readiness.py
@@ -0,0 +1,225 @@
+"""Keep the steps that may start now, in the order of their urgency.
+
+Answers queues of over 1,000 waiting jobs: to examine and sort all of them took 0.1 s and more in
+each round, while only a few of them change between two rounds.
+"""
+
+import heapq
+import math
+from bisect import bisect_left, insort
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+
+from gypsumplank.coordination.job.attempt import find_exhausted, find_startable
+from gypsumplank.coordination.job.crash import withheld_until
+from gypsumplank.coordination.job.model import Job, Step, Task
+from gypsumplank.coordination.job.placement import PendingStep, urgency, urgency_ends_at
+from gypsumplank.protocol.job import FINAL_JOB_STATES, TaskPhase
+from gypsumplank.protocol.queue import Queue
+
+# Times of removed steps that are kept at least, so that they are seldom searched for.
+MIN_DROPPED = 1000
+
+
+@dataclass(frozen=True)
+class Examination:
+    """Store which steps of a job may start, and when that changes without a change of the job.
+
+    `exhausted` are tasks that have used up their attempts, so that the job has to be given up.
+    `retry_at` is in monotonic seconds, `due_ms` since 1970; infinite if there is no such time.
+    """
+
+    pending: Sequence[PendingStep] = ()
+    exhausted: Sequence[Task] = ()
+    retry_at: float = math.inf
+    due_ms: float = math.inf
+
+
+def examine(job: Job, queue: Queue | None, now: float, wall_ms: float) -> Examination:
+    """Find the steps of a job that may start now by its queue, None if it is not known."""
+    if job.state in FINAL_JOB_STATES or job.cancelled:
+        return Examination()
+    if job.waits_for_queue is not (queue is None):
+        job.waits_for_queue = queue is None
+        job.note_change()
+    if queue is None:
+        return Examination()
+    pending: list[PendingStep] = []
+    retry_at = due_ms = math.inf
+    for step in job.steps.values():
+        waiting = [task for task in step.tasks if task.phase is TaskPhase.WAITING]
+        if exhausted := find_exhausted(waiting, queue.max_attempts):
+            return Examination(exhausted=exhausted)
+        tasks = []
+        for task in find_startable(waiting, queue.max_attempts):
+            until = withheld_until(task)
+            if now < until:
+                retry_at = min(retry_at, until)
+            else:
+                tasks.append(task)
+        if not tasks or (step.order.gang and len(tasks) < len(step.tasks)):
+            continue
+        step_due_ms = job.due_ms(step.occurrence)
+        if step_due_ms > wall_ms:
+            due_ms = min(due_ms, step_due_ms)
+        elif job.is_ready(step, wall_ms):
+            pending.extend(
+                PendingStep(job, step, group, queue) for group in _placement_groups(step, tasks)
+            )
+    return Examination(pending, (), retry_at, due_ms)
+
+
+def _placement_groups(step: Step, tasks: Sequence[Task]) -> Iterator[tuple[Task, ...]]:
+    """Yield the tasks that may crash their workers apart from the others; gangs as a whole."""
+    suspects = () if step.order.gang else tuple(task for task in tasks if task.is_suspect)
+    if suspects:
+        yield suspects
+    others = tuple(task for task in tasks if task not in suspects)
+    if others:
+        yield others
+
+
+Urgency = tuple[int, int, float]
+
+
+@dataclass(eq=False)
+class ReadyStep:
+    """Represent a step that may start: its urgency and its place among steps of equal urgency."""
+
+    pending: PendingStep
+    place: tuple[int, int]
+    urgency: Urgency
+    removed: bool = False
+
+    @property
+    def sort_key(self) -> tuple[Urgency, tuple[int, int]]:
+        """Return the key by which ready steps are sorted."""
+        return (self.urgency, self.place)
+
+
+@dataclass
+class JobEntry:
+    """Store the ready steps of a job, and when it has to be examined again."""
+
+    steps: list[ReadyStep] = field(default_factory=list)
+    retry_at: float = math.inf
+    due_ms: float = math.inf
+
+
+class ReadySteps:
+    """Keep the ready steps of all jobs sorted by urgency.
+
+    Jobs without ready steps and without a time at which they may have some take no space.
+    """
+
+    def __init__(self) -> None:
+        self._jobs: dict[Job, JobEntry] = {}
+        self._sorted: list[tuple[Urgency, tuple[int, int], ReadyStep]] = []
+        self._less_urgent_at: list[tuple[float, tuple[int, int], int, ReadyStep]] = []
+        self._timed: set[Job] = set()
+        self._scheduled: dict[Job, JobEntry] = {}
+        self._lasting: dict[tuple[int, int], ReadyStep] = {}
+        self._advised: dict[tuple[int, int], ReadyStep] = {}
+        self._next_retry_at = self._next_due_ms = math.inf
+        self._wall_ms = -math.inf
+        self._pushed = 0
+
+    def due_jobs(self, now: float, wall_ms: float) -> list[Job]:
+        """Return the jobs that have to be examined again, as a time has come."""
+        due: list[Job] = []
+        if wall_ms < self._wall_ms:
+            # What was due may be due later, as the clock was set back.
+            due.extend(self._scheduled)
+        self._wall_ms = wall_ms
+        if now < self._next_retry_at and wall_ms < self._next_due_ms:
+            return due
+        entries = [(job, self._jobs[job]) for job in self._timed]
+        due.extend(
+            job for job, entry in entries if now >= entry.retry_at or wall_ms >= entry.due_ms
+        )
+        self._next_retry_at = min((entry.retry_at for _, entry in entries), default=math.inf)
+        self._next_due_ms = min((entry.due_ms for _, entry in entries), default=math.inf)
+        return due
+
+    def replace(self, job: Job, found: Examination, now: float, wall_ms: float) -> None:
+        """Replace what is known of a job."""
+        self._remove(job)
+        entry = JobEntry(retry_at=found.retry_at, due_ms=found.due_ms)
+        for index, pending in enumerate(found.pending):
+            ready = ReadyStep(pending, (job.number, index), urgency(pending, now, wall_ms))
+            entry.steps.append(ready)
+            self._insert(ready)
+            if pending.step.order.lasting:
+                self._lasting[ready.place] = ready
+            if pending.queue.advice is not None:
+                self._advised[ready.place] = ready
+        is_timed = min(entry.retry_at, entry.due_ms) < math.inf
+        if entry.steps or is_timed:
+            self._jobs[job] = entry
+            if job.has_schedule:
+                self._scheduled[job] = entry
+        if is_timed:
+            self._timed.add(job)
+            self._next_retry_at = min(self._next_retry_at, entry.retry_at)
+            self._next_due_ms = min(self._next_due_ms, entry.due_ms)
+
+    def _remove(self, job: Job) -> None:
+        entry = self._jobs.pop(job, None)
+        if entry is None:
+            return
+        self._timed.discard(job)
+        self._scheduled.pop(job, None)
+        for ready in entry.steps:
+            ready.removed = True
+            self._take_out(ready)
+            self._lasting.pop(ready.place, None)
+            self._advised.pop(ready.place, None)
+
+    def _drop_removed(self) -> None:
+        """Forget the times of steps that were removed, once they are most."""
+        if len(self._less_urgent_at) > 2 * len(self._sorted) + MIN_DROPPED:
+            self._less_urgent_at = [item for item in self._less_urgent_at if not item[-1].removed]
+            heapq.heapify(self._less_urgent_at)
+
+    def _insert(self, ready: ReadyStep) -> None:
+        insort(self._sorted, (ready.urgency, ready.place, ready))
+        ends_at = urgency_ends_at(ready.pending, ready.urgency)
+        if ends_at < math.inf:
+            self._pushed += 1
+            heapq.heappush(self._less_urgent_at, (ends_at, ready.place, self._pushed, ready))
+
+    def _take_out(self, ready: ReadyStep) -> None:
+        del self._sorted[bisect_left(self._sorted, ready.sort_key)]
+
+    def update_urgency(self, now: float, wall_ms: float) -> None:
+        """Sort the steps again whose urgency has changed as time has passed."""
+        self._drop_removed()
+        due = []
+        while self._less_urgent_at and self._less_urgent_at[0][0] <= now:
+            due.append(heapq.heappop(self._less_urgent_at)[-1])
+        # The urgency of a scheduled step depends on the time of day too, which may be set.
+        scheduled = (ready for entry in self._scheduled.values() for ready in entry.steps)
+        for ready in (*due, *scheduled):
+            if not ready.removed:
+                self._update_urgency(ready, urgency(ready.pending, now, wall_ms))
+
+    def _update_urgency(self, ready: ReadyStep, current: Urgency) -> None:
+        self._take_out(ready)
+        ready.urgency = current
+        self._insert(ready)
+
+    def by_urgency(self) -> Iterator[PendingStep]:
+        """Yield the ready steps, the most urgent first."""
+        return (ready.pending for _, _, ready in self._sorted)
+
+    def lasting(self) -> list[PendingStep]:
+        """Return the ready steps of long-running tasks, in the order of their jobs."""
+        return _in_place(self._lasting)
+
+    def advised(self) -> list[PendingStep]:
+        """Return the ready steps that need permits, in the order of their jobs."""
+        return _in_place(self._advised)
+
+
+def _in_place(steps: dict[tuple[int, int], ReadyStep]) -> list[PendingStep]:
+    return [steps[place].pending for place in sorted(steps)]
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -1,12 +1,10 @@
 """Schedule all jobs while this daemon is the leader; used by the scheduler's thread only."""
 
 import logging
-from collections.abc import Callable, Collection, Iterable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import replace
 
-from gypsumplank.coordination.job.attempt import find_exhausted, find_startable
 from gypsumplank.coordination.job.command import CommandSender, PendingStart
-from gypsumplank.coordination.job.crash import is_withheld
 from gypsumplank.coordination.job.dispatcher import WorkerDispatcher
 from gypsumplank.coordination.job.evidence import (
     are_leases_over,
@@ -17,20 +15,21 @@
     WorkerInstance,
 )
 from gypsumplank.coordination.job.knownqueue import KnownQueues
-from gypsumplank.coordination.job.model import Job, Step, Task
+from gypsumplank.coordination.job.model import Job, Task
 from gypsumplank.coordination.job.observation import ReceivedReport
-from gypsumplank.coordination.job.placement import PendingStep, Placement, PlacementRound, urgency
+from gypsumplank.coordination.job.placement import PendingStep, Placement, PlacementRound
 from gypsumplank.coordination.job.preemption import (
     PREEMPTION_WAIT_S,
     choose_preemptions,
     runs_to_evacuate,
     stalled_runs,
 )
+from gypsumplank.coordination.job.readiness import ReadySteps, examine
 from gypsumplank.coordination.job.report import apply_report
-from gypsumplank.coordination.job.workload import Workload
+from gypsumplank.coordination.job.workload import Workload, in_order
 from gypsumplank.log import Event, event
-from gypsumplank.protocol.job import FINAL_JOB_STATES, Resources, TaskPhase
-from gypsumplank.protocol.queue import Manifest, Queue
+from gypsumplank.protocol.job import Resources, TaskPhase
+from gypsumplank.protocol.queue import Manifest
 from gypsumplank.protocol.worker import (
     WorkerEntry,
 )
@@ -60,6 +59,9 @@
         self._manifest = manifest
         self._queues = queues or KnownQueues(manifest)
         self.workload = Workload()
+        self._changes = self.workload.follow()
+        self._ready = ReadySteps()
+        self._queues_seen = self._queues.generation
         self.fleet = Fleet(clock, max_lease_s, heartbeat_s)
         self.commands = CommandSender(clock, token, self._is_capacity_known)
 
@@ -131,64 +133,66 @@
         now = self._clock.monotonic()
         self._queues.update(self.workload.jobs.values())
         self._expire_leases(now)
-        self.workload.update_job_states(self.workload.jobs.values(), now)
+        changed = self._changes.take()
+        self.workload.update_job_states(changed, now)
         wall_ms = self.wall_ms()
-        pending = [
-            pending_step
-            for job in self.workload.jobs.values()
-            for pending_step in self._pending_steps(job, now, wall_ms)
-        ]
+        self._update_ready(changed, now, wall_ms)
+        permits = self._request_permits()
         instances = [each for each in self.instances.values() if self._is_capacity_known(each, now)]
-        self._evict(pending, instances, now)
+        self._evict(self._ready.lasting(), instances, now)
         placement_round = PlacementRound(instances, now)
         assigned_jobs: dict[str, Job] = {}
-        for pending_step in sorted(pending, key=lambda each: urgency(each, now, wall_ms)):
+        for pending_step in self._ready.by_urgency():
+            if not placement_round.may_fit(pending_step):
+                continue
+            if pending_step.queue.advice is not None:
+                known = permits.get(pending_step.step.key)
+                pending_step = replace(pending_step, permits=known)  # noqa: PLW2901
             placed = placement_round.place(pending_step)
             if placed:
                 self._assign(pending_step, placed)
                 assigned_jobs[pending_step.job.id] = pending_step.job
         self.workload.update_job_states(assigned_jobs.values(), now)
 
-    def _pending_steps(self, job: Job, now: float, wall_ms: float) -> list[PendingStep]:
-        if job.state in FINAL_JOB_STATES or job.cancelled:
-            return []
-        queue = self._queues.find_for_start(job)
-        job.waits_for_queue = queue is None
-        if queue is None:
-            return []
-        pending: list[PendingStep] = []
-        for step in job.steps.values():
-            waiting = [task for task in step.tasks if task.phase is TaskPhase.WAITING]
-            if exhausted := find_exhausted(waiting, queue.max_attempts):
-                self._give_up(job, exhausted, now)
-                return []
-            startable = find_startable(waiting, queue.max_attempts)
-            tasks = [task for task in startable if not is_withheld(task, now)]
-            if not tasks or (step.order.gang and len(tasks) < len(step.tasks)):
-                continue
-            if job.is_ready(step, wall_ms):
-                permits = self._permits_for(step, queue)
-                pending.extend(
-                    PendingStep(job, step, group, queue, permits)
-                    for group in _placement_groups(step, tasks)
-                )
-        return pending
+    def _update_ready(self, changed: Collection[Job], now: float, wall_ms: float) -> None:
+        """Bring the ready steps up to date: of the jobs that changed, and as time has passed."""
+        due = set(self._ready.due_jobs(now, wall_ms))
+        if self._queues_seen != self._queues.generation:
+            self._queues_seen = self._queues.generation
+            due.update(self.workload.jobs.values())
+        for job in in_order(due.union(changed)):
+            queue = self._queues.find_for_start(job)
+            found = examine(job, queue, now, wall_ms)
+            if found.exhausted:
+                self._give_up(job, found.exhausted, now)
+            self._ready.replace(job, found, now, wall_ms)
+        self._ready.update_urgency(now, wall_ms)
 
     def _give_up(self, job: Job, exhausted: Iterable[Task], now: float) -> None:
         for task in exhausted:
             task.finish(TaskPhase.FAILED)
         self.workload.update_job_states([job], now)
 
-    def _permits_for(self, step: Step, queue: Queue) -> Mapping[str, str] | None:
-        if queue.advice is None or self.commands.permits is None:
-            return None
+    def _request_permits(self) -> dict[str, Mapping[str, str]]:
+        """Return the permits of the ready steps that need them; request those that are missing."""
+        cache = self.commands.permits
+        if cache is None:
+            return {}
         now = self._clock.monotonic()
-        candidates = [
-            instance.id
-            for instance in self.instances.values()
-            if instance.entry.service == step.job.service and instance.accepts_tasks(now)
-        ]
-        return self.commands.permits.get(step.key, candidates, queue.advice.valid_ms / 1000)
+        candidates: dict[str, list[str]] = {}
+        permits: dict[str, Mapping[str, str]] = {}
+        for pending in self._ready.advised():
+            service, advice = pending.job.service, pending.queue.advice
+            if service not in candidates:
+                candidates[service] = [
+                    instance.id
+                    for instance in self.instances.values()
+                    if instance.entry.service == service and instance.accepts_tasks(now)
+                ]
+            if advice is not None:
+                key = pending.step.key
+                permits[key] = cache.get(key, candidates[service], advice.valid_ms / 1000)
+        return permits
 
     def _evict(
         self, pending: Sequence[PendingStep], instances: Sequence[WorkerInstance], now: float
@@ -247,11 +251,7 @@
 
     def dispatch(self) -> None:
         """Send what has been committed: starts, stops and acknowledgements of task ends."""
-        self.commands.send(self.instances.values(), self._are_steps_stored)
-
-    def _are_steps_stored(self) -> bool:
-        steps = (step for job in self.workload.jobs.values() for step in job.steps.values())
-        return not any(step.dirty for step in steps)
+        self.commands.send(self.instances.values(), self.workload.are_steps_stored)
 
     def request_stop(self, tasks: Collection[Task]) -> None:
         """Mark runs to be stopped; their tasks keep their checkpoints."""
@@ -259,13 +259,3 @@
         for task in tasks:
             if task.should_run:
                 task.should_run, task.stop_requested_at = False, now
-
-
-def _placement_groups(step: Step, tasks: Sequence[Task]) -> Iterator[tuple[Task, ...]]:
-    """Yield the tasks that may crash their workers apart from the others; gangs as a whole."""
-    suspects = () if step.order.gang else tuple(task for task in tasks if task.is_suspect)
-    if suspects:
-        yield suspects
-    others = tuple(task for task in tasks if task not in suspects)
-    if others:
-        yield others
--- a/gypsumplank/coordination/job/workload.py
+++ b/gypsumplank/coordination/job/workload.py
@@ -1,9 +1,13 @@
-"""Keep all jobs that have not ended, and collect their changes for commits to the store."""
+"""Keep all jobs that have not ended, and collect their changes for commits to the store.
+
+Answers queues of over 1,000 jobs, of which few change in one round: what follows the jobs looks at
+those that have changed, and not at all of them.
+"""
 
 import logging
 import re
 from collections.abc import Collection, Iterable, Iterator, Sequence
-from itertools import islice, takewhile
+from itertools import count, islice, takewhile
 
 from gypsumplank.coordination.job.model import Job, Task
 from gypsumplank.errors import EntryInvalidError
@@ -40,12 +44,47 @@
     return TaskName(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
 
 
+def in_order(jobs: Iterable[Job]) -> list[Job]:
+    """Return jobs in the order in which this leader read them."""
+    return sorted(jobs, key=lambda job: job.number)
+
+
+class JobChanges:
+    """Collect the jobs that have changed since they were last taken."""
+
+    def __init__(self) -> None:
+        self._jobs: set[Job] = set()
+
+    def add(self, job: Job) -> None:
+        """Add a job that was added or has changed."""
+        self._jobs.add(job)
+
+    def take(self) -> list[Job]:
+        """Return the jobs that have changed, in their order, and forget them."""
+        jobs, self._jobs = in_order(self._jobs), set()
+        return jobs
+
+
 class Workload:
     """Keep jobs by identifier, and when ended ones were removed, in monotonic seconds."""
 
     def __init__(self) -> None:
         self.jobs: dict[str, Job] = {}
         self.ended_at: dict[str, float] = {}
+        self._numbers = count()
+        self._unstored: set[Job] = set()
+        self._followers: list[JobChanges] = []
+
+    def follow(self) -> "JobChanges":
+        """Return a record of the jobs that are added or changed from now on."""
+        changes = JobChanges()
+        self._followers.append(changes)
+        return changes
+
+    def _note_change(self, job: Job) -> None:
+        self._unstored.add(job)
+        for changes in self._followers:
+            changes.add(job)
 
     def add(self, loaded: LoadedJob, now: float) -> Job:
         """Add a job that was read from the store; `now` is in monotonic seconds."""
@@ -66,7 +105,10 @@
             for task in step.tasks:
                 task.queued_since = now
         job.started = loaded.state is not JobState.QUEUED
+        job.number = next(self._numbers)
         self.jobs[job.id] = job
+        job.on_change = self._note_change
+        job.note_change()
         return job
 
     def task(self, name: str) -> Task | None:
@@ -86,6 +128,7 @@
             job.cancelled = True
             job.state = JobState.CANCELLED
             job.state_dirty = False
+            job.note_change()
             event(logger, Event.JOB_CANCELLED, job=job_id, at_work=len(job.assigned_tasks()))
 
     def update_job_states(self, jobs: Iterable[Job], now: float) -> None:
@@ -123,7 +166,7 @@
 
     def updates(self, held_back: Collection[str] = ()) -> Iterator[JobUpdate]:
         """Yield the changes to commit, one update per job; none for jobs that are held back."""
-        for job in list(self.jobs.values()):
+        for job in in_order(self._unstored):
             if job.id in held_back:
                 continue
             update = (
@@ -131,6 +174,12 @@
             )
             if update is not None:
                 yield update
+            else:
+                self._unstored.discard(job)
+
+    def are_steps_stored(self) -> bool:
+        """Return whether the changes of all steps are stored."""
+        return not any(step.dirty for job in self._unstored for step in job.steps.values())
 
     def mark_stored(self, job: Job, update: JobUpdate, version: int, now: float) -> None:
         """Clear the dirty flags that a committed update covers; remove the job if it is over."""
@@ -144,6 +193,7 @@
                 step.record_removed = written[step.key].value is None
         if any(write.table == TABLE_ORDERS for write in update.writes):
             self.jobs.pop(job.id, None)
+            self._unstored.discard(job)
             self.ended_at[job.id] = now
 
     def expired(self, before: float, limit: int = MAX_TXN_ENTRIES) -> Sequence[str]:
