--- a/gypsumplank/coordination/job/demand.py
+++ b/gypsumplank/coordination/job/demand.py
@@ -5,8 +5,9 @@
 that its arriving jobs offer, and not for all that waits.
 """
 
+import heapq
 import math
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
@@ -28,6 +29,12 @@
 # Duration that is assumed for tasks without an estimate, milliseconds.
 DEFAULT_ESTIMATE_MS = 1000
 
+# Times kept for each job, and in all, until they are found anew from the jobs.
+MAX_TIMES_PER_JOB = 4
+MIN_TIMES = 1000
+# Margin for the rounding of times, seconds.
+ROUNDING_S = 1e-6
+
 OPEN_PHASES = (TaskPhase.WAITING, TaskPhase.ASSIGNED)
 
 
@@ -100,51 +107,35 @@
         return self.long_running + self.batch
 
 
-class LoadEstimator:
-    """Sum up the load of one service's jobs.
+@dataclass(frozen=True)
+class LoadShare:
+    """Store what one job adds to the load of its service, or the sum of these.
 
     `offered` is what batch jobs would keep busy if none had to wait: the work of each job, spread
     evenly over its critical path from its arrival on. `running` is what is assigned.
     `overdue_work`, in resources times ms, waits although its job would have ended by now.
     """
 
-    def __init__(self) -> None:
-        self.long_running = Resources()
-        self.offered = Resources()
-        self.running = Resources()
-        self.overdue_work = Resources()
-
-    def add(self, job: Job, now: float, wall_ms: float) -> None:
-        """Add an open job; `now` is in monotonic seconds, `wall_ms` since 1970.
-
-        Of a job that waits for its queue, only what is assigned counts.
-        """
-        path_ms = job.longest_path_ms or DEFAULT_ESTIMATE_MS
-        for step in job.steps.values():
-            order = step.order
-            if order.fills:
-                continue
-            phases = (TaskPhase.ASSIGNED,) if job.waits_for_queue else OPEN_PHASES
-            open_tasks = [task for task in step.tasks if task.phase in phases]
-            if order.lasting:
-                self.long_running = self.long_running + order.need.scaled(len(open_tasks))
-                continue
-            age_ms = (now - job.arrived_at) * 1000
-            if job.has_schedule:
-                age_ms = wall_ms - job.due_ms(step.occurrence)
-            if age_ms < 0:
-                continue
-            estimate_ms = order.estimate_ms or DEFAULT_ESTIMATE_MS
-            assigned = sum(1 for task in open_tasks if task.phase is TaskPhase.ASSIGNED)
-            self.running = self.running + order.need.scaled(assigned)
-            if job.waits_for_queue:
-                continue
-            if age_ms < path_ms:
-                work = order.need.scaled(len(step.tasks) * estimate_ms)
-                self.offered = self.offered + work.divided(path_ms)
-            else:
-                waiting = len(open_tasks) - assigned
-                self.overdue_work = self.overdue_work + order.need.scaled(waiting * estimate_ms)
+    long_running: Resources = Resources()
+    offered: Resources = Resources()
+    running: Resources = Resources()
+    overdue_work: Resources = Resources()
+
+    def __add__(self, other: "LoadShare") -> "LoadShare":
+        return LoadShare(
+            self.long_running + other.long_running,
+            self.offered + other.offered,
+            self.running + other.running,
+            self.overdue_work + other.overdue_work,
+        )
+
+    def __sub__(self, other: "LoadShare") -> "LoadShare":
+        return LoadShare(
+            self.long_running - other.long_running,
+            self.offered - other.offered,
+            self.running - other.running,
+            self.overdue_work - other.overdue_work,
+        )
 
     def load(self) -> Load:
         """Return the load, with the overdue work spread over BACKLOG_CLEARANCE_MS."""
@@ -152,13 +143,106 @@
         return Load(self.long_running, batch + self.overdue_work.divided(BACKLOG_CLEARANCE_MS))
 
 
+def load_share(job: Job, now: float, wall_ms: float) -> tuple[LoadShare, float]:
+    """Return what an open job adds to the load, and how long that holds if it does not change.
+
+    `now` is in monotonic seconds, `wall_ms` since 1970, and the result in ms; infinite if the share
+    holds for ever. Of a job that waits for its queue, only what is assigned counts.
+    """
+    long_running = offered = running = overdue_work = Resources()
+    holds_ms = math.inf
+    path_ms = job.longest_path_ms or DEFAULT_ESTIMATE_MS
+    phases = (TaskPhase.ASSIGNED,) if job.waits_for_queue else OPEN_PHASES
+    for step in job.steps.values():
+        order = step.order
+        if order.fills:
+            continue
+        open_tasks = [task for task in step.tasks if task.phase in phases]
+        if order.lasting:
+            long_running += order.need.scaled(len(open_tasks))
+            continue
+        age_ms = (now - job.arrived_at) * 1000
+        if job.has_schedule:
+            age_ms = wall_ms - job.due_ms(step.occurrence)
+        if age_ms < 0:
+            holds_ms = min(holds_ms, -age_ms)
+            continue
+        estimate_ms = order.estimate_ms or DEFAULT_ESTIMATE_MS
+        if assigned := sum(1 for task in open_tasks if task.phase is TaskPhase.ASSIGNED):
+            running += order.need.scaled(assigned)
+        if job.waits_for_queue:
+            continue
+        if age_ms < path_ms:
+            holds_ms = min(holds_ms, path_ms - age_ms)
+            work = order.need.scaled(len(step.tasks) * estimate_ms)
+            offered += work.divided(path_ms)
+        elif waiting := len(open_tasks) - assigned:
+            overdue_work += order.need.scaled(waiting * estimate_ms)
+    return LoadShare(long_running, offered, running, overdue_work), holds_ms
+
+
 def estimate_loads(jobs: Iterable[Job], now: float, wall_ms: float) -> dict[str, Load]:
     """Return the load of each service that has open jobs."""
-    estimators: defaultdict[str, LoadEstimator] = defaultdict(LoadEstimator)
+    shares: defaultdict[str, LoadShare] = defaultdict(LoadShare)
     for job in jobs:
         if job.state not in FINAL_JOB_STATES:
-            estimators[job.service].add(job, now, wall_ms)
-    return {service: estimator.load() for service, estimator in estimators.items()}
+            shares[job.service] += load_share(job, now, wall_ms)[0]
+    return {service: share.load() for service, share in shares.items()}
+
+
+class LoadTracker:
+    """Keep the load of each service that has open jobs, as `estimate_loads` returns it.
+
+    Answers queues of over 1,000 jobs: only the shares of jobs that changed, or that have reached an
+    age at which their share changes, are computed again.
+    """
+
+    def __init__(self) -> None:
+        self._shares: dict[Job, LoadShare] = {}
+        self._sums: dict[str, LoadShare] = {}
+        self._open: Counter[str] = Counter()
+        self._due: list[tuple[float, int, Job]] = []
+        self._pushed = 0
+        self._scheduled: set[Job] = set()
+
+    def update(self, changed: Iterable[Job], now: float, wall_ms: float) -> None:
+        """Bring the shares of the jobs up to date."""
+        due = set(changed) | self._scheduled
+        if len(self._due) > MAX_TIMES_PER_JOB * len(self._shares) + MIN_TIMES:
+            # Most of these times were replaced when their jobs changed.
+            self._due.clear()
+            due.update(self._shares)
+        while self._due and self._due[0][0] <= now:
+            job = heapq.heappop(self._due)[-1]
+            if job in self._shares:
+                due.add(job)
+        for job in due:
+            self._replace(job, now, wall_ms)
+
+    def _replace(self, job: Job, now: float, wall_ms: float) -> None:
+        earlier = self._shares.pop(job, None)
+        if earlier is not None:
+            self._sums[job.service] -= earlier
+            self._open[job.service] -= 1
+        self._scheduled.discard(job)
+        if job.state in FINAL_JOB_STATES:
+            return
+        share, holds_ms = load_share(job, now, wall_ms)
+        self._shares[job] = share
+        self._sums[job.service] = self._sums.get(job.service, LoadShare()) + share
+        self._open[job.service] += 1
+        if job.has_schedule:
+            # The time of day may be set, so that no time is known at which the share changes.
+            self._scheduled.add(job)
+        elif holds_ms < math.inf:
+            self._pushed += 1
+            heapq.heappush(self._due, (now + holds_ms / 1000 - ROUNDING_S, self._pushed, job))
+
+    def loads(self) -> dict[str, Load]:
+        """Return the load of each service that has open jobs."""
+        return {
+            service: share.load() for service, share in self._sums.items() if self._open[service]
+        }
 
 
 def machines_needed(resources: Resources, size: Resources) -> int:
--- a/gypsumplank/coordination/job/model.py
+++ b/gypsumplank/coordination/job/model.py
@@ -115,7 +115,7 @@
     @property
     def is_suspect(self) -> bool:
         """Return whether a worker was lost right after it started the task, or two were at all."""
-        if not self.losses:
+        if not (self.crashes or self.lost_on):
             return False
         lost_at_start = any(lost.at_start for lost in self.lost_on)
         return bool(self.crashes_at_start) or lost_at_start or self.losses > 1
--- a/gypsumplank/coordination/job/placement.py
+++ b/gypsumplank/coordination/job/placement.py
@@ -138,9 +138,12 @@
         }
         self._groups: dict[tuple[str, str], CandidateGroup] = {}
 
-    def may_fit(self, pending: PendingStep) -> bool:
-        """Return False if the free resources are too small for any task of a step."""
-        group = self._group(pending)
+    def most_free(self, service: str, label: str) -> Resources:
+        """Return the largest free amount of each resource on any worker of a group.
+
+        A step that needs more fits on none of them.
+        """
+        group = self._group(service, label)
         if group.most_free is None:
             free = [self._free[each.id] for each in group.instances]
             group.most_free = Resources(
@@ -148,12 +151,12 @@
                 max((each.memory_mb for each in free), default=-1),
                 max((each.accelerators for each in free), default=-1),
             )
-        return group.most_free.can_fit(resource_need(pending.step.order))
+        return group.most_free
 
     def place(self, pending: PendingStep) -> list[Placement]:
         """Return placements of as many tasks as fit; a gang is placed as a whole or not at all."""
         order = pending.step.order
-        if self._group(pending).is_unplaceable(resource_need(order)):
+        if self._group(pending.job.service, order.label).is_unplaceable(resource_need(order)):
             return []
         active = [task for task in pending.step.tasks if task.phase is TaskPhase.ASSIGNED]
         per_worker = Counter(task.worker for task in active)
@@ -183,8 +186,7 @@
                 group.most_free = None
         return placed
 
-    def _group(self, pending: PendingStep) -> CandidateGroup:
-        service, label = pending.job.service, pending.step.order.label
+    def _group(self, service: str, label: str) -> CandidateGroup:
         if (service, label) not in self._groups:
             instances = [
                 instance
@@ -204,7 +206,7 @@
     ) -> WorkerInstance | None:
         order = task.step.order
         need = resource_need(order)
-        group = self._group(pending)
+        group = self._group(pending.job.service, order.label)
         if group.is_unplaceable(need):
             return None
         candidates = _candidates(group, pending, task, self._now)
--- a/gypsumplank/coordination/job/readiness.py
+++ b/gypsumplank/coordination/job/readiness.py
@@ -7,14 +7,21 @@
 import heapq
 import math
 from bisect import bisect_left, insort
-from collections.abc import Iterator, Sequence
+from collections import defaultdict
+from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 
 from gypsumplank.coordination.job.attempt import find_exhausted, find_startable
 from gypsumplank.coordination.job.crash import withheld_until
 from gypsumplank.coordination.job.model import Job, Step, Task
-from gypsumplank.coordination.job.placement import PendingStep, urgency, urgency_ends_at
-from gypsumplank.protocol.job import FINAL_JOB_STATES, TaskPhase
+from gypsumplank.coordination.job.placement import (
+    PendingStep,
+    resource_need,
+    urgency,
+    urgency_ends_at,
+)
+from gypsumplank.protocol.job import FINAL_JOB_STATES, Resources, TaskPhase
 from gypsumplank.protocol.queue import Queue
 
 # Times of removed steps that are kept at least, so that they are seldom searched for.
@@ -80,6 +87,8 @@
 
 
 Urgency = tuple[int, int, float]
+# Returns the largest free amount of each resource on the workers of a service that have a label.
+MostFree = Callable[[str, str], Resources]
 
 
 @dataclass(eq=False)
@@ -91,12 +100,22 @@
     urgency: Urgency
     removed: bool = False
 
+    def __post_init__(self) -> None:
+        """Take from the job what is looked at in each round."""
+        order = self.pending.step.order
+        self.group = (self.pending.job.service, order.label)
+        self.need = resource_need(order)
+
     @property
     def sort_key(self) -> tuple[Urgency, tuple[int, int]]:
         """Return the key by which ready steps are sorted."""
         return (self.urgency, self.place)
 
 
+SortedStep = tuple[Urgency, tuple[int, int], ReadyStep]
+SortedSteps = list[SortedStep]
+
+
 @dataclass
 class JobEntry:
     """Store the ready steps of a job, and when it has to be examined again."""
@@ -114,7 +133,8 @@
 
     def __init__(self) -> None:
         self._jobs: dict[Job, JobEntry] = {}
-        self._sorted: list[tuple[Urgency, tuple[int, int], ReadyStep]] = []
+        self._groups: defaultdict[tuple[str, str], SortedSteps] = defaultdict(list)
+        self._count = 0
         self._less_urgent_at: list[tuple[float, tuple[int, int], int, ReadyStep]] = []
         self._timed: set[Job] = set()
         self._scheduled: dict[Job, JobEntry] = {}
@@ -177,19 +197,24 @@
 
     def _drop_removed(self) -> None:
         """Forget the times of steps that were removed, once they are most."""
-        if len(self._less_urgent_at) > 2 * len(self._sorted) + MIN_DROPPED:
+        if len(self._less_urgent_at) > 2 * self._count + MIN_DROPPED:
             self._less_urgent_at = [item for item in self._less_urgent_at if not item[-1].removed]
             heapq.heapify(self._less_urgent_at)
 
     def _insert(self, ready: ReadyStep) -> None:
-        insort(self._sorted, (ready.urgency, ready.place, ready))
+        insort(self._groups[ready.group], (ready.urgency, ready.place, ready))
+        self._count += 1
         ends_at = urgency_ends_at(ready.pending, ready.urgency)
         if ends_at < math.inf:
             self._pushed += 1
             heapq.heappush(self._less_urgent_at, (ends_at, ready.place, self._pushed, ready))
 
     def _take_out(self, ready: ReadyStep) -> None:
-        del self._sorted[bisect_left(self._sorted, ready.sort_key)]
+        steps = self._groups[ready.group]
+        del steps[bisect_left(steps, ready.sort_key)]
+        self._count -= 1
+        if not steps:
+            del self._groups[ready.group]
 
     def update_urgency(self, now: float, wall_ms: float) -> None:
         """Sort the steps again whose urgency has changed as time has passed."""
@@ -208,9 +233,17 @@
         ready.urgency = current
         self._insert(ready)
 
-    def by_urgency(self) -> Iterator[PendingStep]:
-        """Yield the ready steps, the most urgent first."""
-        return (ready.pending for _, _, ready in self._sorted)
+    def that_may_fit(self, most_free: MostFree) -> Iterator[PendingStep]:
+        """Yield the ready steps that may fit on some worker, the most urgent first.
+
+        Steps that need more than is free on any worker of their group are skipped; tasks may be
+        placed between two steps.
+        """
+        groups = (
+            _that_may_fit(steps, partial(most_free, *group))
+            for group, steps in self._groups.items()
+        )
+        return (ready.pending for _, _, ready in heapq.merge(*groups))
 
     def lasting(self) -> list[PendingStep]:
         """Return the ready steps of long-running tasks, in the order of their jobs."""
@@ -221,5 +254,18 @@
         return _in_place(self._advised)
 
 
+def _that_may_fit(steps: SortedSteps, most_free: Callable[[], Resources]) -> Iterator[SortedStep]:
+    free = most_free()
+    for item in steps:
+        need = item[-1].need
+        if (
+            need.cpu <= free.cpu
+            and need.memory_mb <= free.memory_mb
+            and need.accelerators <= free.accelerators
+        ):
+            yield item
+            free = most_free()
+
+
 def _in_place(steps: dict[tuple[int, int], ReadyStep]) -> list[PendingStep]:
     return [steps[place].pending for place in sorted(steps)]
--- a/gypsumplank/coordination/job/scaling.py
+++ b/gypsumplank/coordination/job/scaling.py
@@ -17,7 +17,6 @@
 from gypsumplank.coordination.job.demand import (
     Load,
     ServiceDemand,
-    estimate_loads,
     machines_needed,
     minimum_sizes,
 )
@@ -89,7 +88,7 @@
         if standby is None:
             self._cancel_moves(list(instances.values()), len(instances))
         else:
-            loads = estimate_loads(scheduler.workload.jobs.values(), now, scheduler.wall_ms())
+            loads = scheduler.estimate_loads()
             services = find_services(manifest, loads, self._controller.machines.values())
             self._plan_pools(services - {standby}, standby, loads, instances, now)
         self._execute_moves(scheduler, instances, now)
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 
 from gypsumplank.coordination.job.command import CommandSender, PendingStart
+from gypsumplank.coordination.job.demand import Load, LoadTracker
 from gypsumplank.coordination.job.dispatcher import WorkerDispatcher
 from gypsumplank.coordination.job.evidence import (
     are_leases_over,
@@ -40,6 +41,9 @@
 # heartbeats; the platform allows three.
 MAX_CAPACITY_AGE_HEARTBEATS = 2.0
 
+# Jobs whose changes are kept until their load is asked for; it is not in every deployment.
+MAX_LOAD_CHANGES = 5000
+
 logger = logging.getLogger(__name__)
 
 
@@ -61,6 +65,8 @@
         self.workload = Workload()
         self._changes = self.workload.follow()
         self._ready = ReadySteps()
+        self._load_changes = self.workload.follow()
+        self._loads = LoadTracker()
         self._queues_seen = self._queues.generation
         self.fleet = Fleet(clock, max_lease_s, heartbeat_s)
         self.commands = CommandSender(clock, token, self._is_capacity_known)
@@ -142,9 +148,7 @@
         self._evict(self._ready.lasting(), instances, now)
         placement_round = PlacementRound(instances, now)
         assigned_jobs: dict[str, Job] = {}
-        for pending_step in self._ready.by_urgency():
-            if not placement_round.may_fit(pending_step):
-                continue
+        for pending_step in self._ready.that_may_fit(placement_round.most_free):
             if pending_step.queue.advice is not None:
                 known = permits.get(pending_step.step.key)
                 pending_step = replace(pending_step, permits=known)  # noqa: PLW2901
@@ -153,6 +157,8 @@
                 self._assign(pending_step, placed)
                 assigned_jobs[pending_step.job.id] = pending_step.job
         self.workload.update_job_states(assigned_jobs.values(), now)
+        if len(self._load_changes) > MAX_LOAD_CHANGES:
+            self.estimate_loads()
 
     def _update_ready(self, changed: Collection[Job], now: float, wall_ms: float) -> None:
         """Bring the ready steps up to date: of the jobs that changed, and as time has passed."""
@@ -253,6 +259,11 @@
         """Send what has been committed: starts, stops and acknowledgements of task ends."""
         self.commands.send(self.instances.values(), self.workload.are_steps_stored)
 
+    def estimate_loads(self) -> dict[str, Load]:
+        """Return the load of each service that has open jobs."""
+        self._loads.update(self._load_changes.take(), self.now(), self.wall_ms())
+        return self._loads.loads()
+
     def request_stop(self, tasks: Collection[Task]) -> None:
         """Mark runs to be stopped; their tasks keep their checkpoints."""
         now = self._clock.monotonic()
