--- a/gypsumplank/coordination/job/command.py
+++ b/gypsumplank/coordination/job/command.py
@@ -188,14 +188,10 @@
     def _send_stops(self, instance: WorkerInstance, now: float) -> None:
         if instance.detached:
             return
-        for task in list(instance.tasks.values()):
+        for task in [task for task in instance.tasks.values() if _must_stop(task, instance)]:
             if task.sent_at == 0 and not task.unconfirmed_since:
                 continue
-            if (
-                _must_stop(task, instance)
-                and now >= task.stop_sent_at + STOP_RETRY_S
-                and not task.stop_confirmed_at
-            ):
+            if now >= task.stop_sent_at + STOP_RETRY_S and not task.stop_confirmed_at:
                 if not task.stop_sent_at and is_stop_void(task, instance, now):
                     task.should_run, task.stop_requested_at = True, 0.0
                     event(logger, Event.STOP_WITHDRAWN, task=task.name, worker=instance.id)
@@ -222,10 +218,10 @@
 
 
 def _must_stop(task: Task, instance: WorkerInstance) -> bool:
+    if not task.should_run or 0 < task.unconfirmed_since < instance.last_contact_at:
+        return True
     job = task.step.job
-    is_over = job.cancelled or job.state in FINAL_JOB_STATES
-    is_missing = 0 < task.unconfirmed_since < instance.last_contact_at
-    return is_over or is_missing or not task.should_run
+    return job.cancelled or job.state in FINAL_JOB_STATES
 
 
 def _shared_checkpoint(task: Task) -> str:
--- a/gypsumplank/coordination/job/instance.py
+++ b/gypsumplank/coordination/job/instance.py
@@ -206,7 +206,13 @@
 
     def has_suspect(self) -> bool:
         """Return whether a task is here that may crash its workers and has not proven harmless."""
-        return any(task.is_suspect and not task.has_proven_harmless for task in self.tasks.values())
+        return any(
+            task.is_suspect and not task.has_proven_harmless for task in self._tasks_with_losses()
+        )
+
+    def _tasks_with_losses(self) -> list[Task]:
+        """Return the tasks under which a worker was lost."""
+        return [task for task in list(self.tasks.values()) if task.crashes or task.lost_on]
 
     def latest_start(self, now: float) -> float:
         """Return when a run was last started here; `now` if a start is about to be sent."""
@@ -214,14 +220,16 @@
 
     def has_starting_suspect(self) -> bool:
         """Return whether a task that may crash its workers has just been started here."""
-        return any(task.is_suspect and not task.has_settled for task in list(self.tasks.values()))
+        return any(task.is_suspect and not task.has_settled for task in self._tasks_with_losses())
 
     def used(self) -> Resources:
         """Return the resources that the assigned tasks take; best-effort tasks take no CPU."""
         cpu = memory = accelerators = 0
         for task in self.tasks.values():
-            need = task.step.order.need
-            cpu += 0 if task.step.order.fills else need.cpu
+            order = task.step.order
+            need = order.need
+            if not order.fills:
+                cpu += need.cpu
             memory += need.memory_mb
             accelerators += need.accelerators
         return Resources(cpu, memory, accelerators)
--- a/gypsumplank/coordination/job/preemption.py
+++ b/gypsumplank/coordination/job/preemption.py
@@ -87,6 +87,9 @@
         if not instance.is_in_contact(now):
             continue
         for task in instance.tasks.values():
+            # Most runs have progressed lately, so that this is looked at first.
+            if task.last_reported_at - task.progressed_at <= MIN_STALL_TIMEOUT_S:
+                continue
             watched = task.should_run and not task.step.order.lasting and task.progressed_at
             if not watched or not task.speed_limit_percent:
                 continue
