Renew the scheduler's lease within rounds, and load waiting jobs between rounds

The renewal waited for the end of a round, whose commits may be many and slow, and a take-over decoded and placed all jobs before its first start. The lease is now renewed before each write that is due, jobs that have not begun are added in chunks, and histograms show the rounds and the renewals.

--- a/gypsumplank/composition/platform.py
+++ b/gypsumplank/composition/platform.py
@@ -15,6 +15,7 @@
 from gypsumplank.coordination.job.scaling import PoolScaler
 from gypsumplank.coordination.job.submission import JobService, log_error_response
 from gypsumplank.coordination.job.term import MachineManager, PlatformPorts
+from gypsumplank.coordination.job.timing import create_leader_timings
 from gypsumplank.coordination.lease import LeaseManager
 from gypsumplank.eventcount import EventCounter
 from gypsumplank.log import Event, event
@@ -166,6 +167,7 @@
             heartbeat_s=settings.heartbeat_s,
             candidates=self._daemon_registry,
             status_s=settings.status_s,
+            timings=create_leader_timings(self._metrics),
         )
 
     def _make_listeners(self) -> None:
--- a/gypsumplank/coordination/job/intake.py
+++ b/gypsumplank/coordination/job/intake.py
@@ -1,7 +1,8 @@
 """Take up what the store tells of jobs: new ones, cancellations, and states changed by others."""
 
 import logging
-from collections.abc import Iterable
+from bisect import bisect_right
+from collections.abc import Callable, Iterable
 
 from gypsumplank.coordination.job.model import Job
 from gypsumplank.coordination.job.scheduler import Scheduler
@@ -14,20 +15,30 @@
 from gypsumplank.state.job import JobStore, LoadedJob, StateValue, decode_order
 from gypsumplank.state.table import Row
 
+# Unknown jobs that are read one by one after a snapshot; the next snapshot finds the others.
+MAX_READS_PER_SNAPSHOT = 50
+
 logger = logging.getLogger(__name__)
 
 
 class JobIntake:
-    """Add what the store tells to the jobs of a term; used by the scheduler's thread only."""
+    """Add what the store tells to the jobs of a term; used by the scheduler's thread only.
+
+    `renew_if_due` renews the lease between two calls to the store; it may raise StateError.
+    """
 
-    def __init__(self, store: JobStore, clock: Clock) -> None:
+    def __init__(
+        self, store: JobStore, clock: Clock, renew_if_due: Callable[[], None] = lambda: None
+    ) -> None:
         self._store = store
         self._clock = clock
+        self._renew_if_due = renew_if_due
+        self._last_read = ""
 
     def add_new_jobs(self, workload: Workload, rows: Iterable[Row]) -> None:
         """Add the jobs of these rows that are not known yet."""
         for row in rows:
-            if row.key not in workload.jobs:
+            if not workload.knows(row.key):
                 self._add_job(workload, row)
 
     def _add_job(self, workload: Workload, row: Row) -> None:
@@ -58,18 +69,28 @@
         """
         workload = scheduler.workload
         scheduler.fleet.apply_entries(snapshot.entries, is_complete, snapshot.requested_at)
-        for job_id in snapshot.pending - workload.jobs.keys():
+        for job_id in self._choose_unknown(workload, snapshot):
+            self._renew_if_due()
             row = self._store.find_order(job_id)
             if row is not None:
                 self._add_job(workload, row)
         for job_id in snapshot.cancels:
             workload.cancel(job_id)
 
+    def _choose_unknown(self, workload: Workload, snapshot: StoreSnapshot) -> list[str]:
+        """Return some unknown jobs of a snapshot, in turn, as there may be some that stay so."""
+        unknown = sorted(job for job in snapshot.pending if not workload.knows(job))
+        first = bisect_right(unknown, self._last_read)
+        chosen = [*unknown[first:], *unknown[:first]][:MAX_READS_PER_SNAPSHOT]
+        self._last_read = chosen[-1] if chosen else ""
+        return chosen
+
     def recheck_states(self, workload: Workload, jobs: Iterable[Job]) -> None:
         """Read the states of jobs whose changes met a conflict; raise StateError."""
         for job in jobs:
             if not job.state_dirty:
                 continue
+            self._renew_if_due()
             try:
                 value, version = self._store.state(job.id)
             except JobMissingError:
--- a/gypsumplank/coordination/job/leader.py
+++ b/gypsumplank/coordination/job/leader.py
@@ -1,17 +1,19 @@
 """Elect a leader by the scheduler's lease; the leader runs the scheduler and stores its state."""
 
 import logging
-import queue
 import threading
 from collections.abc import Callable, Iterable
 
 from gypsumplank.coordination.job.commit import JobCommitter
+from gypsumplank.coordination.job.contact import HOLDER_RENEWAL_GRACE_S, StoreContact
 from gypsumplank.coordination.job.cutoff import CutOffDetector
 from gypsumplank.coordination.job.fleet import EXTENSION_GRACE_S
+from gypsumplank.coordination.job.inbox import Inbox
 from gypsumplank.coordination.job.intake import JobIntake
 from gypsumplank.coordination.job.knownqueue import KnownQueues
 from gypsumplank.coordination.job.model import Job
 from gypsumplank.coordination.job.permit import PermitCache
+from gypsumplank.coordination.job.renewal import LeaseRenewal
 from gypsumplank.coordination.job.retention import StateRetention
 from gypsumplank.coordination.job.scheduler import Scheduler
 from gypsumplank.coordination.job.silence import SilentWorkers
@@ -25,6 +27,7 @@
     TermFactory,
     ThreadedTermFactory,
 )
+from gypsumplank.coordination.job.timing import LeaderTimings
 from gypsumplank.coordination.job.watch import StoreSnapshot
 from gypsumplank.errors import (
     GypsumplankError,
@@ -47,12 +50,6 @@
 # Longest wait for the hand-over at a stop, seconds; if it takes longer, another daemon takes the
 # lease once it has expired.
 CLOSE_TIMEOUT_S = 0.5
-# Time after a store outage in which the holder may renew the lease before another daemon takes it,
-# seconds; two checks of the lease.
-HOLDER_RENEWAL_GRACE_S = 2 * LEASE_CHECK_INTERVAL_S
-# Time after a store outage in which workers' entries may still be missing, seconds; the platform
-# states about 2 s.
-ENTRY_RECOVERY_S = 2.5
 # Minimum time between hand-overs of the lease to a faster daemon, seconds; equals
 # LIVENESS_TIMEOUT_S in registry.py, for which a daemon that exited may still count as live.
 MIN_YIELD_INTERVAL_S = 10.0
@@ -76,7 +73,9 @@
         heartbeat_s: float = 1.5,
         candidates: LeaderCandidates | None = None,
         status_s: float = 120.0,
+        timings: LeaderTimings | None = None,
     ) -> None:
+        self._timings = timings or LeaderTimings()
         self._candidates = candidates or NoCandidates()
         self._heartbeat_s = heartbeat_s
         self._ports = ports
@@ -86,20 +85,27 @@
         self._queues = KnownQueues(manifest)
         self._max_lease_s = max_lease_s
         self._machine_manager = machine_manager
-        self._inbox: queue.SimpleQueue[Callable[[], None]] = queue.SimpleQueue()
+        self._inbox = Inbox()
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._run, name="chief", daemon=True)
         self._term: Term | None = None
         self._silent_workers = SilentWorkers(ports.store, ports.store_clock)
         self._retention = StateRetention(ports.store, status_s)
-        self._intake = JobIntake(ports.store, clock)
+        self._renewal = LeaseRenewal(
+            ports.leases,
+            SCHEDULER_LEASE,
+            clock,
+            LEASE_CHECK_INTERVAL_S,
+            self._timings.renewal_gap_s,
+        )
+        self._intake = JobIntake(ports.store, clock, self._renewal.renew_if_due)
         self._cut_off = CutOffDetector(clock)
         self._suspension_log = SuspensionLog()
         self._next_lease_check_at = 0.0
         self._must_renew = False
-        self._store_unavailable = False
+        self._contact = StoreContact(clock)
         self._next_yield_at = 0.0
-        self._store_recovered_at = -ENTRY_RECOVERY_S
+        self._round_ended_at: float | None = None
 
     @property
     def is_leader(self) -> bool:
@@ -122,7 +128,7 @@
     def _run(self) -> None:
         while not self._stop.is_set():
             try:
-                self.run_once(MAX_ROUND_INTERVAL_S if self._term else LEASE_CHECK_INTERVAL_S)
+                self.run_once(self._wait_s())
             except GypsumplankError as exc:
                 event(logger, Event.ROUND_FAILED, logging.WARNING, code=exc.code, detail=exc.detail)
             except Exception:
@@ -131,9 +137,15 @@
         self._resign("stop")
         self._ports.leases.close()
 
+    def _wait_s(self) -> float:
+        """Return how long to wait for a call before the next round, in seconds."""
+        if self._term is None:
+            return LEASE_CHECK_INTERVAL_S
+        return 0.0 if self._term.scheduler.workload.postponed else MAX_ROUND_INTERVAL_S
+
     def run_once(self, wait_s: float) -> None:
         """Run the queued calls, renew the lease if due, and run one scheduling round."""
-        for call in self._queued_calls(wait_s):
+        for call in self._inbox.take(wait_s):
             call()
             self._check_lease_if_due()
         self._check_lease_if_due()
@@ -142,15 +154,6 @@
         else:
             self._run_round(self._term)
 
-    def _queued_calls(self, wait_s: float) -> Iterable[Callable[[], None]]:
-        try:
-            yield self._inbox.get(timeout=wait_s)
-            # Calls that are queued meanwhile wait, so that a busy inbox holds up no round.
-            for _ in range(self._inbox.qsize()):
-                yield self._inbox.get_nowait()
-        except queue.Empty:
-            return
-
     def _check_lease_if_due(self) -> None:
         if self._clock.monotonic() >= self._next_lease_check_at:
             self._tick_lease()
@@ -164,15 +167,15 @@
                 self._resign("yield")
                 leases.close()
                 return
-            if self._renew() or self._store_unavailable:
+            if self._renew() or self._contact.is_lost:
                 return
             self._next_lease_check_at = self._clock.monotonic() + LEASE_CHECK_INTERVAL_S
         try:
             leases.tick([SCHEDULER_LEASE], (), self._takeover_delay_s())
         except StateError as exc:
-            self._record_store_result(exc)
+            self._contact.record(exc)
             return
-        self._record_store_result(None)
+        self._contact.record(None)
         epoch = leases.epoch(SCHEDULER_LEASE)
         if self._term is not None and epoch != self._term.epoch:
             self._resign("lease")
@@ -182,32 +185,22 @@
     def _should_yield(self) -> bool:
         """Return whether to hand the lease over to a faster daemon now."""
         now = self._clock.monotonic()
-        may_yield = now >= self._next_yield_at and not self._store_unavailable
+        may_yield = now >= self._next_yield_at and not self._contact.is_lost
         if not (may_yield and self._candidates.any_faster()):
             return False
         self._next_yield_at = now + MIN_YIELD_INTERVAL_S
         return True
 
-    def _record_store_result(self, exc: StateError | None) -> None:
-        if (exc is not None) == self._store_unavailable:
-            return
-        self._store_unavailable = exc is not None
-        if exc is not None:
-            event(logger, Event.STORE_LOST, logging.WARNING, code=exc.code, detail=exc.detail)
-        else:
-            self._store_recovered_at = self._clock.monotonic()
-            event(logger, Event.STORE_REGAINED)
-
     def _takeover_delay_s(self) -> float:
         """Return for how long a free lease is left to others, in seconds; may be infinite."""
-        recovered = self._clock.monotonic() < self._store_recovered_at + 2 * HOLDER_RENEWAL_GRACE_S
-        grace_s = HOLDER_RENEWAL_GRACE_S if recovered or self._store_unavailable else 0.0
+        grace_s = HOLDER_RENEWAL_GRACE_S if self._contact.is_renewal_expected else 0.0
         # The delays add up, so that after an outage faster daemons still come first.
         return self._candidates.takeover_delay_s() + grace_s
 
     def _take_over(self, epoch: int) -> None:
         if self._manifest() is None:
             return
+        self._renewal.begin_term()
         scheduler = self._load_scheduler(epoch)
         fence = self._ports.leases.fence(SCHEDULER_LEASE)
         if fence is None:
@@ -222,7 +215,7 @@
         committer = JobCommitter(
             self._ports.store,
             self._clock,
-            lambda: self._ports.leases.fence(SCHEDULER_LEASE),
+            self._renewed_fence,
             self._cut_off.record_answer,
         )
         term = Term(epoch, scheduler, committer, dispatcher)
@@ -238,13 +231,14 @@
             watcher.start()
         now = self._clock.monotonic()
         self._term = term
+        self._round_ended_at = None
         self._next_yield_at = max(self._next_yield_at, now + LEASE_CHECK_INTERVAL_S)
         self._machine_manager.start_term(epoch, now)
         event(
             logger,
             Event.SCHEDULER_LOADED,
             epoch=epoch,
-            jobs=len(scheduler.workload.jobs),
+            jobs=len(scheduler.workload.jobs) + len(scheduler.workload.postponed),
             workers=len(scheduler.instances),
             version=fence.version,
         )
@@ -254,25 +248,26 @@
 
         Raises StateError.
         """
-        jobs, ended = self._ports.store.load(self._renew_if_due)
+        renew_if_due = self._renewal.renew_if_due
+        rows, ended = self._ports.store.scan_jobs(renew_if_due)
         entries = self._ports.directory.workers()
-        self._renew_if_due()
+        renew_if_due()
         lease_s = self._max_lease_s()
         scheduler = Scheduler(
             self._clock, self._manifest, epoch, lease_s, self._heartbeat_s, self._queues
         )
-        scheduler.load(jobs, entries)
-        self._renew_if_due()
+        scheduler.load_rows(rows, entries, renew_if_due)
         now = self._clock.monotonic()
         self._silent_workers.load(scheduler.instances.values(), EXTENSION_GRACE_S + lease_s, now)
         scheduler.workload.ended_at.update(dict.fromkeys(ended, now))
         return scheduler
 
-    def _renew_if_due(self) -> None:
-        """Renew the lease if that is due; raise StateError if it is lost."""
-        if self._clock.monotonic() >= self._next_lease_check_at:
-            self._next_lease_check_at = self._clock.monotonic() + LEASE_CHECK_INTERVAL_S
-            self._ports.leases.renew(SCHEDULER_LEASE)
+    def _renewed_fence(self) -> Check | None:
+        """Renew the lease if that is due; return the check for a write, None if it is not held."""
+        fence = self._ports.leases.fence
+        if fence(SCHEDULER_LEASE) is None or (self._renewal.is_due and not self._renew()):
+            return None
+        return fence(SCHEDULER_LEASE)
 
     def _may_extend_leases(self) -> bool:
         """Return whether tasks' leases may be extended.
@@ -307,9 +302,7 @@
             event(logger, Event.SCHEDULER_STOPPED, epoch=term.epoch, why=reason)
 
     def _apply_snapshot(self, term: Term, snapshot: StoreSnapshot) -> None:
-        are_entries_back = self._clock.monotonic() >= self._store_recovered_at + ENTRY_RECOVERY_S
-        is_complete = are_entries_back and not self._store_unavailable
-        self._intake.apply_snapshot(term.scheduler, snapshot, is_complete)
+        self._intake.apply_snapshot(term.scheduler, snapshot, self._contact.are_entries_complete)
 
     def _run_round(self, term: Term) -> None:
         fence = self._ports.leases.fence(SCHEDULER_LEASE)
@@ -317,6 +310,10 @@
         if fence is None or (self._must_renew and not self._renew()):
             return
         now = self._clock.monotonic
+        started = now()
+        if self._round_ended_at is not None:
+            self._timings.round_gap_s(started - self._round_ended_at)
+        scheduler.workload.add_postponed()
         self._machine_manager.maintenance.plan(scheduler, now())
         scheduler.plan()
         instances = scheduler.instances.values()
@@ -331,20 +328,22 @@
         if scheduler.commands.fenced:
             scheduler.commands.fenced = False
             self._next_lease_check_at = 0.0
+        self._round_ended_at = now()
+        self._timings.round_s(self._round_ended_at - started)
 
     def _renew(self) -> bool:
         """Renew the lease's row, which also invalidates a commit of unknown outcome."""
         try:
-            self._ports.leases.renew(SCHEDULER_LEASE)
+            self._renewal.renew()
         except StateConflictError:
             self._next_lease_check_at = 0.0
             return False
         except StateError as exc:
-            self._record_store_result(exc)
+            self._contact.record(exc)
             self._record_failed_write()
             return False
         self._cut_off.record_answer()
-        self._record_store_result(None)
+        self._contact.record(None)
         self._must_renew = False
         return True
 
@@ -371,7 +370,7 @@
 
     def _try_write(self, write: Callable[[Check], None]) -> bool:
         """Make a write that needs the lease only; return whether it succeeded."""
-        fence = self._ports.leases.fence(SCHEDULER_LEASE)
+        fence = self._renewed_fence()
         if fence is None:
             return False
         try:
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -1,6 +1,7 @@
 """Schedule all jobs while this daemon is the leader; used by the scheduler's thread only."""
 
 import logging
+import math
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import replace
 
@@ -35,7 +36,7 @@
     WorkerEntry,
 )
 from gypsumplank.state.clock import Clock
-from gypsumplank.state.job import LoadedJob
+from gypsumplank.state.job import JobRows, LoadedJob, in_chunks
 
 # Age of a worker's entry up to which its capacity is relied on if the worker does not check it, in
 # heartbeats; the platform allows three.
@@ -88,11 +89,38 @@
         """Return the worker instances, keyed by worker or, if not registered, by instance."""
         return self.fleet.instances
 
-    def load(self, jobs: Sequence[LoadedJob], entries: Sequence[WorkerEntry]) -> None:
+    def load_rows(
+        self,
+        rows: Iterable[JobRows],
+        entries: Sequence[WorkerEntry],
+        on_progress: Callable[[], None],
+    ) -> None:
+        """Restore the jobs that have begun, and postpone the others, the most urgent first.
+
+        The others have no runs that a start must respect. Calls `on_progress` after each
+        LOAD_CHUNK_JOBS jobs; an error that it raises ends the load.
+        """
+        begun: list[JobRows] = []
+        waiting: list[JobRows] = []
+        for job in rows:
+            (begun if job.has_begun else waiting).append(job)
+        manifest = self._manifest()
+        priorities = {queue.name: queue.priority for queue in manifest.queues} if manifest else {}
+        waiting.sort(key=lambda job: (priorities.get(job.queue, math.inf), job.order.version))
+        self.workload.postpone(waiting, self._clock.monotonic())
+        decoded = (job.decode() for job in in_chunks(begun, on_progress))
+        self.load([job for job in decoded if job is not None], entries, on_progress)
+
+    def load(
+        self,
+        jobs: Sequence[LoadedJob],
+        entries: Sequence[WorkerEntry],
+        on_progress: Callable[[], None] = lambda: None,
+    ) -> None:
         """Restore the state that an earlier leader has stored."""
         now = self._clock.monotonic()
         self.fleet.apply_entries(entries)
-        restored = [self.workload.add(loaded, now) for loaded in jobs]
+        restored = [self.workload.add(loaded, now) for loaded in in_chunks(jobs, on_progress)]
         self.fleet.restore([task for job in restored for task in job.assigned_tasks()], now)
         for job in restored:
             for task in job.tasks():
--- a/gypsumplank/coordination/job/workload.py
+++ b/gypsumplank/coordination/job/workload.py
@@ -7,6 +7,7 @@
 import logging
 import re
 from collections.abc import Collection, Iterable, Iterator, Sequence
+from dataclasses import replace
 from itertools import count, islice, takewhile
 
 from gypsumplank.coordination.job.model import Job, Task
@@ -21,6 +22,7 @@
     TABLE_PENDING,
     TABLE_STATES,
     TABLE_STEPS,
+    JobRows,
     JobUpdate,
     LoadedJob,
     pending_key,
@@ -31,6 +33,9 @@
 )
 from gypsumplank.state.table import Check, Write
 
+# Jobs that have not begun and that are added before one round; they take less time than a round.
+POSTPONED_CHUNK_JOBS = 50
+
 NUMBER = re.compile(r"[0-9]{1,9}")
 
 logger = logging.getLogger(__name__)
@@ -69,11 +74,16 @@
 
 
 class Workload:
-    """Keep jobs by identifier, and when ended ones were removed, in monotonic seconds."""
+    """Keep jobs by identifier, and when ended ones were removed, in monotonic seconds.
+
+    `postponed` are the rows of jobs that have not begun and are not added yet.
+    """
 
     def __init__(self) -> None:
         self.jobs: dict[str, Job] = {}
         self.ended_at: dict[str, float] = {}
+        self.postponed: dict[str, JobRows] = {}
+        self._postponed_at = 0.0
         self._numbers = count()
         self._unstored: set[Job] = set()
         self._followers: list[JobChanges] = []
@@ -114,6 +124,23 @@
         job.note_change()
         return job
 
+    def knows(self, job_id: str) -> bool:
+        """Return whether a job was added or postponed."""
+        return job_id in self.jobs or job_id in self.postponed
+
+    def postpone(self, jobs: Iterable[JobRows], now: float) -> None:
+        """Keep jobs that have not begun, to be added later as if they were added now."""
+        self.postponed.update((rows.id, rows) for rows in jobs)
+        self._postponed_at = now
+
+    def add_postponed(self, limit: int = POSTPONED_CHUNK_JOBS) -> None:
+        """Add the first postponed jobs; those that cannot be decoded are logged and left out."""
+        for rows in list(islice(self.postponed.values(), limit)):
+            loaded = rows.decode()
+            if loaded is not None and rows.id not in self.ended_at:
+                self.add(loaded, self._postponed_at)
+            del self.postponed[rows.id]
+
     def task(self, name: str) -> Task | None:
         """Return the task of this name; None if it is unknown."""
         try:
@@ -126,6 +153,8 @@
 
     def cancel(self, job_id: str) -> None:
         """Mark a job as cancelled, as it is in the store."""
+        if rows := self.postponed.get(job_id):
+            self.postponed[job_id] = replace(rows, cancelled=True)
         job = self.jobs.get(job_id)
         if job is not None and not (job.cancelled and job.state is JobState.CANCELLED):
             job.cancelled = True
--- a/gypsumplank/state/job.py
+++ b/gypsumplank/state/job.py
@@ -62,6 +62,11 @@
     state: JobState
     queue: str
 
+    @property
+    def has_begun(self) -> bool:
+        """Return whether a task of the job has been assigned at some time, unless it was ended."""
+        return self.state is JobState.RUNNING
+
 
 @dataclass(frozen=True)
 class JobUpdate:
@@ -183,6 +188,58 @@
         return False
 
 
+@dataclass(frozen=True)
+class JobRows:
+    """Store the rows of a job as they were read."""
+
+    order: Row
+    state: Row | None
+    cancelled: bool
+    steps: Sequence[Row] = ()
+
+    @property
+    def id(self) -> str:
+        """Return the identifier that the caller chose."""
+        return self.order.key
+
+    @property
+    def queue(self) -> str:
+        """Return the job's queue; empty if that cannot be decoded."""
+        value = self._state_value()
+        return value.queue if value else ""
+
+    @property
+    def has_begun(self) -> bool:
+        """Return whether a task may have been assigned, or the state cannot be decoded."""
+        value = self._state_value()
+        is_undecodable = self.state is not None and value is None
+        return bool(self.steps) or is_undecodable or (value is not None and value.has_begun)
+
+    def _state_value(self) -> StateValue | None:
+        try:
+            return decode(self.state.value, StateValue) if self.state else None
+        except EntryInvalidError:
+            return None
+
+    def decode(self) -> LoadedJob | None:
+        """Return the job; log it and return None if a row cannot be decoded.
+
+        Such a job is left out, as its tasks may have run.
+        """
+        try:
+            return _decode_job(self.order, self.state, self.cancelled, self.steps)
+        except EntryInvalidError as exc:
+            event(
+                logger,
+                Event.ENTRY_DROPPED,
+                logging.ERROR,
+                job=self.id,
+                code=exc.code,
+                detail=exc.detail,
+            )
+            return None
+
+
 def _decode_job(row: Row, state: Row | None, cancelled: bool, steps: Iterable[Row]) -> LoadedJob:
     value = decode(state.value, StateValue) if state else None
     job = decode_order(row)
@@ -216,10 +273,10 @@
     return record
 
 
-def _in_chunks(rows: Iterable[Row], on_chunk: Callable[[], None]) -> Iterator[Row]:
-    """Yield the rows; call `on_chunk` after each LOAD_CHUNK_JOBS of them."""
-    for number, row in enumerate(rows, 1):
-        yield row
+def in_chunks(items: Iterable[T], on_chunk: Callable[[], None]) -> Iterator[T]:
+    """Yield the items; call `on_chunk` after each LOAD_CHUNK_JOBS of them."""
+    for number, item in enumerate(items, 1):
+        yield item
         if number % LOAD_CHUNK_JOBS == 0:
             on_chunk()
 
@@ -367,9 +424,18 @@
     ) -> tuple[list[LoadedJob], list[str]]:
         """Return all jobs that are not cleaned up, and the ids of the ended jobs that are.
 
-        A job with a row that cannot be decoded is logged and left out, as its tasks may have run.
-        Calls `on_progress` after each page and each LOAD_CHUNK_JOBS decoded jobs; an error that it
-        raises ends the load.
+        Calls `on_progress` as `scan_jobs` does, and after each LOAD_CHUNK_JOBS decoded jobs.
+        """
+        rows, ended = self.scan_jobs(on_progress)
+        decoded = (job.decode() for job in in_chunks(rows, on_progress))
+        return [job for job in decoded if job is not None], ended
+
+    def scan_jobs(
+        self, on_progress: Callable[[], None] = lambda: None
+    ) -> tuple[list[JobRows], list[str]]:
+        """Return the rows of all jobs that are not cleaned up, and the ids of those that are.
+
+        Calls `on_progress` after each page; an error that it raises ends the scan.
         """
         # States are read first, so that a job submitted meanwhile is read as new, never as ended.
         states = {row.key: row for row in scan_all(self._table, TABLE_STATES, on_page=on_progress)}
@@ -380,26 +446,13 @@
         steps_by_job: defaultdict[str, list[Row]] = defaultdict(list)
         for row in steps:
             steps_by_job[row.key.partition(".")[0]].append(row)
-        loaded = []
-        for row in _in_chunks(orders, on_progress):
-            try:
-                loaded.append(
-                    _decode_job(
-                        row, states.get(row.key), row.key in cancelled, steps_by_job[row.key]
-                    )
-                )
-            except EntryInvalidError as exc:
-                event(
-                    logger,
-                    Event.ENTRY_DROPPED,
-                    logging.ERROR,
-                    job=row.key,
-                    code=exc.code,
-                    detail=exc.detail,
-                )
+        jobs = [
+            JobRows(row, states.get(row.key), row.key in cancelled, steps_by_job[row.key])
+            for row in orders
+        ]
         live = {row.key for row in orders}
         ended = (key for key in states.keys() - live if _is_final(states[key]))
-        return loaded, list(ended)
+        return jobs, list(ended)
 
     def commit(self, fence: Check, updates: Sequence[JobUpdate]) -> int:
         """Write updates if the fence check passes; return the version that their rows now have."""
