--- a/gypsumplank/coordination/job/leader.py
+++ b/gypsumplank/coordination/job/leader.py
@@ -313,7 +313,7 @@
         started = now()
         if self._round_ended_at is not None:
             self._timings.round_gap_s(started - self._round_ended_at)
-        scheduler.workload.add_postponed()
+        scheduler.workload.add_postponed(self._renewed_fence)
         self._machine_manager.maintenance.plan(scheduler, now())
         scheduler.plan()
         instances = scheduler.instances.values()
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -102,7 +102,7 @@
         """
         begun: list[JobRows] = []
         waiting: list[JobRows] = []
-        for job in rows:
+        for job in in_chunks(rows, on_progress):
             (begun if job.has_begun else waiting).append(job)
         manifest = self._manifest()
         priorities = {queue.name: queue.priority for queue in manifest.queues} if manifest else {}
--- a/gypsumplank/coordination/job/workload.py
+++ b/gypsumplank/coordination/job/workload.py
@@ -6,7 +6,7 @@
 
 import logging
 import re
-from collections.abc import Collection, Iterable, Iterator, Sequence
+from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
 from dataclasses import replace
 from itertools import count, islice, takewhile
 
@@ -25,6 +25,7 @@
     JobRows,
     JobUpdate,
     LoadedJob,
+    in_chunks,
     pending_key,
     sent_bytes,
     state_write,
@@ -133,9 +134,13 @@
         self.postponed.update((rows.id, rows) for rows in jobs)
         self._postponed_at = now
 
-    def add_postponed(self, limit: int = POSTPONED_CHUNK_JOBS) -> None:
-        """Add the first postponed jobs; those that cannot be decoded are logged and left out."""
-        for rows in list(islice(self.postponed.values(), limit)):
+    def add_postponed(self, on_progress: Callable[[], object]) -> None:
+        """Add the first postponed jobs; those that cannot be decoded are logged and left out.
+
+        Calls `on_progress` after each LOAD_CHUNK_JOBS of them.
+        """
+        first = list(islice(self.postponed.values(), POSTPONED_CHUNK_JOBS))
+        for rows in in_chunks(first, on_progress):
             loaded = rows.decode()
             if loaded is not None and rows.id not in self.ended_at:
                 self.add(loaded, self._postponed_at)
--- a/gypsumplank/state/job.py
+++ b/gypsumplank/state/job.py
@@ -4,6 +4,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, replace
+from functools import cached_property
 from math import ceil
 from typing import TypeVar
 
@@ -62,11 +63,6 @@
     state: JobState
     queue: str
 
-    @property
-    def has_begun(self) -> bool:
-        """Return whether a task of the job has been assigned at some time, unless it was ended."""
-        return self.state is JobState.RUNNING
-
 
 @dataclass(frozen=True)
 class JobUpdate:
@@ -205,16 +201,17 @@
     @property
     def queue(self) -> str:
         """Return the job's queue; empty if that cannot be decoded."""
-        value = self._state_value()
-        return value.queue if value else ""
+        return self._state_value.queue if self._state_value else ""
 
     @property
     def has_begun(self) -> bool:
         """Return whether a task may have been assigned, or the state cannot be decoded."""
-        value = self._state_value()
+        value = self._state_value
+        is_running = value is not None and value.state is JobState.RUNNING
         is_undecodable = self.state is not None and value is None
-        return bool(self.steps) or is_undecodable or (value is not None and value.has_begun)
+        return bool(self.steps) or is_running or is_undecodable
 
+    @cached_property
     def _state_value(self) -> StateValue | None:
         try:
             return decode(self.state.value, StateValue) if self.state else None
@@ -273,7 +270,7 @@
     return record
 
 
-def in_chunks(items: Iterable[T], on_chunk: Callable[[], None]) -> Iterator[T]:
+def in_chunks(items: Iterable[T], on_chunk: Callable[[], object]) -> Iterator[T]:
     """Yield the items; call `on_chunk` after each LOAD_CHUNK_JOBS of them."""
     for number, item in enumerate(items, 1):
         yield item
