--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -18,6 +18,7 @@
     "wave",
     "planner",
     "identity",
+    "leader",
 )
 # Measurements of ten minutes or more, which run only if they are named.
 LONG_MEASUREMENTS = ("days",)
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -1,12 +1,12 @@
 """Schedule all jobs while this daemon is the leader; used by the scheduler's thread only."""
 
 import logging
-from collections.abc import Callable, Collection, Iterable, Iterator, Mapping, Sequence
+import math
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import replace
 
-from gypsumplank.coordination.job.attempt import find_exhausted, find_startable
 from gypsumplank.coordination.job.command import CommandSender, PendingStart
-from gypsumplank.coordination.job.crash import is_withheld
+from gypsumplank.coordination.job.demand import Load, LoadTracker
 from gypsumplank.coordination.job.dispatcher import WorkerDispatcher
 from gypsumplank.coordination.job.evidence import (
     are_leases_over,
@@ -17,30 +17,34 @@
     WorkerInstance,
 )
 from gypsumplank.coordination.job.knownqueue import KnownQueues
-from gypsumplank.coordination.job.model import Job, Step, Task
+from gypsumplank.coordination.job.model import Job, Task
 from gypsumplank.coordination.job.observation import ReceivedReport
-from gypsumplank.coordination.job.placement import PendingStep, Placement, PlacementRound, urgency
+from gypsumplank.coordination.job.placement import PendingStep, Placement, PlacementRound
 from gypsumplank.coordination.job.preemption import (
     PREEMPTION_WAIT_S,
     choose_preemptions,
     runs_to_evacuate,
     stalled_runs,
 )
+from gypsumplank.coordination.job.readiness import ReadySteps, examine
 from gypsumplank.coordination.job.report import apply_report
-from gypsumplank.coordination.job.workload import Workload
+from gypsumplank.coordination.job.workload import Workload, in_order
 from gypsumplank.log import Event, event
-from gypsumplank.protocol.job import FINAL_JOB_STATES, Resources, TaskPhase
-from gypsumplank.protocol.queue import Manifest, Queue
+from gypsumplank.protocol.job import Resources, TaskPhase
+from gypsumplank.protocol.queue import Manifest
 from gypsumplank.protocol.worker import (
     WorkerEntry,
 )
 from gypsumplank.state.clock import Clock
-from gypsumplank.state.job import LoadedJob
+from gypsumplank.state.job import JobRows, LoadedJob, in_chunks
 
 # Age of a worker's entry up to which its capacity is relied on if the worker does not check it, in
 # heartbeats; the platform allows three.
 MAX_CAPACITY_AGE_HEARTBEATS = 2.0
 
+# Jobs whose changes are kept until their load is asked for; it is not in every deployment.
+MAX_LOAD_CHANGES = 5000
+
 logger = logging.getLogger(__name__)
 
 
@@ -60,6 +64,11 @@
         self._manifest = manifest
         self._queues = queues or KnownQueues(manifest)
         self.workload = Workload()
+        self._changes = self.workload.follow()
+        self._ready = ReadySteps()
+        self._load_changes = self.workload.follow()
+        self._loads = LoadTracker()
+        self._queues_seen = self._queues.generation
         self.fleet = Fleet(clock, max_lease_s, heartbeat_s)
         self.commands = CommandSender(clock, token, self._is_capacity_known)
 
@@ -80,11 +89,38 @@
         """Return the worker instances, keyed by worker or, if not registered, by instance."""
         return self.fleet.instances
 
-    def load(self, jobs: Sequence[LoadedJob], entries: Sequence[WorkerEntry]) -> None:
+    def load_rows(
+        self,
+        rows: Iterable[JobRows],
+        entries: Sequence[WorkerEntry],
+        on_progress: Callable[[], None],
+    ) -> None:
+        """Restore the jobs that have begun, and postpone the others, the most urgent first.
+
+        The others have no runs that a start must respect. Calls `on_progress` after each
+        LOAD_CHUNK_JOBS jobs; an error that it raises ends the load.
+        """
+        begun: list[JobRows] = []
+        waiting: list[JobRows] = []
+        for job in in_chunks(rows, on_progress):
+            (begun if job.has_begun else waiting).append(job)
+        manifest = self._manifest()
+        priorities = {queue.name: queue.priority for queue in manifest.queues} if manifest else {}
+        waiting.sort(key=lambda job: (priorities.get(job.queue, math.inf), job.order.version))
+        self.workload.postpone(waiting, self._clock.monotonic())
+        decoded = (job.decode() for job in in_chunks(begun, on_progress))
+        self.load([job for job in decoded if job is not None], entries, on_progress)
+
+    def load(
+        self,
+        jobs: Sequence[LoadedJob],
+        entries: Sequence[WorkerEntry],
+        on_progress: Callable[[], None] = lambda: None,
+    ) -> None:
         """Restore the state that an earlier leader has stored."""
         now = self._clock.monotonic()
         self.fleet.apply_entries(entries)
-        restored = [self.workload.add(loaded, now) for loaded in jobs]
+        restored = [self.workload.add(loaded, now) for loaded in in_chunks(jobs, on_progress)]
         self.fleet.restore([task for job in restored for task in job.assigned_tasks()], now)
         for job in restored:
             for task in job.tasks():
@@ -131,64 +167,66 @@
         now = self._clock.monotonic()
         self._queues.update(self.workload.jobs.values())
         self._expire_leases(now)
-        self.workload.update_job_states(self.workload.jobs.values(), now)
+        changed = self._changes.take()
+        self.workload.update_job_states(changed, now)
         wall_ms = self.wall_ms()
-        pending = [
-            pending_step
-            for job in self.workload.jobs.values()
-            for pending_step in self._pending_steps(job, now, wall_ms)
-        ]
+        self._update_ready(changed, now, wall_ms)
+        permits = self._request_permits()
         instances = [each for each in self.instances.values() if self._is_capacity_known(each, now)]
-        self._evict(pending, instances, now)
+        self._evict(self._ready.lasting(), instances, now)
         placement_round = PlacementRound(instances, now)
         assigned_jobs: dict[str, Job] = {}
-        for pending_step in sorted(pending, key=lambda each: urgency(each, now, wall_ms)):
+        for pending_step in self._ready.that_may_fit(placement_round.most_free):
+            if pending_step.queue.advice is not None:
+                known = permits.get(pending_step.step.key)
+                pending_step = replace(pending_step, permits=known)  # noqa: PLW2901
             placed = placement_round.place(pending_step)
             if placed:
                 self._assign(pending_step, placed)
                 assigned_jobs[pending_step.job.id] = pending_step.job
         self.workload.update_job_states(assigned_jobs.values(), now)
+        if len(self._load_changes) > MAX_LOAD_CHANGES:
+            self.estimate_loads()
 
-    def _pending_steps(self, job: Job, now: float, wall_ms: float) -> list[PendingStep]:
-        if job.state in FINAL_JOB_STATES or job.cancelled:
-            return []
-        queue = self._queues.find_for_start(job)
-        job.waits_for_queue = queue is None
-        if queue is None:
-            return []
-        pending: list[PendingStep] = []
-        for step in job.steps.values():
-            waiting = [task for task in step.tasks if task.phase is TaskPhase.WAITING]
-            if exhausted := find_exhausted(waiting, queue.max_attempts):
-                self._give_up(job, exhausted, now)
-                return []
-            startable = find_startable(waiting, queue.max_attempts)
-            tasks = [task for task in startable if not is_withheld(task, now)]
-            if not tasks or (step.order.gang and len(tasks) < len(step.tasks)):
-                continue
-            if job.is_ready(step, wall_ms):
-                permits = self._permits_for(step, queue)
-                pending.extend(
-                    PendingStep(job, step, group, queue, permits)
-                    for group in _placement_groups(step, tasks)
-                )
-        return pending
+    def _update_ready(self, changed: Collection[Job], now: float, wall_ms: float) -> None:
+        """Bring the ready steps up to date: of the jobs that changed, and as time has passed."""
+        due = set(self._ready.due_jobs(now, wall_ms))
+        if self._queues_seen != self._queues.generation:
+            self._queues_seen = self._queues.generation
+            due.update(self.workload.jobs.values())
+        for job in in_order(due.union(changed)):
+            queue = self._queues.find_for_start(job)
+            found = examine(job, queue, now, wall_ms)
+            if found.exhausted:
+                self._give_up(job, found.exhausted, now)
+            self._ready.replace(job, found, now, wall_ms)
+        self._ready.update_urgency(now, wall_ms)
 
     def _give_up(self, job: Job, exhausted: Iterable[Task], now: float) -> None:
         for task in exhausted:
             task.finish(TaskPhase.FAILED)
         self.workload.update_job_states([job], now)
 
-    def _permits_for(self, step: Step, queue: Queue) -> Mapping[str, str] | None:
-        if queue.advice is None or self.commands.permits is None:
-            return None
+    def _request_permits(self) -> dict[str, Mapping[str, str]]:
+        """Return the permits of the ready steps that need them; request those that are missing."""
+        cache = self.commands.permits
+        if cache is None:
+            return {}
         now = self._clock.monotonic()
-        candidates = [
-            instance.id
-            for instance in self.instances.values()
-            if instance.entry.service == step.job.service and instance.accepts_tasks(now)
-        ]
-        return self.commands.permits.get(step.key, candidates, queue.advice.valid_ms / 1000)
+        candidates: dict[str, list[str]] = {}
+        permits: dict[str, Mapping[str, str]] = {}
+        for pending in self._ready.advised():
+            service, advice = pending.job.service, pending.queue.advice
+            if service not in candidates:
+                candidates[service] = [
+                    instance.id
+                    for instance in self.instances.values()
+                    if instance.entry.service == service and instance.accepts_tasks(now)
+                ]
+            if advice is not None:
+                key = pending.step.key
+                permits[key] = cache.get(key, candidates[service], advice.valid_ms / 1000)
+        return permits
 
     def _evict(
         self, pending: Sequence[PendingStep], instances: Sequence[WorkerInstance], now: float
@@ -247,11 +285,12 @@
 
     def dispatch(self) -> None:
         """Send what has been committed: starts, stops and acknowledgements of task ends."""
-        self.commands.send(self.instances.values(), self._are_steps_stored)
+        self.commands.send(self.instances.values(), self.workload.are_steps_stored)
 
-    def _are_steps_stored(self) -> bool:
-        steps = (step for job in self.workload.jobs.values() for step in job.steps.values())
-        return not any(step.dirty for step in steps)
+    def estimate_loads(self) -> dict[str, Load]:
+        """Return the load of each service that has open jobs."""
+        self._loads.update(self._load_changes.take(), self.now(), self.wall_ms())
+        return self._loads.loads()
 
     def request_stop(self, tasks: Collection[Task]) -> None:
         """Mark runs to be stopped; their tasks keep their checkpoints."""
@@ -259,13 +298,3 @@
         for task in tasks:
             if task.should_run:
                 task.should_run, task.stop_requested_at = False, now
-
-
-def _placement_groups(step: Step, tasks: Sequence[Task]) -> Iterator[tuple[Task, ...]]:
-    """Yield the tasks that may crash their workers apart from the others; gangs as a whole."""
-    suspects = () if step.order.gang else tuple(task for task in tasks if task.is_suspect)
-    if suspects:
-        yield suspects
-    others = tuple(task for task in tasks if task not in suspects)
-    if others:
-        yield others
--- a/gypsumplank/coordination/job/workload.py
+++ b/gypsumplank/coordination/job/workload.py
@@ -1,9 +1,14 @@
-"""Keep all jobs that have not ended, and collect their changes for commits to the store."""
+"""Keep all jobs that have not ended, and collect their changes for commits to the store.
+
+Answers queues of over 1,000 jobs, of which few change in one round: what follows the jobs looks at
+those that have changed, and not at all of them.
+"""
 
 import logging
 import re
-from collections.abc import Collection, Iterable, Iterator, Sequence
-from itertools import islice, takewhile
+from collections.abc import Callable, Collection, Iterable, Iterator, Sequence
+from dataclasses import replace
+from itertools import count, islice, takewhile
 
 from gypsumplank.coordination.job.model import Job, Task
 from gypsumplank.errors import EntryInvalidError
@@ -17,8 +22,10 @@
     TABLE_PENDING,
     TABLE_STATES,
     TABLE_STEPS,
+    JobRows,
     JobUpdate,
     LoadedJob,
+    in_chunks,
     pending_key,
     sent_bytes,
     state_write,
@@ -27,6 +34,9 @@
 )
 from gypsumplank.state.table import Check, Write
 
+# Jobs that have not begun and that are added before one round; they take less time than a round.
+POSTPONED_CHUNK_JOBS = 50
+
 NUMBER = re.compile(r"[0-9]{1,9}")
 
 logger = logging.getLogger(__name__)
@@ -40,12 +50,55 @@
     return TaskName(parts[0], int(parts[1]), int(parts[2]), int(parts[3]))
 
 
+def in_order(jobs: Iterable[Job]) -> list[Job]:
+    """Return jobs in the order in which this leader read them."""
+    return sorted(jobs, key=lambda job: job.number)
+
+
+class JobChanges:
+    """Collect the jobs that have changed since they were last taken."""
+
+    def __init__(self) -> None:
+        self._jobs: set[Job] = set()
+
+    def __len__(self) -> int:
+        return len(self._jobs)
+
+    def add(self, job: Job) -> None:
+        """Add a job that was added or has changed."""
+        self._jobs.add(job)
+
+    def take(self) -> list[Job]:
+        """Return the jobs that have changed, in their order, and forget them."""
+        jobs, self._jobs = in_order(self._jobs), set()
+        return jobs
+
+
 class Workload:
-    """Keep jobs by identifier, and when ended ones were removed, in monotonic seconds."""
+    """Keep jobs by identifier, and when ended ones were removed, in monotonic seconds.
+
+    `postponed` are the rows of jobs that have not begun and are not added yet.
+    """
 
     def __init__(self) -> None:
         self.jobs: dict[str, Job] = {}
         self.ended_at: dict[str, float] = {}
+        self.postponed: dict[str, JobRows] = {}
+        self._postponed_at = 0.0
+        self._numbers = count()
+        self._unstored: set[Job] = set()
+        self._followers: list[JobChanges] = []
+
+    def follow(self) -> "JobChanges":
+        """Return a record of the jobs that are added or changed from now on."""
+        changes = JobChanges()
+        self._followers.append(changes)
+        return changes
+
+    def _note_change(self, job: Job) -> None:
+        self._unstored.add(job)
+        for changes in self._followers:
+            changes.add(job)
 
     def add(self, loaded: LoadedJob, now: float) -> Job:
         """Add a job that was read from the store; `now` is in monotonic seconds."""
@@ -66,9 +119,33 @@
             for task in step.tasks:
                 task.queued_since = now
         job.started = loaded.state is not JobState.QUEUED
+        job.number = next(self._numbers)
         self.jobs[job.id] = job
+        job.on_change = self._note_change
+        job.note_change()
         return job
 
+    def knows(self, job_id: str) -> bool:
+        """Return whether a job was added or postponed."""
+        return job_id in self.jobs or job_id in self.postponed
+
+    def postpone(self, jobs: Iterable[JobRows], now: float) -> None:
+        """Keep jobs that have not begun, to be added later as if they were added now."""
+        self.postponed.update((rows.id, rows) for rows in jobs)
+        self._postponed_at = now
+
+    def add_postponed(self, on_progress: Callable[[], object]) -> None:
+        """Add the first postponed jobs; those that cannot be decoded are logged and left out.
+
+        Calls `on_progress` after each LOAD_CHUNK_JOBS of them.
+        """
+        first = list(islice(self.postponed.values(), POSTPONED_CHUNK_JOBS))
+        for rows in in_chunks(first, on_progress):
+            loaded = rows.decode()
+            if loaded is not None and rows.id not in self.ended_at:
+                self.add(loaded, self._postponed_at)
+            del self.postponed[rows.id]
+
     def task(self, name: str) -> Task | None:
         """Return the task of this name; None if it is unknown."""
         try:
@@ -81,11 +158,14 @@
 
     def cancel(self, job_id: str) -> None:
         """Mark a job as cancelled, as it is in the store."""
+        if rows := self.postponed.get(job_id):
+            self.postponed[job_id] = replace(rows, cancelled=True)
         job = self.jobs.get(job_id)
         if job is not None and not (job.cancelled and job.state is JobState.CANCELLED):
             job.cancelled = True
             job.state = JobState.CANCELLED
             job.state_dirty = False
+            job.note_change()
             event(logger, Event.JOB_CANCELLED, job=job_id, at_work=len(job.assigned_tasks()))
 
     def update_job_states(self, jobs: Iterable[Job], now: float) -> None:
@@ -123,7 +203,7 @@
 
     def updates(self, held_back: Collection[str] = ()) -> Iterator[JobUpdate]:
         """Yield the changes to commit, one update per job; none for jobs that are held back."""
-        for job in list(self.jobs.values()):
+        for job in in_order(self._unstored):
             if job.id in held_back:
                 continue
             update = (
@@ -131,6 +211,12 @@
             )
             if update is not None:
                 yield update
+            else:
+                self._unstored.discard(job)
+
+    def are_steps_stored(self) -> bool:
+        """Return whether the changes of all steps are stored."""
+        return not any(step.dirty for job in self._unstored for step in job.steps.values())
 
     def mark_stored(self, job: Job, update: JobUpdate, version: int, now: float) -> None:
         """Clear the dirty flags that a committed update covers; remove the job if it is over."""
@@ -144,6 +230,7 @@
                 step.record_removed = written[step.key].value is None
         if any(write.table == TABLE_ORDERS for write in update.writes):
             self.jobs.pop(job.id, None)
+            self._unstored.discard(job)
             self.ended_at[job.id] = now
 
     def expired(self, before: float, limit: int = MAX_TXN_ENTRIES) -> Sequence[str]:
