Add a port to partitions by name, and the store of submissions

Submissions at a slow store queue in the one partition of the scheduler. A port that takes the partition per call, also over the relay, lets them be spread over 64.

--- a/gypsumplank/errors.py
+++ b/gypsumplank/errors.py
@@ -79,6 +79,12 @@
     code = "state-unavailable"
 
 
+class StateThrottledError(StateUnavailableError):
+    """The table service's partition has too many queued transactions; nothing was written."""
+
+    code = "state-throttled"
+
+
 class StateUnknownError(StateError):
     """The response was lost; the write may have been applied."""
 
--- a/gypsumplank/platform/table.py
+++ b/gypsumplank/platform/table.py
@@ -3,7 +3,7 @@
 import math
 from base64 import b64encode
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, TypeVar
 from urllib.parse import urlencode
 
 import msgspec
@@ -13,6 +13,7 @@
     EntryInvalidError,
     StateConflictError,
     StateHistoryLostError,
+    StateThrottledError,
     StateTooLargeError,
     StateUnavailableError,
     StateUnknownError,
@@ -26,6 +27,9 @@
 PATH_TX = "/api/rows-tx"
 PATH_GET = "/api/rows-get"
 PATH_FEED = "/api/rows-feed"
+PATH_PARTS = "/api/rows-parts"
+# Partitions in one response, as the platform states.
+MAX_PAGE_PARTS = 1000
 MAX_PAGE_ROWS = 500
 MS_PER_S = 1000.0
 LAST_CHARACTER = "\U0010ffff"
@@ -35,11 +39,15 @@
 STATUS_OK = 200
 STATUS_GONE = 410
 STATUS_CONFLICT = 412
+STATUS_THROTTLED = 429
 STATUSES_TOO_LARGE = (400, 403, 413)
 # The platform guarantees that a request with one of these statuses was not applied.
 STATUSES_NOT_APPLIED = (429, 503)
 
 
+T = TypeVar("T")
+
+
 @dataclass(frozen=True)
 class ClockSample:
     """Store a reading of the store's clock that a call returned; times in monotonic seconds."""
@@ -68,6 +76,12 @@
     has_more: bool = False
 
 
+class WireParts(msgspec.Struct):
+    """Represent a page of partition names."""
+
+    parts: tuple[str, ...]
+
+
 class RowTable:
     """Access the rows of one partition; implements Table and ChangeFeed."""
 
@@ -76,6 +90,12 @@
         self._partition = partition
         self._clock_sample: ClockSample | None = None
         self._is_failing = False
+        self._is_unanswered = False
+
+    @property
+    def is_unanswered(self) -> bool:
+        """Return whether the last call was not answered; a rejection is an answer."""
+        return self._is_unanswered
 
     @property
     def is_failing(self) -> bool:
@@ -146,17 +166,38 @@
         try:
             resp = self._client.call("POST", PATH_TX, body, max_timeout_s=txn.timeout_s)
         except CallError as exc:
-            self._is_failing = True
+            self._is_failing = self._is_unanswered = True
             error = StateUnknownError if exc.sent else StateUnavailableError
             raise error(exc.detail) from exc
         self._is_failing = resp.status in STATUSES_NOT_APPLIED
+        self._is_unanswered = False
         return self._commit_version(resp, sent_at)
 
     def changes(self, table: str, after: int, wait_s: float) -> Changes:
         """Return the changes after a version; wait up to `wait_s` seconds for the first one."""
+        return self._changes_of(self._read_feed(table, after, wait_s), self._partition)
+
+    def changes_in_all(self, table: str, after: int, wait_s: float) -> Changes:
+        """Return the changes after a version in all partitions."""
+        return self._changes_of(self._read_feed(table, after, wait_s), None)
+
+    def partitions(self, table: str) -> list[str]:
+        """Return the partitions that hold rows of a table."""
+        names: list[str] = []
+        while True:
+            query = {"table": table} | ({"after": names[-1]} if names else {})
+            page = self._fetch(f"{PATH_PARTS}?{urlencode(query)}", 0.0, table, WireParts)
+            names.extend(page.parts)
+            if len(page.parts) < MAX_PAGE_PARTS:
+                return names
+
+    def _read_feed(self, table: str, after: int, wait_s: float) -> WireRows:
         query = urlencode({"table": table, "after": after, "wait-ms": int(wait_s * 1000)})
-        page = self._read(f"{PATH_FEED}?{query}", wait_s, table)
-        found = [row for row in page.rows if row.part == self._partition]
+        return self._read(f"{PATH_FEED}?{query}", wait_s, table)
+
+    @staticmethod
+    def _changes_of(page: WireRows, partition: str | None) -> Changes:
+        found = [row for row in page.rows if partition in (None, row.part)]
         rows = tuple(_decode_row(row) for row in found if not row.deleted)
         deleted_keys = tuple(row.key for row in found if row.deleted)
         return Changes(rows, deleted_keys, _newest(page))
@@ -176,13 +217,17 @@
         return [_decode_row(row) for row in page.rows], page.has_more
 
     def _read(self, path: str, wait_s: float, table: str) -> WireRows:
+        return self._fetch(path, wait_s, table, WireRows)
+
+    def _fetch(self, path: str, wait_s: float, table: str, kind: type[T]) -> T:
         sent_at = steady_s()
         try:
             resp = self._client.call("GET", path, extra_timeout_s=wait_s)
         except CallError as exc:
-            self._is_failing = True
+            self._is_failing = self._is_unanswered = True
             raise StateUnavailableError(exc.detail) from exc
         self._is_failing = resp.status in STATUSES_NOT_APPLIED
+        self._is_unanswered = False
         if resp.status == STATUS_GONE and path.startswith(PATH_FEED):
             raise StateHistoryLostError(
                 f"change history of {table} is not kept", self.newest(table)
@@ -190,7 +235,7 @@
         if resp.status != STATUS_OK:
             raise StateUnavailableError(f"status {resp.status} for {table}")
         try:
-            page = convert(resp.body, WireRows)
+            page = convert(resp.body, kind)
         except EntryInvalidError as exc:
             raise StateUnavailableError(f"malformed rows of {table}: {exc.detail}") from exc
         # The response of a call that waits for a change tells little about the present reading.
@@ -207,6 +252,8 @@
             raise StateConflictError("a checked row has a different version")
         if resp.status in STATUSES_TOO_LARGE:
             raise StateTooLargeError(f"status {resp.status}")
+        if resp.status == STATUS_THROTTLED:
+            raise StateThrottledError(f"status {resp.status}")
         if resp.status in STATUSES_NOT_APPLIED:
             raise StateUnavailableError(f"status {resp.status}")
         raise StateUnknownError(f"status {resp.status}")
@@ -231,3 +278,23 @@
         return ""
     following = chr(ord(prefix[-1]) + 1)
     return f"{prefix[:-1]}{FIRST_AFTER_SURROGATES if following == SURROGATE else following}"
+
+
+class RowPartitions:
+    """Access a table's partitions by name, and its feed; implements Partitions and ChangeFeed."""
+
+    def __init__(self, client: Client) -> None:
+        self._client = client
+        self._rows = RowTable(client, "")
+
+    def in_partition(self, name: str) -> RowTable:
+        """Return the rows of one partition."""
+        return RowTable(self._client, name)
+
+    def names(self, table: str) -> list[str]:
+        """Return the partitions that hold rows of a table."""
+        return self._rows.partitions(table)
+
+    def changes(self, table: str, after: int, wait_s: float) -> Changes:
+        """Return the changes after a version in all partitions."""
+        return self._rows.changes_in_all(table, after, wait_s)
--- /dev/null
+++ b/gypsumplank/state/intake.py
@@ -0,0 +1,130 @@
+"""Store submissions that the leader has not adopted yet, spread over many partitions.
+
+Answers a burst of submissions at a slow store, where one partition takes 2 to 4 transactions a
+second: the submissions queue in 64 partitions, none of them in that of the scheduler.
+"""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from hashlib import blake2b
+
+import msgspec
+
+from gypsumplank.errors import EntryInvalidError, StateConflictError
+from gypsumplank.protocol.job import StoredJob
+from gypsumplank.state.job import (
+    DEFAULT_MAX_ROW_BYTES,
+    MAX_TXN_ENTRIES,
+    check_job_size,
+    check_row_size,
+    decode,
+)
+from gypsumplank.state.partition import Partitions
+from gypsumplank.state.table import ABSENT, Check, Row, Txn, Write, scan_all
+
+TABLE_INTAKE = "intake"
+PARTITION_COUNT = 64
+# Rows per removal; each has a check and a write.
+MAX_REMOVED_ROWS = MAX_TXN_ENTRIES // 2
+# Smallest number of partitions' rates in the store's rate from which submissions are spread.
+MIN_PARALLEL_PARTITIONS = 6
+
+
+def is_activated(store_writes_per_s: float | None, partition_writes_per_s: float | None) -> bool:
+    """Return whether the store's rates ask for the table; not if they are not stated."""
+    if store_writes_per_s is None or partition_writes_per_s is None:
+        return False
+    return store_writes_per_s >= MIN_PARALLEL_PARTITIONS * partition_writes_per_s
+
+
+def partition_of(job: str) -> str:
+    """Return the partition of a job's row, the same at every daemon."""
+    digest = blake2b(job.encode(), digest_size=8).digest()
+    return f"in-{int.from_bytes(digest) % PARTITION_COUNT:02}"
+
+
+@dataclass(frozen=True)
+class IntakeValue:
+    """Represent a submission as stored, and whether it was cancelled before its adoption."""
+
+    job: StoredJob
+    cancelled: bool = False
+
+
+@dataclass(frozen=True)
+class Submission:
+    """Represent a submission that was read, with its row's version."""
+
+    job: StoredJob
+    version: int
+    cancelled: bool
+
+
+def decode_submission(row: Row) -> Submission:
+    """Return the submission of a row; raise EntryInvalidError."""
+    value = decode(row.value, IntakeValue)
+    if value.job.id != row.key:
+        raise EntryInvalidError(f"the job is {value.job.id!r}")
+    if fault := value.job.order.find_fault():
+        raise EntryInvalidError(fault)
+    return Submission(value.job, row.version, value.cancelled)
+
+
+class IntakeStore:
+    """Read and write submissions; every method may raise StateError."""
+
+    def __init__(
+        self, partitions: Partitions, max_row_bytes: int = DEFAULT_MAX_ROW_BYTES
+    ) -> None:
+        self._partitions = partitions
+        self._max_row_bytes = max_row_bytes
+
+    def insert(self, job: StoredJob, timeout_s: float | None = None) -> bool:
+        """Store a submission; return False if its row exists.
+
+        Raises StateTooLargeError if the job, or the progress of one of its steps, does not fit
+        into a row.
+        """
+        value = msgspec.json.encode(IntakeValue(job))
+        # The longer form, which the row takes when the job is cancelled, must fit too.
+        check_row_size(len(value) + 1, self._max_row_bytes)
+        check_job_size(job, self._max_row_bytes)
+        check = Check(TABLE_INTAKE, job.id, ABSENT)
+        txn = Txn((check,), (Write(TABLE_INTAKE, job.id, value),), timeout_s)
+        try:
+            self._partitions.in_partition(partition_of(job.id)).commit(txn)
+        except StateConflictError:
+            return False
+        return True
+
+    def find(self, job: str) -> Submission | None:
+        """Return a submission, or None; raise EntryInvalidError if its row is malformed."""
+        row = self._partitions.in_partition(partition_of(job)).get(TABLE_INTAKE, job)
+        return None if row is None else decode_submission(row)
+
+    def cancel(self, found: Submission) -> None:
+        """Mark a submission as cancelled; raise StateConflictError if its row changed."""
+        job = found.job.id
+        value = msgspec.json.encode(IntakeValue(found.job, cancelled=True))
+        txn = Txn(
+            (Check(TABLE_INTAKE, job, found.version),), (Write(TABLE_INTAKE, job, value),)
+        )
+        self._partitions.in_partition(partition_of(job)).commit(txn)
+
+    def partitions(self) -> Sequence[str]:
+        """Return the partitions that hold submissions."""
+        return self._partitions.names(TABLE_INTAKE)
+
+    def read(self, partition: str) -> list[Row]:
+        """Return all rows of one partition."""
+        return scan_all(self._partitions.in_partition(partition), TABLE_INTAKE)
+
+    def remove(self, partition: str, versions: Iterable[tuple[str, int]]) -> None:
+        """Remove rows of one partition at these versions, all or none.
+
+        Raises StateConflictError if one of them has changed.
+        """
+        checks = tuple(Check(TABLE_INTAKE, job, version) for job, version in versions)
+        writes = tuple(Write(TABLE_INTAKE, check.key, None) for check in checks)
+        self._partitions.in_partition(partition).commit(Txn(checks, writes))
+
--- a/gypsumplank/state/job.py
+++ b/gypsumplank/state/job.py
@@ -108,6 +108,27 @@
     return job
 
 
+def check_row_size(size: int, max_row_bytes: int) -> None:
+    """Raise StateTooLargeError if a job's row of `size` bytes is too long."""
+    if size > max_row_bytes:
+        raise StateTooLargeError(f"job of {size} bytes exceeds {max_row_bytes}")
+
+
+def check_job_size(job: StoredJob, max_row_bytes: int) -> None:
+    """Raise StateTooLargeError if the progress of one of a job's steps does not fit into a row."""
+    max_tasks = max_row_bytes // TASK_RECORD_BYTES
+    for position, step in enumerate(job.order.steps):
+        if step.tasks > max_tasks:
+            raise StateTooLargeError(
+                f"step {position} has {step.tasks} tasks, more than {max_tasks}"
+            )
+
+
+def order_write(job: StoredJob) -> Write:
+    """Return the write that stores a job as submitted."""
+    return Write(TABLE_ORDERS, job.id, msgspec.json.encode(job))
+
+
 def pending_key(queue: str, job: str) -> str:
     """Return the key of the row that exists until a task of the job has started."""
     return f"{queue}/{job}"
@@ -242,7 +263,8 @@
         job, or the progress of one of its steps, does not fit into a row.
         """
         order = msgspec.json.encode(job)
-        self._check_row_sizes(job, order)
+        check_row_size(len(order), self.max_row_bytes)
+        check_job_size(job, self.max_row_bytes)
         writes = (
             Write(TABLE_ORDERS, job.id, order),
             state_write(job.id, JobState.QUEUED, job.queue),
@@ -254,16 +276,6 @@
             return False
         return True
 
-    def _check_row_sizes(self, job: StoredJob, order: bytes) -> None:
-        if len(order) > self.max_row_bytes:
-            raise StateTooLargeError(f"job of {len(order)} bytes exceeds {self.max_row_bytes}")
-        max_tasks = self.max_row_bytes // TASK_RECORD_BYTES
-        for position, step in enumerate(job.order.steps):
-            if step.tasks > max_tasks:
-                raise StateTooLargeError(
-                    f"step {position} has {step.tasks} tasks, more than {max_tasks}"
-                )
-
     def state(self, job: str) -> tuple[StateValue, int]:
         """Return a job's state and its row's version; raise JobMissingError."""
         row = self._table.get(TABLE_STATES, job)
--- a/gypsumplank/transport/relay.py
+++ b/gypsumplank/transport/relay.py
@@ -15,6 +15,7 @@
     ListenError,
     StateConflictError,
     StateError,
+    StateThrottledError,
     StateTooLargeError,
     StateUnavailableError,
     StateUnknownError,
@@ -22,6 +23,7 @@
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.decoder import decode_msgpack
 from gypsumplank.settings import check_host_address
+from gypsumplank.state.partition import Partitions
 from gypsumplank.state.table import SCAN_LIMIT, Row, Table, Txn
 
 # Longest wait for the reply to a relayed call, with the other daemon's wait for the table service.
@@ -40,7 +42,13 @@
 
 ERRORS_BY_CODE: dict[str, type[StateError]] = {
     error.code: error
-    for error in (StateConflictError, StateTooLargeError, StateUnavailableError, StateUnknownError)
+    for error in (
+        StateConflictError,
+        StateThrottledError,
+        StateTooLargeError,
+        StateUnavailableError,
+        StateUnknownError,
+    )
 }
 
 T = TypeVar("T")
@@ -62,6 +70,17 @@
     txn: Txn | None = None
 
 
+class PartitionRequest(msgspec.Struct, array_like=True):
+    """Represent a call to another partition; without `part`, list the partitions of a table.
+
+    It is encoded as an array, so that a daemon of an older build refuses it as malformed instead
+    of executing it in its own partition.
+    """
+
+    part: str | None
+    call: RelayRequest
+
+
 class RelayReply(msgspec.Struct):
     """Represent the result of a call; `code` is the error's code, empty on success."""
 
@@ -69,6 +88,7 @@
     detail: str = ""
     rows: tuple[Row, ...] = ()
     version: int = 0
+    names: tuple[str, ...] = ()
 
 
 class DirectTable(Table, Protocol):
@@ -85,8 +105,11 @@
     Raise ListenError if the address is taken.
     """
 
-    def __init__(self, table: DirectTable, address: str) -> None:
+    def __init__(
+        self, table: DirectTable, address: str, partitions: Partitions | None = None
+    ) -> None:
         self._table = table
+        self._partitions = partitions
         self._socket = pynng.Rep0(recv_timeout=STOP_POLL_INTERVAL_MS)
         try:
             self._socket.listen(f"tcp://{address}")
@@ -125,7 +148,7 @@
 
     def _execute(self, raw: bytes) -> RelayReply:
         try:
-            req = decode_msgpack(raw, RelayRequest)
+            req = _decode_request(raw)
         except EntryInvalidError as exc:
             event(logger, Event.PEER_DROPPED, logging.WARNING, detail=exc.detail)
             return RelayReply(StateUnavailableError.code, "malformed request")
@@ -137,17 +160,34 @@
             return RelayReply(exc.code, exc.detail)
         except Exception as exc:  # noqa: BLE001
             event(logger, Event.PEER_FAILED, logging.ERROR, detail=str(exc))
-            code = StateUnavailableError.code if req.txn is None else StateUnknownError.code
+            call = req.call if isinstance(req, PartitionRequest) else req
+            code = StateUnavailableError.code if call.txn is None else StateUnknownError.code
             return RelayReply(code, "the call failed here")
 
-    def _call(self, req: RelayRequest) -> RelayReply:
-        if req.txn is not None:
-            return RelayReply(version=self._table.commit(req.txn))
-        if req.key is not None:
-            row = self._table.get(req.table, req.key)
-            return RelayReply(rows=() if row is None else (row,))
-        rows = self._table.scan(req.table, req.prefix, req.after, req.limit)
-        return RelayReply(rows=tuple(rows))
+    def _call(self, req: RelayRequest | PartitionRequest) -> RelayReply:
+        if isinstance(req, RelayRequest):
+            return _call_table(self._table, req)
+        if self._partitions is None:
+            raise StateUnavailableError("no access to other partitions here")
+        if req.part is None:
+            return RelayReply(names=tuple(self._partitions.names(req.call.table)))
+        return _call_table(self._partitions.in_partition(req.part), req.call)
+
+
+def _decode_request(raw: bytes) -> RelayRequest | PartitionRequest:
+    try:
+        return decode_msgpack(raw, RelayRequest)
+    except EntryInvalidError:
+        return decode_msgpack(raw, PartitionRequest)
+
+
+def _call_table(table: Table, req: RelayRequest) -> RelayReply:
+    if req.txn is not None:
+        return RelayReply(version=table.commit(req.txn))
+    if req.key is not None:
+        row = table.get(req.table, req.key)
+        return RelayReply(rows=() if row is None else (row,))
+    return RelayReply(rows=tuple(table.scan(req.table, req.prefix, req.after, req.limit)))
 
 
 class PeerTable:
@@ -162,29 +202,30 @@
 
     def get(self, table: str, key: str) -> Row | None:
         """Return one row."""
-        rows = self._relay(RelayRequest(table, key)).rows
+        rows = self.relay(RelayRequest(table, key)).rows
         return rows[0] if rows else None
 
     def scan(
         self, table: str, prefix: str = "", after: str = "", limit: int = SCAN_LIMIT
     ) -> list[Row]:
         """Return the rows in key order whose keys start with `prefix` and follow `after`."""
-        return list(self._relay(RelayRequest(table, None, prefix, after, limit)).rows)
+        return list(self.relay(RelayRequest(table, None, prefix, after, limit)).rows)
 
     def commit(self, txn: Txn) -> int:
         """Apply a transaction; return the new version of its rows."""
-        return self._relay(RelayRequest(txn=txn)).version
+        return self.relay(RelayRequest(txn=txn)).version
 
-    def _relay(self, req: RelayRequest) -> RelayReply:
+    def relay(self, req: RelayRequest | PartitionRequest) -> RelayReply:
         """Return another daemon's reply; raise its error, or StateUnavailableError."""
+        txn = req.call.txn if isinstance(req, PartitionRequest) else req.txn
         raw = msgspec.msgpack.encode(req)
         peers = list(self._peers())
         self._close_gone(peers)
         for address in peers[:MAX_PEERS_TRIED]:
             try:
-                reply = self._request(address, raw, req.txn.timeout_s if req.txn else None)
+                reply = self._request(address, raw, txn.timeout_s if txn else None)
             except CallError as exc:
-                if req.txn is not None and exc.sent:
+                if txn is not None and exc.sent:
                     raise StateUnknownError(exc.detail) from exc
                 continue
             if reply.code == StateUnavailableError.code:
--- a/reference/advice.py
+++ b/reference/advice.py
@@ -63,6 +63,7 @@
     "session-lapsed": "The daemon was paused or lost the platform; it opens a new session.",
     "settings-invalid": "`gypsumplankd --check --settings FILE` lists every fault.",
     "state-conflict": "Another daemon wrote first; the step is retried automatically.",
+    "state-throttled": "Nothing was written; repeat after the time in `Retry-After`.",
     "state-too-large": "Apply fewer records at once; split a job's steps into smaller ones.",
     "state-unavailable": "Check the platform; the configuration in force stays in force meanwhile.",
     "state-unknown": "Check with `gypsumplank history` whether the change was accepted.",
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -27,11 +27,45 @@
 
 # Small, so that clients have to read several pages.
 MAX_PAGE_ROWS = 3
+# Partitions in one response, as the platform states.
+MAX_PAGE_PARTS = 1000
 HEARTBEAT_INTERVAL_S = 0.5
 STATUS_BY_REFUSAL = {"other-life": 421, "unhealthy": 503, "invalid": 400}
 READ_ONLY_TABLES = {"op", "servers"}
 
 
+class PartitionedFeedTable(LimitedFeedTable):
+    """Store each part of a table under a name of its own, with one feed over all parts."""
+
+    def changes_by_part(
+        self, table: str, after: int, wait_s: float
+    ) -> tuple[dict[str, list[tuple[str, int, bytes | None]]], int]:
+        """Return each part's changes (key, version, value) after a version, and the newest one."""
+        prefix = table_name(table, "")
+        with self._changed:
+            self._changed.wait_for(lambda: bool(self._entries(prefix, after)), wait_s)
+            # Raises StateHistoryLostError if the history does not reach back.
+            version = super().changes(table, after, 0.0).version
+            parts: dict[str, list[tuple[str, int, bytes | None]]] = {}
+            for entry in self._entries(prefix, after):
+                part = entry.table.removeprefix(prefix)
+                parts.setdefault(part, []).append((entry.key, entry.version, entry.value))
+            return parts, version
+
+    def parts(self, table: str) -> list[str]:
+        """Return the names of the parts that hold rows of a table, in order."""
+        prefix = table_name(table, "")
+        names = (name for name, rows in self._rows.items() if rows and name.startswith(prefix))
+        return sorted(name.removeprefix(prefix) for name in names)
+
+    def _entries(self, prefix: str, after: int) -> list[Any]:
+        return [
+            entry
+            for entry in self._history
+            if entry.table.startswith(prefix) and entry.version > after
+        ]
+
+
 class UsersPlatform:
     """Store the rows, the simulated workers and the received orders.
 
@@ -41,7 +75,7 @@
     """
 
     def __init__(self, seed: int = 0) -> None:
-        self.table = LimitedFeedTable()
+        self.table = PartitionedFeedTable()
         self.simulated_workers = SimulatedWorkers(random.Random(seed))
         self.faults: list[str] = []
         self.orders: list[tuple[str, dict[str, Any], dict[str, str]]] = []
@@ -117,6 +151,8 @@
                 self._respond_json(200, self._read_rows(query))
             case "/api/rows-feed":
                 self._read_feed(query)
+            case "/api/rows-parts":
+                self._respond_json(200, {"parts": self._list_parts(query)})
             case "/api/machines":
                 self._respond_json(200, {"machines": self._list_machines(), "next-token": None})
             case _:
@@ -174,30 +210,31 @@
         rows: list[dict[str, Any]] = []
         after = int(query["after"])
         table = query["table"]
+        wait_s = int(query.get("wait-ms", "0")) / 1000
         try:
-            wait_s = int(query.get("wait-ms", "0")) / 1000
-            fleet_changes = self.users.table.changes(table_name(table, "fleet"), after, wait_s)
-            unpartitioned_changes = self.users.table.changes(table_name(table, ""), after, 0.0)
+            changes_by_part, version = self.users.table.changes_by_part(table, after, wait_s)
         except StateHistoryLostError:
             self._respond_json(410, {})
             return
-        for part, changes in (("fleet", fleet_changes), ("", unpartitioned_changes)):
-            rows += [
-                encode_row(table, part, row.key, row.version, row.value) for row in changes.rows
-            ]
-            rows += [
-                {"table": table, "part": part, "key": key, "deleted": True}
-                for key in changes.deleted_keys
-            ]
+        for part, changes in changes_by_part.items():
+            for key, row_version, value in changes:
+                if value is None:
+                    rows.append({"table": table, "part": part, "key": key, "deleted": True})
+                else:
+                    rows.append(encode_row(table, part, key, row_version, value))
         self._respond_json(
             200,
             {
                 "rows": rows,
-                "ver": max(fleet_changes.version, unpartitioned_changes.version),
+                "ver": version,
                 "now-ms": self.users.now_ms(),
             },
         )
 
+    def _list_parts(self, query: dict[str, str]) -> list[str]:
+        parts = self.users.table.parts(query["table"])
+        return [part for part in parts if part > query.get("after", "")][:MAX_PAGE_PARTS]
+
     def _commit(self, body: dict[str, Any]) -> None:
         checks = tuple(
             Check(table_name(row["table"], row["part"]), row["key"], row["ver"])
