--- a/gypsumplank/coordination/job/intakeclient.py
+++ b/gypsumplank/coordination/job/intakeclient.py
@@ -94,6 +94,10 @@
                 self._backoff.record_accepted(partition)
                 return new, attempts
 
+    def is_submitted(self, job_id: str) -> bool:
+        """Return whether a job waits as a submission."""
+        return self._store.find(job_id) is not None
+
     def state(self, job_id: str) -> JobState:
         """Return a job's state; raise JobMissingError."""
         try:
--- a/gypsumplank/coordination/job/submission.py
+++ b/gypsumplank/coordination/job/submission.py
@@ -85,7 +85,7 @@
         while True:
             attempt_started_at = self._clock.monotonic()
             try:
-                new = self._store.submit(job, max(MIN_ATTEMPT_S, answer_by - attempt_started_at))
+                new = self._insert(job, max(MIN_ATTEMPT_S, answer_by - attempt_started_at))
             except (StateUnavailableError, StateUnknownError) as exc:
                 now = self._clock.monotonic()
                 if now + delay_s + (now - attempt_started_at) >= deadline:
@@ -98,6 +98,12 @@
             event(logger, Event.JOB_ACCEPTED, job=job_id, queue=queue.name, new=new, tries=attempts)
             return new
 
+    def _insert(self, job: StoredJob, timeout_s: float) -> bool:
+        """Store a job for the scheduler, unless another daemon has stored it as a submission."""
+        if self._intake is not None and self._intake.is_submitted(job.id):
+            return False
+        return self._store.submit(job, timeout_s)
+
     def state(self, job_id: str) -> JobState:
         """Return a job's state; raise JobMissingError."""
         if self._intake is not None:
