--- a/gypsumplank/coordination/job/leader.py
+++ b/gypsumplank/coordination/job/leader.py
@@ -229,6 +229,7 @@
         )
         for watcher in term.watchers:
             watcher.start()
+        term.follow_submissions(self._ports.intake, self._clock, fence.version, post)
         now = self._clock.monotonic()
         self._term = term
         self._round_ended_at = None
--- a/gypsumplank/coordination/job/model.py
+++ b/gypsumplank/coordination/job/model.py
@@ -267,9 +267,10 @@
 
     `arrived_at` is when this leader read the job, in monotonic seconds. `is_unstorable` tells that
     the store does not take a row of one of its steps. `waits_for_queue` is set while no task of the
-    job may start, as the manifest does not name its queue. `number` is the job's place in the order
-    in which this leader read all jobs, and `on_change` is called after each change of its state or
-    of its tasks.
+    job may start, as the manifest does not name its queue. `unstored` marks a job that was adopted
+    from a submission and has no rows of its own yet; `first_version` is at least the version of the
+    store at which it got them. `number` is the job's place in the order in which this leader read
+    all jobs, and `on_change` is called after each change of its state or of its tasks.
     """
 
     stored: StoredJob
@@ -282,6 +283,8 @@
     is_unstorable: bool = False
     waits_for_queue: bool = False
     arrived_at: float = 0.0
+    unstored: bool = False
+    first_version: int = 0
     steps: dict[tuple[int, int], Step] = field(default_factory=dict)
     number: int = 0
     on_change: Callable[["Job"], None] | None = None
--- a/gypsumplank/coordination/job/submission.py
+++ b/gypsumplank/coordination/job/submission.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from gypsumplank.coordination.job.freshness import ConfirmedManifest, KeyPolicy
+from gypsumplank.coordination.job.intakeclient import IntakeClient
 from gypsumplank.errors import (
     GypsumplankError,
     ManifestMissingError,
@@ -46,7 +47,10 @@
         clock: Clock,
         in_force: Callable[[], ConfirmedManifest | None],
         policy: Callable[[], KeyPolicy] = KeyPolicy,
+        intake: IntakeClient | None = None,
     ) -> None:
+        """Create the service; `intake` is None where jobs are stored for the scheduler at once."""
+        self._intake = intake
         self._store = store
         self._clock = clock
         self._in_force = in_force
@@ -83,6 +87,10 @@
         """
         accepted_ms = int(self._clock.wall() * 1000)
         job = StoredJob(job_id, queue.name, queue.service, accepted_ms, order, account)
+        if self._intake is not None and self._intake.is_writing:
+            new, attempts = self._intake.submit(job, remaining_s)
+            _log_accepted(job, new, attempts)
+            return new
         started_at = self._clock.monotonic()
         deadline = started_at + remaining_s * RETRY_BUDGET_SHARE
         answer_by = started_at + remaining_s * ANSWER_SHARE
@@ -91,7 +99,7 @@
         while True:
             attempt_started_at = self._clock.monotonic()
             try:
-                new = self._store.submit(job, max(MIN_ATTEMPT_S, answer_by - attempt_started_at))
+                new = self._insert(job, max(MIN_ATTEMPT_S, answer_by - attempt_started_at))
             except (StateUnavailableError, StateUnknownError) as exc:
                 now = self._clock.monotonic()
                 if now + delay_s + (now - attempt_started_at) >= deadline:
@@ -101,24 +109,24 @@
                 delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
                 attempts += 1
                 continue
-            event(
-                logger,
-                Event.JOB_ACCEPTED,
-                job=job_id,
-                queue=queue.name,
-                account=account,
-                new=new,
-                tries=attempts,
-            )
+            _log_accepted(job, new, attempts)
             return new
 
+    def _insert(self, job: StoredJob, timeout_s: float) -> bool:
+        """Store a job for the scheduler, unless another daemon has stored it as a submission."""
+        if self._intake is not None and self._intake.is_submitted(job.id):
+            return False
+        return self._store.submit(job, timeout_s)
+
     def state(self, job_id: str) -> JobState:
         """Return a job's state; raise JobMissingError."""
+        if self._intake is not None:
+            return self._intake.state(job_id)
         return self._store.state(job_id)[0].state
 
     def cancel(self, job_id: str) -> JobState:
         """Cancel a job; return its resulting state, which may be another final one."""
-        state = self._store.cancel(job_id)
+        state = (self._intake or self._store).cancel(job_id)
         event(logger, Event.JOB_CANCELLED, job=job_id, state=state.value)
         return state
 
@@ -127,7 +135,12 @@
         now = self._clock.monotonic()
         read_at, count = self._pending_counts.get(queue.name, (-COUNT_MAX_AGE_S, 0))
         if now - read_at >= COUNT_MAX_AGE_S:
-            count = len(self._store.pending(queue.name))
+            intake = self._intake
+            count = (
+                len(self._store.pending(queue.name))
+                if intake is None
+                else intake.pending_count(queue.name)
+            )
             recent = {
                 name: counted
                 for name, counted in self._pending_counts.items()
@@ -137,6 +150,18 @@
         return count
 
 
+def _log_accepted(job: StoredJob, new: bool, attempts: int) -> None:
+    event(
+        logger,
+        Event.JOB_ACCEPTED,
+        job=job.id,
+        queue=job.queue,
+        account=job.account,
+        new=new,
+        tries=attempts,
+    )
+
+
 def log_error_response(exc: GypsumplankError, method: str, target: str) -> None:
     """Log a request that ends in an error response."""
     level = logging.INFO if exc.status < 500 else logging.WARNING
