job: hold back the tasks of accounts that have reached their caps

Cause: the manifest may limit what an account has running on all workers together; nothing checked it.

Nothing capped starts on a manifest that is not confirmed. Gauges and the event job-held show use, cap and why a job waits.

--- /dev/null
+++ b/gypsumplank/composition/accountgauge.py
@@ -0,0 +1,42 @@
+"""Export the figures of client accounts as gauges, for operators."""
+
+from collections.abc import Callable, Iterable, Iterator
+
+from opentelemetry.metrics import Observation
+
+from gypsumplank.coordination.job.accounts import AccountStatus
+from gypsumplank.metrics import Metrics
+from gypsumplank.protocol.job import Resources
+
+ReadStatuses = Callable[[], Iterable[AccountStatus]]
+
+
+def add_account_gauges(metrics: Metrics, read: ReadStatuses) -> None:
+    """Create the gauges; `read` returns nothing on daemons that do not lead."""
+    metrics.gauge(
+        "gypsumplank.account.used",
+        "1",
+        "Resources of an account's runs on all workers: cores/1000, MB, accelerators",
+        lambda: [each for status in read() for each in _by_resource(status.account, status.used)],
+    )
+    metrics.gauge(
+        "gypsumplank.account.cap",
+        "1",
+        "Most that an account may use; 0 if not limited",
+        lambda: [each for status in read() for each in _by_resource(status.account, status.cap)],
+    )
+    metrics.gauge(
+        "gypsumplank.account.held_tasks",
+        "{task}",
+        "Tasks that are ready and wait for the cap of their account",
+        lambda: [Observation(each.held_tasks, {"account": each.account}) for each in read()],
+    )
+
+
+def _by_resource(account: str, amount: Resources) -> Iterator[Observation]:
+    for resource, value in (
+        ("cpu", amount.cpu),
+        ("memory", amount.memory_mb),
+        ("accelerators", amount.accelerators),
+    ):
+        yield Observation(value, {"account": account, "resource": resource})
--- a/gypsumplank/composition/platform.py
+++ b/gypsumplank/composition/platform.py
@@ -7,6 +7,8 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from gypsumplank.composition.accountgauge import add_account_gauges
+from gypsumplank.coordination.job.accounts import AccountLimits, Accounts
 from gypsumplank.coordination.job.leader import LEASE_DURATION_S, SCHEDULER_LEASE, SchedulerLeader
 from gypsumplank.coordination.job.machine import ORDER_SENDERS, MachineController
 from gypsumplank.coordination.job.maintenance import MaintenancePlanner
@@ -157,6 +159,12 @@
             MaintenancePlanner(self._directory, machine_controller),
             PoolScaler(machine_controller, JobStore(self._independent_rows)),
         )
+        limits = AccountLimits(
+            lambda: self._clock.monotonic() - self._manifest_watch.last_contact_at,
+            settings.config_apply_s,
+            settings.quota_overage,
+        )
+        accounts = Accounts(lambda: self._manifest_watch.current, limits)
         self._leader = SchedulerLeader(
             ports,
             self._clock,
@@ -166,6 +174,10 @@
             heartbeat_s=settings.heartbeat_s,
             candidates=self._daemon_registry,
             status_s=settings.status_s,
+            accounts=accounts,
+        )
+        add_account_gauges(
+            self._metrics, lambda: accounts.statuses() if self._leader.is_leader else ()
         )
 
     def _make_listeners(self) -> None:
--- /dev/null
+++ b/gypsumplank/coordination/job/accounts.py
@@ -0,0 +1,312 @@
+"""Hold back the tasks of client accounts that have reached their caps, in one leader's term.
+
+Answers an account whose small tasks would keep its use near its cap, so that a larger task of the
+same account never started.
+"""
+
+import logging
+from collections import defaultdict
+from collections.abc import Callable, Collection, Iterable
+from dataclasses import dataclass, replace
+from enum import StrEnum
+
+from gypsumplank.coordination.job.instance import WorkerInstance
+from gypsumplank.coordination.job.model import Job, Task
+from gypsumplank.coordination.job.placement import PendingStep
+from gypsumplank.coordination.job.usage import (
+    KnownAccounts,
+    Usage,
+    count_startable,
+    is_under_half,
+    sum_usage,
+)
+from gypsumplank.log import Event, event
+from gypsumplank.protocol.job import Resources
+from gypsumplank.protocol.queue import Manifest
+
+# Time for which a step is passed over because of its account's cap before it has the turn: until it
+# starts, nothing else of its account does. Seconds; a third of the platform's limit of 3 s.
+TURN_AFTER_S = 1.0
+# Longest time for which a turn delays an account below half of its cap, seconds. With TURN_AFTER_S
+# it is less than the 3 s in which the platform demands that such an account is served.
+MAX_TURN_BELOW_HALF_S = 1.5
+# Time after which a held step that is not tried any more is forgotten, seconds; longer than the
+# interval between rounds (0.2 s).
+FORGET_AFTER_S = 0.6
+# Interval at which the figures for operators are updated, seconds.
+STATUS_INTERVAL_S = 1.0
+
+logger = logging.getLogger(__name__)
+
+
+class HoldCause(StrEnum):
+    """Enumerate why a job waits for its account; the value is logged."""
+
+    CAP = "cap"
+    TURN = "turn"
+    TOO_LARGE = "gang-above-cap"
+    UNCONFIRMED = "manifest-unconfirmed"
+
+
+@dataclass
+class HeldStep:
+    """Represent a step none of whose tasks may start; times are monotonic seconds.
+
+    `turn_since` is when it got the turn among the steps of its account, 0 if it has not.
+    """
+
+    pending: PendingStep
+    since: float
+    tried_at: float
+    turn_since: float = 0.0
+
+
+@dataclass(frozen=True)
+class AccountStatus:
+    """Store an account's figures for operators."""
+
+    account: str
+    used: Resources
+    cap: Resources
+    held_tasks: int
+
+
+@dataclass(frozen=True)
+class AccountLimits:
+    """Store what bounds the caps in force.
+
+    `manifest_age_s` returns the seconds since the store confirmed the manifest; from
+    `config_apply_s` on, no task of a capped account starts. `overage` is the share by which the
+    platform lets the resources of an account exceed its cap.
+    """
+
+    manifest_age_s: Callable[[], float] = lambda: 0.0
+    config_apply_s: float = 3.0
+    overage: float = 0.0
+
+
+class AccountControl:
+    """Decide what accounts may start; used by the scheduler's thread only.
+
+    `status` is replaced as a whole, so that other threads may read it.
+    """
+
+    def __init__(self, known: KnownAccounts, limits: AccountLimits) -> None:
+        self._known = known
+        self._limits = limits
+        self._now = 0.0
+        self._instances: Collection[WorkerInstance] = ()
+        self._usage: dict[str, Usage] | None = None
+        self._begun: dict[str, Usage] | None = None
+        self._gang_decisions: dict[tuple[str, int], bool] = {}
+        self._held: defaultdict[str, dict[tuple[str, int], HeldStep]] = defaultdict(dict)
+        self._turns: dict[str, HeldStep | None] = {}
+        self._next_status_at = 0.0
+        self.status: tuple[AccountStatus, ...] = ()
+
+    @property
+    def is_active(self) -> bool:
+        """Return whether any manifest that was read has accounts."""
+        return self._known.has_any
+
+    # Rounds
+
+    def begin_round(
+        self, instances: Collection[WorkerInstance], jobs: Iterable[Job], now: float
+    ) -> None:
+        """Begin a scheduling round with the worker instances, whose tasks count, and open jobs."""
+        self._known.update(jobs)
+        if not self.is_active:
+            return
+        self._now, self._instances, self._usage = now, instances, None
+        self._turns.clear()
+        for account, held in list(self._held.items()):
+            for key in [key for key, each in held.items() if now - each.tried_at > FORGET_AFTER_S]:
+                del held[key]
+            if not held:
+                del self._held[account]
+        if now >= self._next_status_at:
+            self._next_status_at = now + STATUS_INTERVAL_S
+            self._update_status()
+
+    def usage(self, account: str) -> Usage:
+        """Return what an account uses, with the tasks that this round has assigned."""
+        if self._usage is None:
+            self._usage = sum_usage(self._instances)
+        return self._usage.get(account, Usage())
+
+    def limit(self, pending: PendingStep) -> PendingStep | None:
+        """Return the step with those of its tasks that its account may start; None if none."""
+        account = pending.job.stored.account
+        cap = self._known.cap(account) if account else None
+        if cap is None:
+            return pending
+        cause, count = self._judge(pending, cap)
+        key = _held_key(pending)
+        if cause is None:
+            self._held[account].pop(key, None)
+            tasks = pending.tasks[:count]
+            return pending if count == len(pending.tasks) else replace(pending, tasks=tasks)
+        if cause is not HoldCause.UNCONFIRMED:
+            held = self._held[account].setdefault(key, HeldStep(pending, self._now, self._now))
+            held.pending, held.tried_at = pending, self._now
+        self._log_hold(pending, cause, cap)
+        return None
+
+    def record_start(self, pending: PendingStep, tasks: int) -> None:
+        """Add tasks of a step that were assigned in this round."""
+        account = pending.job.stored.account
+        if self._usage is None or not account:
+            return
+        self._usage[account] = self.usage(account).plus(pending.step.order.need.scaled(tasks))
+        if self._turns.get(account) is not None:
+            self._turns.pop(account)
+
+    def may_start(self, pending: PendingStep) -> bool:
+        """Return whether a task of the step may start, without effect on later decisions."""
+        account = pending.job.stored.account
+        cap = self._known.cap(account) if account else None
+        return cap is None or self._judge(pending, cap)[0] is None
+
+    def _judge(self, pending: PendingStep, cap: Resources) -> tuple[HoldCause | None, int]:
+        """Return why the step waits, or None and how many of its tasks may start."""
+        if not self._is_confirmed():
+            return HoldCause.UNCONFIRMED, 0
+        order, usage = pending.step.order, self.usage(pending.job.stored.account)
+        count = count_startable(usage.total, order, len(pending.tasks), cap, self._limits.overage)
+        if not count:
+            is_possible = self._fits(pending, Resources(), cap)
+            return HoldCause.CAP if is_possible else HoldCause.TOO_LARGE, 0
+        if not order.lasting and self._has_other_turn(pending, usage, cap):
+            return HoldCause.TURN, 0
+        return None, count
+
+    def _is_confirmed(self) -> bool:
+        return self._limits.manifest_age_s() < self._limits.config_apply_s
+
+    def _fits(self, pending: PendingStep, used: Resources, cap: Resources) -> bool:
+        return count_startable(used, pending.step.order, 1, cap, self._limits.overage) > 0
+
+    def _has_other_turn(self, pending: PendingStep, usage: Usage, cap: Resources) -> bool:
+        """Return whether another step of the account has the turn, and may still delay this one."""
+        account = pending.job.stored.account
+        if account not in self._turns:
+            self._turns[account] = self._next_turn(account, usage, cap)
+        turn = self._turns[account]
+        if turn is None or _held_key(turn.pending) == _held_key(pending):
+            return False
+        if not is_under_half(usage.total, cap):
+            return True
+        if self._now - turn.turn_since <= MAX_TURN_BELOW_HALF_S:
+            return True
+        # Its place in the order of turns is the last one now.
+        turn.since, turn.turn_since, self._turns[account] = self._now, 0.0, None
+        return False
+
+    def _next_turn(self, account: str, usage: Usage, cap: Resources) -> HeldStep | None:
+        """Return the step held for longest that can start once the account's batch runs end."""
+        due = [
+            each
+            for each in self._held.get(account, {}).values()
+            if self._now - each.since >= TURN_AFTER_S
+            and self._fits(each.pending, usage.lasting, cap)
+        ]
+        turn = min(due, key=lambda each: (not each.turn_since, each.since), default=None)
+        if turn is not None:
+            turn.turn_since = turn.turn_since or self._now
+        return turn
+
+    def _log_hold(self, pending: PendingStep, cause: HoldCause, cap: Resources) -> None:
+        job = pending.job
+        if cause in job.hold_causes:
+            return
+        job.hold_causes |= {cause}
+        used = self.usage(job.stored.account).total
+        event(
+            logger,
+            Event.JOB_HELD,
+            job=job.id,
+            account=job.stored.account,
+            why=cause.value,
+            used_cpu=used.cpu,
+            used_memory_mb=used.memory_mb,
+            used_accelerators=used.accelerators,
+            cap_cpu=cap.cpu,
+            cap_memory_mb=cap.memory_mb,
+            cap_accelerators=cap.accelerators,
+        )
+
+    def _update_status(self) -> None:
+        usage = sum_usage(self._instances)
+        self._usage = dict(usage)
+        self.status = tuple(
+            AccountStatus(
+                account,
+                usage.get(account, Usage()).total,
+                self._known.cap(account) or Resources(),
+                sum(len(each.pending.tasks) for each in self._held.get(account, {}).values()),
+            )
+            for account in sorted(usage.keys() | self._held.keys())
+        )
+
+    # Starts that wait for the store while caps may change
+
+    def begin_sending(self, instances: Iterable[WorkerInstance]) -> None:
+        """Begin to send starts to these worker instances."""
+        self._instances, self._begun = list(instances), None
+        self._gang_decisions.clear()
+
+    def may_send(self, task: Task) -> bool:
+        """Return whether the start of an assigned task may still be sent.
+
+        What has begun counts, with the starts that were sent before this one.
+        """
+        account = task.step.job.stored.account
+        cap = self._known.cap(account) if account else None
+        if cap is None:
+            return True
+        if not self._is_confirmed():
+            return False
+        order, gang = task.step.order, (task.step.key, task.run)
+        if order.gang and gang in self._gang_decisions:
+            return self._gang_decisions[gang]
+        if self._begun is None:
+            self._begun = sum_usage(self._instances, _has_begun)
+        used = self._begun.get(account, Usage())
+        members = order.tasks if order.gang else 1
+        may_send = count_startable(used.total, order, members, cap, self._limits.overage) > 0
+        if may_send:
+            self._begun[account] = used.plus(order.need.scaled(members))
+        if order.gang:
+            self._gang_decisions[gang] = may_send
+        return may_send
+
+
+def _has_begun(task: Task) -> bool:
+    """Return whether a run may be at work; members of a gang that is done may be too."""
+    return task.may_have_begun or task.is_final
+
+
+def _held_key(pending: PendingStep) -> tuple[str, int]:
+    """Return what identifies a step, and its group of tasks, from round to round."""
+    return pending.step.key, int(pending.has_suspects)
+
+
+class Accounts:
+    """Keep what a daemon knows of accounts over its terms as the leader."""
+
+    def __init__(
+        self, manifest: Callable[[], Manifest | None], limits: AccountLimits | None = None
+    ) -> None:
+        self.known = KnownAccounts(manifest)
+        self._limits = limits or AccountLimits()
+        self._control = self.begin_term()
+
+    def begin_term(self) -> AccountControl:
+        """Return what decides on starts in a new term."""
+        self._control = AccountControl(self.known, self._limits)
+        return self._control
+
+    def statuses(self) -> tuple[AccountStatus, ...]:
+        """Return the accounts' figures of the last term; any thread may call this."""
+        return self._control.status
--- a/gypsumplank/coordination/job/command.py
+++ b/gypsumplank/coordination/job/command.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from gypsumplank.coordination.job.accounts import AccountControl
 from gypsumplank.coordination.job.dispatcher import WorkerDispatcher
 from gypsumplank.coordination.job.evidence import find_proof_before_start, find_proof_in_failure
 from gypsumplank.coordination.job.instance import REFUSAL_BACKOFF_S, WorkerInstance
@@ -44,10 +45,12 @@
         clock: Clock,
         token: int,
         is_capacity_known: Callable[[WorkerInstance, float], bool],
+        accounts: AccountControl,
     ) -> None:
         self._clock = clock
         self._token = token
         self._is_capacity_known = is_capacity_known
+        self.accounts = accounts
         self._refused_starts = RefusedStarts()
         self.unsent_starts: list[PendingStart] = []
         self.dispatcher: WorkerDispatcher | None = None
@@ -70,6 +73,7 @@
         instances = list(instances)
         ready = [start for start in self.unsent_starts if not start.task.step.dirty]
         self.unsent_starts = [start for start in self.unsent_starts if start.task.step.dirty]
+        self.accounts.begin_sending(instances)
         for start in ready:
             self._send_start(start, now)
         for change in list(speed_changes(instances, now)):
@@ -99,7 +103,7 @@
         if task.run != start.run or task.phase is not TaskPhase.ASSIGNED:
             return
         is_over = task.step.job.cancelled or task.step.job.state in FINAL_JOB_STATES
-        if is_over or instance.is_overfull:
+        if is_over or instance.is_overfull or not self.accounts.may_send(task):
             if proof := find_proof_before_start(task):
                 requeue_task(instance, task, now, proof)
             return
--- a/gypsumplank/coordination/job/fleet.py
+++ b/gypsumplank/coordination/job/fleet.py
@@ -275,7 +275,12 @@
             requeue_task(instance, task, now, proof)
 
     def remove_if_idle(self, key: str, instance: WorkerInstance) -> None:
-        """Remove an instance that is not registered and has no tasks."""
+        """Remove an instance that is not registered and has no tasks.
+
+        Runs that are not assigned to it still use their accounts' resources until its leases end.
+        """
+        if instance.unassigned_tasks and not instance.leases_have_expired(self._clock.monotonic()):
+            return
         if not instance.registered and not instance.tasks:
             self._remove(key, instance)
 
--- a/gypsumplank/coordination/job/instance.py
+++ b/gypsumplank/coordination/job/instance.py
@@ -68,7 +68,8 @@
     processed, acknowledged (at `acked_at`) and are gone. A `cordoned` worker gets no new tasks, one
     with `maintenance_due` gets long-running tasks last, and a `detached` one is no longer polled.
     `is_down` is set once the platform lists its machine as without a worker, and
-    `has_unassigned_runs` is set while the worker executes runs that are not assigned to it. `wake`
+    `has_unassigned_runs` is set while the worker executes runs that are not assigned to it; where
+    there are client accounts, `unassigned_tasks` are their tasks, as far as they are known. `wake`
     ends the wait of the polling thread before its next poll.
     """
 
@@ -99,6 +100,7 @@
     detached: bool = False
     is_down: bool = False
     has_unassigned_runs: bool = False
+    unassigned_tasks: tuple[Task, ...] = ()
     _lease_lock: threading.Lock = field(default_factory=threading.Lock, repr=False)
 
     @property
--- a/gypsumplank/coordination/job/leader.py
+++ b/gypsumplank/coordination/job/leader.py
@@ -5,6 +5,7 @@
 import threading
 from collections.abc import Callable, Iterable
 
+from gypsumplank.coordination.job.accounts import Accounts
 from gypsumplank.coordination.job.commit import JobCommitter
 from gypsumplank.coordination.job.cutoff import CutOffDetector
 from gypsumplank.coordination.job.fleet import EXTENSION_GRACE_S
@@ -76,6 +77,7 @@
         heartbeat_s: float = 1.5,
         candidates: LeaderCandidates | None = None,
         status_s: float = 120.0,
+        accounts: Accounts | None = None,
     ) -> None:
         self._candidates = candidates or NoCandidates()
         self._heartbeat_s = heartbeat_s
@@ -84,6 +86,7 @@
         self._clock = clock
         self._manifest = manifest
         self._queues = KnownQueues(manifest)
+        self._accounts = accounts or Accounts(manifest)
         self._max_lease_s = max_lease_s
         self._machine_manager = machine_manager
         self._inbox: queue.SimpleQueue[Callable[[], None]] = queue.SimpleQueue()
@@ -139,6 +142,7 @@
         self._check_lease_if_due()
         if self._term is None:
             self._queues.update()
+            self._accounts.known.update()
         else:
             self._run_round(self._term)
 
@@ -261,6 +265,7 @@
         scheduler = Scheduler(
             self._clock, self._manifest, epoch, lease_s, self._heartbeat_s, self._queues
         )
+        scheduler.use_accounts(self._accounts.begin_term())
         scheduler.load(jobs, entries)
         self._renew_if_due()
         now = self._clock.monotonic()
@@ -280,10 +285,8 @@
         They may until EXTENSION_GRACE_S after the end of the scheduler's lease; a later leader
         allows for this time before it counts a task's lease as expired.
         """
-        return (
-            self._clock.monotonic()
-            < self._ports.leases.held_until(SCHEDULER_LEASE) + EXTENSION_GRACE_S
-        )
+        held_until = self._ports.leases.held_until(SCHEDULER_LEASE)
+        return self._clock.monotonic() < held_until + EXTENSION_GRACE_S
 
     def post(self, call: Callable[[], None]) -> None:
         """Queue a call for this thread."""
--- a/gypsumplank/coordination/job/model.py
+++ b/gypsumplank/coordination/job/model.py
@@ -257,7 +257,8 @@
     `arrived_at` is when this leader read the job, in monotonic seconds. `state_dirty` marks a
     change of the state that is not stored yet. `is_unstorable` tells that the store does not take
     a row of one of its steps. `waits_for_queue` is set while no task of the job may start, as the
-    manifest does not name its queue.
+    manifest does not name its queue. `hold_causes` are the causes logged for which its account held
+    it back.
     """
 
     stored: StoredJob
@@ -270,6 +271,7 @@
     state_dirty: bool = False
     is_unstorable: bool = False
     waits_for_queue: bool = False
+    hold_causes: frozenset[str] = frozenset()
     arrived_at: float = 0.0
     steps: dict[tuple[int, int], Step] = field(default_factory=dict)
 
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Collection, Iterable, Iterator, Mapping, Sequence
 from dataclasses import replace
 
+from gypsumplank.coordination.job.accounts import AccountControl, Accounts
 from gypsumplank.coordination.job.attempt import find_exhausted, find_startable
 from gypsumplank.coordination.job.command import CommandSender, PendingStart
 from gypsumplank.coordination.job.crash import is_withheld
@@ -61,12 +62,17 @@
         self._queues = queues or KnownQueues(manifest)
         self.workload = Workload()
         self.fleet = Fleet(clock, max_lease_s, heartbeat_s)
-        self.commands = CommandSender(clock, token, self._is_capacity_known)
+        self.accounts = Accounts(manifest).begin_term()
+        self.commands = CommandSender(clock, token, self._is_capacity_known, self.accounts)
 
     def use_dispatcher(self, dispatcher: WorkerDispatcher) -> None:
         """Set the dispatcher of this term."""
         self.fleet.dispatcher = self.commands.dispatcher = dispatcher
 
+    def use_accounts(self, accounts: AccountControl) -> None:
+        """Set what decides on the starts of accounts' tasks in this term."""
+        self.accounts = self.commands.accounts = accounts
+
     def now(self) -> float:
         """Return the monotonic time in seconds."""
         return self._clock.monotonic()
@@ -119,11 +125,20 @@
         instance.record_forgotten_ends(received)
         # A worker removes its entry when it has left.
         instance.has_deregistered = False
+        known = self._tasks_by_name(instance) if self.accounts.is_active else {}
         unassigned_runs = list(apply_report(instance, received))
         instance.has_unassigned_runs = bool(unassigned_runs)
+        if self.accounts.is_active:
+            found = (known.get(run.name) or self.workload.task(run.name) for run in unassigned_runs)
+            instance.unassigned_tasks = tuple(task for task in found if task)
         for unassigned in unassigned_runs:
             self.commands.stop_unassigned(instance, unassigned)
 
+    @staticmethod
+    def _tasks_by_name(instance: WorkerInstance) -> dict[str, Task]:
+        """Return the tasks that an instance may run; their jobs may have been removed since."""
+        return {task.name: task for task in (*instance.unassigned_tasks, *instance.tasks.values())}
+
     # Rounds
 
     def plan(self) -> None:
@@ -139,13 +154,16 @@
             for pending_step in self._pending_steps(job, now, wall_ms)
         ]
         instances = [each for each in self.instances.values() if self._is_capacity_known(each, now)]
+        self.accounts.begin_round(self.instances.values(), self.workload.jobs.values(), now)
         self._evict(pending, instances, now)
         placement_round = PlacementRound(instances, now)
         assigned_jobs: dict[str, Job] = {}
         for pending_step in sorted(pending, key=lambda each: urgency(each, now, wall_ms)):
-            placed = placement_round.place(pending_step)
+            startable = self.accounts.limit(pending_step)
+            placed = placement_round.place(startable) if startable else []
             if placed:
                 self._assign(pending_step, placed)
+                self.accounts.record_start(pending_step, len(placed))
                 assigned_jobs[pending_step.job.id] = pending_step.job
         self.workload.update_job_states(assigned_jobs.values(), now)
 
@@ -201,7 +219,7 @@
         for task in list(stalled_runs(self.instances.values(), now)):
             self._stop_stalled(task, now)
         for pending_step in pending:
-            if not pending_step.step.order.lasting:
+            if not pending_step.step.order.lasting or not self.accounts.may_start(pending_step):
                 continue
             overdue = [
                 task for task in pending_step.tasks if now - task.queued_since > PREEMPTION_WAIT_S
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -1,10 +1,11 @@
 """Simulate a cluster of daemons, workers and the store in virtual time, step by step."""
 
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import replace
 from typing import Any
 
+from gypsumplank.coordination.job.accounts import AccountLimits, Accounts
 from gypsumplank.coordination.job.dispatcher import Post, ResultCallback
 from gypsumplank.coordination.job.instance import VERIFIED_FOR_S, WorkerInstance
 from gypsumplank.coordination.job.leader import SchedulerLeader
@@ -24,7 +25,8 @@
     WorkerError,
     WorkerRefusedError,
 )
-from gypsumplank.protocol.job import JobDefinition, Resources, StepDefinition
+from gypsumplank.protocol.account import Account
+from gypsumplank.protocol.job import JobDefinition, Resources, StepDefinition, StoredJob
 from gypsumplank.protocol.queue import (
     Machine,
     MachineState,
@@ -41,10 +43,12 @@
 from standins.faulty import ScriptedFaultTable
 from standins.limit import LimitedFeedTable
 from standins.simulator import SimulatedWorkers
-from standins.violations import find_violations
+from standins.violations import CapChange, find_violations
 
 STEP_S = 0.05
 LEASE_S = 6.0
+CONFIG_APPLY_S = 3.0
+QUOTA_OVERAGE = 0.1
 SERVICE = "desk"
 STANDBY = "spare"
 QUEUE = Queue("proofs", "h.example", "/p/", SERVICE, 0, 3, 1.5, 600)
@@ -407,6 +411,7 @@
     def __init__(self, cluster: "SimulatedCluster", name: str) -> None:
         self.cluster, self.name = cluster, name
         self.table: Any = ScriptedFaultTable(cluster.table)
+        self.manifest, self.manifest_read_at = cluster.manifest, cluster.clock.now
         self.restart()
 
     def restart(self) -> None:
@@ -447,11 +452,17 @@
         self.scheduler_leader = SchedulerLeader(
             ports,
             cluster.clock,
-            lambda: cluster.manifest,
+            lambda: self.manifest,
             lambda: LEASE_S,
             machine_manager,
             self.term_factory,
             status_s=cluster.status_s,
+            accounts=Accounts(
+                lambda: self.manifest,
+                AccountLimits(
+                    lambda: cluster.clock.now - self.manifest_read_at, CONFIG_APPLY_S, QUOTA_OVERAGE
+                ),
+            ),
         )
         self.store = store
         self.job_service = JobService(store, cluster.clock, lambda: MANIFEST)
@@ -467,6 +478,8 @@
             self.scheduler_leader.run_once(0.0)
         except GypsumplankError:
             pass
+        if not self.table.unavailable:
+            self.manifest, self.manifest_read_at = self.cluster.manifest, self.cluster.clock.now
 
     def _send_snapshot(self) -> None:
         try:
@@ -506,6 +519,8 @@
         self.manifest = MANIFEST
         self.daemons = [Daemon(self, f"d{index}") for index in range(daemons)]
         self.submitted: dict[str, JobDefinition] = {}
+        self.accounts: dict[str, str] = {}
+        self.cap_changes: list[CapChange] = []
 
     def store_clock(self) -> ClockRange:
         """Return the time of the store."""
@@ -528,12 +543,25 @@
         spec: str = "0.5",
         daemon: int = 0,
         queue: Queue = QUEUE,
+        account: str = "",
     ) -> bool:
         """Submit a job to a daemon; by default one of two tasks of half a second."""
         order = JobDefinition(spec, steps or (StepDefinition(2, Resources(1000, 100), 500),))
         self.submitted[job_id] = order
+        if account:
+            self.accounts[job_id] = account
+            accepted_ms = int(self.clock.wall() * 1000)
+            stored = StoredJob(job_id, queue.name, queue.service, accepted_ms, order, account)
+            return self.daemons[daemon].store.submit(stored, 0.0)
         return self.daemons[daemon].job_service.submit(queue, job_id, order, 0.0)
 
+    def set_caps(self, caps: Mapping[str, Resources]) -> None:
+        """Put a manifest with these accounts and caps in force."""
+        accounts = tuple(Account(name, cap=cap) for name, cap in caps.items())
+        version = self.manifest.version + 1
+        self.manifest = replace(self.manifest, version=version, accounts=accounts)
+        self.cap_changes.append(CapChange(self.clock.now, dict(caps)))
+
     def state(self, job_id: str) -> str:
         """Return a job's state as stored."""
         return JobStore(self.table).state(job_id)[0].state.value
--- a/standins/violations.py
+++ b/standins/violations.py
@@ -1,11 +1,17 @@
 """Check recorded starts of runs for violations that no injected fault may cause."""
 
 import math
-from collections.abc import Container, Iterable, Iterator, Mapping
+from collections.abc import Container, Iterable, Iterator, Mapping, Sequence
+from dataclasses import dataclass
 
 from gypsumplank.protocol.job import JobDefinition, Resources
 from gypsumplank.protocol.worker import EndKind
-from standins.simulator import HEARTBEAT_INTERVAL_S, RoomChange, StartRecord
+from standins.simulator import (
+    HEARTBEAT_INTERVAL_S,
+    MAX_START_DELAY_S,
+    RoomChange,
+    StartRecord,
+)
 
 # Time after which a worker's reduced capacity binds, seconds: the platform's stability window and
 # one heartbeat.
@@ -21,6 +27,14 @@
 STOP_TIMEOUT_S = 0.9
 
 
+@dataclass(frozen=True)
+class CapRule:
+    """Store by how much accounts may exceed their caps, and how soon a new one binds."""
+
+    overage: float
+    apply_s: float
+
+
 def find_violations(
     history: Iterable[StartRecord], submitted: Mapping[str, JobDefinition]
 ) -> list[str]:
@@ -90,6 +104,89 @@
     return room
 
 
+@dataclass(frozen=True)
+class CapChange:
+    """Record the caps of all accounts in force from a simulated time on."""
+
+    at: float
+    caps: Mapping[str, Resources]
+
+
+def find_starts_above_cap(
+    history: Iterable[StartRecord],
+    submitted: Mapping[str, JobDefinition],
+    accounts: Mapping[str, str],
+    changes: Iterable[CapChange],
+    limits: CapRule,
+    first: int = 0,
+) -> list[str]:
+    """Return a description of each start that brought its account above its cap.
+
+    Runs count until they have ended. Of the caps that may be in force, the highest counts. A start
+    may exceed the cap by the overage and its own need. The first starts may be left out if `first`
+    is where an earlier check ended.
+    """
+    starts, known = list(history), list(changes)
+    return [
+        f"{start.name}: run {start.run} exceeds the cap of {accounts[_job_of(start)]}"
+        for start in starts[first:]
+        if _job_of(start) in accounts
+        if not _is_within_cap(start, starts, submitted, accounts, known, limits)
+    ]
+
+
+def _is_within_cap(
+    start: StartRecord,
+    starts: Iterable[StartRecord],
+    submitted: Mapping[str, JobDefinition],
+    accounts: Mapping[str, str],
+    changes: Sequence[CapChange],
+    limits: CapRule,
+) -> bool:
+    account = accounts[_job_of(start)]
+    grace_s = limits.apply_s + (MAX_START_DELAY_S if start.delayed else 0.0)
+    caps = _possible_caps(account, changes, start.started_at - grace_s, start.started_at)
+    if Resources() in caps:
+        return True
+    used = Resources()
+    for other in starts:
+        is_active = other.ended is None or other.ended > start.started_at
+        is_same = accounts.get(_job_of(other)) == account
+        if is_same and other.started_at <= start.started_at and is_active:
+            used = used + _need_of(other, submitted)
+    one = _need_of(start, submitted)
+    bounds = [
+        [math.inf if not cap else cap * (1 + limits.overage) + need for cap, need in pairs]
+        for cap in caps
+        for pairs in [zip(_amounts(cap), _amounts(one), strict=True)]
+    ]
+    highest = [max(column) for column in zip(*bounds, strict=True)]
+    return all(amount <= bound for amount, bound in zip(_amounts(used), highest, strict=True))
+
+
+def _possible_caps(
+    account: str, changes: Iterable[CapChange], since: float, until: float
+) -> list[Resources]:
+    """Return the caps of an account that may be in force; one that is not listed has no limit."""
+    caps = [Resources()]
+    for change in changes:
+        if change.at > until:
+            break
+        if change.at <= since:
+            caps = []
+        caps.append(change.caps.get(account, Resources()))
+    return caps
+
+
+def _need_of(start: StartRecord, submitted: Mapping[str, JobDefinition]) -> Resources:
+    job, _, step, _ = start.name.split(".")
+    return submitted[job].steps[int(step)].need
+
+
+def _amounts(resources: Resources) -> tuple[int, int, int]:
+    return resources.cpu, resources.memory_mb, resources.accelerators
+
+
 def find_deadly_restarts(history: Iterable[StartRecord], deadly_tasks: Container[str]) -> list[str]:
     """Return a description of each deadly task that was started too often."""
     by_task: dict[str, list[StartRecord]] = {}
--- a/tests/coordination/job/test_run_machine.py
+++ b/tests/coordination/job/test_run_machine.py
@@ -14,14 +14,23 @@
 from gypsumplank.protocol.job import JobState, Resources, StepDefinition, StepRecord, TaskPhase
 from gypsumplank.protocol.queue import MaintenanceWave
 from gypsumplank.state.job import TABLE_STEPS, decode
-from standins.cluster import ROOM, SimulatedCluster, long_running_step
+from standins.cluster import (
+    CONFIG_APPLY_S,
+    QUOTA_OVERAGE,
+    ROOM,
+    STEP_S,
+    SimulatedCluster,
+    long_running_step,
+)
 from standins.violations import (
     CANCEL_S,
     STOP_TIMEOUT_S,
+    CapRule,
     find_deadly_restarts,
     find_lonely_gang_runs,
     find_overfull_starts,
     find_runs_of_cancelled_jobs,
+    find_starts_above_cap,
     find_starts_of_cancelled_jobs,
 )
 
@@ -42,6 +51,14 @@
 SETTLE_S = 60.0
 # Longest time after which an order that got no answer is carried out, seconds.
 MAX_ORDER_DELAY_S = 12.0
+# A manifest binds from the step after the one in which the daemons read it.
+CAP_RULE = CapRule(QUOTA_OVERAGE, CONFIG_APPLY_S + STEP_S)
+# Below one task, for two of them, for all; and one that limits the memory only.
+CAPS = st.sampled_from(
+    [None, Resources(1000), Resources(3500), Resources(20_000), Resources(0, 250)]
+)
+# Lets each account run each of its steps, one after the other.
+LAST_CAPS = {name: Resources(6000) for name in "ab"} | {"c": Resources(20_000)}
 WORKER_INDEXES = st.integers(0, WORKERS - 1)
 SHORT_TIMES_S = st.sampled_from([0.05, 0.1, 0.3, 0.6, 1.0])
 OUTAGE_TIMES_S = st.sampled_from([0.3, 1.0, 2.5, 4.5])
@@ -61,6 +78,7 @@
         self.deadly_jobs = set()
         self.lasting_jobs = set()
         self.cancelled_at = {}
+        self.checked_starts = 0
         self.disturbed_at = self.cluster.clock.now
         self.cluster.run(1.0)
 
@@ -98,12 +116,14 @@
         chained=st.booleans(),
         spec=st.sampled_from(["0.2", "1", "3"]),
         daemon=st.integers(0, 1),
+        account=st.sampled_from(["", "a", "a", "b"]),
     )
-    def submit(self, step, chained, spec, daemon):
+    def submit(self, step, chained, spec, daemon, account=""):
         job = f"{len(self.cluster.submitted):016x}"
         if step.gang:
             self.workers.gang_sizes[f"{job}.0.0"] = step.tasks
-        self.cluster.submit(job, (step, LAST) if chained else (step,), spec, daemon)
+        steps = (step, LAST) if chained else (step,)
+        self.cluster.submit(job, steps, spec, daemon, account=account)
 
     @precondition(
         lambda self: len(self.cluster.submitted) < MAX_JOBS
@@ -118,11 +138,19 @@
         self.cluster.submit(job, (PLAIN,), "1")
 
     @precondition(lambda self: len(self.cluster.submitted) < MAX_JOBS and not self.deadly_jobs)
-    @rule(tasks=st.integers(1, 3), daemon=st.integers(0, 1))
-    def submit_lasting(self, tasks, daemon):
+    @rule(
+        tasks=st.integers(1, 3), daemon=st.integers(0, 1), account=st.sampled_from(["", "c", "c"])
+    )
+    def submit_lasting(self, tasks, daemon, account):
         job = f"{len(self.cluster.submitted):016x}"
         self.lasting_jobs.add(job)
-        self.cluster.submit(job, (long_running_step(tasks),), LASTING_SPEC, daemon)
+        steps = (long_running_step(tasks),)
+        self.cluster.submit(job, steps, LASTING_SPEC, daemon, account=account)
+
+    @rule(a=CAPS, b=CAPS, c=CAPS)
+    def change_caps(self, a, b, c):
+        caps = {"a": a, "b": b, "c": c}
+        self.cluster.set_caps({name: cap for name, cap in caps.items() if cap is not None})
 
     @precondition(lambda self: self.cluster.submitted)
     @rule(index=st.integers(0, MAX_JOBS - 1), daemon=st.integers(0, 1))
@@ -286,6 +314,19 @@
         if cluster.waves:
             assert cluster.machines.max_down <= cluster.waves[0].cap
 
+    @invariant()
+    def no_start_exceeds_a_cap(self):
+        cluster, history = self.cluster, self.workers.history
+        assert not find_starts_above_cap(
+            history,
+            cluster.submitted,
+            cluster.accounts,
+            cluster.cap_changes,
+            CAP_RULE,
+            self.checked_starts,
+        )
+        self.checked_starts = len(history)
+
     @invariant()
     def what_was_not_asked_for_does_not_run(self):
         history, calm_since = self.workers.history, self.calm_since()
@@ -309,6 +350,7 @@
 
     def check(self):
         self.no_rule_is_broken()
+        self.no_start_exceeds_a_cap()
         self.what_was_not_asked_for_does_not_run()
         self.no_member_of_a_gang_is_alone()
         self.done_stays_done()
@@ -326,6 +368,8 @@
             self.workers.reconnect_registry(name)
             self.workers.set_room(name, ROOM)
         self.disturb()
+        if self.cluster.cap_changes:
+            self.cluster.set_caps(LAST_CAPS)
         self.cluster.run(SETTLE_S)
         self.check()
         assert self.lasting_tasks_at_work() == {
