--- a/gypsumplank/composition/accountgauge.py
+++ b/gypsumplank/composition/accountgauge.py
@@ -31,6 +31,24 @@
         "Tasks that are ready and wait for the cap of their account",
         lambda: [Observation(each.held_tasks, {"account": each.account}) for each in read()],
     )
+    metrics.gauge(
+        "gypsumplank.account.share",
+        "1",
+        "Largest part of a resource of a service that an account uses, divided by its weight",
+        lambda: [Observation(each.share, {"account": each.account}) for each in read()],
+    )
+    metrics.gauge(
+        "gypsumplank.account.rank",
+        "1",
+        "Place of an account by its share, 1 for the lowest; those come first if capacity is short",
+        lambda: [Observation(each.rank, {"account": each.account}) for each in read()],
+    )
+    metrics.gauge(
+        "gypsumplank.account.excess_steps",
+        "{step}",
+        "Steps that wait of jobs beyond the weight of their account",
+        lambda: [Observation(each.excess_steps, {"account": each.account}) for each in read()],
+    )
 
 
 def _by_resource(account: str, amount: Resources) -> Iterator[Observation]:
--- a/gypsumplank/coordination/job/accounts.py
+++ b/gypsumplank/coordination/job/accounts.py
@@ -5,13 +5,24 @@
 """
 
 import logging
-from collections import defaultdict
-from collections.abc import Callable, Collection, Iterable
+from collections import Counter, defaultdict
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
 from enum import StrEnum
 
+from gypsumplank.coordination.job.accountshare import (
+    MAX_PASSED_OVER_S,
+    ExcessTurns,
+    ShareOrder,
+    StartReserve,
+    TokenBuckets,
+    Urgency,
+    find_short_services,
+    mark_excess,
+    sum_service_use,
+)
 from gypsumplank.coordination.job.instance import WorkerInstance
-from gypsumplank.coordination.job.model import Job, Task
+from gypsumplank.coordination.job.model import Task
 from gypsumplank.coordination.job.placement import PendingStep
 from gypsumplank.coordination.job.usage import (
     KnownAccounts,
@@ -20,6 +31,7 @@
     is_under_half,
     sum_usage,
 )
+from gypsumplank.coordination.job.workload import Workload
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.job import Resources
 from gypsumplank.protocol.queue import Manifest
@@ -46,6 +58,7 @@
     TURN = "turn"
     TOO_LARGE = "gang-above-cap"
     UNCONFIRMED = "manifest-unconfirmed"
+    EXCESS = "excess"
 
 
 @dataclass
@@ -63,12 +76,19 @@
 
 @dataclass(frozen=True)
 class AccountStatus:
-    """Store an account's figures for operators."""
+    """Store an account's figures for operators.
+
+    `share` is the largest dominant share that it has in a service, and `rank` its place from the
+    lowest share on, from 1. `excess_steps` wait that lie beyond its weight.
+    """
 
     account: str
     used: Resources
     cap: Resources
     held_tasks: int
+    share: float
+    rank: int
+    excess_steps: int
 
 
 @dataclass(frozen=True)
@@ -101,6 +121,12 @@
         self._gang_decisions: dict[tuple[str, int], bool] = {}
         self._held: defaultdict[str, dict[tuple[str, int], HeldStep]] = defaultdict(dict)
         self._turns: dict[str, HeldStep | None] = {}
+        self._buckets = TokenBuckets()
+        self._excess_turns = ExcessTurns()
+        self._reserve = StartReserve()
+        self._free: dict[str, Resources] = {}
+        self._order: ShareOrder | None = None
+        self._excess_waiting: Counter[str] = Counter()
         self._next_status_at = 0.0
         self.status: tuple[AccountStatus, ...] = ()
 
@@ -112,12 +138,15 @@
     # Rounds
 
     def begin_round(
-        self, instances: Collection[WorkerInstance], jobs: Iterable[Job], now: float
+        self, instances: Collection[WorkerInstance], workload: Workload, now: float
     ) -> None:
-        """Begin a scheduling round with the worker instances, whose tasks count, and open jobs."""
-        self._known.update(jobs)
+        """Begin a scheduling round with the worker instances, whose tasks count, and the jobs."""
+        self._known.update(workload.jobs.values())
+        new_jobs = workload.take_new_jobs()
+        self._order = None
         if not self.is_active:
             return
+        mark_excess(new_jobs, self._known, self._buckets)
         self._now, self._instances, self._usage = now, instances, None
         self._turns.clear()
         for account, held in list(self._held.items()):
@@ -129,6 +158,30 @@
             self._next_status_at = now + STATUS_INTERVAL_S
             self._update_status()
 
+    def order(
+        self,
+        pending: Sequence[PendingStep],
+        urgency: Urgency,
+        free_by_service: Callable[[], Mapping[str, Resources]],
+    ) -> Iterable[PendingStep]:
+        """Return the steps in the order in which to place them: by urgency, and by account.
+
+        The order follows the starts that are recorded while it is read.
+        """
+        if not self.is_active:
+            return sorted(pending, key=urgency)
+        self._excess_waiting = Counter(
+            each.job.stored.account for each in pending if each.job.is_excess
+        )
+        self._free = dict(free_by_service())
+        short_services = find_short_services(pending, self._free)
+        if not short_services and not self._excess_waiting:
+            return sorted(pending, key=urgency)
+        first = self._excess_turns.find_first(pending, self._now)
+        use = sum_service_use(self._instances)
+        self._order = ShareOrder(self._known, use, short_services, first, self._now)
+        return self._order.sorted(pending, urgency)
+
     def usage(self, account: str) -> Usage:
         """Return what an account uses, with the tasks that this round has assigned."""
         if self._usage is None:
@@ -138,6 +191,13 @@
     def limit(self, pending: PendingStep) -> PendingStep | None:
         """Return the step with those of its tasks that its account may start; None if none."""
         account = pending.job.stored.account
+        if pending.job.is_excess:
+            if self._now - pending.job.arrived_at > MAX_PASSED_OVER_S:
+                self._log_hold(pending, HoldCause.EXCESS)
+            spare = self._limit_excess(pending)
+            if spare is None:
+                return None
+            pending = spare
         cap = self._known.cap(account) if account else None
         if cap is None:
             return pending
@@ -150,15 +210,41 @@
         if cause is not HoldCause.UNCONFIRMED:
             held = self._held[account].setdefault(key, HeldStep(pending, self._now, self._now))
             held.pending, held.tried_at = pending, self._now
-        self._log_hold(pending, cause, cap)
+        self._log_hold(pending, cause)
         return None
 
+    def _limit_excess(self, pending: PendingStep) -> PendingStep | None:
+        """Return the step with those tasks for which more is free than the reserve; or None."""
+        if self._order is not None and self._order.has_turn(pending):
+            return pending
+        service, order = pending.job.service, pending.step.order
+        reserve = self._reserve.reserve(service, pending.job.stored.account, self._now)
+        spare = self._free.get(service, Resources()) - reserve
+        count = 0
+        while count < len(pending.tasks) and spare.can_fit(order.need):
+            spare = spare - order.need
+            count += 1
+        if not count or (order.gang and count < order.tasks):
+            return None
+        return replace(pending, tasks=pending.tasks[:count])
+
     def record_start(self, pending: PendingStep, tasks: int) -> None:
         """Add tasks of a step that were assigned in this round."""
+        if not self.is_active:
+            return
         account = pending.job.stored.account
+        service, need = pending.job.service, pending.step.order.need.scaled(tasks)
+        if self._order is not None and self._order.has_turn(pending):
+            self._buckets.charge(account)
+        self._excess_turns.record_start(pending.job)
+        self._free[service] = self._free.get(service, Resources()) - need
+        if not pending.job.is_excess:
+            self._reserve.record_start(service, account, need, self._now)
+        if self._order is not None:
+            self._order.record_start(pending, tasks)
         if self._usage is None or not account:
             return
-        self._usage[account] = self.usage(account).plus(pending.step.order.need.scaled(tasks))
+        self._usage[account] = self.usage(account).plus(need)
         if self._turns.get(account) is not None:
             self._turns.pop(account)
 
@@ -216,12 +302,13 @@
             turn.turn_since = turn.turn_since or self._now
         return turn
 
-    def _log_hold(self, pending: PendingStep, cause: HoldCause, cap: Resources) -> None:
+    def _log_hold(self, pending: PendingStep, cause: HoldCause) -> None:
         job = pending.job
         if cause in job.hold_causes:
             return
         job.hold_causes |= {cause}
         used = self.usage(job.stored.account).total
+        cap = self._known.cap(job.stored.account) or Resources()
         event(
             logger,
             Event.JOB_HELD,
@@ -239,16 +326,31 @@
     def _update_status(self) -> None:
         usage = sum_usage(self._instances)
         self._usage = dict(usage)
+        shares = self._shares()
+        accounts = usage.keys() | self._held.keys() | self._excess_waiting.keys()
+        ranked = sorted(accounts - {""}, key=lambda account: (shares.get(account, 0.0), account))
         self.status = tuple(
             AccountStatus(
                 account,
                 usage.get(account, Usage()).total,
                 self._known.cap(account) or Resources(),
                 sum(len(each.pending.tasks) for each in self._held.get(account, {}).values()),
+                shares.get(account, 0.0),
+                rank,
+                self._excess_waiting[account],
             )
-            for account in sorted(usage.keys() | self._held.keys())
+            for rank, account in enumerate(ranked, start=1)
         )
 
+    def _shares(self) -> dict[str, float]:
+        """Return the largest dominant share of each account in any service."""
+        use = sum_service_use(self._instances)
+        order = ShareOrder(self._known, use, frozenset(), {}, self._now)
+        shares: defaultdict[str, float] = defaultdict(float)
+        for service, account in use.used:
+            shares[account] = max(shares[account], order.share((service, account)))
+        return shares
+
     # Starts that wait for the store while caps may change
 
     def begin_sending(self, instances: Iterable[WorkerInstance]) -> None:
--- a/gypsumplank/coordination/job/placement.py
+++ b/gypsumplank/coordination/job/placement.py
@@ -4,7 +4,7 @@
 come first, so that those that can't do not make the others late too.
 """
 
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
@@ -119,6 +119,13 @@
         }
         self._groups: dict[tuple[str, str], CandidateGroup] = {}
 
+    def free_by_service(self) -> dict[str, Resources]:
+        """Return the resources that are free on the workers of each service."""
+        free: defaultdict[str, Resources] = defaultdict(Resources)
+        for name, instance in self._instances.items():
+            free[instance.entry.service] = free[instance.entry.service] + self._free[name]
+        return free
+
     def place(self, pending: PendingStep) -> list[Placement]:
         """Return placements of as many tasks as fit; a gang is placed as a whole or not at all."""
         order = pending.step.order
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -154,11 +154,14 @@
             for pending_step in self._pending_steps(job, now, wall_ms)
         ]
         instances = [each for each in self.instances.values() if self._is_capacity_known(each, now)]
-        self.accounts.begin_round(self.instances.values(), self.workload.jobs.values(), now)
+        self.accounts.begin_round(self.instances.values(), self.workload, now)
         self._evict(pending, instances, now)
         placement_round = PlacementRound(instances, now)
         assigned_jobs: dict[str, Job] = {}
-        for pending_step in sorted(pending, key=lambda each: urgency(each, now, wall_ms)):
+        ordered = self.accounts.order(
+            pending, lambda each: urgency(each, now, wall_ms), placement_round.free_by_service
+        )
+        for pending_step in ordered:
             startable = self.accounts.limit(pending_step)
             placed = placement_round.place(startable) if startable else []
             if placed:
--- a/gypsumplank/coordination/job/workload.py
+++ b/gypsumplank/coordination/job/workload.py
@@ -41,11 +41,15 @@
 
 
 class Workload:
-    """Keep jobs by identifier, and when ended ones were removed, in monotonic seconds."""
+    """Keep jobs by identifier, and when ended ones were removed, in monotonic seconds.
+
+    `new_jobs` are those that were added since the last round.
+    """
 
     def __init__(self) -> None:
         self.jobs: dict[str, Job] = {}
         self.ended_at: dict[str, float] = {}
+        self.new_jobs: list[Job] = []
 
     def add(self, loaded: LoadedJob, now: float) -> Job:
         """Add a job that was read from the store; `now` is in monotonic seconds."""
@@ -67,8 +71,14 @@
                 task.queued_since = now
         job.started = loaded.state is not JobState.QUEUED
         self.jobs[job.id] = job
+        self.new_jobs.append(job)
         return job
 
+    def take_new_jobs(self) -> list[Job]:
+        """Return the jobs that were added since the last call."""
+        new_jobs, self.new_jobs = self.new_jobs, []
+        return new_jobs
+
     def task(self, name: str) -> Task | None:
         """Return the task of this name; None if it is unknown."""
         try:
--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -59,7 +59,7 @@
     JOB_ACCEPTED = "job-accepted", "A job was stored; `new` is false if it already existed."
     JOB_REFUSED = "job-refused", "A job request was answered with an error."
     JOB_CANCELLED = "job-cancelled", "A cancellation was stored, or the scheduler learned of it."
-    JOB_HELD = "job-held", "A job's tasks wait, as `why` says, for the cap of its account."
+    JOB_HELD = "job-held", "A job's tasks wait because of its account, as `why` says."
     JOB_ENDED = "job-ended", "A job reached a final state."
     JOB_UNSTORABLE = "job-unstorable", "The store takes no row of this size; its job has failed."
     RUN_STARTED = "task-started", "A run was stored and its start is sent to a worker."
--- a/tests/coordination/job/accountsite.py
+++ b/tests/coordination/job/accountsite.py
@@ -39,7 +39,7 @@
         self.scheduler.use_accounts(self.accounts.begin_term())
         self.scheduler.use_dispatcher(self)
         self.room, self.numbers, self.ends = room, itertools.count(), []
-        self.started_at, self.arrived_at, self.stores = {}, {}, True
+        self.started_at, self.arrived_at, self.excess, self.stores = {}, {}, set(), True
         entries = [self.entry(f"w{number}") for number in range(workers)]
         self.scheduler.fleet.apply_entries(entries)
         for instance in self.instances:
@@ -76,7 +76,10 @@
     def start(self, instance, make_order, on_result):
         now, order = self.clock.monotonic(), make_order(0)
         task = instance.tasks[order.name]
-        self.started_at.setdefault(task.step.job.id, now)
+        job = task.step.job
+        self.started_at.setdefault(job.id, now)
+        if job.is_excess:
+            self.excess.add(job.id)
         on_result(None, now)
         if not task.step.order.lasting:
             heapq.heappush(self.ends, (now + task.step.order.estimate_ms / 1000, task.name, task))
