job: order the pending steps of accounts by weight and dominant share

Cause: an account that submits many times its weight took the capacity that others are owed.

Change: accountshare.py marks jobs beyond their account's weight as excess; they come after all owed ones, leave free what the next owed starts need, and come first once in 100 starts after 3 s, at the cost of a later owed job of their account. Jobs above their cap ask for no machines.

--- a/gypsumplank/composition/accountgauge.py
+++ b/gypsumplank/composition/accountgauge.py
@@ -4,7 +4,7 @@
 
 from opentelemetry.metrics import Observation
 
-from gypsumplank.coordination.job.accounts import AccountStatus
+from gypsumplank.coordination.job.accountstatus import AccountStatus
 from gypsumplank.metrics import Metrics
 from gypsumplank.protocol.job import Resources
 
--- a/gypsumplank/coordination/job/accounts.py
+++ b/gypsumplank/coordination/job/accounts.py
@@ -21,6 +21,7 @@
     mark_excess,
     sum_service_use,
 )
+from gypsumplank.coordination.job.accountstatus import AccountStatus, make_statuses
 from gypsumplank.coordination.job.instance import WorkerInstance
 from gypsumplank.coordination.job.model import Task
 from gypsumplank.coordination.job.placement import PendingStep
@@ -74,23 +75,6 @@
     turn_since: float = 0.0
 
 
-@dataclass(frozen=True)
-class AccountStatus:
-    """Store an account's figures for operators.
-
-    `share` is the largest dominant share that it has in a service, and `rank` its place from the
-    lowest share on, from 1. `excess_steps` wait that lie beyond its weight.
-    """
-
-    account: str
-    used: Resources
-    cap: Resources
-    held_tasks: int
-    share: float
-    rank: int
-    excess_steps: int
-
-
 @dataclass(frozen=True)
 class AccountLimits:
     """Store what bounds the caps in force.
@@ -191,10 +175,12 @@
     def limit(self, pending: PendingStep) -> PendingStep | None:
         """Return the step with those of its tasks that its account may start; None if none."""
         account = pending.job.stored.account
-        if pending.job.is_excess:
-            if self._now - pending.job.arrived_at > MAX_PASSED_OVER_S:
-                self._log_hold(pending, HoldCause.EXCESS)
+        if pending.job.is_excess and not pending.step.order.lasting:
             spare = self._limit_excess(pending)
+            is_short = self._order is not None and self._order.is_short(pending.job.service)
+            has_waited = self._now - pending.job.arrived_at > MAX_PASSED_OVER_S
+            if has_waited and (is_short or spare is None):
+                self._log_hold(pending, HoldCause.EXCESS)
             if spare is None:
                 return None
             pending = spare
@@ -203,6 +189,7 @@
             return pending
         cause, count = self._judge(pending, cap)
         key = _held_key(pending)
+        pending.job.is_held = cause is not None and cause is not HoldCause.UNCONFIRMED
         if cause is None:
             self._held[account].pop(key, None)
             tasks = pending.tasks[:count]
@@ -326,30 +313,12 @@
     def _update_status(self) -> None:
         usage = sum_usage(self._instances)
         self._usage = dict(usage)
-        shares = self._shares()
-        accounts = usage.keys() | self._held.keys() | self._excess_waiting.keys()
-        ranked = sorted(accounts - {""}, key=lambda account: (shares.get(account, 0.0), account))
-        self.status = tuple(
-            AccountStatus(
-                account,
-                usage.get(account, Usage()).total,
-                self._known.cap(account) or Resources(),
-                sum(len(each.pending.tasks) for each in self._held.get(account, {}).values()),
-                shares.get(account, 0.0),
-                rank,
-                self._excess_waiting[account],
-            )
-            for rank, account in enumerate(ranked, start=1)
-        )
-
-    def _shares(self) -> dict[str, float]:
-        """Return the largest dominant share of each account in any service."""
+        held = {
+            account: sum(len(each.pending.tasks) for each in steps.values())
+            for account, steps in self._held.items()
+        }
         use = sum_service_use(self._instances)
-        order = ShareOrder(self._known, use, frozenset(), {}, self._now)
-        shares: defaultdict[str, float] = defaultdict(float)
-        for service, account in use.used:
-            shares[account] = max(shares[account], order.share((service, account)))
-        return shares
+        self.status = make_statuses(self._known, usage, use, held, self._excess_waiting)
 
     # Starts that wait for the store while caps may change
 
--- a/gypsumplank/coordination/job/accountshare.py
+++ b/gypsumplank/coordination/job/accountshare.py
@@ -30,12 +30,12 @@
 # Time after which an excess job's step has a claim on capacity, seconds, and how many steps of its
 # service start before the one that waits longest is tried first.
 EXCESS_WAIT_S = 3.0
-STARTS_PER_EXCESS_START = 50
+STARTS_PER_EXCESS_START = 100
 # Jobs that an account may have had in advance, as excess jobs that came first.
 MAX_DEBT = 10.0
 # Time for which the starts that are owed find free capacity, seconds, as excess jobs leave it to
 # them, and the time over which their rate is measured.
-RESERVE_S = 0.1
+RESERVE_S = 0.15
 RATE_WINDOW_S = 1.0
 
 # Stands for all accounts of a service; no account is named so.
--- a/gypsumplank/coordination/job/demand.py
+++ b/gypsumplank/coordination/job/demand.py
@@ -117,14 +117,15 @@
     def add(self, job: Job, now: float, wall_ms: float) -> None:
         """Add an open job; `now` is in monotonic seconds, `wall_ms` since 1970.
 
-        Of a job that waits for its queue, only what is assigned counts.
+        Of a job that waits for its queue or its account's cap, only what is assigned counts.
         """
         path_ms = job.longest_path_ms or DEFAULT_ESTIMATE_MS
+        is_waiting = job.waits_for_queue or job.is_held
         for step in job.steps.values():
             order = step.order
             if order.fills:
                 continue
-            phases = (TaskPhase.ASSIGNED,) if job.waits_for_queue else OPEN_PHASES
+            phases = (TaskPhase.ASSIGNED,) if is_waiting else OPEN_PHASES
             open_tasks = [task for task in step.tasks if task.phase in phases]
             if order.lasting:
                 self.long_running = self.long_running + order.need.scaled(len(open_tasks))
@@ -137,7 +138,7 @@
             estimate_ms = order.estimate_ms or DEFAULT_ESTIMATE_MS
             assigned = sum(1 for task in open_tasks if task.phase is TaskPhase.ASSIGNED)
             self.running = self.running + order.need.scaled(assigned)
-            if job.waits_for_queue:
+            if is_waiting:
                 continue
             if age_ms < path_ms:
                 work = order.need.scaled(len(step.tasks) * estimate_ms)
--- a/tests/coordination/job/test_accountshare.py
+++ b/tests/coordination/job/test_accountshare.py
@@ -7,6 +7,7 @@
 from gypsumplank.coordination.job.accountshare import (
     EXCESS_WAIT_S,
     MAX_PASSED_OVER_S,
+    RESERVE_S,
     STARTS_PER_EXCESS_START,
     TokenBuckets,
     dominant_share,
@@ -19,6 +20,8 @@
 # Of the accounts in the replay, the first three send HOT_FACTOR times their weights.
 ACCOUNTS, HOT, HOT_FACTOR = 30, 3, 7.5
 WEIGHT, RUN_S, WORKERS = 2.0, 0.4, 2
+# Time after which hot accounts send more, when the service has its usual load, seconds.
+WARM_UP_S = 2.0
 
 
 def weighted(**weights):
@@ -94,7 +97,7 @@
     short = StepDefinition(1, Resources(1000, 10), 40)
     for _ in range(3):
         site.submit("a", short)
-    for _ in range(200):
+    for _ in range(300):
         for _ in range(2):
             site.submit("b", short)
         site.run(ROUND_S)
@@ -103,8 +106,9 @@
     ]
     assert len(excess) == 2
     first, second = excess
-    assert EXCESS_WAIT_S <= first <= EXCESS_WAIT_S + (STARTS_PER_EXCESS_START + 2) * 0.08
-    assert second - first <= (STARTS_PER_EXCESS_START + 2) * 0.08
+    turn_s = (STARTS_PER_EXCESS_START + 2) * ROUND_S
+    assert EXCESS_WAIT_S <= first <= EXCESS_WAIT_S + turn_s
+    assert second - first <= turn_s
 
 
 class HotReplay:
@@ -151,25 +155,34 @@
 def draw_arrivals(n, seed, seconds):
     """Yield the times, the account and the durations of its jobs."""
     rng = random.Random(f"{seed}/{n}")
-    interval_s = 1 / (WEIGHT * (HOT_FACTOR if n < HOT else 1))
-    at = rng.random() * interval_s
+    at = rng.random() / WEIGHT
     while at < seconds:
         yield at, n, RUN_S * (0.5 + rng.random())
-        at += interval_s * (0.7 + 0.6 * rng.random())
+        factor = HOT_FACTOR if n < HOT and at >= WARM_UP_S else 1
+        at += (0.7 + 0.6 * rng.random()) / (WEIGHT * factor)
 
 
-@pytest.mark.parametrize("load", [0.9, 1.1])
-def test_hot_accounts_leave_the_others_their_time_to_start(load):
-    calm, hot = HotReplay(load, 1, False), HotReplay(load, 1, True)
+@pytest.mark.parametrize(("load", "seed"), [(0.9, 1), (0.9, 2), (1.0, 1), (1.1, 2)])
+def test_hot_accounts_leave_the_others_their_time_to_start(load, seed):
+    calm, hot = HotReplay(load, seed, False), HotReplay(load, seed, True)
     assert len(hot.jobs) > 1.4 * len(calm.jobs)
-    assert len(hot.waits()) >= 0.97 * len(calm.waits())
+    assert len(hot.waits()) >= 0.98 * len(calm.waits())
     assert statistics.mean(hot.waits()) <= 1.1 * statistics.mean(calm.waits())
     served = hot.served()
     assert statistics.mean(served[: ACCOUNTS // 10]) >= 0.8 * statistics.mean(served)
 
 
-def test_excess_uses_what_others_leave_free():
-    seconds, load = 6.0, 0.6
-    hot = HotReplay(load, 1, True, seconds)
-    possible = (1 / load - 1) * ACCOUNTS * WEIGHT * seconds
-    assert len(hot.site.excess) >= 0.5 * possible
+def test_excess_leaves_free_only_what_the_next_owed_starts_need():
+    site = AccountSite(weighted(a=2, b=10), 1, Resources(40_000, 10**6))
+    free = []
+    for n in range(100):
+        for _ in range(3):
+            site.submit("a")
+        if n % 3 == 0:
+            site.submit("b")
+        site.run(ROUND_S)
+        free.append(sum(instance.free().cpu for instance in site.instances))
+    # The account "b" starts 8 tasks a second, and ends its runs in between.
+    owed_cpu = 8 * 1000 * RESERVE_S
+    assert max(free[50:]) <= owed_cpu + 2 * 1000
+    assert len(site.excess) >= 100
--- a/tests/coordination/job/test_usage.py
+++ b/tests/coordination/job/test_usage.py
@@ -3,6 +3,7 @@
 import pytest
 
 from gypsumplank.coordination.job.accounts import TURN_AFTER_S
+from gypsumplank.coordination.job.demand import estimate_loads
 from gypsumplank.coordination.job.observation import ReceivedReport
 from gypsumplank.coordination.job.usage import (
     KnownAccounts,
@@ -70,6 +71,16 @@
     assert len(site.started_at) == 12
 
 
+def test_a_job_above_its_cap_asks_for_no_machines():
+    # More machines do not help it, and others would lack them.
+    site = AccountSite(capped(4000))
+    for _ in range(50):
+        site.submit("a")
+    site.round()
+    loads = estimate_loads(site.scheduler.workload.jobs.values(), site.clock.monotonic(), 0.0)
+    assert loads["desk"].batch.cpu == 4000
+
+
 def test_a_run_counts_until_its_worker_has_reported_its_end():
     site = AccountSite(capped(1000))
     first, second = site.submit("a"), site.submit("a")
