--- a/gypsumplank/composition/platform.py
+++ b/gypsumplank/composition/platform.py
@@ -9,6 +9,8 @@
 
 from opentelemetry.metrics import Observation
 
+from gypsumplank.composition.accountgauge import add_account_gauges
+from gypsumplank.coordination.job.accounts import AccountLimits, Accounts
 from gypsumplank.coordination.job.backoff import PartitionBackoff
 from gypsumplank.coordination.job.freshness import KeyPolicy
 from gypsumplank.coordination.job.intakeclient import IntakeClient
@@ -203,6 +205,12 @@
             MaintenancePlanner(self._directory, machine_controller),
             PoolScaler(machine_controller, JobStore(self._independent_rows)),
         )
+        limits = AccountLimits(
+            self._manifest_watch.age_s,
+            settings.config_apply_s,
+            settings.quota_overage,
+        )
+        accounts = Accounts(lambda: self._manifest_watch.current, limits)
         self._leader = SchedulerLeader(
             ports,
             self._clock,
@@ -213,6 +221,10 @@
             candidates=self._daemon_registry,
             status_s=settings.status_s,
             timings=create_leader_timings(self._metrics),
+            accounts=accounts,
+        )
+        add_account_gauges(
+            self._metrics, lambda: accounts.statuses() if self._leader.is_leader else ()
         )
 
     def _make_listeners(self) -> None:
--- a/gypsumplank/coordination/job/demand.py
+++ b/gypsumplank/coordination/job/demand.py
@@ -147,12 +147,14 @@
     """Return what an open job adds to the load, and how long that holds if it does not change.
 
     `now` is in monotonic seconds, `wall_ms` since 1970, and the result in ms; infinite if the share
-    holds for ever. Of a job that waits for its queue, only what is assigned counts.
+    holds for ever. Of a job that waits for its queue or its account's cap, only what is assigned
+    counts.
     """
     long_running = offered = running = overdue_work = Resources()
     holds_ms = math.inf
     path_ms = job.longest_path_ms or DEFAULT_ESTIMATE_MS
-    phases = (TaskPhase.ASSIGNED,) if job.waits_for_queue else OPEN_PHASES
+    is_waiting = job.waits_for_queue or job.is_held
+    phases = (TaskPhase.ASSIGNED,) if is_waiting else OPEN_PHASES
     for step in job.steps.values():
         order = step.order
         if order.fills:
@@ -170,7 +172,7 @@
         estimate_ms = order.estimate_ms or DEFAULT_ESTIMATE_MS
         if assigned := sum(1 for task in open_tasks if task.phase is TaskPhase.ASSIGNED):
             running += order.need.scaled(assigned)
-        if job.waits_for_queue:
+        if is_waiting:
             continue
         if age_ms < path_ms:
             holds_ms = min(holds_ms, path_ms - age_ms)
--- a/gypsumplank/coordination/job/leader.py
+++ b/gypsumplank/coordination/job/leader.py
@@ -4,6 +4,7 @@
 import threading
 from collections.abc import Callable, Iterable
 
+from gypsumplank.coordination.job.accounts import Accounts
 from gypsumplank.coordination.job.commit import JobCommitter
 from gypsumplank.coordination.job.contact import HOLDER_RENEWAL_GRACE_S, StoreContact
 from gypsumplank.coordination.job.cutoff import CutOffDetector
@@ -74,6 +75,7 @@
         candidates: LeaderCandidates | None = None,
         status_s: float = 120.0,
         timings: LeaderTimings | None = None,
+        accounts: Accounts | None = None,
     ) -> None:
         self._timings = timings or LeaderTimings()
         self._candidates = candidates or NoCandidates()
@@ -83,6 +85,7 @@
         self._clock = clock
         self._manifest = manifest
         self._queues = KnownQueues(manifest)
+        self._accounts = accounts or Accounts(manifest)
         self._max_lease_s = max_lease_s
         self._machine_manager = machine_manager
         self._inbox = Inbox()
@@ -151,6 +154,7 @@
         self._check_lease_if_due()
         if self._term is None:
             self._queues.update()
+            self._accounts.known.update()
         else:
             self._run_round(self._term)
 
@@ -257,6 +261,7 @@
         scheduler = Scheduler(
             self._clock, self._manifest, epoch, lease_s, self._heartbeat_s, self._queues
         )
+        scheduler.use_accounts(self._accounts.begin_term())
         scheduler.load_rows(rows, entries, renew_if_due)
         now = self._clock.monotonic()
         self._silent_workers.load(scheduler.instances.values(), EXTENSION_GRACE_S + lease_s, now)
@@ -276,10 +281,8 @@
         They may until EXTENSION_GRACE_S after the end of the scheduler's lease; a later leader
         allows for this time before it counts a task's lease as expired.
         """
-        return (
-            self._clock.monotonic()
-            < self._ports.leases.held_until(SCHEDULER_LEASE) + EXTENSION_GRACE_S
-        )
+        held_until = self._ports.leases.held_until(SCHEDULER_LEASE)
+        return self._clock.monotonic() < held_until + EXTENSION_GRACE_S
 
     def post(self, call: Callable[[], None]) -> None:
         """Queue a call for this thread."""
--- a/gypsumplank/coordination/job/model.py
+++ b/gypsumplank/coordination/job/model.py
@@ -271,6 +271,8 @@
     from a submission and has no rows of its own yet; `first_version` is at least the version of the
     store at which it got them. `number` is the job's place in the order in which this leader read
     all jobs, and `on_change` is called after each change of its state or of its tasks.
+    `hold_causes` are the causes logged for which its account held it back, `is_held` is set while
+    it does because of its cap. `is_excess` marks a job beyond what its account is owed.
     """
 
     stored: StoredJob
@@ -282,6 +284,9 @@
     started: bool = False
     is_unstorable: bool = False
     waits_for_queue: bool = False
+    hold_causes: frozenset[str] = frozenset()
+    is_held: bool = False
+    is_excess: bool = False
     arrived_at: float = 0.0
     unstored: bool = False
     first_version: int = 0
--- a/gypsumplank/coordination/job/placement.py
+++ b/gypsumplank/coordination/job/placement.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
@@ -153,6 +153,13 @@
             )
         return group.most_free
 
+    def free_by_service(self) -> dict[str, Resources]:
+        """Return the resources that are free on the workers of each service."""
+        free: defaultdict[str, Resources] = defaultdict(Resources)
+        for name, instance in self._instances.items():
+            free[instance.entry.service] = free[instance.entry.service] + self._free[name]
+        return free
+
     def place(self, pending: PendingStep) -> list[Placement]:
         """Return placements of as many tasks as fit; a gang is placed as a whole or not at all."""
         order = pending.step.order
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import replace
 
+from gypsumplank.coordination.job.accounts import AccountControl, Accounts
 from gypsumplank.coordination.job.command import CommandSender, PendingStart
 from gypsumplank.coordination.job.demand import Load, LoadTracker
 from gypsumplank.coordination.job.dispatcher import WorkerDispatcher
@@ -19,7 +20,7 @@
 from gypsumplank.coordination.job.knownqueue import KnownQueues
 from gypsumplank.coordination.job.model import Job, Task
 from gypsumplank.coordination.job.observation import ReceivedReport
-from gypsumplank.coordination.job.placement import PendingStep, Placement, PlacementRound
+from gypsumplank.coordination.job.placement import PendingStep, Placement, PlacementRound, urgency
 from gypsumplank.coordination.job.preemption import (
     PREEMPTION_WAIT_S,
     choose_preemptions,
@@ -70,12 +71,17 @@
         self._loads = LoadTracker()
         self._queues_seen = self._queues.generation
         self.fleet = Fleet(clock, max_lease_s, heartbeat_s)
-        self.commands = CommandSender(clock, token, self._is_capacity_known)
+        self.accounts = Accounts(manifest).begin_term()
+        self.commands = CommandSender(clock, token, self._is_capacity_known, self.accounts)
 
     def use_dispatcher(self, dispatcher: WorkerDispatcher) -> None:
         """Set the dispatcher of this term."""
         self.fleet.dispatcher = self.commands.dispatcher = dispatcher
 
+    def use_accounts(self, accounts: AccountControl) -> None:
+        """Set what decides on the starts of accounts' tasks in this term."""
+        self.accounts = self.commands.accounts = accounts
+
     def now(self) -> float:
         """Return the monotonic time in seconds."""
         return self._clock.monotonic()
@@ -155,11 +161,20 @@
         instance.record_forgotten_ends(received)
         # A worker removes its entry when it has left.
         instance.has_deregistered = False
+        known = self._tasks_by_name(instance) if self.accounts.is_active else {}
         unassigned_runs = list(apply_report(instance, received))
         instance.has_unassigned_runs = bool(unassigned_runs)
+        if self.accounts.is_active:
+            found = (known.get(run.name) or self.workload.task(run.name) for run in unassigned_runs)
+            instance.unassigned_tasks = tuple(task for task in found if task)
         for unassigned in unassigned_runs:
             self.commands.stop_unassigned(instance, unassigned)
 
+    @staticmethod
+    def _tasks_by_name(instance: WorkerInstance) -> dict[str, Task]:
+        """Return the tasks that an instance may run; their jobs may have been removed since."""
+        return {task.name: task for task in (*instance.unassigned_tasks, *instance.tasks.values())}
+
     # Rounds
 
     def plan(self) -> None:
@@ -173,16 +188,24 @@
         self._update_ready(changed, now, wall_ms)
         permits = self._request_permits()
         instances = [each for each in self.instances.values() if self._is_capacity_known(each, now)]
+        self.accounts.begin_round(self.instances.values(), self.workload, now)
         self._evict(self._ready.lasting(), instances, now)
         placement_round = PlacementRound(instances, now)
         assigned_jobs: dict[str, Job] = {}
-        for pending_step in self._ready.that_may_fit(placement_round.most_free):
+        ordered = self.accounts.order(
+            self._ready.that_may_fit(placement_round.most_free),
+            lambda each: urgency(each, now, wall_ms),
+            placement_round.free_by_service,
+        )
+        for pending_step in ordered:
             if pending_step.queue.advice is not None:
                 known = permits.get(pending_step.step.key)
                 pending_step = replace(pending_step, permits=known)  # noqa: PLW2901
-            placed = placement_round.place(pending_step)
+            startable = self.accounts.limit(pending_step)
+            placed = placement_round.place(startable) if startable else []
             if placed:
                 self._assign(pending_step, placed)
+                self.accounts.record_start(pending_step, len(placed))
                 assigned_jobs[pending_step.job.id] = pending_step.job
         self.workload.update_job_states(assigned_jobs.values(), now)
         if len(self._load_changes) > MAX_LOAD_CHANGES:
@@ -239,7 +262,7 @@
         for task in list(stalled_runs(self.instances.values(), now)):
             self._stop_stalled(task, now)
         for pending_step in pending:
-            if not pending_step.step.order.lasting:
+            if not pending_step.step.order.lasting or not self.accounts.may_start(pending_step):
                 continue
             overdue = [
                 task for task in pending_step.tasks if now - task.queued_since > PREEMPTION_WAIT_S
--- a/gypsumplank/coordination/job/workload.py
+++ b/gypsumplank/coordination/job/workload.py
@@ -79,11 +79,13 @@
     """Keep jobs by identifier, and when ended ones were removed, in monotonic seconds.
 
     `postponed` are the rows of jobs that have not begun and are not added yet.
+    `new_jobs` are those that were added since the last round.
     """
 
     def __init__(self) -> None:
         self.jobs: dict[str, Job] = {}
         self.ended_at: dict[str, float] = {}
+        self.new_jobs: list[Job] = []
         self.postponed: dict[str, JobRows] = {}
         self._postponed_at = 0.0
         self._numbers = count()
@@ -129,8 +131,14 @@
         self.jobs[job.id] = job
         job.on_change = self._note_change
         job.note_change()
+        self.new_jobs.append(job)
         return job
 
+    def take_new_jobs(self) -> list[Job]:
+        """Return the jobs that were added since the last call."""
+        new_jobs, self.new_jobs = self.new_jobs, []
+        return new_jobs
+
     def knows(self, job_id: str) -> bool:
         """Return whether a job was added or postponed."""
         return job_id in self.jobs or job_id in self.postponed
