--- a/gypsumplank/state/job.py
+++ b/gypsumplank/state/job.py
@@ -13,12 +13,12 @@
     EntryInvalidError,
     JobMissingError,
     StateConflictError,
-    StateTooLargeError,
     StateUnknownError,
 )
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.decoder import Count, decode_json
 from gypsumplank.protocol.job import FINAL_JOB_STATES, JobState, StepRecord, StoredJob
+from gypsumplank.state.jobsize import check_job_size, check_row_size
 from gypsumplank.state.row import RowDecoder
 from gypsumplank.state.table import ABSENT, Check, Row, Table, Txn, Write, scan_all
 
@@ -41,9 +41,6 @@
 MAX_KEY_BYTES = 200
 # Bytes of a row's value, where the settings file gives no other limit.
 DEFAULT_MAX_ROW_BYTES = 65_536
-# Bytes of a step's row that are reserved for each of its tasks when the job is submitted; the
-# workers that the task failed on are left out if they do not fit.
-TASK_RECORD_BYTES = 210
 # Jobs that a load decodes between two checks of the lease; a slow daemon decodes them in less time
 # than passes between two renewals.
 LOAD_CHUNK_JOBS = 10
@@ -108,22 +105,6 @@
     return job
 
 
-def check_row_size(size: int, max_row_bytes: int) -> None:
-    """Raise StateTooLargeError if a job's row of `size` bytes is too long."""
-    if size > max_row_bytes:
-        raise StateTooLargeError(f"job of {size} bytes exceeds {max_row_bytes}")
-
-
-def check_job_size(job: StoredJob, max_row_bytes: int) -> None:
-    """Raise StateTooLargeError if the progress of one of a job's steps does not fit into a row."""
-    max_tasks = max_row_bytes // TASK_RECORD_BYTES
-    for position, step in enumerate(job.order.steps):
-        if step.tasks > max_tasks:
-            raise StateTooLargeError(
-                f"step {position} has {step.tasks} tasks, more than {max_tasks}"
-            )
-
-
 def order_write(job: StoredJob) -> Write:
     """Return the write that stores a job as submitted."""
     return Write(TABLE_ORDERS, job.id, msgspec.json.encode(job))
