Bound the memory and the time that incomplete requests take from a daemon

Cause: bodies and headers that stop just short of their end were kept without a bound over all connections; chunks of one byte took the server thread's time, and one connection was accepted a turn.

Change: one ledger for all listeners of a process refuses the slowest incomplete requests beyond the budget (503), and new bodies while complete requests hold too much; limits on headers, their time, the time of a request, chunk size lines, extensions and trailers; an own decoder of chunks; several accepts a turn, and at most half of the thread's time for costly input. Listener takes `head_check`. A body of exactly the limit is served, and chunk headers do not count as body. Bodies never go to temporary files. Counters, a gauge and one bounded log event.

--- a/gypsumplank/composition/platform.py
+++ b/gypsumplank/composition/platform.py
@@ -30,8 +30,10 @@
 from gypsumplank.state.job import JobStore
 from gypsumplank.state.lease import LeaseStore
 from gypsumplank.state.machine import MachineOrderLog
-from gypsumplank.transport.listener import CONNECTION_LIMIT, ClosingDispatcher, Listener
+from gypsumplank.transport.bodybudget import limits_of_memory
+from gypsumplank.transport.listener import ClosingDispatcher, Listener
 from gypsumplank.transport.relay import PeerTable, RelayServer, RelayTable
+from gypsumplank.transport.requestledger import RequestLedger
 
 # Store partition of all rows that are committed together.
 FLEET_PARTITION = "fleet"
@@ -64,6 +66,8 @@
 # Share of the file descriptors for callers' connections; the rest is for files, workers, the store
 # and other daemons.
 CALLER_DESCRIPTOR_SHARE = 0.5
+# Connections of the load balancer, and as many of what reads the metrics.
+SERVICE_CONNECTIONS = 128
 # Share of the file descriptors for connections to workers that are kept while they are not in use.
 WORKER_DESCRIPTOR_SHARE = 0.4
 SETTINGS_POLL_S = 1.0
@@ -176,6 +180,8 @@
             lambda: self._manifest_watch.current,
         )
         app = JobApp(job_service, self._metrics.record_request, log_error_response)
+        self._request_ledger = RequestLedger(limits_of_memory(settings.memory_bytes))
+        self._request_ledger.add_metrics(self._metrics)
         max_connections = int(settings.max_descriptors * CALLER_DESCRIPTOR_SHARE)
         self._caller_listener = self._make_listener(
             app, settings.caller_address, CALLER_THREADS, "callers", max_connections
@@ -188,16 +194,24 @@
             MetricsApp(self._metrics.render), metrics_address, 1, "metrics"
         )
 
-    @staticmethod
     def _make_listener(
+        self,
         app: Callable[..., object],
         address: str,
         threads: int,
         name: str,
-        connections: int = CONNECTION_LIMIT,
+        connections: int = SERVICE_CONNECTIONS,
     ) -> Listener:
         dispatcher = ClosingDispatcher(threads)
-        return Listener(app, address, dispatcher, MAX_BODY_BYTES, name, connections)  # type: ignore[arg-type]
+        return Listener(
+            app,  # type: ignore[arg-type]
+            address,
+            dispatcher,
+            MAX_BODY_BYTES,
+            name,
+            connections,
+            self._request_ledger,
+        )
 
     def _is_ready(self) -> bool:
         store_fresh = has_recent_contact(self._manifest_watch, self._clock, MAX_READY_STORE_AGE_S)
--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -15,6 +15,7 @@
 from gypsumplank.composition.claim import ClaimComponents
 from gypsumplank.composition.distribution import DistributionComponents, make_peers
 from gypsumplank.composition.report import ReportComponents
+from gypsumplank.composition.requests import make_request_ledger
 from gypsumplank.composition.task import TaskComponents
 from gypsumplank.coordination.admission import Admission, AdmissionLimits
 from gypsumplank.coordination.allocation import SlotAllocator
@@ -128,6 +129,7 @@
             cfg.id, self._table, self._store, self._metrics, self._view, self._clock
         )
         self._current_view.subscribe(self._reports.counter.record_view)
+        self._request_ledger = make_request_ledger(cfg, self._metrics)
         self._caller_listener = self._make_caller_listener()
         self._operator_listener = self._make_operator_listener()
         self._add_periodic_steps()
@@ -298,7 +300,9 @@
         )
         queue = QueueingDispatcher(cfg.threads, self._admission, lambda: self._view().services)
         tasks = TaskApp(self._tasks.submission, app)
-        return Listener(tasks, cfg.callers, queue, cfg.max_body_bytes, "callers")
+        return Listener(
+            tasks, cfg.callers, queue, cfg.max_body_bytes, "callers", ledger=self._request_ledger
+        )
 
     def _make_operator_listener(self) -> Listener:
         cfg = self._cfg
@@ -314,7 +318,14 @@
         routes = {**self._fleet_routes(), **self._report_routes()}
         app = OperatorApp(operator_service, self._metrics.render, cfg.tokens, routes)
         threads = ClosingDispatcher(OPERATOR_THREADS)
-        return Listener(app, cfg.operators, threads, cfg.max_body_bytes, "operators")
+        return Listener(
+            app,
+            cfg.operators,
+            threads,
+            cfg.max_body_bytes,
+            "operators",
+            ledger=self._request_ledger,
+        )
 
     def _add_periodic_steps(self) -> None:
         cfg = self._cfg
--- a/gypsumplank/metrics.py
+++ b/gypsumplank/metrics.py
@@ -72,6 +72,15 @@
 
         self._meter.create_observable_gauge(name, [observe], unit, description)
 
+    def observable_counter(self, name: str, description: str, read: ReadObservations) -> None:
+        """Create a counter whose values `read` returns whenever metrics are collected."""
+        self.catalogue.append(Instrument(name, "counter", "1", description))
+
+        def observe(_options: CallbackOptions) -> Iterable[Observation]:
+            return read()
+
+        self._meter.create_observable_counter(name, [observe], "1", description)
+
     def record_request(self, service: str, outcome: str, seconds: float) -> None:
         """Count one request and record its duration."""
         self._requests.add(1, {"service": service, "outcome": outcome})
--- a/gypsumplank/settings.py
+++ b/gypsumplank/settings.py
@@ -164,6 +164,36 @@
     max_body_bytes: int = setting(
         "limits.max_body_bytes", "largest request body, bytes", 1 << 20, check_positive
     )
+    incomplete_bytes: int = setting(
+        "limits.incomplete_bytes",
+        "memory for incomplete requests of all connections; beyond it the slowest are refused",
+        64 << 20,
+        check_positive,
+    )
+    complete_bytes: int = setting(
+        "limits.complete_bytes",
+        "memory for complete requests; beyond it new requests with a body are refused",
+        256 << 20,
+        check_positive,
+    )
+    max_header_bytes: int = setting(
+        "limits.max_header_bytes", "longest headers of a request, bytes", 16_384, check_positive
+    )
+    header_timeout_s: float = setting(
+        "limits.header_timeout_s", "timeout to receive headers, seconds", 3.0, check_positive
+    )
+    body_timeout_s: float = setting(
+        "limits.body_timeout_s",
+        "timeout to receive a request with its body, seconds",
+        60.0,
+        check_positive,
+    )
+    idle_timeout_s: float = setting(
+        "limits.idle_timeout_s",
+        "time without a request after which a connection may make room for others, seconds",
+        15.0,
+        check_positive,
+    )
     waiting: int = setting(
         "limits.waiting", "longest queue of requests of one service", 256, check_positive
     )
--- a/gypsumplank/transport/admission.py
+++ b/gypsumplank/transport/admission.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
-from waitress.channel import HTTPChannel
 from waitress.parser import HTTPRequestParser
 from waitress.task import WSGITask
 
@@ -18,6 +17,7 @@
 from gypsumplank.protocol.spec import ServiceSpec
 from gypsumplank.protocol.ticket import Ticket
 from gypsumplank.state.clock import steady_s
+from gypsumplank.transport.channel import BoundedChannel
 from gypsumplank.transport.listener import ClosingDispatcher
 
 ENVIRON_TICKET = "gypsumplank.ticket"
@@ -50,7 +50,7 @@
         return environ
 
 
-class QueuedChannel(HTTPChannel):
+class QueuedChannel(BoundedChannel):
     """Withdraw the queued request as soon as the caller disconnects."""
 
     task_class = QueuedTask
@@ -75,6 +75,7 @@
                 for request in self.requests:
                     request.close()
                 self.requests = []
+            self.settle()
 
 
 class GrantedRequest:
--- /dev/null
+++ b/gypsumplank/transport/bodybudget.py
@@ -0,0 +1,104 @@
+"""Decide which incomplete requests are refused when they hold too much memory or take too long.
+
+Answers clients that keep many large requests open just short of their end, which would otherwise
+use up the memory of the machine.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import TypeVar
+
+K = TypeVar("K")
+
+MIB = 1 << 20
+# Share of a machine's memory for incomplete requests, and again for complete ones that wait or run.
+# Half of the memory is the process itself, a quarter is left for the allocator and other work.
+MEMORY_SHARE = 1 / 8
+# Body time in seconds. Callers give up after 3 s, and the longest time limit in use is 10 s.
+BODY_TIMEOUT_S = 30.0
+# Shortest time over which the speed of an arrival is measured, seconds.
+MIN_ARRIVAL_S = 0.001
+
+
+class RefusalCause(StrEnum):
+    """Enumerate why a request is refused before it is run; metrics and answers carry the value."""
+
+    MEMORY = "memory"
+    HEADER_TIME = "header-time"
+    BODY_TIME = "body-time"
+    CONNECTIONS = "connections"
+    HEADER_SIZE = "header-size"
+    BODY_SIZE = "body-size"
+    MALFORMED = "malformed"
+    HEAD = "head"
+
+
+@dataclass(frozen=True)
+class RequestLimits:
+    """Store the limits of requests that are received; sizes in bytes, times in seconds.
+
+    `incomplete_bytes` and `complete_bytes` hold for all listeners of a process together; complete
+    requests count until they are answered. A connection without a request may be closed after
+    `idle_s`, but only where no other connection could be accepted.
+    """
+
+    incomplete_bytes: int = 64 * MIB
+    complete_bytes: int = 256 * MIB
+    header_bytes: int = 16_384
+    header_s: float = 3.0
+    body_s: float = BODY_TIMEOUT_S
+    idle_s: float = 15.0
+
+
+@dataclass(frozen=True)
+class Held:
+    """Store the bytes that one connection's incomplete request and complete requests hold."""
+
+    incomplete: int = 0
+    complete: int = 0
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """Store what an incomplete request holds, and when its first byte arrived."""
+
+    held_bytes: int
+    since_s: float
+
+    def bytes_per_s(self, now_s: float) -> float:
+        """Return how fast the request has arrived."""
+        return self.held_bytes / max(now_s - self.since_s, MIN_ARRIVAL_S)
+
+
+def limits_of_memory(memory_bytes: int) -> RequestLimits:
+    """Return the limits for a process whose machine has this much memory."""
+    share = int(memory_bytes * MEMORY_SHARE)
+    return RequestLimits(incomplete_bytes=share, complete_bytes=share)
+
+
+def excess_bytes(limits: RequestLimits, incomplete: int, complete: int) -> int:
+    """Return how many bytes of incomplete requests are to be freed; 0 or less if none."""
+    total = limits.incomplete_bytes + limits.complete_bytes
+    return max(incomplete - limits.incomplete_bytes, incomplete + complete - total)
+
+
+def choose_slowest(arrivals: Iterable[tuple[K, Arrival]], excess: int, now_s: float) -> list[K]:
+    """Return the slowest arrivals that together hold at least `excess` bytes."""
+    chosen = []
+    for key, arrival in sorted(arrivals, key=lambda pair: pair[1].bytes_per_s(now_s)):
+        if excess <= 0:
+            break
+        chosen.append(key)
+        excess -= arrival.held_bytes
+    return chosen
+
+
+def overdue(
+    limits: RequestLimits, since_s: float, in_body: bool, now_s: float
+) -> RefusalCause | None:
+    """Return why a request that is still incomplete is refused now, or None."""
+    age_s = now_s - since_s
+    if in_body:
+        return RefusalCause.BODY_TIME if age_s > limits.body_s else None
+    return RefusalCause.HEADER_TIME if age_s > limits.header_s else None
--- /dev/null
+++ b/gypsumplank/transport/channel.py
@@ -0,0 +1,155 @@
+"""Receive the requests of one connection within the limits of the process.
+
+Answers clients that hold memory or the server thread: what a connection holds is accounted for
+after each read, and a connection whose bytes are costly to parse is read less often.
+"""
+
+import contextlib
+import functools
+import time
+from typing import Any
+
+from waitress.channel import ClientDisconnected, HTTPChannel
+from waitress.parser import HTTPRequestParser
+from waitress.task import ErrorTask
+
+from gypsumplank.transport.bodybudget import Held, RefusalCause, RequestLimits, overdue
+from gypsumplank.transport.requestparser import BoundedParser, cause_of, make_refusal
+
+# Read at once; a chunked body may have a chunk in each six bytes, so less of it is read.
+RECV_BYTES = 32_768
+CHUNKED_RECV_BYTES = 4096
+# CPU time of one read above which the connection waits for its next turn, seconds.
+COSTLY_READ_S = 0.0003
+
+
+class BoundedChannel(HTTPChannel):
+    """Receive requests, and refuse the incomplete one when told to."""
+
+    request: BoundedParser | None
+    requests: list[HTTPRequestParser]
+
+    def __init__(
+        self, server: Any, sock: Any, addr: Any, adj: Any, map: Any = None
+    ) -> None:  # noqa: A002
+        self.parser_class = functools.partial(BoundedParser, server.policy)
+        self._ledger = server.ledger
+        self._used = False
+        self._refused = False
+        self._arriving: BoundedParser | None = None
+        self._since_s = server.clock_s
+        self._resume_s = 0.0
+        super().__init__(server, sock, addr, adj, map=map)
+
+    def held(self) -> Held:
+        """Return what the connection's requests hold."""
+        request = self.request if self.connected else None
+        incomplete = request.held_bytes if request is not None and not request.completed else 0
+        return Held(incomplete, sum(getattr(req, "held_bytes", 0) for req in list(self.requests)))
+
+    def account(self) -> None:
+        """Report what is held; refuse the connections that the ledger chooses."""
+        for victim in self._ledger.update(self):
+            if victim.server is self.server:
+                victim.refuse(RefusalCause.MEMORY)
+            else:
+                refuse = functools.partial(victim.refuse, RefusalCause.MEMORY)
+                victim.server.trigger.pull_trigger(refuse)
+
+    def settle(self) -> None:
+        """Report what is held after it has become less."""
+        self._ledger.settle(self)
+
+    def readable(self) -> bool:
+        """Return whether the next bytes are to be read."""
+        if self._refused or self._resume_s > self.server.turn_s:
+            return False
+        return bool(super().readable())
+
+    def recv(self, buffer_size: int) -> bytes:
+        """Read from the socket."""
+        chunked = self.request is not None and self.request.chunked
+        data: bytes = super().recv(CHUNKED_RECV_BYTES if chunked else buffer_size)
+        return data
+
+    def received(self, data: bytes) -> bool:
+        """Parse the next bytes, account for them, and yield to others if they were costly."""
+        self._used = True
+        started_s = time.thread_time()
+        used: bool = super().received(data)
+        if self.request is not self._arriving:
+            self._arriving = self.request
+            self._since_s = self.server.clock_s
+        for req in list(self.requests):
+            if req.error is not None and not self._refused:
+                self._refused = True
+                self._ledger.record_refusal(cause_of(req.error))
+        self.account()
+        cost_s = time.thread_time() - started_s
+        if cost_s > COSTLY_READ_S and self.request is not None:
+            self._resume_s = self.server.reserve(cost_s)
+        return used
+
+    def check_time(self) -> None:
+        """Refuse the incomplete request if it takes too long."""
+        request = self.request
+        if request is None or self._refused:
+            return
+        if self.requests or self.total_outbufs_len:
+            # It is not read while earlier requests are answered, so its time starts anew.
+            self._since_s = self.server.clock_s
+            return
+        in_body = request.headers_finished
+        cause = overdue(self._ledger.limits, self._since_s, in_body, self.server.clock_s)
+        if cause is not None:
+            self.refuse(cause)
+
+    def is_idle(self, limits: RequestLimits, now: float) -> bool:
+        """Return whether the connection may make room for others."""
+        busy = self.requests or self.request is not None or self.total_outbufs_len
+        timeout_s = limits.idle_s if self._used else limits.header_s
+        return not busy and now - self.last_activity > timeout_s
+
+    def refuse(self, cause: RefusalCause) -> None:
+        """Refuse the incomplete request and close the connection; call it in the server thread."""
+        with self.requests_lock:
+            request = self.request
+            if request is not None and self.connected:
+                self._refused = True
+                self.request = self._arriving = None
+                request.refuse(make_refusal(cause))
+                if self.requests:
+                    # The answers keep the order of the requests.
+                    self.requests.append(request)
+        if request is not None and self._refused:
+            self._ledger.record_refusal(cause)
+            if not self.requests:
+                self._answer(request)
+        self.settle()
+
+    def _answer(self, request: BoundedParser) -> None:
+        """Send the error and close, without waiting for one of the threads."""
+        if self.total_outbufs_len:
+            # An earlier answer is not read by the client; write_soon could block this thread.
+            self.handle_close()
+            return
+        with contextlib.suppress(ClientDisconnected):
+            ErrorTask(self, request).service()
+        self.close_when_flushed = True
+
+    def service(self) -> None:
+        """Execute one request in a thread."""
+        try:
+            super().service()
+        finally:
+            self.settle()
+
+    def cancel(self) -> None:
+        """Drop all requests."""
+        super().cancel()
+        self.settle()
+
+    def handle_close(self) -> None:
+        """Close the connection."""
+        super().handle_close()
+        self.settle()
--- a/gypsumplank/transport/listener.py
+++ b/gypsumplank/transport/listener.py
@@ -5,11 +5,16 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from waitress.adjustments import Adjustments
 from waitress.channel import HTTPChannel
-from waitress.server import create_server
 from waitress.task import ThreadedTaskDispatcher
 
 from gypsumplank.errors import ListenError
+from gypsumplank.transport.bodybudget import RequestLimits
+from gypsumplank.transport.channel import RECV_BYTES, BoundedChannel
+from gypsumplank.transport.requestledger import RequestLedger
+from gypsumplank.transport.requestparser import HeadCheck
+from gypsumplank.transport.server import BoundedServer
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 Application = Callable[[dict[str, Any], StartResponse], Iterable[bytes]]
@@ -26,7 +31,7 @@
 class ClosingDispatcher(ThreadedTaskDispatcher):
     """Run requests in threads; when `closing`, answer with `Connection: close`."""
 
-    channel_class = HTTPChannel
+    channel_class = BoundedChannel
 
     def __init__(self, threads: int) -> None:
         super().__init__()
@@ -51,7 +56,12 @@
 
 
 class Listener:
-    """Serve a WSGI application on one address until closed; raise ListenError if it is taken."""
+    """Serve a WSGI application on one address until closed; raise ListenError if it is taken.
+
+    The listeners of a process share `ledger`, which holds the limits of incomplete requests.
+    `head_check` decides on each request by its headers, in the server thread, before its body is
+    read; a refusal is answered and the connection closed.
+    """
 
     def __init__(
         self,
@@ -61,21 +71,27 @@
         max_body_bytes: int,
         name: str,
         connection_limit: int = CONNECTION_LIMIT,
+        ledger: RequestLedger | None = None,
+        head_check: HeadCheck | None = None,
     ) -> None:
         self._dispatcher = dispatcher
+        ledger = ledger or RequestLedger(RequestLimits())
+        # waitress refuses sizes that reach its limits.
+        adj = Adjustments(
+            listen=address,
+            max_request_body_size=max_body_bytes + 1,
+            max_request_header_size=ledger.limits.header_bytes + 1,
+            # Bodies stay in memory, where they are accounted for: a host may have no disk.
+            inbuf_overflow=max_body_bytes + 1,
+            recv_bytes=RECV_BYTES,
+            channel_request_lookahead=REQUEST_LOOKAHEAD,
+            connection_limit=connection_limit,
+            backlog=ACCEPT_BACKLOG,
+            ident=None,
+            clear_untrusted_proxy_headers=True,
+        )
         try:
-            self._server = create_server(
-                app,
-                listen=address,
-                _dispatcher=self._dispatcher,
-                max_request_body_size=max_body_bytes,
-                channel_request_lookahead=REQUEST_LOOKAHEAD,
-                connection_limit=connection_limit,
-                backlog=ACCEPT_BACKLOG,
-                asyncore_use_poll=True,
-                ident=None,
-                clear_untrusted_proxy_headers=True,
-            )
+            self._server = BoundedServer(app, dispatcher, adj, ledger, head_check)
         except OSError as exc:
             raise ListenError(f"{name} at {address}: {exc.strerror or exc}") from exc
         self._server.channel_class = dispatcher.channel_class
--- /dev/null
+++ b/gypsumplank/transport/server.py
@@ -0,0 +1,111 @@
+"""Run the server thread of one address: turns, accepts, and the time limits of its connections.
+
+Answers hundreds of connections at once: several are accepted a turn, the cost of parsing is bounded
+to a share of the thread's time, and slow or idle connections make room when none can be accepted.
+"""
+
+import heapq
+import time
+from typing import Any
+
+from waitress import wasyncore
+from waitress.adjustments import Adjustments
+from waitress.server import TcpWSGIServer
+
+from gypsumplank.transport.bodybudget import RefusalCause
+from gypsumplank.transport.requestledger import RequestLedger
+from gypsumplank.transport.requestparser import HeadCheck, HeadPolicy
+
+# Longest turn, seconds. A longer one counts as this, so that a process that was not scheduled finds
+# what its clients sent meanwhile before it refuses them.
+MAX_TURN_S = 1.0
+SWEEP_INTERVAL_S = 0.25
+CLEANUP_INTERVAL_S = 30.0
+ACCEPTS_PER_TURN = 64
+# Connections closed per turn while none can be accepted.
+CLOSED_PER_TURN = 16
+# Share of the server thread's time for input that is costly to parse.
+COSTLY_SHARE = 0.5
+
+
+class BoundedServer(TcpWSGIServer):
+    """Serve one address; `turn_s` is when the turn began, `clock_s` time spent."""
+
+    def __init__(
+        self,
+        app: Any,
+        dispatcher: Any,
+        adj: Adjustments,
+        ledger: RequestLedger,
+        head_check: HeadCheck | None,
+    ) -> None:
+        self.ledger = ledger
+        self.policy = HeadPolicy(ledger.is_full, head_check)
+        self.clock_s = 0.0
+        self.turn_s = time.monotonic()
+        self._reserved_s = 0.0
+        self._resumes: list[float] = []
+        self._next_sweep_s = 0.0
+        self._next_cleanup_s = self.turn_s + CLEANUP_INTERVAL_S
+        super().__init__(app, dispatcher=dispatcher, adj=adj, sockinfo=adj.listen[0])
+
+    def run(self) -> None:
+        """Serve until no socket is left."""
+        while self._map:
+            wasyncore.poll2(self._start_turn(), self._map)
+
+    def _start_turn(self) -> float:
+        """Do what is due and return how long the turn may wait for input, seconds."""
+        now_s = time.monotonic()
+        self.clock_s += min(now_s - self.turn_s, MAX_TURN_S)
+        self.turn_s = now_s
+        if now_s >= self._next_sweep_s:
+            self._next_sweep_s = now_s + SWEEP_INTERVAL_S
+            self._sweep()
+        if self.accepting and self._is_full():
+            self._make_room()
+        while self._resumes and self._resumes[0] <= now_s:
+            heapq.heappop(self._resumes)
+        wait_s = self._resumes[0] - now_s if self._resumes else MAX_TURN_S
+        # poll counts in milliseconds and would round down to a busy loop.
+        return min(wait_s + 0.001, MAX_TURN_S)
+
+    def _sweep(self) -> None:
+        for channel in list(self.active_channels.values()):
+            channel.check_time()
+        if self.turn_s >= self._next_cleanup_s:
+            self._next_cleanup_s = self.turn_s + CLEANUP_INTERVAL_S
+            self.maintenance(time.time())
+        self.ledger.log_refusals()
+
+    def _make_room(self) -> None:
+        """Close idle connections, or else refuse the slowest incomplete requests."""
+        now, limits = time.time(), self.ledger.limits
+        channels = sorted(self.active_channels.values(), key=lambda channel: channel.last_activity)
+        idle = [channel for channel in channels if channel.is_idle(limits, now)]
+        for channel in idle[:CLOSED_PER_TURN]:
+            channel.handle_close()
+        if not idle:
+            for channel in self.ledger.slowest(set(channels), CLOSED_PER_TURN):
+                channel.refuse(RefusalCause.CONNECTIONS)
+
+    def _is_full(self) -> bool:
+        return len(self._map) >= self.adj.connection_limit
+
+    def reserve(self, cost_s: float) -> float:
+        """Return when a connection may be read again whose last read cost this much CPU time."""
+        self._reserved_s = max(self._reserved_s, self.turn_s) + cost_s / COSTLY_SHARE
+        heapq.heappush(self._resumes, self._reserved_s)
+        return self._reserved_s
+
+    def readable(self) -> bool:
+        """Return whether connections may be accepted."""
+        return self.accepting and not self._is_full()
+
+    def handle_accept(self) -> None:
+        """Accept the connections that wait, up to a bound."""
+        for _ in range(ACCEPTS_PER_TURN):
+            before = len(self._map)
+            super().handle_accept()
+            if len(self._map) == before or self._is_full():
+                return
--- /dev/null
+++ b/tests/transport/test_request_limits.py
@@ -0,0 +1,207 @@
+"""Test the limits of a listener's requests through its socket."""
+
+import contextlib
+import json
+import socket
+import threading
+
+import pytest
+
+from demo.cluster import free_addresses
+from gypsumplank.transport.bodybudget import RequestLimits
+from gypsumplank.transport.listener import ClosingDispatcher, Listener
+from gypsumplank.transport.requestledger import RequestLedger
+from gypsumplank.transport.requestparser import HeadRefusal
+
+MAX_BODY_BYTES = 100_000
+TIMEOUT_S = 20.0
+POST = b"POST /jobs HTTP/1.1\r\nHost: desk\r\n"
+CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+class App:
+    """Answer with the length of the body; hold the path /wait until told."""
+
+    def __init__(self):
+        self.bodies = []
+        self.resume = threading.Event()
+
+    def __call__(self, environ, start_response):
+        if environ["PATH_INFO"] == "/wait":
+            self.resume.wait(TIMEOUT_S)
+        body = environ["wsgi.input"].read()
+        self.bodies.append(len(body))
+        answer = str(len(body)).encode()
+        start_response("200 OK", [("Content-Length", str(len(answer)))])
+        return [answer]
+
+
+class Served:
+    def __init__(self, head_check=None, connections=50, **limits):
+        (self.address,) = free_addresses(1)
+        self.app = App()
+        self.ledger = RequestLedger(RequestLimits(**limits))
+        self.listener = Listener(
+            self.app,
+            self.address,
+            ClosingDispatcher(2),
+            MAX_BODY_BYTES,
+            "limits-test",
+            connections,
+            self.ledger,
+            head_check,
+        )
+        self.listener.start()
+
+    def connect(self):
+        host, _, port = self.address.rpartition(":")
+        return socket.create_connection((host, int(port)), TIMEOUT_S)
+
+    def ask(self, *pieces):
+        """Send pieces and return all that the server sends until it closes or goes quiet."""
+        with self.connect() as sock:
+            for piece in pieces:
+                sock.sendall(piece)
+            return read(sock)
+
+
+@pytest.fixture
+def serve():
+    with contextlib.ExitStack() as stack:
+
+        def start(*args, **options):
+            served = Served(*args, **options)
+            stack.callback(served.listener.close, 0.0)
+            stack.callback(served.app.resume.set)
+            return served
+
+        yield start
+
+
+def read(sock, until=b""):
+    data = b""
+    with contextlib.suppress(ConnectionError):
+        while not (until and until in data) and (part := sock.recv(65_536)):
+            data += part
+    return data
+
+
+def close_header(body):
+    return POST + b"Connection: close\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+
+
+def test_requests_at_the_documented_limits_are_served(serve):
+    """Guard against limits that refuse what they allow, and chunk headers that count as body."""
+    served = serve()
+    assert served.ask(close_header(b"x" * MAX_BODY_BYTES)).endswith(b"\r\n\r\n100000")
+    tiny = b"1\r\nx\r\n" * MAX_BODY_BYTES + b"0\r\n\r\n"
+    closing = CHUNKED.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+    assert served.ask(closing + tiny).endswith(b"\r\n\r\n100000")
+    head = POST + b"Connection: close\r\nX-Filler: "
+    filled = head + b"x" * (16_384 - len(head) - 4) + b"\r\n\r\n"
+    assert len(filled) == 16_384
+    assert b"200 OK" in served.ask(filled)
+    assert b"431 " in served.ask(filled.replace(b"xx", b"xxx", 1))
+
+
+@pytest.mark.parametrize(
+    ("wire", "status"),
+    [
+        (POST + b"Content-Length: 100001\r\n\r\n", b"413"),
+        (CHUNKED + b"186a1\r\n", b"413"),
+        (CHUNKED + b"1;" + b"x" * 2000, b"400"),
+        (POST + b"X-Filler: " + b"x" * 17_000, b"431"),
+    ],
+)
+def test_excess_is_refused_and_closed(serve, wire, status):
+    served = serve()
+    assert served.ask(wire)[9:12] == status
+    assert served.app.bodies == []
+
+
+def test_expectation_and_pipelined_requests_are_served_in_order(serve):
+    served = serve()
+    with served.connect() as sock:
+        sock.sendall(POST + b"Expect: 100-continue\r\nContent-Length: 3\r\n\r\n")
+        assert read(sock, b"\r\n\r\n").startswith(b"HTTP/1.1 100 ")
+        sock.sendall(b"abc" + CHUNKED + b"2\r\nxy\r\n0\r\n\r\n" + close_header(b"z"))
+        assert [part[:1] for part in read(sock).split(b"\r\n\r\n")[1:]] == [b"3", b"2", b"1"]
+
+
+def test_head_is_checked_before_the_body(serve):
+    """Guard against a body, or what is hidden in it, that is read although its head is refused."""
+    heads = []
+
+    def check(head):
+        heads.append(head)
+        return HeadRefusal(401, (("WWW-Authenticate", "Bearer"),), b"no")
+
+    served = serve(check)
+    hidden = b"GET /hidden HTTP/1.1\r\nHost: desk\r\n\r\n"
+    fields = b"Authorization: Bearer k\r\nExpect: 100-continue\r\nContent-Length: 50\r\n\r\n"
+    answer = served.ask(POST + fields + hidden)
+    assert answer.startswith(b"HTTP/1.1 401 Unauthorized\r\n")
+    assert b"Connection: close\r\n" in answer
+    assert b"Bearer\r\n" in answer
+    (head,) = heads
+    assert (head.method, head.path, head.host) == ("POST", "/jobs", "desk")
+    assert head.headers["authorization"] == "Bearer k"
+    assert served.app.bodies == []
+
+
+def test_incomplete_requests_time_out_with_an_answer(serve):
+    served = serve(header_s=0.2, body_s=0.4)
+    assert served.ask(b"POST /jobs")[9:12] == b"408"
+    answer = served.ask(POST + b"Content-Length: 9\r\n\r\nx")
+    assert answer[9:12] == b"408"
+    assert json.loads(answer.partition(b"\r\n\r\n")[2])["outcome"] == "not-run"
+
+
+def test_refusal_waits_for_the_answers_before_it(serve):
+    """Guard against answers out of order, and against a time-out while an answer is awaited."""
+    served = serve(incomplete_bytes=20_000)
+    with served.connect() as sock:
+        sock.sendall(POST.replace(b"/jobs", b"/wait") + b"Content-Length: 1\r\n\r\nx")
+        sock.sendall(POST + b"Content-Length: 90000\r\n\r\n" + b"x" * 40_000)
+        while not served.ledger._unlogged and not served.ledger._refused:
+            threading.Event().wait(0.01)
+        served.app.resume.set()
+        answers = read(sock)
+    assert answers.startswith(b"HTTP/1.1 200 OK")
+    assert answers.count(b"HTTP/1.1 503 ") == 1
+    assert served.app.bodies == [1]
+
+
+def test_memory_is_freed_by_the_slowest_and_the_rest_is_served(serve):
+    served = serve(incomplete_bytes=150_000)
+    part = POST + b"Content-Length: 90000\r\nConnection: close\r\n\r\n" + b"x" * 89_999
+    with served.connect() as first, served.connect() as second:
+        first.sendall(part)
+        threading.Event().wait(0.3)
+        second.sendall(part)
+        assert read(first)[9:12] == b"503"
+        second.sendall(b"x")
+        assert read(second).endswith(b"90000")
+
+
+def test_full_queue_refuses_bodies_before_they_are_read(serve):
+    served = serve(complete_bytes=50_000)
+    with served.connect() as sock:
+        sock.sendall(POST.replace(b"/jobs", b"/wait") + b"Content-Length: 60000\r\n\r\n")
+        sock.sendall(b"x" * 60_000)
+        while not served.ledger.is_full():
+            threading.Event().wait(0.01)
+        assert served.ask(POST + b"Content-Length: 90000\r\n\r\n")[9:12] == b"503"
+        small = b"GET /jobs HTTP/1.1\r\nConnection: close\r\n\r\n"
+        assert b"200 OK" in served.ask(small)
+
+
+def test_stalled_and_silent_connections_make_room(serve):
+    """Guard against connections that hold every place while ordinary callers wait."""
+    served = serve(connections=12, header_s=0.3, body_s=60.0)
+    with contextlib.ExitStack() as stack:
+        for number in range(30):
+            sock = stack.enter_context(served.connect())
+            if number % 2:
+                sock.sendall(POST + b"Content-Length: 9\r\n\r\nx")
+        assert served.ask(close_header(b"abc")).endswith(b"\r\n\r\n3")
