--- a/gypsumplank/composition/platform.py
+++ b/gypsumplank/composition/platform.py
@@ -42,9 +42,12 @@
 from gypsumplank.state.job import JobStore
 from gypsumplank.state.lease import LeaseStore
 from gypsumplank.state.machine import MachineOrderLog
-from gypsumplank.transport.listener import CONNECTION_LIMIT, ClosingDispatcher, Listener
+from gypsumplank.transport.bodybudget import limits_of_memory
+from gypsumplank.transport.listener import ClosingDispatcher, Listener
 from gypsumplank.transport.partitionrelay import RelayPartitions
 from gypsumplank.transport.relay import PeerTable, RelayServer, RelayTable
+from gypsumplank.transport.requestledger import RequestLedger
+from gypsumplank.transport.requestparser import HeadCheck
 
 # Store partition of all rows that are committed together.
 FLEET_PARTITION = "fleet"
@@ -84,6 +87,8 @@
 # Share of the file descriptors for callers' connections; the rest is for files, workers, the store
 # and other daemons.
 CALLER_DESCRIPTOR_SHARE = 0.5
+# Connections of the load balancer, and as many of what reads the metrics.
+SERVICE_CONNECTIONS = 128
 # Share of the file descriptors for connections to workers that are kept while they are not in use.
 WORKER_DESCRIPTOR_SHARE = 0.4
 SETTINGS_POLL_S = 1.0
@@ -238,6 +243,8 @@
             self._make_intake_client(job_store) if self._has_intake else None,
         )
         app = JobApp(job_service, self._metrics.record_request, self._record_error)
+        self._request_ledger = RequestLedger(limits_of_memory(settings.memory_bytes))
+        self._request_ledger.add_metrics(self._metrics)
         max_connections = int(settings.max_descriptors * CALLER_DESCRIPTOR_SHARE)
         self._caller_listener = self._make_listener(
             app,
@@ -245,6 +252,7 @@
             INTAKE_CALLER_THREADS if self._has_intake else CALLER_THREADS,
             "callers",
             max_connections,
+            app.check_head,
         )
         self._balancer_listener = self._make_listener(
             ReadyApp(self._is_ready), settings.readiness_address, 1, "balancer"
@@ -266,16 +274,26 @@
             self._daemon_registry.all_read_submissions,
         )
 
-    @staticmethod
     def _make_listener(
+        self,
         app: Callable[..., object],
         address: str,
         threads: int,
         name: str,
-        connections: int = CONNECTION_LIMIT,
+        connections: int = SERVICE_CONNECTIONS,
+        head_check: HeadCheck | None = None,
     ) -> Listener:
         dispatcher = ClosingDispatcher(threads)
-        return Listener(app, address, dispatcher, MAX_BODY_BYTES, name, connections)  # type: ignore[arg-type]
+        return Listener(
+            app,  # type: ignore[arg-type]
+            address,
+            dispatcher,
+            MAX_BODY_BYTES,
+            name,
+            connections,
+            self._request_ledger,
+            head_check,
+        )
 
     def _key_policy(self) -> KeyPolicy:
         settings = self._settings
--- a/gypsumplank/platform/app.py
+++ b/gypsumplank/platform/app.py
@@ -14,12 +14,14 @@
     GypsumplankError,
     JobInvalidError,
     JobMissingError,
+    KeyRejectedError,
     StateTooLargeError,
 )
 from gypsumplank.protocol.account import hash_key_bytes
 from gypsumplank.protocol.decoder import Count, decode_json
 from gypsumplank.protocol.job import JobDefinition, JobState, Resources, Schedule, StepDefinition
 from gypsumplank.protocol.queue import Queue
+from gypsumplank.transport.requestparser import HeadRefusal, RequestHead
 
 JSON_TYPE = "application/json"
 ENVIRON_REMAINING_MS = "HTTP_X_GYPSUMPLANK_DEADLINE_MS"
@@ -177,11 +179,33 @@
         self._record_request(label, str(status), time.monotonic() - started)
         return (body,)
 
+    def check_head(self, head: RequestHead) -> HeadRefusal | None:
+        """Refuse a submission that has no known API key before its body is read.
+
+        The age of the manifest is checked once the request is complete, as its body may take long.
+        """
+        if head.method != "POST":
+            return None
+        host = head.host.partition(":")[0]
+        try:
+            self._jobs.authorize(
+                host, head.path, _key_digest(head.headers.get("authorization", ""))
+            )
+        except KeyRejectedError as exc:
+            self._on_error(exc, head.method, head.path)
+            headers = (("Content-Type", JSON_TYPE), *_error_headers(exc.status, exc))
+            self._record_request(head.method, str(exc.status), 0.0)
+            return HeadRefusal(exc.status, headers, msgspec.json.encode({"error": exc.code}))
+        except GypsumplankError:
+            return None
+        return None
+
     def _handle(self, method: str, path: str, environ: dict[str, Any]) -> tuple[int, Any]:
         host = environ.get("HTTP_HOST", "").partition(":")[0]
         # The server calls the application once it has the whole request, so that this check comes
         # after the body has arrived, and before it is decoded.
-        queue, account = self._jobs.authorize(host, path, _key_digest(environ))
+        digest = _key_digest(environ.get(ENVIRON_AUTHORIZATION, ""))
+        queue, account = self._jobs.authorize(host, path, digest)
         job_id = path.removeprefix(queue.prefix)
         match method:
             case "GET" if not job_id:
@@ -207,10 +231,9 @@
     return [("Retry-After", str(retry_s))]
 
 
-def _key_digest(environ: dict[str, Any]) -> bytes | None:
+def _key_digest(authorization: str) -> bytes | None:
     """Return the digest of a request's API key, None if it has no key."""
-    header = environ.get(ENVIRON_AUTHORIZATION, "").strip(HEADER_SPACE)
-    scheme, _, key = header.partition(" ")
+    scheme, _, key = authorization.strip(HEADER_SPACE).partition(" ")
     key = key.strip(HEADER_SPACE)
     if scheme.lower() != AUTH_SCHEME.lower() or not key:
         return None
--- a/tests/coordination/job/test_intake_replay.py
+++ b/tests/coordination/job/test_intake_replay.py
@@ -111,7 +111,7 @@
             backoff = PartitionBackoff(random.Random(number))
             intake = IntakeClient(IntakeStore(store), jobs, None, time, backoff, lambda: True)
             intake._pause = time
-        service = JobService(jobs, time, lambda: None, intake)
+        service = JobService(jobs, time, lambda: None, intake=intake)
         service._pause = time
         services.append(service)
     accepted = []
--- a/tests/platform/test_keys.py
+++ b/tests/platform/test_keys.py
@@ -18,6 +18,7 @@
 from gypsumplank.state.feed import MemoryFeedTable
 from gypsumplank.state.job import JobStore
 from gypsumplank.state.table import Txn, Write
+from gypsumplank.transport.requestparser import RequestHead
 
 JOB = "5c0e7a21d94b36f8"
 BODY = msgspec.json.encode({"spec": "s", "steps": [{"replicas": 1, "cpu": 500}]})
@@ -181,3 +182,22 @@
         digest = hash_key(key)
         hidden = (key, digest.hex(), repr(digest)[2:-1])
         assert not [text for text in texts for part in hidden if part in text]
+
+
+def test_submission_without_a_known_key_is_refused_before_its_body():
+    """Guards against reading bodies of callers whose request cannot succeed."""
+    entry = Entry()
+
+    def check(method, path, key):
+        headers = {} if key is None else {"authorization": f"Bearer {key}"}
+        return entry.app.check_head(RequestHead(method, path, "h:80", headers))
+
+    for key in (None, UNKNOWN_KEY):
+        refusal = check("POST", f"/q/{JOB}", key)
+        assert refusal.status == 401
+        assert ("WWW-Authenticate", "Bearer") in refusal.headers
+        assert check("POST", f"/p/{JOB}", key) is None
+        assert check("GET", f"/q/{JOB}", key) is None
+    assert check("POST", f"/q/{JOB}", KEY) is None
+    # What a later manifest may add is decided once the request is complete.
+    assert check("POST", "/unknown/", None) is None
