--- a/gypsumplank/coordination/job/crash.py
+++ b/gypsumplank/coordination/job/crash.py
@@ -74,7 +74,7 @@
 
     In monotonic seconds; 0 if it does not wait.
     """
-    if not task.losses:
+    if not (task.crashes or task.lost_on):
         return 0.0
     lost_at_start = sum(1 for lost in task.lost_on if lost.at_start)
     is_undecided = _is_deadly(task.crashes_at_start + lost_at_start, task.losses)
--- a/gypsumplank/coordination/job/instance.py
+++ b/gypsumplank/coordination/job/instance.py
@@ -2,6 +2,7 @@
 
 import threading
 from dataclasses import dataclass, field
+from typing import Any
 
 from gypsumplank.coordination.job.model import Task
 from gypsumplank.coordination.job.observation import ReceivedReport
@@ -54,6 +55,49 @@
             self.reading_ms, self.read_at = reading_ms, read_at
 
 
+class AssignedTasks(dict[str, Task]):
+    """Keep tasks by name, and what they use together, as that is asked for in each round."""
+
+    _used: Resources | None = None
+
+    def __setitem__(self, name: str, task: Task) -> None:
+        self._used = None
+        super().__setitem__(name, task)
+
+    def __delitem__(self, name: str) -> None:
+        self._used = None
+        super().__delitem__(name)
+
+    def pop(self, name: str, *default: Any) -> Any:
+        """Remove a task and return it."""
+        self._used = None
+        return super().pop(name, *default)
+
+    def update(self, *others: Any, **tasks: Task) -> None:
+        """Add tasks."""
+        self._used = None
+        super().update(*others, **tasks)
+
+    def clear(self) -> None:
+        """Remove all tasks."""
+        self._used = None
+        super().clear()
+
+    def used(self) -> Resources:
+        """Return the resources that the tasks take; best-effort tasks take no CPU."""
+        if self._used is None:
+            cpu = memory = accelerators = 0
+            for task in self.values():
+                order = task.step.order
+                need = order.need
+                if not order.fills:
+                    cpu += need.cpu
+                memory += need.memory_mb
+                accelerators += need.accelerators
+            self._used = Resources(cpu, memory, accelerators)
+        return self._used
+
+
 @dataclass(eq=False)
 class WorkerInstance:
     """Represent one instance of a worker; times are monotonic seconds.
@@ -94,7 +138,7 @@
     last_acked_end: int = 0
     acked_at: float = 0.0
     last_forgotten_end: int = 0
-    tasks: dict[str, Task] = field(default_factory=dict)
+    tasks: AssignedTasks = field(default_factory=AssignedTasks)
     wake: threading.Event = field(default_factory=threading.Event)
     detached: bool = False
     is_down: bool = False
@@ -224,15 +268,7 @@
 
     def used(self) -> Resources:
         """Return the resources that the assigned tasks take; best-effort tasks take no CPU."""
-        cpu = memory = accelerators = 0
-        for task in self.tasks.values():
-            order = task.step.order
-            need = order.need
-            if not order.fills:
-                cpu += need.cpu
-            memory += need.memory_mb
-            accelerators += need.accelerators
-        return Resources(cpu, memory, accelerators)
+        return self.tasks.used()
 
     def free(self) -> Resources:
         """Return the free resources."""
--- a/gypsumplank/coordination/job/readiness.py
+++ b/gypsumplank/coordination/job/readiness.py
@@ -24,6 +24,8 @@
 from gypsumplank.protocol.job import FINAL_JOB_STATES, Resources, TaskPhase
 from gypsumplank.protocol.queue import Queue
 
+# Share of removed steps from which it is found anew what the others need at least.
+MAX_REMOVED_SHARE = 0.1
 # Times of removed steps that are kept at least, so that they are seldom searched for.
 MIN_DROPPED = 1000
 
@@ -113,7 +115,62 @@
 
 
 SortedStep = tuple[Urgency, tuple[int, int], ReadyStep]
-SortedSteps = list[SortedStep]
+
+
+class StepGroup:
+    """Keep the ready steps of one service with one label, sorted by urgency.
+
+    `_least` is at most the least amount of each resource that any step needs; None if not known.
+    """
+
+    def __init__(self) -> None:
+        self._sorted: list[SortedStep] = []
+        self._least: Resources | None = None
+        self._removed = 0
+
+    def __bool__(self) -> bool:
+        return bool(self._sorted)
+
+    def insert(self, ready: ReadyStep) -> None:
+        """Add a step."""
+        insort(self._sorted, (ready.urgency, ready.place, ready))
+        if self._least is not None:
+            self._least = self._least.at_most(ready.need)
+
+    def remove(self, ready: ReadyStep) -> None:
+        """Remove a step whose urgency has not changed since it was added."""
+        del self._sorted[bisect_left(self._sorted, ready.sort_key)]
+        self._removed += 1
+        if self._removed > len(self._sorted) * MAX_REMOVED_SHARE:
+            self._least, self._removed = None, 0
+
+    def _least_need(self) -> Resources:
+        """Return what each step needs at least."""
+        if self._least is None:
+            needs = [ready.need for _, _, ready in self._sorted]
+            self._least = Resources(
+                min(need.cpu for need in needs),
+                min(need.memory_mb for need in needs),
+                min(need.accelerators for need in needs),
+            )
+        return self._least
+
+    def that_may_fit(self, most_free: Callable[[], Resources]) -> Iterator[SortedStep]:
+        """Yield the steps that need no more than is free, until no step may fit any more."""
+        least, free = self._least_need(), most_free()
+        if not free.can_fit(least):
+            return
+        for item in self._sorted:
+            need = item[-1].need
+            if (
+                need.cpu <= free.cpu
+                and need.memory_mb <= free.memory_mb
+                and need.accelerators <= free.accelerators
+            ):
+                yield item
+                free = most_free()
+                if not free.can_fit(least):
+                    return
 
 
 @dataclass
@@ -133,7 +190,7 @@
 
     def __init__(self) -> None:
         self._jobs: dict[Job, JobEntry] = {}
-        self._groups: defaultdict[tuple[str, str], SortedSteps] = defaultdict(list)
+        self._groups: defaultdict[tuple[str, str], StepGroup] = defaultdict(StepGroup)
         self._count = 0
         self._less_urgent_at: list[tuple[float, tuple[int, int], int, ReadyStep]] = []
         self._timed: set[Job] = set()
@@ -202,7 +259,7 @@
             heapq.heapify(self._less_urgent_at)
 
     def _insert(self, ready: ReadyStep) -> None:
-        insort(self._groups[ready.group], (ready.urgency, ready.place, ready))
+        self._groups[ready.group].insert(ready)
         self._count += 1
         ends_at = urgency_ends_at(ready.pending, ready.urgency)
         if ends_at < math.inf:
@@ -210,10 +267,10 @@
             heapq.heappush(self._less_urgent_at, (ends_at, ready.place, self._pushed, ready))
 
     def _take_out(self, ready: ReadyStep) -> None:
-        steps = self._groups[ready.group]
-        del steps[bisect_left(steps, ready.sort_key)]
+        group = self._groups[ready.group]
+        group.remove(ready)
         self._count -= 1
-        if not steps:
+        if not group:
             del self._groups[ready.group]
 
     def update_urgency(self, now: float, wall_ms: float) -> None:
@@ -240,8 +297,7 @@
         placed between two steps.
         """
         groups = (
-            _that_may_fit(steps, partial(most_free, *group))
-            for group, steps in self._groups.items()
+            group.that_may_fit(partial(most_free, *key)) for key, group in self._groups.items()
         )
         return (ready.pending for _, _, ready in heapq.merge(*groups))
 
@@ -254,18 +310,5 @@
         return _in_place(self._advised)
 
 
-def _that_may_fit(steps: SortedSteps, most_free: Callable[[], Resources]) -> Iterator[SortedStep]:
-    free = most_free()
-    for item in steps:
-        need = item[-1].need
-        if (
-            need.cpu <= free.cpu
-            and need.memory_mb <= free.memory_mb
-            and need.accelerators <= free.accelerators
-        ):
-            yield item
-            free = most_free()
-
-
 def _in_place(steps: dict[tuple[int, int], ReadyStep]) -> list[PendingStep]:
     return [steps[place].pending for place in sorted(steps)]
--- a/gypsumplank/protocol/job.py
+++ b/gypsumplank/protocol/job.py
@@ -63,6 +63,14 @@
             max(self.accelerators, other.accelerators),
         )
 
+    def at_most(self, other: "Resources") -> "Resources":
+        """Return the smaller amount of each resource."""
+        return Resources(
+            min(self.cpu, other.cpu),
+            min(self.memory_mb, other.memory_mb),
+            min(self.accelerators, other.accelerators),
+        )
+
     def can_fit(self, other: "Resources") -> bool:
         """Return whether the other amount fits into this one."""
         return (
