--- a/gypsumplank/coordination/job/command.py
+++ b/gypsumplank/coordination/job/command.py
@@ -188,7 +188,8 @@
     def _send_stops(self, instance: WorkerInstance, now: float) -> None:
         if instance.detached:
             return
-        for task in [task for task in instance.tasks.values() if _must_stop(task, instance)]:
+        must_stop = [task for task in instance.tasks.values() if _must_stop(task, instance)]
+        for task in must_stop:
             if task.sent_at == 0 and not task.unconfirmed_since:
                 continue
             if now >= task.stop_sent_at + STOP_RETRY_S and not task.stop_confirmed_at:
--- a/gypsumplank/coordination/job/demand.py
+++ b/gypsumplank/coordination/job/demand.py
@@ -205,19 +205,24 @@
         self._pushed = 0
         self._scheduled: set[Job] = set()
 
-    def update(self, changed: Iterable[Job], now: float, wall_ms: float) -> None:
-        """Bring the shares of the jobs up to date."""
-        due = set(changed) | self._scheduled
+    def update_changed(self, changed: Iterable[Job], now: float, wall_ms: float) -> None:
+        """Bring the shares of jobs that changed up to date; those of others may be due too."""
+        for job in changed:
+            self._replace(job, now, wall_ms)
         if len(self._due) > MAX_TIMES_PER_JOB * len(self._shares) + MIN_TIMES:
             # Most of these times were replaced when their jobs changed.
             self._due.clear()
-            due.update(self._shares)
+            for job in list(self._shares):
+                self._replace(job, now, wall_ms)
+
+    def update(self, changed: Iterable[Job], now: float, wall_ms: float) -> None:
+        """Bring the shares of all jobs up to date; `changed` are those that have changed."""
+        due = set(changed) | self._scheduled
         while self._due and self._due[0][0] <= now:
             job = heapq.heappop(self._due)[-1]
             if job in self._shares:
                 due.add(job)
-        for job in due:
-            self._replace(job, now, wall_ms)
+        self.update_changed(due, now, wall_ms)
 
     def _replace(self, job: Job, now: float, wall_ms: float) -> None:
         earlier = self._shares.pop(job, None)
--- a/gypsumplank/coordination/job/instance.py
+++ b/gypsumplank/coordination/job/instance.py
@@ -59,6 +59,7 @@
     """Keep tasks by name, and what they use together, as that is asked for in each round."""
 
     _used: Resources | None = None
+    _has_best_effort = False
 
     def __setitem__(self, name: str, task: Task) -> None:
         self._used = None
@@ -87,16 +88,24 @@
         """Return the resources that the tasks take; best-effort tasks take no CPU."""
         if self._used is None:
             cpu = memory = accelerators = 0
+            self._has_best_effort = False
             for task in self.values():
                 order = task.step.order
                 need = order.need
-                if not order.fills:
+                if order.fills:
+                    self._has_best_effort = True
+                else:
                     cpu += need.cpu
                 memory += need.memory_mb
                 accelerators += need.accelerators
             self._used = Resources(cpu, memory, accelerators)
         return self._used
 
+    def has_best_effort(self) -> bool:
+        """Return whether any of the tasks is a best-effort task."""
+        self.used()
+        return self._has_best_effort
+
 
 @dataclass(eq=False)
 class WorkerInstance:
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -28,7 +28,7 @@
 )
 from gypsumplank.coordination.job.readiness import ReadySteps, examine
 from gypsumplank.coordination.job.report import apply_report
-from gypsumplank.coordination.job.workload import Workload, in_order
+from gypsumplank.coordination.job.workload import JobChanges, Workload, in_order
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.job import Resources, TaskPhase
 from gypsumplank.protocol.queue import Manifest
@@ -42,9 +42,6 @@
 # heartbeats; the platform allows three.
 MAX_CAPACITY_AGE_HEARTBEATS = 2.0
 
-# Jobs whose changes are kept until their load is asked for; it is not in every deployment.
-MAX_LOAD_CHANGES = 5000
-
 logger = logging.getLogger(__name__)
 
 
@@ -66,7 +63,8 @@
         self.workload = Workload()
         self._changes = self.workload.follow()
         self._ready = ReadySteps()
-        self._load_changes = self.workload.follow()
+        # Followed from when the loads are first asked for, as not all deployments do.
+        self._load_changes: JobChanges | None = None
         self._loads = LoadTracker()
         self._queues_seen = self._queues.generation
         self.fleet = Fleet(clock, max_lease_s, heartbeat_s)
@@ -185,8 +183,8 @@
                 self._assign(pending_step, placed)
                 assigned_jobs[pending_step.job.id] = pending_step.job
         self.workload.update_job_states(assigned_jobs.values(), now)
-        if len(self._load_changes) > MAX_LOAD_CHANGES:
-            self.estimate_loads()
+        if self._load_changes is not None:
+            self._loads.update_changed(self._load_changes.take(), now, wall_ms)
 
     def _update_ready(self, changed: Collection[Job], now: float, wall_ms: float) -> None:
         """Bring the ready steps up to date: of the jobs that changed, and as time has passed."""
@@ -289,7 +287,12 @@
 
     def estimate_loads(self) -> dict[str, Load]:
         """Return the load of each service that has open jobs."""
-        self._loads.update(self._load_changes.take(), self.now(), self.wall_ms())
+        changed: Collection[Job] = self.workload.jobs.values()
+        if self._load_changes is None:
+            self._load_changes = self.workload.follow()
+        else:
+            changed = self._load_changes.take()
+        self._loads.update(changed, self.now(), self.wall_ms())
         return self._loads.loads()
 
     def request_stop(self, tasks: Collection[Task]) -> None:
--- a/gypsumplank/coordination/job/throttle.py
+++ b/gypsumplank/coordination/job/throttle.py
@@ -27,6 +27,8 @@
 def speed_changes(instances: Iterable[WorkerInstance], now: float) -> Iterator[SpeedChange]:
     """Yield the best-effort tasks whose speed limit has to change."""
     for instance in instances:
+        if not instance.tasks.has_best_effort():
+            continue
         best_effort = [
             task
             for task in instance.tasks.values()
--- a/gypsumplank/coordination/job/workload.py
+++ b/gypsumplank/coordination/job/workload.py
@@ -61,9 +61,6 @@
     def __init__(self) -> None:
         self._jobs: set[Job] = set()
 
-    def __len__(self) -> int:
-        return len(self._jobs)
-
     def add(self, job: Job) -> None:
         """Add a job that was added or has changed."""
         self._jobs.add(job)
