--- a/gypsumplank/coordination/job/placement.py
+++ b/gypsumplank/coordination/job/placement.py
@@ -108,13 +108,15 @@
     """Hold the workers of one service that have one label, for one round.
 
     `unplaceable` lists needs that fit on none of them. Free resources only shrink while tasks are
-    placed, so equal or larger needs won't fit either.
+    placed, so equal or larger needs won't fit either. `unplaceable_gangs` likewise lists gangs:
+    their need, their size and their limit of tasks on one worker, 0 for none.
     """
 
     def __init__(self, instances: list[WorkerInstance], now: float) -> None:
         self.instances = instances
         self.not_suspect = [each for each in instances if not each.is_suspect(now)] or instances
         self.unplaceable: list[Resources] = []
+        self.unplaceable_gangs: list[tuple[Resources, int, int]] = []
         # The largest free amount of each resource on any worker; None if it has changed.
         self.most_free: Resources | None = None
 
@@ -122,6 +124,15 @@
         """Return whether a need is known to fit on no worker."""
         return any(need.can_fit(unplaceable) for unplaceable in self.unplaceable)
 
+    def is_gang_unplaceable(self, need: Resources, size: int, per_worker: int) -> bool:
+        """Return whether a gang is known not to fit, as one that asks for no more does not."""
+        return any(
+            need.can_fit(other_need)
+            and size >= other_size
+            and (not other_per_worker or 0 < per_worker <= other_per_worker)
+            for other_need, other_size, other_per_worker in self.unplaceable_gangs
+        )
+
 
 class PlacementRound:
     """Place tasks on workers and track the resources that remain free in this round."""
@@ -156,7 +167,12 @@
     def place(self, pending: PendingStep) -> list[Placement]:
         """Return placements of as many tasks as fit; a gang is placed as a whole or not at all."""
         order = pending.step.order
-        if self._group(pending.job.service, order.label).is_unplaceable(resource_need(order)):
+        need, group = resource_need(order), self._group(pending.job.service, order.label)
+        if group.is_unplaceable(need):
+            return []
+        gang = (need, len(pending.step.tasks), order.max_per_worker)
+        is_plain_gang = order.gang and _takes_any_worker(pending)
+        if is_plain_gang and group.is_gang_unplaceable(*gang):
             return []
         active = [task for task in pending.step.tasks if task.phase is TaskPhase.ASSIGNED]
         per_worker = Counter(task.worker for task in active)
@@ -174,16 +190,18 @@
                 self._reserved_for_suspects.add(instance.id)
             self._free[instance.id] = self._free[instance.id] - resource_need(order)
         if order.gang and len(placed) < len(pending.step.tasks):
+            if is_plain_gang:
+                group.unplaceable_gangs.append(gang)
             for item in placed:
                 self._free[item.instance.id] = self._free[item.instance.id] + resource_need(order)
             if placed:
                 # The resources that were just released may be enough for earlier needs.
-                for group in self._groups.values():
-                    group.unplaceable.clear()
+                for each in self._groups.values():
+                    each.unplaceable.clear()
             return []
         if placed:
-            for group in self._groups.values():
-                group.most_free = None
+            for each in self._groups.values():
+                each.most_free = None
         return placed
 
     def _group(self, service: str, label: str) -> CandidateGroup:
@@ -285,6 +303,11 @@
         return (risk, outside_rack, same_rack_rank, free.cpu * packing)
 
 
+def _takes_any_worker(pending: PendingStep) -> bool:
+    """Return whether the same workers are considered for a step's tasks as for most others."""
+    return pending.permits is None and not any(task.failed_on for task in pending.tasks)
+
+
 def _candidates(
     group: CandidateGroup, pending: PendingStep, task: Task, now: float
 ) -> list[WorkerInstance]:
--- a/tests/coordination/job/test_long_queue.py
+++ b/tests/coordination/job/test_long_queue.py
@@ -2,12 +2,14 @@
 
 import random
 import sys
+from dataclasses import replace
 
 import pytest
 
 from gypsumplank.coordination.job.inbox import MAX_CALLS_PER_ROUND, Inbox
 from gypsumplank.coordination.job.intake import MAX_READS_PER_SNAPSHOT
 from gypsumplank.coordination.job.leader import LEASE_DURATION_S
+from gypsumplank.coordination.job.placement import PlacementRound
 from gypsumplank.coordination.job.scheduler import Scheduler
 from gypsumplank.coordination.job.workload import POSTPONED_CHUNK_JOBS
 from gypsumplank.protocol.job import (
@@ -56,9 +58,12 @@
     def waiting(self):
         return [job for job in self.workload.jobs.values() if job.state is JobState.QUEUED]
 
-    def submit(self):
+    def draw_steps(self):
         need = Resources(self.rng.randint(6, 13) * 1000, 1000)
-        steps = (StepDefinition(8, need, 4000), StepDefinition(8, need, 4000, (0,)))
+        return (StepDefinition(8, need, 4000), StepDefinition(8, need, 4000, (0,)))
+
+    def submit(self, steps=()):
+        steps = steps or self.draw_steps()
         stored = StoredJob(f"{self.jobs:016x}", QUEUE.name, SERVICE, 0, JobDefinition("", steps))
         self.jobs += 1
         self.workload.add(LoadedJob(stored, JobState.QUEUED, 1, False, {}), self.clock.now)
@@ -110,6 +115,27 @@
     assert long < 1.5 * short
 
 
+def test_gangs_that_fit_on_no_workers_are_not_tried_one_by_one(monkeypatch):
+    """Guard against rounds that try each of 1,000 gangs although a smaller one does not fit."""
+    queue = LongQueue(0)
+    gang = StepDefinition(2 * WORKERS, Resources(40_000, 1000), 4000, gang=True)
+    for number in range(100):
+        need = Resources(40_000 + 10 * number, 1000)
+        steps = (replace(gang, need=need, max_per_worker=number % 2),)
+        queue.submit(steps)
+    choose, tried = PlacementRound._choose, set()
+    monkeypatch.setattr(
+        PlacementRound,
+        "_choose",
+        lambda self, pending, *rest: tried.add(pending.step.key) or choose(self, pending, *rest),
+    )
+    queue.run_round()
+    assert len(tried) < 10
+    queue.submit((replace(gang, tasks=WORKERS),))
+    queue.run_round()
+    assert len(queue.workload.jobs[f"{queue.jobs - 1:016x}"].assigned_tasks()) == WORKERS
+
+
 class SlowTable:
     """Delegate to a table whose commits take time, and note when the lease is written."""
 
