--- a/gypsumplank/coordination/job/command.py
+++ b/gypsumplank/coordination/job/command.py
@@ -188,7 +188,15 @@
     def _send_stops(self, instance: WorkerInstance, now: float) -> None:
         if instance.detached:
             return
-        must_stop = [task for task in instance.tasks.values() if _must_stop(task, instance)]
+        # This looks at each run in each round, so that a call for each would be most of its cost.
+        must_stop = [
+            task
+            for task in instance.tasks.values()
+            if not task.should_run
+            or 0 < task.unconfirmed_since < instance.last_contact_at
+            or (job := task.step.job).cancelled
+            or job.state in FINAL_JOB_STATES
+        ]
         for task in must_stop:
             if task.sent_at == 0 and not task.unconfirmed_since:
                 continue
@@ -218,13 +226,6 @@
                 self._dispatcher.poll_now(instance)
 
 
-def _must_stop(task: Task, instance: WorkerInstance) -> bool:
-    if not task.should_run or 0 < task.unconfirmed_since < instance.last_contact_at:
-        return True
-    job = task.step.job
-    return job.cancelled or job.state in FINAL_JOB_STATES
-
-
 def _shared_checkpoint(task: Task) -> str:
     """Return the checkpoint that a task resumes from; the tasks of a gang share one."""
     if not task.step.order.gang:
--- a/gypsumplank/coordination/job/leader.py
+++ b/gypsumplank/coordination/job/leader.py
@@ -47,7 +47,7 @@
 # Interval between checks of the lease, seconds; a fifth of LEASE_DURATION_S, so that a renewal that
 # fails is tried again before the lease expires.
 LEASE_CHECK_INTERVAL_S = 0.4
-# Time after the last attempt to renew the lease from which a round or a take-over renews it, seconds;
+# Time after the last attempt to renew the lease from which rounds and take-overs renew it, seconds;
 # before that, the next check of the lease does.
 LATE_RENEWAL_S = 1.5 * LEASE_CHECK_INTERVAL_S
 # Longest wait for the hand-over at a stop, seconds; if it takes longer, another daemon takes the
--- a/gypsumplank/coordination/job/placement.py
+++ b/gypsumplank/coordination/job/placement.py
@@ -50,7 +50,13 @@
     @property
     def has_suspects(self) -> bool:
         """Return whether tasks of this step, other than a gang, may crash their workers."""
-        return not self.step.order.gang and any(task.is_suspect for task in self.tasks)
+        if self.step.order.gang:
+            return False
+        # Hardly any task has losses, and this is asked for each step whose urgency is computed.
+        return any(
+            task.is_suspect
+            for task in [each for each in self.tasks if each.crashes or each.lost_on]
+        )
 
 
 @dataclass(frozen=True)
