--- a/gypsumplank/coordination/job/model.py
+++ b/gypsumplank/coordination/job/model.py
@@ -258,7 +258,8 @@
     change of the state that is not stored yet. `is_unstorable` tells that the store does not take
     a row of one of its steps. `waits_for_queue` is set while no task of the job may start, as the
     manifest does not name its queue. `hold_causes` are the causes logged for which its account held
-    it back, `is_held` is set while it does because of its cap. `is_excess` marks a job beyond what its account is owed.
+    it back, and `is_held` is set while the account's cap does. `is_excess` marks a job beyond what
+    its account is owed.
     """
 
     stored: StoredJob
--- a/tests/coordination/job/test_run_machine.py
+++ b/tests/coordination/job/test_run_machine.py
@@ -9,7 +9,13 @@
 
 from hypothesis import settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
 
 from gypsumplank.protocol.job import JobState, Resources, StepDefinition, StepRecord, TaskPhase
 from gypsumplank.protocol.queue import MaintenanceWave
@@ -110,6 +116,22 @@
 
     # Work
 
+    @initialize(a=CAPS, b=CAPS, c=CAPS)
+    def begin_with_caps(self, a, b, c):
+        if a or b or c:
+            self.change_caps(a, b, c)
+            self.cluster.run(CONFIG_APPLY_S + 2 * STEP_S)
+
+    @precondition(lambda self: len(self.cluster.submitted) + 3 <= MAX_JOBS)
+    @rule(spec=st.sampled_from(["1", "3"]), seconds=SHORT_TIMES_S)
+    def submit_several_and_cancel_the_first(self, spec, seconds):
+        first = f"{len(self.cluster.submitted):016x}"
+        for _ in range(3):
+            self.submit(PLAIN, False, spec, 0, "a")
+        self.cluster.run(seconds)
+        self.cancel_job(first)
+        self.cluster.run(2 * seconds)
+
     @precondition(lambda self: len(self.cluster.submitted) < MAX_JOBS)
     @rule(
         step=st.sampled_from([PLAIN, PLAIN, GANG]),
