--- a/tests/coordination/job/test_run_machine.py
+++ b/tests/coordination/job/test_run_machine.py
@@ -124,12 +124,14 @@
 
     @precondition(lambda self: len(self.cluster.submitted) + 3 <= MAX_JOBS)
     @rule(spec=st.sampled_from(["1", "3"]), seconds=SHORT_TIMES_S)
-    def submit_several_and_cancel_the_first(self, spec, seconds):
-        first = f"{len(self.cluster.submitted):016x}"
+    def submit_several_and_cancel_what_runs(self, spec, seconds):
+        known = set(self.cluster.submitted)
         for _ in range(3):
             self.submit(PLAIN, False, spec, 0, "a")
         self.cluster.run(seconds)
-        self.cancel_job(first)
+        running = [name for each in self.workers.workers.values() for name in each.running]
+        for job in sorted({name.partition(".")[0] for name in running} - known):
+            self.cancel_job(job)
         self.cluster.run(2 * seconds)
 
     @precondition(lambda self: len(self.cluster.submitted) < MAX_JOBS)
