job: measure the load and reject an account's excess by it

Cause: an account that floods a service fills the scheduler's queue with jobs that come after all others, so that most of them wait until they are of no use.

Change: the leader measures the waiting work and the excess of accounts; a daemon rejects excess with 429 and a Retry-After before it is stored, if capacity is short and the measurement is fresh. Nothing uses it yet.

Result: replay of an account at 7.5 times its weight: less than half as many jobs wait, none of the other account is rejected, and the account keeps at least its weight.

--- /dev/null
+++ b/tests/coordination/job/test_rejection.py
@@ -0,0 +1,175 @@
+"""Rejection of an account's excess while capacity is short, without a network."""
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from gypsumplank.coordination.job.pressure import (
+    AccountPressure,
+    MeasureTimes,
+    Pressure,
+    ServicePressure,
+    measure_pressure,
+)
+from gypsumplank.coordination.job.pressurefeed import PressurePublisher, PressureWatch
+from gypsumplank.coordination.job.rejection import EXCESS_QUEUE_S, MAX_AGE_MS, find_rejection
+from gypsumplank.errors import AccountLimitError
+from gypsumplank.protocol.account import Account
+from gypsumplank.protocol.job import JobDefinition, Resources, Schedule, StepDefinition
+from gypsumplank.state.clock import ClockRange
+from gypsumplank.state.feed import Changes
+from gypsumplank.state.table import MemoryTable
+from tests.coordination.job.replay import MANIFEST, QUEUE, SERVICE, LoadReplay, Turn
+
+STEP = StepDefinition(8, Resources(6000, 12_000), 800)
+JOB = JobDefinition("", (STEP,))
+HOT, OTHER = Account("hot", weight=10.0), Account("other", weight=10.0)
+FULL = ServicePressure(30_000)
+AT_BOUND = AccountPressure(int(EXCESS_QUEUE_S * HOT.weight), 75.0)
+BEYOND = replace(AT_BOUND, excess_jobs=AT_BOUND.excess_jobs + 1)
+HIGH = Pressure(0, {SERVICE: FULL}, {"hot": BEYOND})
+
+
+class LastRandom(random.Random):
+    def random(self):
+        return 0.99
+
+
+def rejection(pressure, account=HOT, order=JOB, age_ms=0.0):
+    return find_rejection(SERVICE, order, account, pressure, age_ms, LastRandom(1))
+
+
+def test_excess_is_rejected_with_the_time_at_which_the_backlog_is_done():
+    error = rejection(HIGH)
+    assert isinstance(error, AccountLimitError)
+    assert error.status == 429
+    assert error.retry_after_s == 30.0
+    soon = replace(HIGH, services={SERVICE: ServicePressure(4_000)})
+    assert 4.0 <= rejection(soon).retry_after_s <= 6.0
+
+
+@pytest.mark.parametrize(
+    "case",
+    [
+        {"pressure": HIGH, "age_ms": MAX_AGE_MS + 1},
+        {"pressure": replace(HIGH, services={SERVICE: replace(FULL, has_free=True)})},
+        {"pressure": replace(HIGH, services={"another": FULL})},
+        {"pressure": replace(HIGH, accounts={"hot": AT_BOUND})},
+        {"pressure": HIGH, "account": OTHER},
+        {"pressure": HIGH, "account": None},
+        {"pressure": HIGH, "order": JobDefinition("", (STEP,), Schedule(3, 0, 1000))},
+        {"pressure": HIGH, "order": JobDefinition("", (replace(STEP, lasting=True),))},
+    ],
+    ids=["stale", "free", "service", "few", "other", "none", "scheduled", "long-running"],
+)
+def test_everything_else_is_stored(case):
+    assert rejection(**case) is None
+
+
+def test_the_share_that_the_weight_covers_is_let_through():
+    rng = random.Random(7)
+    pressure = replace(HIGH, accounts={"hot": replace(BEYOND, arrivals_per_s=50)})
+    accepted = sum(
+        find_rejection(SERVICE, JOB, HOT, pressure, 0.0, rng) is None for _ in range(1000)
+    )
+    # The weight is 10 of 50 jobs a second.
+    assert 150 <= accepted <= 250
+
+
+# Two accounts with the same weight; one submits 7.5 times as much.
+BURST = Turn(jobs_per_s=85, length_s=6.5, task_s=0.8, cpu=6200, memory_mb=13_000, width=8)
+HOT_SHARE = 75 / 85
+WORKERS = 20
+
+
+class RejectingReplay(LoadReplay):
+    """Measure the load twice a second and reject by it, as daemons do.
+
+    Jobs beyond 10 a second of an account are its excess.
+    """
+
+    def __init__(self, rejects):
+        super().__init__(BURST, 3, WORKERS)
+        self.rejects = rejects
+        self.pressure, self.measured_at = Pressure(), -1.0
+        self.rejected, self.accepted, self.most_waiting = [], [], 0
+        rng, counts = random.Random(5), {}
+        for number, (at, stored) in reversed(list(enumerate(self.arrivals))):
+            name = "hot" if rng.random() < HOT_SHARE else "other"
+            job = replace(stored, account=name, accepted_ms=int(at * 1000))
+            self.arrivals[number] = (at, job)
+            counts[name, int(at)] = counts.get((name, int(at)), 0) + 1
+        self.stored_per_s = {}
+        self.excess = set()
+
+    def step(self):
+        now = self.clock.monotonic()
+        if now >= self.measured_at + 0.5:
+            self.pressure, self.measured_at = self.measure(now), now
+        for item in [each for each in self.arrivals if each[0] <= now]:
+            job = item[1]
+            if self.rejects and self.find_rejection(job, now) is not None:
+                self.arrivals.remove(item)
+                self.rejected.append(job)
+                continue
+            self.accepted.append(job)
+            second = (job.account, int(now))
+            self.stored_per_s[second] = self.stored_per_s.get(second, 0) + 1
+            if self.stored_per_s[second] > HOT.weight:
+                self.excess.add(job.id)
+        super().step()
+        waiting = sum(not job.started for job in self.scheduler.workload.jobs.values())
+        self.most_waiting = max(self.most_waiting, waiting)
+
+    def measure(self, now):
+        return measure_pressure(
+            self.scheduler.workload.jobs.values(),
+            self.scheduler.instances.values(),
+            lambda job: job.id in self.excess,
+            MeasureTimes(now, now * 1000, 0),
+        )
+
+    def find_rejection(self, job, now):
+        account = {"hot": HOT, "other": OTHER}[job.account]
+        age_ms = (now - self.measured_at) * 1000
+        return find_rejection(SERVICE, job.order, account, self.pressure, age_ms, self.rng)
+
+
+def test_queue_of_an_account_that_floods_a_service_is_bounded_and_others_are_not_rejected():
+    """One account at 7.5 times its weight; without rejection, all of its excess waits."""
+    rejecting, without = RejectingReplay(rejects=True), RejectingReplay(rejects=False)
+    for replay in (rejecting, without):
+        replay.run(BURST.length_s)
+    assert {job.account for job in rejecting.rejected} == {"hot"}
+    assert 2 * rejecting.most_waiting < without.most_waiting
+    accepted = [job for job in rejecting.accepted if job.account == "hot"]
+    assert len(accepted) >= HOT.weight * BURST.length_s
+
+
+class RowFeed:
+    def __init__(self, table):
+        self.table = table
+
+    def changes(self, table, after, wait_s):
+        return Changes(tuple(self.table.scan(table)), (), after + 1)
+
+
+def test_load_is_published_under_pressure_and_followed_where_the_manifest_has_accounts():
+    replay = RejectingReplay(rejects=False)
+    replay.run(4.0)
+    manifest = replace(MANIFEST, accounts=(HOT, OTHER))
+    table, clock = MemoryTable(), lambda: ClockRange(5000, 5000)
+    publisher = PressurePublisher(table, clock, lambda job: job.id in replay.excess)
+    publisher.measure(replay.scheduler, MANIFEST, 4.0)
+    publisher.step()
+    assert table.get("pressure", "now") is None
+    publisher.measure(replay.scheduler, manifest, 4.0)
+    publisher.step()
+    watch = PressureWatch(table, RowFeed(table), clock, lambda: manifest, LastRandom(1))
+    watch.step()
+    assert isinstance(watch.find_rejection(QUEUE, JOB, "hot"), AccountLimitError)
+    assert watch.find_rejection(QUEUE, JOB, "other") is None
+    unlisted = PressureWatch(table, RowFeed(table), clock, lambda: MANIFEST, LastRandom(1))
+    unlisted._current = watch._current
+    assert unlisted.find_rejection(QUEUE, JOB, "hot") is None
