job: publish the load and reject an account's excess by it

Cause: an account that floods a service filled the scheduler's queue with jobs that come after all others.

Change: the leader measures after a round, a thread publishes the row while excess jobs wait, every daemon follows it and rejects with 429 before it stores a job, unless the job is stored already. The load is counted by service and account; whether capacity is free follows from whether excess jobs wait.

--- a/gypsumplank/composition/platform.py
+++ b/gypsumplank/composition/platform.py
@@ -20,13 +20,19 @@
 from gypsumplank.coordination.job.machine import ORDER_SENDERS, MachineController
 from gypsumplank.coordination.job.maintenance import MaintenancePlanner
 from gypsumplank.coordination.job.manifest import ManifestWatch, has_recent_contact
+from gypsumplank.coordination.job.pressurefeed import PressurePublisher, PressureWatch
 from gypsumplank.coordination.job.registry import DaemonRegistry
 from gypsumplank.coordination.job.scaling import PoolScaler
 from gypsumplank.coordination.job.submission import JobService, log_error_response
 from gypsumplank.coordination.job.term import MachineManager, PlatformPorts
 from gypsumplank.coordination.job.timing import create_leader_timings
 from gypsumplank.coordination.lease import LeaseManager
-from gypsumplank.errors import GypsumplankError, KeyRejectedError, KeyUnverifiedError
+from gypsumplank.errors import (
+    AccountLimitError,
+    GypsumplankError,
+    KeyRejectedError,
+    KeyUnverifiedError,
+)
 from gypsumplank.eventcount import EventCounter
 from gypsumplank.log import Event, event
 from gypsumplank.metrics import Metrics
@@ -96,6 +102,7 @@
 REJECTION_REASONS = {
     KeyRejectedError.code: "unknown-key",
     KeyUnverifiedError.code: "unverified-key",
+    AccountLimitError.code: "account-limit",
 }
 
 logger = logging.getLogger("gypsumplank.daemon")
@@ -112,7 +119,7 @@
         logging.getLogger().addHandler(EventCounter(self._metrics))
         self._count_rejected = self._metrics.counter(
             "gypsumplank.requests.rejected",
-            "Requests that were rejected for their API key, by reason",
+            "Requests that were rejected for their API key or for the load, by reason",
         )
         self._metrics.gauge(
             "gypsumplank.manifest.age",
@@ -216,6 +223,14 @@
             settings.quota_overage,
         )
         accounts = Accounts(lambda: self._manifest_watch.current, limits)
+        self._pressure_publisher = PressurePublisher(self._independent_rows, store_clock)
+        self._pressure_watch = PressureWatch(
+            self._independent_rows,
+            self._independent_rows,
+            store_clock,
+            lambda: self._manifest_watch.current,
+            random.Random(),
+        )
         self._leader = SchedulerLeader(
             ports,
             self._clock,
@@ -227,6 +242,7 @@
             status_s=settings.status_s,
             timings=create_leader_timings(self._metrics),
             accounts=accounts,
+            measure_load=self._pressure_publisher.measure,
         )
         add_account_gauges(
             self._metrics, lambda: accounts.statuses() if self._leader.is_leader else ()
@@ -241,6 +257,7 @@
             lambda: self._manifest_watch.in_force,
             self._key_policy,
             self._make_intake_client(job_store) if self._has_intake else None,
+            self._pressure_watch,
         )
         app = JobApp(job_service, self._metrics.record_request, self._record_error)
         self._request_ledger = RequestLedger(limits_of_memory(settings.memory_bytes))
@@ -321,6 +338,8 @@
         self._relay_server.start()
         self._daemon_registry.start()
         self._manifest_watch.start()
+        self._pressure_publisher.start()
+        self._pressure_watch.start()
         self._leader.start()
         event(logger, Event.STARTED, daemon=self._settings.daemon, zone=self._settings.zone)
         while not self._stop_requested:
@@ -354,6 +373,8 @@
         self._leader.close()
         for component in (
             self._manifest_watch,
+            self._pressure_publisher,
+            self._pressure_watch,
             self._daemon_registry,
             self._peer_table,
             self._relay_server,
--- a/gypsumplank/coordination/job/leader.py
+++ b/gypsumplank/coordination/job/leader.py
@@ -60,6 +60,9 @@
 # Longest time between rounds, seconds; bounds the delay of timers.
 MAX_ROUND_INTERVAL_S = 0.2
 
+# Measures the load after a round; times are monotonic seconds.
+MeasureLoad = Callable[[Scheduler, Manifest | None, float], None]
+
 logger = logging.getLogger(__name__)
 
 
@@ -79,7 +82,9 @@
         status_s: float = 120.0,
         timings: LeaderTimings | None = None,
         accounts: Accounts | None = None,
+        measure_load: MeasureLoad | None = None,
     ) -> None:
+        self._measure_load = measure_load
         self._timings = timings or LeaderTimings()
         self._candidates = candidates or NoCandidates()
         self._heartbeat_s = heartbeat_s
@@ -329,6 +334,8 @@
         ):
             scheduler.dispatch()
             self._machine_manager.run(scheduler, self._manifest(), now())
+            if self._measure_load is not None:
+                self._measure_load(scheduler, self._manifest(), now())
             self._try_write(
                 lambda fence: self._retention.remove_expired(fence, scheduler.workload, now())
             )
--- a/gypsumplank/coordination/job/pressure.py
+++ b/gypsumplank/coordination/job/pressure.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from gypsumplank.coordination.job.demand import DEFAULT_ESTIMATE_MS, USABLE_SHARE
@@ -19,38 +19,37 @@
 ARRIVALS_WINDOW_MS = 1000
 
 
+@dataclass(frozen=True)
+class AccountPressure:
+    """Store an account's waiting jobs beyond its weight, and its recent arrivals per second."""
+
+    excess_jobs: Count
+    arrivals_per_s: NonNegativeFloat
+
+
 @dataclass(frozen=True)
 class ServicePressure:
     """Store how long a service's workers would take for all work that waits, in milliseconds.
 
-    `has_free` tells that a worker could take the smallest of the tasks that are ready.
+    `accounts` are those that have excess jobs waiting. Where capacity is free, excess jobs start at
+    once, so that none of them wait.
     """
 
     backlog_ms: Count = 0
-    has_free: bool = False
-
-
-@dataclass(frozen=True)
-class AccountPressure:
-    """Store an account's waiting jobs beyond its weight, and its recent arrivals per second."""
-
-    excess_jobs: Count
-    arrivals_per_s: NonNegativeFloat
+    accounts: Mapping[str, AccountPressure] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
 class Pressure:
-    """Represent the load at one time, `at_ms` on the store's clock."""
+    """Represent the load at one time, `at_ms` on the store's clock, of services with excess."""
 
     at_ms: Count = 0
     services: Mapping[str, ServicePressure] = field(default_factory=dict)
-    accounts: Mapping[str, AccountPressure] = field(default_factory=dict)
 
     @property
     def is_high(self) -> bool:
-        """Return whether an account has excess jobs waiting, and a service no free capacity."""
-        full = any(not service.has_free for service in self.services.values())
-        return full and bool(self.accounts)
+        """Return whether an account has excess jobs waiting."""
+        return bool(self.services)
 
 
 @dataclass(frozen=True)
@@ -63,69 +62,40 @@
 
 
 def measure_pressure(
-    jobs: Iterable[Job],
-    instances: Iterable[WorkerInstance],
-    is_excess: Callable[[Job], bool],
-    times: MeasureTimes,
+    jobs: Iterable[Job], instances: Iterable[WorkerInstance], times: MeasureTimes
 ) -> Pressure:
-    """Return the present load of all services that have work waiting."""
-    backlogs = _make_backlogs(instances, times.now)
-    arrivals: Counter[str] = Counter()
-    excess_jobs: Counter[str] = Counter()
-    for job in jobs:
-        backlog = backlogs.get(job.service)
-        is_over = job.state in FINAL_JOB_STATES or job.cancelled
-        if backlog is None or is_over or job.waits_for_queue:
-            continue
-        if account := job.stored.account:
-            arrivals[account] += times.wall_ms - job.stored.accepted_ms <= ARRIVALS_WINDOW_MS
-            excess_jobs[account] += not job.started and is_excess(job)
-        backlog.add(job, times.wall_ms)
-    accounts = {
-        name: AccountPressure(count, arrivals[name] * 1000 / ARRIVALS_WINDOW_MS)
-        for name, count in excess_jobs.items()
-        if count
-    }
-    services = {name: each.pressure() for name, each in backlogs.items() if each.has_work}
-    return Pressure(times.store_ms, services, accounts)
-
-
-def _make_backlogs(instances: Iterable[WorkerInstance], now: float) -> dict[str, "_Backlog"]:
+    """Return the present load of all services in which excess jobs wait."""
     backlogs: defaultdict[str, _Backlog] = defaultdict(_Backlog)
     for instance in instances:
-        if instance.accepts_tasks(now):
-            backlogs[instance.entry.service].add_worker(instance.entry.room, instance.free())
-    return dict(backlogs)
+        if instance.accepts_tasks(times.now):
+            backlogs[instance.entry.service].add_worker(instance.entry.room)
+    for job in jobs:
+        is_over = job.state in FINAL_JOB_STATES or job.cancelled
+        if not is_over and not job.waits_for_queue:
+            backlogs[job.service].add(job, times.wall_ms)
+    pressures = {name: backlog.pressure() for name, backlog in backlogs.items()}
+    return Pressure(times.store_ms, {name: each for name, each in pressures.items() if each})
 
 
 class _Backlog:
-    """Sum up the waiting work of one service."""
+    """Sum up the waiting work of one service, and the arrivals of each account."""
 
     def __init__(self) -> None:
         self._capacity = Resources()
-        self._free: list[Resources] = []
-        self._smallest_need: Resources | None = None
         self._work_ms = 0.0
+        self._arrivals: Counter[str] = Counter()
+        self._excess_jobs: Counter[str] = Counter()
 
-    @property
-    def has_work(self) -> bool:
-        """Return whether a task waits for capacity."""
-        return self._smallest_need is not None
-
-    def add_worker(self, capacity: Resources, free: Resources) -> None:
-        """Add the capacity of a worker, and what of it is free."""
+    def add_worker(self, capacity: Resources) -> None:
+        """Add the capacity of a worker."""
         self._capacity = self._capacity + capacity
-        self._free.append(free)
 
     def add(self, job: Job, wall_ms: float) -> None:
         """Add the waiting batch tasks of a job, steps that are not ready yet included."""
-        for step in job.steps.values():
-            step_ms = self._step_ms(step)
-            self._work_ms += step_ms
-            need = step.order.need
-            is_smaller = self._smallest_need is None or need.cpu < self._smallest_need.cpu
-            if step_ms and is_smaller and job.is_ready(step, wall_ms):
-                self._smallest_need = need
+        self._work_ms += sum(map(self._step_ms, job.steps.values()))
+        if account := job.stored.account:
+            self._arrivals[account] += wall_ms - job.stored.accepted_ms <= ARRIVALS_WINDOW_MS
+            self._excess_jobs[account] += job.is_excess and not job.started
 
     def _step_ms(self, step: Step) -> float:
         order = step.order
@@ -144,8 +114,11 @@
         )
         return max((n / (USABLE_SHARE * total) for n, total in pairs if total), default=0.0)
 
-    def pressure(self) -> ServicePressure:
-        """Return the sum of what was added."""
-        need = self._smallest_need
-        has_free = need is None or any(free.can_fit(need) for free in self._free)
-        return ServicePressure(round(self._work_ms), has_free)
+    def pressure(self) -> ServicePressure | None:
+        """Return the sum of what was added, None if no excess job waits."""
+        accounts = {
+            name: AccountPressure(count, self._arrivals[name] * 1000 / ARRIVALS_WINDOW_MS)
+            for name, count in self._excess_jobs.items()
+            if count
+        }
+        return ServicePressure(round(self._work_ms), accounts) if accounts else None
--- a/gypsumplank/coordination/job/pressurefeed.py
+++ b/gypsumplank/coordination/job/pressurefeed.py
@@ -7,7 +7,6 @@
 
 import msgspec
 
-from gypsumplank.coordination.job.model import Job
 from gypsumplank.coordination.job.pressure import MeasureTimes, Pressure, measure_pressure
 from gypsumplank.coordination.job.rejection import find_rejection
 from gypsumplank.coordination.job.scheduler import Scheduler
@@ -26,6 +25,8 @@
 KEY_PRESSURE = "now"
 # Interval between measurements, seconds.
 PUBLISH_INTERVAL_S = 0.5
+# Time after which an idle thread looks whether it is closed, seconds.
+IDLE_WAIT_S = 2.0
 # Longest wait of one call to the change feed, seconds; the row changes only under pressure.
 FEED_LONG_POLL_S = 5.0
 
@@ -42,12 +43,11 @@
         self,
         table: Table,
         store_clock: Callable[[], ClockRange],
-        is_excess: Callable[[Job], bool],
     ) -> None:
-        super().__init__("pressure", PUBLISH_INTERVAL_S)
+        super().__init__("pressure", 0.0)
         self._table = table
         self._store_clock = store_clock
-        self._is_excess = is_excess
+        self._has_measured = threading.Event()
         self._next_at = 0.0
         self._measured: Pressure | None = None
         self._published = Pressure()
@@ -60,12 +60,15 @@
         self._measured = measure_pressure(
             scheduler.workload.jobs.values(),
             scheduler.instances.values(),
-            self._is_excess,
             MeasureTimes(now, scheduler.wall_ms(), self._store_clock().earliest_ms),
         )
+        self._has_measured.set()
 
     def step(self) -> None:
-        """Write the newest measurement; raise StateError."""
+        """Wait for a measurement and write it; raise StateError."""
+        if not self._has_measured.wait(IDLE_WAIT_S):
+            return
+        self._has_measured.clear()
         measured, self._measured = self._measured, None
         if measured is None or not (measured.is_high or self._published.is_high):
             return
@@ -99,7 +102,7 @@
         """Wait for a change of the row; raise StateError."""
         manifest = self._manifest()
         if manifest is None or manifest.accounts is None:
-            self.wait(PUBLISH_INTERVAL_S)
+            self.wait(IDLE_WAIT_S)
             return
         try:
             changes = self._feed.changes(TABLE_PRESSURE, self._after, FEED_LONG_POLL_S)
--- a/gypsumplank/coordination/job/rejection.py
+++ b/gypsumplank/coordination/job/rejection.py
@@ -9,7 +9,7 @@
 
 import random
 
-from gypsumplank.coordination.job.pressure import Pressure
+from gypsumplank.coordination.job.pressure import Pressure, ServicePressure
 from gypsumplank.errors import AccountLimitError
 from gypsumplank.protocol.account import Account
 from gypsumplank.protocol.job import JobDefinition
@@ -35,9 +35,9 @@
 ) -> AccountLimitError | None:
     """Return the error that rejects a job before it is stored, or None if it is to be stored."""
     load = pressure.services.get(service)
-    if account is None or load is None or load.has_free or age_ms > MAX_AGE_MS:
+    if account is None or load is None or age_ms > MAX_AGE_MS:
         return None
-    if _may_wait(order) or not _is_excess(account, pressure, rng):
+    if _may_wait(order) or not _is_excess(account, load, rng):
         return None
     base_s = max(MIN_RETRY_AFTER_S, load.backlog_ms / 1000)
     retry_after_s = min(MAX_RETRY_AFTER_S, base_s * rng.uniform(1.0, RETRY_SPREAD))
@@ -48,13 +48,13 @@
     return order.schedule.count > 0 or any(step.lasting for step in order.steps)
 
 
-def _is_excess(account: Account, pressure: Pressure, rng: random.Random) -> bool:
+def _is_excess(account: Account, load: ServicePressure, rng: random.Random) -> bool:
     """Return whether a new job of the account counts as one beyond its weight.
 
     The share that the weight covers is let through at random, as no daemon sees all arrivals. As
     only stored jobs are counted as arrivals, more than the weight is let through.
     """
-    found = pressure.accounts.get(account.name)
+    found = load.accounts.get(account.name)
     if found is None or found.excess_jobs <= EXCESS_QUEUE_S * account.weight:
         return False
     covered = account.weight / max(found.arrivals_per_s, account.weight, 1.0)
--- a/gypsumplank/coordination/job/submission.py
+++ b/gypsumplank/coordination/job/submission.py
@@ -3,13 +3,16 @@
 import logging
 import threading
 from collections.abc import Callable
+from typing import Protocol
 
 from gypsumplank.coordination.job.freshness import ConfirmedManifest, KeyPolicy
 from gypsumplank.coordination.job.intakeclient import IntakeClient
 from gypsumplank.errors import (
     GypsumplankError,
+    JobMissingError,
     ManifestMissingError,
     QueueMissingError,
+    StateError,
     StateUnavailableError,
     StateUnknownError,
 )
@@ -38,6 +41,15 @@
 logger = logging.getLogger(__name__)
 
 
+class LoadPolicy(Protocol):
+    """Decide by the present load whether a new job is stored."""
+
+    def find_rejection(
+        self, queue: Queue, order: JobDefinition, account: str
+    ) -> GypsumplankError | None:
+        """Return the error that rejects a new job, or None if it is to be stored."""
+
+
 class JobService:
     """Serve callers' requests about jobs; each method may raise GypsumplankError."""
 
@@ -48,9 +60,11 @@
         in_force: Callable[[], ConfirmedManifest | None],
         policy: Callable[[], KeyPolicy] = KeyPolicy,
         intake: IntakeClient | None = None,
+        load: LoadPolicy | None = None,
     ) -> None:
         """Create the service; `intake` is None where jobs are stored for the scheduler at once."""
         self._intake = intake
+        self._load = load
         self._store = store
         self._clock = clock
         self._in_force = in_force
@@ -82,9 +96,12 @@
     ) -> bool:
         """Store a job; return whether it is new. Raise StateUnknownError if the outcome is unknown.
 
+        Raises AccountLimitError if the load does not allow it; then it is not stored.
+
         An attempt with an unknown outcome may be retried, as the job's row is inserted only once.
         `remaining_s` is the time that the caller still waits, in seconds.
         """
+        self._check_load(queue, job_id, order, account)
         accepted_ms = int(self._clock.wall() * 1000)
         job = StoredJob(job_id, queue.name, queue.service, accepted_ms, order, account)
         if self._intake is not None and self._intake.is_writing:
@@ -112,6 +129,18 @@
             _log_accepted(job, new, attempts)
             return new
 
+    def _check_load(self, queue: Queue, job_id: str, order: JobDefinition, account: str) -> None:
+        """Raise the error that rejects a job, unless an earlier attempt may have stored it."""
+        error = self._load.find_rejection(queue, order, account) if self._load else None
+        if error is None:
+            return
+        try:
+            self.state(job_id)
+        except JobMissingError:
+            raise error from None
+        except StateError as exc:
+            event(logger, Event.STORE_CALL_FAILED, job=job_id, code=exc.code, detail=exc.detail)
+
     def _insert(self, job: StoredJob, timeout_s: float) -> bool:
         """Store a job for the scheduler, unless another daemon has stored it as a submission."""
         if self._intake is not None and self._intake.is_submitted(job.id):
