standins: let simulated daemons read the manifest at the start of a round

Cause: a manifest reached the simulated daemons one step late, which broke eight tests of dropped queues and one of incomplete manifests.

Change: it is read before each round, but not before the first one after a pause or an outage.

--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -49,6 +49,7 @@
 LEASE_S = 6.0
 CONFIG_APPLY_S = 3.0
 QUOTA_OVERAGE = 0.1
+MANIFEST_READ_INTERVAL_S = 0.25
 SERVICE = "desk"
 STANDBY = "spare"
 QUEUE = Queue("proofs", "h.example", "/p/", SERVICE, 0, 3, 1.5, 600)
@@ -411,13 +412,13 @@
     def __init__(self, cluster: "SimulatedCluster", name: str) -> None:
         self.cluster, self.name = cluster, name
         self.table: Any = ScriptedFaultTable(cluster.table)
-        self.manifest, self.manifest_read_at = cluster.manifest, cluster.clock.now
         self.restart()
 
     def restart(self) -> None:
         """Start the daemon again, with none of its former state."""
         cluster = self.cluster
         self.suspended = False
+        self.read_manifest()
         store = JobStore(self.table)
         self.term_factory = SteppedTermFactory(
             cluster.simulated_workers, cluster.clock, cluster.polls_idle
@@ -467,10 +468,18 @@
         self.store = store
         self.job_service = JobService(store, cluster.clock, lambda: MANIFEST)
 
+    def read_manifest(self) -> None:
+        """Read the manifest that is in force."""
+        self.manifest, self.manifest_read_at = self.cluster.manifest, self.cluster.clock.now
+
     def step(self) -> None:
         """Poll the workers and run one round."""
         if self.suspended:
             return
+        # After a pause or an outage, the first round is based on the manifest of before.
+        is_fresh = self.cluster.clock.now - self.manifest_read_at < MANIFEST_READ_INTERVAL_S
+        if is_fresh and not self.table.unavailable:
+            self.read_manifest()
         try:
             if self.scheduler_leader.is_leader:
                 self._send_snapshot()
@@ -479,7 +488,7 @@
         except GypsumplankError:
             pass
         if not self.table.unavailable:
-            self.manifest, self.manifest_read_at = self.cluster.manifest, self.cluster.clock.now
+            self.read_manifest()
 
     def _send_snapshot(self) -> None:
         try:
