cli: check a manifest before it is sent

Cause: a fault in a manifest showed only once it was in force, if at all. Change: `gypsumplank config check FILE [--against VERSION]` lists errors, warnings and what differs from the version in force; keys are only counted. Result: exit code 5 if there are errors, 0 otherwise. The daemons' decoder is unchanged apart from two names.

--- a/gypsumplank/cli.py
+++ b/gypsumplank/cli.py
@@ -9,6 +9,7 @@
 
 from gypsumplank import cli_config, cli_fleet, cli_report, cli_top, porcelain
 from gypsumplank.cli_show import SERVER_ENV_VAR, TOKEN_ENV_VAR, find_server, print_result
+from gypsumplank.composition.manifestsource import ManifestSource
 from gypsumplank.errors import FaultsError, GypsumplankError, ServerError, ServerUnreachableError
 
 EXIT_OK = 0
@@ -27,6 +28,7 @@
   gypsumplank validate examples/cartofold
   gypsumplank --server 10.0.0.1:8081 apply --wait 19 examples/cartofold
   gypsumplank diff examples/cartofold
+  gypsumplank config check manifest.json --against in-force.json
   gypsumplank rollback 41 --if-revision 42
   gypsumplank --output json get host
   gypsumplank describe pool counter-desk
@@ -70,7 +72,7 @@
         command.add_argument("kind")
         command.add_argument("name")
         command.set_defaults(run=run)
-    cli_config.add_commands(commands)
+    cli_config.add_commands(commands, ManifestSource())
     cli_report.add_commands(commands)
     cli_top.add_commands(commands)
     commands.add_parser("status", help="show the fleet").set_defaults(run=run_status)
--- a/gypsumplank/cli_config.py
+++ b/gypsumplank/cli_config.py
@@ -1,23 +1,26 @@
-"""Add the configuration commands: `diff`, `history`, `rollback` and the `--wait` option."""
+"""Add the configuration commands: `config`, `diff`, `history`, `rollback` and option `--wait`."""
 
 import argparse
 import sys
 from dataclasses import asdict
 from datetime import UTC, datetime
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 from gypsumplank import porcelain_config
 from gypsumplank.cli_show import find_server, print_result
-from gypsumplank.errors import NotInForceError
+from gypsumplank.coordination.job.manifestcheck import Severity
+from gypsumplank.errors import NotInForceError, RecordsError
 from gypsumplank.porcelain import OperatorClient
 
 DEFAULT_HISTORY_LIMIT = 20
 DEFAULT_WAIT_S = 19.0
 
 
-def add_commands(commands: Any) -> None:
-    """Add `diff`, `history` and `rollback`."""
+def add_commands(commands: Any, reader: porcelain_config.ManifestReader) -> None:
+    """Add `config`, `diff`, `history` and `rollback`."""
+    _add_check_command(commands, reader)
     diff = commands.add_parser("diff", help="show what an apply would change")
     diff.add_argument("files", nargs="+", type=Path, help="files or folders of JSON records")
     diff.set_defaults(run=run_diff)
@@ -35,6 +38,31 @@
     rollback.set_defaults(run=run_rollback)
 
 
+def _add_check_command(commands: Any, reader: porcelain_config.ManifestReader) -> None:
+    config = commands.add_parser("config", help="check the platform's manifest")
+    subcommands = config.add_subparsers(dest="config", required=True)
+    check = subcommands.add_parser("check", help="check a manifest before it is sent")
+    check.add_argument("file", type=Path, help="file of the manifest's JSON document")
+    check.add_argument(
+        "--against",
+        metavar="VERSION",
+        help="compare with the version in force: its file or, on an entry host, its number",
+    )
+    check.set_defaults(run=partial(run_check, reader))
+
+
+def run_check(reader: porcelain_config.ManifestReader, args: argparse.Namespace) -> None:
+    """Show what differs from the version in force; print warnings to stderr, raise errors."""
+    result = porcelain_config.check(reader, args.file, args.against)
+    source = str(args.file)
+    if args.output == "json" or args.against is not None:
+        print_result(args, result, [asdict(change) for change in result.changes])
+    for warning in result.faults(source, Severity.WARNING):
+        sys.stderr.write(f"gypsumplank: warning: {warning}\n")
+    if errors := result.faults(source, Severity.ERROR):
+        raise RecordsError(errors)
+
+
 def add_wait_option(command: argparse.ArgumentParser) -> None:
     """Add the option to wait until a change is in force everywhere."""
     command.add_argument(
--- a/gypsumplank/platform/directory.py
+++ b/gypsumplank/platform/directory.py
@@ -136,12 +136,12 @@
 def decode_manifest(raw: bytes) -> Manifest:
     """Decode a manifest; raise EntryInvalidError."""
     wire = decode_json(raw, WireManifest)
-    queues = tuple(_decode_queue(route) for route in wire.routes)
+    queues = tuple(decode_queue(route) for route in wire.routes)
     services = {
         service.name: ServicePolicy(service.name, service.enforces_capacity, service.standby)
         for service in wire.services
     }
-    accounts = None if wire.tenants is None else tuple(map(_decode_account, wire.tenants))
+    accounts = None if wire.tenants is None else tuple(map(decode_account, wire.tenants))
     return Manifest(wire.version, queues, services, accounts)
 
 
@@ -168,7 +168,8 @@
     )
 
 
-def _decode_queue(route: WireRoute) -> Queue:
+def decode_queue(route: WireRoute) -> Queue:
+    """Return a route as the product's type."""
     hint = route.hint
     advice = AdvicePolicy(hint.decide_ms, hint.period_ms, hint.valid_ms) if hint else None
     return Queue(
@@ -185,7 +186,8 @@
     )
 
 
-def _decode_account(tenant: WireTenant) -> Account:
+def decode_account(tenant: WireTenant) -> Account:
+    """Return a client account as the product's type."""
     return Account(
         tenant.name,
         frozenset(map(hash_key, tenant.api_keys)),
--- a/gypsumplank/porcelain_config.py
+++ b/gypsumplank/porcelain_config.py
@@ -1,14 +1,19 @@
 """Provide the configuration commands as functions: diff, history, rollback and rollout."""
 
+import re
 import time
 import uuid
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 from gypsumplank import porcelain
+from gypsumplank.coordination.job.manifestcheck import Finding, Severity, check_manifest
+from gypsumplank.coordination.job.manifestdiff import FieldChange, compare_manifests
+from gypsumplank.errors import Fault, RecordsError
 from gypsumplank.porcelain import OperatorClient
+from gypsumplank.protocol.manifestdraft import ManifestDraft
 from gypsumplank.protocol.operator import (
     PATH_HISTORY,
     PATH_ROLLBACK,
@@ -23,6 +28,8 @@
 
 POLL_INTERVAL_S = 0.05
 ABSENT = "-"
+# The largest number that a manifest can carry has 16 digits.
+VERSION_NUMBER = re.compile(r"[0-9]{1,16}")
 
 
 @dataclass(frozen=True)
@@ -35,6 +42,48 @@
     after: Any
 
 
+@dataclass(frozen=True)
+class ManifestCheck:
+    """Store what a check of a manifest found, and how it differs from the version in force."""
+
+    findings: tuple[Finding, ...]
+    changes: tuple[FieldChange, ...]
+
+    def faults(self, source: str, severity: Severity) -> tuple[Fault, ...]:
+        """Return the findings of one severity as faults of a file."""
+        return tuple(
+            Fault(finding.code, finding.path, finding.text, source)
+            for finding in self.findings
+            if finding.severity is severity
+        )
+
+
+class ManifestReader(Protocol):
+    """Read manifests; every method may raise GypsumplankError."""
+
+    def read_file(self, path: Path) -> ManifestDraft:
+        """Return the manifest in a file."""
+
+    def read_version(self, version: int) -> ManifestDraft:
+        """Return a version that the store has."""
+
+
+def check(reader: ManifestReader, path: Path, against: str | None = None) -> ManifestCheck:
+    """Check a manifest, also against the version in force: a file, or a number in the store."""
+    draft = reader.read_file(path)
+    if against is None:
+        return ManifestCheck(check_manifest(draft, None), ())
+    is_number = VERSION_NUMBER.fullmatch(against) and not Path(against).exists()
+    in_force = reader.read_version(int(against)) if is_number else reader.read_file(Path(against))
+    faults = [fault for fault in in_force.faults if not fault.is_unknown]
+    if faults:
+        # A comparison with a part of the version in force would show changes that are none.
+        raise RecordsError(
+            [Fault("value-invalid", fault.path, fault.text, against) for fault in faults]
+        )
+    return ManifestCheck(check_manifest(draft, in_force), compare_manifests(in_force, draft))
+
+
 def diff(server: OperatorClient, paths: Iterable[Path]) -> tuple[Difference, ...]:
     """Return the fields that applying these files would change."""
     current = {record.key: record for record in porcelain.get(server).records}
