--- a/tests/test_config_check.py
+++ b/tests/test_config_check.py
@@ -157,6 +157,9 @@
         ("account/a", "api-keys", 1, "2 (2 added, 1 removed)"),
     ]
     assert compare_manifests(draft(), draft()) == ()
+    # Without a list of accounts no call needs a key, which the removed accounts do not show.
+    first, *_ = compare_manifests(draft(), draft(tenants=None))
+    assert (first.field, first.before, first.after) == ("has-accounts", True, False)
 
 
 @pytest.mark.parametrize("raw", MALFORMED_JSON.values(), ids=MALFORMED_JSON)
