Learn which images slow each other down, and keep them apart

Cause: tasks on one worker disturb each other by amounts that differ by image, and placement did not know.

Change: estimates from reports with and without each image, in the leader's memory; the placement prefers the least disturbed of the workers with capacity to spare.

--- a/gypsumplank/coordination/job/placement.py
+++ b/gypsumplank/coordination/job/placement.py
@@ -5,11 +5,12 @@
 """
 
 from collections import Counter
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from gypsumplank.coordination.job.instance import WorkerInstance
 from gypsumplank.coordination.job.model import SETTLED_RUN_S, Job, Step, Task
+from gypsumplank.coordination.job.separation import disturbance_on, first_spare
 from gypsumplank.protocol.job import Resources, StepDefinition, TaskPhase
 from gypsumplank.protocol.queue import Queue
 
@@ -107,8 +108,15 @@
 class PlacementRound:
     """Place tasks on workers and track the resources that remain free in this round."""
 
-    def __init__(self, instances: Iterable[WorkerInstance], now: float) -> None:
+    def __init__(
+        self,
+        instances: Iterable[WorkerInstance],
+        now: float,
+        costs: Callable[[str, float], Mapping[str, float]] = lambda _image, _now: {},
+    ) -> None:
+        """Start a round; `costs` returns by other image what a task of an image costs beside it."""
         self._now = now
+        self._costs = costs
         self._instances = {each.id: each for each in instances if each.accepts_tasks(now)}
         self._free = {name: instance.free() for name, instance in self._instances.items()}
         self._with_suspects = {
@@ -187,11 +195,20 @@
             group.unplaceable.append(need)
         if pending.has_suspects:
             fitting = self._isolated(group, fitting)
-        return min(
+        preferred = min(
             fitting,
             key=lambda candidate: self._rank(candidate, task, per_worker, racks),
             default=None,
         )
+        costs = self._costs(order.image, self._now) if order.image else {}
+        if not costs or preferred is None or self._has_unplaceable():
+            return preferred
+        ranked = sorted(fitting, key=lambda each: self._rank(each, task, per_worker, racks, costs))
+        return first_spare(ranked, preferred, group.instances, self._free, need)
+
+    def _has_unplaceable(self) -> bool:
+        """Return whether a task of this round found no worker."""
+        return any(group.unplaceable for group in self._groups.values())
 
     def _isolated(
         self, group: CandidateGroup, fitting: Sequence[WorkerInstance]
@@ -219,15 +236,18 @@
         task: Task,
         per_worker: Counter[str],
         racks: Counter[str],
+        costs: Mapping[str, float] | None = None,
     ) -> tuple[float, ...]:
         """Return a sort key of a worker that fits a task; the lowest is preferred.
 
         A task that may crash its worker goes where it would end the least work, and others are
-        kept away from it.
+        kept away from it. Learned disturbance comes after what protects against failures, and
+        before packing.
         """
         order, free = task.step.order, self._free[instance.id]
         risk = int(instance.id in self._with_suspects)
         packing = -1 if task.is_suspect else 1
+        disturbance = disturbance_on(instance, costs) if costs else 0.0
         if order.lasting:
             others = [
                 task.step.order for task in instance.tasks.values() if task.step.order.lasting
@@ -241,12 +261,13 @@
                 instance.maintenance_due,
                 same_worker_groups,
                 same_rack_groups,
+                disturbance,
                 -len(others) * packing,
                 -free.cpu,
             )
         outside_rack = float(bool(order.preferred_rack) and instance.rack != order.preferred_rack)
         same_rack_rank = -racks[instance.rack] if order.same_rack else 0
-        return (risk, outside_rack, same_rack_rank, free.cpu * packing)
+        return (risk, outside_rack, same_rack_rank, disturbance, free.cpu * packing)
 
 
 def _candidates(
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -16,6 +16,7 @@
     SUSPECT_PERIOD_S,
     WorkerInstance,
 )
+from gypsumplank.coordination.job.interference import Interference
 from gypsumplank.coordination.job.knownqueue import KnownQueues
 from gypsumplank.coordination.job.model import Job, Step, Task
 from gypsumplank.coordination.job.observation import ReceivedReport
@@ -60,6 +61,7 @@
         self._manifest = manifest
         self._queues = queues or KnownQueues(manifest)
         self.workload = Workload()
+        self.interference = Interference()
         self.fleet = Fleet(clock, max_lease_s, heartbeat_s)
         self.commands = CommandSender(clock, token, self._is_capacity_known)
 
@@ -121,6 +123,7 @@
         instance.has_deregistered = False
         unassigned_runs = list(apply_report(instance, received))
         instance.has_unassigned_runs = bool(unassigned_runs)
+        self.interference.observe(instance, received)
         for unassigned in unassigned_runs:
             self.commands.stop_unassigned(instance, unassigned)
 
@@ -140,7 +143,7 @@
         ]
         instances = [each for each in self.instances.values() if self._is_capacity_known(each, now)]
         self._evict(pending, instances, now)
-        placement_round = PlacementRound(instances, now)
+        placement_round = PlacementRound(instances, now, self.interference.costs)
         assigned_jobs: dict[str, Job] = {}
         for pending_step in sorted(pending, key=lambda each: urgency(each, now, wall_ms)):
             placed = placement_round.place(pending_step)
--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -86,6 +86,10 @@
     STORE_CALL_FAILED = "store-call-failed", "A read from the store failed; it will be retried."
     ADVICE_FAILED = "advice-failed", "A request for permits failed; it will be retried."
     TASK_SPEED_CHANGED = "task-paced", "The speed limit of a task that uses spare capacity changed."
+    DISTURBANCE_LEARNED = (
+        "disturbance-learned",
+        "Tasks of `image` were found slower beside `neighbour`, by `ratio`; they are kept apart.",
+    )
     SUSPENDED = "suspended", "The machine was suspended for `seconds` since the last check."
     STORE_LOST = "store-lost", "The platform's store does not respond."
     STORE_REGAINED = "store-regained", "The platform's store responds again."
