--- a/gypsumplank/coordination/job/disturbance.py
+++ b/gypsumplank/coordination/job/disturbance.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from statistics import median
@@ -17,8 +17,10 @@
 PERIOD_S = 4.0
 # Periods that are kept, 32 s in total.
 PERIODS = 8
-# Tasks with different neighbours that are kept in one period; more of them add little.
-MAX_CELLS = 24
+# Cells (see Cell) that are kept in one period; a round waits while they are compared.
+MAX_CELLS = 32
+# Cells with the same neighbours that are kept in one period, so that rare neighbours find room.
+MAX_SIMILAR_CELLS = 8
 # Samples of one task with the same neighbours that are kept in one period; a worker reports once or
 # twice a second.
 MAX_CELL_SAMPLES = 8
@@ -60,6 +62,8 @@
 
     def __init__(self) -> None:
         self._periods: deque[tuple[int, dict[Cell, list[float]]]] = deque(maxlen=PERIODS)
+        # Cells of the current period by their neighbours.
+        self._similar: Counter[tuple[frozenset[str], frozenset[str]]] = Counter()
 
     def add(self, sample: TailSample, now: float) -> bool:
         """Add a sample; return whether it began a new period."""
@@ -67,14 +71,21 @@
         is_new = not self._periods or self._periods[-1][0] != number
         if is_new:
             self._periods.append((number, {}))
+            self._similar.clear()
         cells = self._periods[-1][1]
         cell = Cell(sample.task, sample.neighbours, sample.throttled)
-        if cell in cells or len(cells) < MAX_CELLS:
-            values = cells.setdefault(cell, [])
-            if len(values) < MAX_CELL_SAMPLES:
-                values.append(math.log(sample.tail_ms))
+        if cell not in cells and self._has_room(cell):
+            cells[cell] = []
+            self._similar[cell.neighbours, cell.throttled] += 1
+        values = cells.get(cell)
+        if values is not None and len(values) < MAX_CELL_SAMPLES:
+            values.append(math.log(sample.tail_ms))
         return is_new
 
+    def _has_room(self, cell: Cell) -> bool:
+        similar = self._similar[cell.neighbours, cell.throttled]
+        return self._similar.total() < MAX_CELLS and similar < MAX_SIMILAR_CELLS
+
     def rows(self, effects: Mapping[str, float], now: float) -> list[Row]:
         """Return the cells of recent periods that hold several tasks, without the periods' level.
 
@@ -130,32 +141,32 @@
 def _effect(rows: Sequence[Row], image: str, effects: Mapping[str, float]) -> float | None:
     """Return the effect of an image, 0 if it is harmless, None if that cannot be told.
 
-    Rows in which it is throttled can show that it is harmful, but not that it is harmless.
+    Rows with throttled images can show that an image is harmful, but not that it is harmless:
+    throttling begins when the latency is high for any reason.
     """
     effect = _effect_in([row for row in rows if not row.cell.throttled], image, effects)
-    if effect is not None:
-        return effect
-    usable = [row for row in rows if not row.cell.throttled or row.cell.throttled == {image}]
-    return _effect_in(usable, image, effects) or None
+    return _effect_in(rows, image, effects) or None if effect is None else effect
 
 
 def _effect_in(rows: Iterable[Row], image: str, effects: Mapping[str, float]) -> float | None:
-    """Return what `_effect` does, from rows that are all used."""
+    """Return what `_effect` does, from rows that are all used.
+
+    As a throttled image has at most its full effect, a value with the image is a lower bound.
+    Values without it are left out where they would be one.
+    """
     present: defaultdict[str, list[float]] = defaultdict(list)
     absent: defaultdict[str, list[float]] = defaultdict(list)
     present_periods, absent_periods = set(), set()
     for row in rows:
         cell = row.cell
-        value = row.value - sum(
-            effects.get(other, 0.0) for other in cell.neighbours if other != image
-        )
+        others = [other for other in cell.neighbours if other != image and effects.get(other)]
+        value = row.value - sum(effects[other] for other in others)
         if image in cell.neighbours:
             if cell.throttled:
-                # At full speed, the effect may be the known one.
                 value = max(value, effects.get(image, 0.0))
             present[cell.task].append(value)
             present_periods.add(row.period)
-        else:
+        elif cell.throttled.isdisjoint(others):
             absent[cell.task].append(value)
             absent_periods.add(row.period)
     if min(len(present_periods), len(absent_periods)) < MIN_PERIODS:
--- a/gypsumplank/coordination/job/neighbour.py
+++ b/gypsumplank/coordination/job/neighbour.py
@@ -18,8 +18,8 @@
 # Time after a neighbour's end before it counts as absent, seconds; twice the time that a figure
 # covers, as a sample that still holds its effect would make it look harmless.
 REMOVED_SETTLE_S = 1.0
-# Time after a return to full speed before a task counts as unthrottled, seconds; the order takes
-# effect after it was recorded, and the figure covers half a second.
+# Time after a pause or a return to full speed before a task counts as paused or unthrottled,
+# seconds; the order takes effect after it was recorded, and the figure covers half a second.
 SPEED_SETTLE_S = 1.0
 # Time between two reports of a worker after which its earlier neighbours are unknown, seconds; a
 # long poll takes 1 s.
@@ -38,7 +38,10 @@
 
 @dataclass(frozen=True)
 class TailSample:
-    """Store a serving task's tail latency and the images beside it, some of them throttled."""
+    """Store a serving task's tail latency and the images that ran beside it.
+
+    `throttled` lists the images that are slowed down, of which paused ones are no `neighbours`.
+    """
 
     image: str
     task: str
@@ -73,15 +76,20 @@
         is_settled = at - presence.left_at >= REMOVED_SETTLE_S and all(
             at - since >= ADDED_SETTLE_S for since in presence.since.values()
         )
-        is_paused = any(task.speed_limit_percent == 0 for task in tasks)
-        if not is_settled or is_paused or instance.has_unassigned_runs:
+        is_pausing = any(
+            not task.speed_limit_percent and at - task.speed_limit_set_at < SPEED_SETTLE_S
+            for task in tasks
+        )
+        if not is_settled or is_pausing or instance.has_unassigned_runs:
             return []
-        images = Counter(task.step.order.image for task in tasks if task.step.order.image)
+        images = Counter(
+            task.step.order.image
+            for task in tasks
+            if task.step.order.image and task.speed_limit_percent
+        )
         if len(images) > MAX_NEIGHBOURS:
             return []
-        throttled = frozenset(
-            task.step.order.image for task in tasks if _is_throttled(task, at)
-        ) & frozenset(images)
+        throttled = frozenset(task.step.order.image for task in tasks if _is_throttled(task, at))
         return [
             _sample(task, images, throttled)
             for task in tasks
