--- a/gypsumplank/composition/platform.py
+++ b/gypsumplank/composition/platform.py
@@ -99,6 +99,12 @@
             "Time since the sending of the last call that confirmed the manifest in force",
             self._observe_manifest_age,
         )
+        self._metrics.gauge(
+            "gypsumplank.task.slowdown",
+            "1",
+            "Ratio by which the tail latency of tasks of an image is higher beside a neighbour's",
+            self._observe_slowdowns,
+        )
         self._wake = threading.Event()
         self._stop_requested = False
         self._stopping = False
@@ -232,6 +238,13 @@
         age_s = self._manifest_watch.age_s()
         return [] if age_s is None else [Observation(age_s)]
 
+    def _observe_slowdowns(self) -> Iterable[Observation]:
+        scheduler = self._leader.scheduler
+        return [
+            Observation(each.ratio, {"image": each.image, "neighbour": each.neighbour})
+            for each in (scheduler.interference.slowdowns if scheduler else ())
+        ]
+
     def _is_ready(self) -> bool:
         store_fresh = has_recent_contact(self._manifest_watch, self._clock, MAX_READY_STORE_AGE_S)
         return self._manifest_watch.current is not None and store_fresh and not self._stopping
--- a/gypsumplank/coordination/job/disturbance.py
+++ b/gypsumplank/coordination/job/disturbance.py
@@ -33,8 +33,9 @@
 MIN_PAIRED_TASKS = 2
 # Tasks on either side, below which different tasks are not compared.
 MIN_SIDE_TASKS = 4
-# Margin of an estimate above MIN_EFFECT, in standard errors.
-MARGIN_ERRORS = 3.0
+# Margin of an estimate above MIN_EFFECT, in standard errors. With 3, pairs were recognised minutes
+# later; the wait for a second estimate (CONFIRMATIONS) makes up for the smaller margin.
+MARGIN_ERRORS = 2.0
 # Ratio of the standard deviation to the median absolute deviation of normally distributed values.
 MAD_TO_DEVIATION = 1.4826
 
@@ -145,7 +146,9 @@
     throttling begins when the latency is high for any reason.
     """
     effect = _effect_in([row for row in rows if not row.cell.throttled], image, effects)
-    return _effect_in(rows, image, effects) or None if effect is None else effect
+    if effect is None and (bound := _effect_in(rows, image, effects)):
+        return max(bound, effects.get(image, 0.0))
+    return effect
 
 
 def _effect_in(rows: Iterable[Row], image: str, effects: Mapping[str, float]) -> float | None:
@@ -162,8 +165,6 @@
         others = [other for other in cell.neighbours if other != image and effects.get(other)]
         value = row.value - sum(effects[other] for other in others)
         if image in cell.neighbours:
-            if cell.throttled:
-                value = max(value, effects.get(image, 0.0))
             present[cell.task].append(value)
             present_periods.add(row.period)
         elif cell.throttled.isdisjoint(others):
--- a/gypsumplank/coordination/job/interference.py
+++ b/gypsumplank/coordination/job/interference.py
@@ -24,6 +24,9 @@
 # Effect below which a pair is forgotten; half of what is recognised, so that one estimate near the
 # limit does not make a pair come and go.
 MIN_KEPT_EFFECT = MIN_EFFECT / 2
+# Periods that must show a new pair, without one between that shows it to be harmless, before it is
+# recognised; of noise that one shows by chance, the next ones show less.
+CONFIRMATIONS = 2
 # Weight of a new estimate against the earlier one.
 NEW_WEIGHT = 0.5
 # Time after which the costs are computed again although nothing was learned, seconds.
@@ -67,6 +70,8 @@
         self._histories: dict[str, TailHistory] = {}
         # By slowed image, then by neighbour.
         self._effects: defaultdict[str, dict[str, Effect]] = defaultdict(dict)
+        # By slowed image and neighbour, how many periods have shown a pair that is not recognised.
+        self._candidates: defaultdict[str, dict[str, int]] = defaultdict(dict)
         self._costs: dict[str, dict[str, float]] = {}
         self._costs_valid_until = math.inf
         self.slowdowns: tuple[Slowdown, ...] = ()
@@ -102,14 +107,18 @@
         del self._images[image]
         self._histories.pop(image, None)
         self._effects.pop(image, None)
-        for effects in self._effects.values():
-            effects.pop(image, None)
+        self._candidates.pop(image, None)
+        for by_neighbour in self._effects.values():
+            by_neighbour.pop(image, None)
+        for candidates in self._candidates.values():
+            candidates.pop(image, None)
         self._costs_valid_until = -math.inf
 
     def _learn(self, image: str, history: TailHistory, now: float) -> None:
         effects = self._effects[image]
         known = {neighbour: effect.at(now) for neighbour, effect in effects.items()}
         estimates = estimate_effects(history.rows(known, now), known)
+        candidates = self._candidates[image]
         for neighbour, estimate in estimates.items():
             if neighbour not in self._images:
                 continue
@@ -117,6 +126,10 @@
                 value = (1 - NEW_WEIGHT) * known[neighbour] + NEW_WEIGHT * estimate
                 effects[neighbour] = Effect(value, now)
             elif estimate >= MIN_EFFECT:
+                candidates[neighbour] = candidates.get(neighbour, 0) + 1
+                if candidates[neighbour] < CONFIRMATIONS:
+                    continue
+                del candidates[neighbour]
                 effects[neighbour] = Effect(estimate, now)
                 event(
                     logger,
@@ -125,6 +138,8 @@
                     neighbour=neighbour,
                     ratio=round(math.exp(estimate), 2),
                 )
+            else:
+                candidates.pop(neighbour, None)
         if effects:
             self._update_costs(now)
 
--- a/gypsumplank/coordination/job/leader.py
+++ b/gypsumplank/coordination/job/leader.py
@@ -106,6 +106,11 @@
         """Return whether this daemon is the leader, that is, runs the scheduler."""
         return self._term is not None
 
+    @property
+    def scheduler(self) -> Scheduler | None:
+        """Return this term's scheduler; None if this daemon is not the leader."""
+        return self._term.scheduler if self._term is not None else None
+
     def start(self) -> None:
         """Start competing for the lease."""
         self._thread.start()
@@ -236,8 +241,7 @@
         )
         for watcher in term.watchers:
             watcher.start()
-        now = self._clock.monotonic()
-        self._term = term
+        self._term, now = term, self._clock.monotonic()
         self._next_yield_at = max(self._next_yield_at, now + LEASE_CHECK_INTERVAL_S)
         self._machine_manager.start_term(epoch, now)
         event(
@@ -386,8 +390,9 @@
 
     def _log_failed_write(self, exc: StateError, **fields: int) -> None:
         self._must_renew = self._must_renew or isinstance(exc, StateUnknownError)
-        details = {"code": exc.code, "detail": exc.detail, **fields}
-        event(logger, Event.ROUND_FAILED, logging.WARNING, **details)
+        event(
+            logger, Event.ROUND_FAILED, logging.WARNING, code=exc.code, detail=exc.detail, **fields
+        )
 
     def _recheck_states(self, term: Term, jobs: Iterable[Job]) -> None:
         """Check after a conflict whether the lease or the state of a job has changed."""
--- a/gypsumplank/coordination/job/placement.py
+++ b/gypsumplank/coordination/job/placement.py
@@ -5,7 +5,7 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping, Sequence
+from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from gypsumplank.coordination.job.instance import WorkerInstance
@@ -113,10 +113,15 @@
         instances: Iterable[WorkerInstance],
         now: float,
         costs: Callable[[str, float], Mapping[str, float]] = lambda _image, _now: {},
+        short: Collection[str] = (),
     ) -> None:
-        """Start a round; `costs` returns by other image what a task of an image costs beside it."""
+        """Start a round; `costs` returns by other image what a task of an image costs beside it.
+
+        `short` lists the services in which the last round found no worker for a task.
+        """
         self._now = now
         self._costs = costs
+        self._short = short
         self._instances = {each.id: each for each in instances if each.accepts_tasks(now)}
         self._free = {name: instance.free() for name, instance in self._instances.items()}
         self._with_suspects = {
@@ -201,14 +206,25 @@
             default=None,
         )
         costs = self._costs(order.image, self._now) if order.image else {}
-        if not costs or preferred is None or self._has_unplaceable():
+        if not costs or preferred is None or self._is_short(pending.job.service):
             return preferred
         ranked = sorted(fitting, key=lambda each: self._rank(each, task, per_worker, racks, costs))
         return first_spare(ranked, preferred, group.instances, self._free, need)
 
-    def _has_unplaceable(self) -> bool:
-        """Return whether a task of this round found no worker."""
-        return any(group.unplaceable for group in self._groups.values())
+    def _is_short(self, service: str) -> bool:
+        return service in self._short or service in self.short_services()
+
+    def short_services(self) -> set[str]:
+        """Return the services in which a task of this round has to wait for a worker."""
+        return {
+            service
+            for (service, _), group in self._groups.items()
+            if any(
+                instance.entry.room.can_fit(need)
+                for need in group.unplaceable
+                for instance in group.instances
+            )
+        }
 
     def _isolated(
         self, group: CandidateGroup, fitting: Sequence[WorkerInstance]
@@ -241,8 +257,8 @@
         """Return a sort key of a worker that fits a task; the lowest is preferred.
 
         A task that may crash its worker goes where it would end the least work, and others are
-        kept away from it. Learned disturbance comes after what protects against failures, and
-        before packing.
+        kept away from it. Learned disturbance comes after what protects against failures. For batch
+        tasks that take CPU it also comes after packing, which leaves room for large tasks.
         """
         order, free = task.step.order, self._free[instance.id]
         risk = int(instance.id in self._with_suspects)
@@ -267,7 +283,8 @@
             )
         outside_rack = float(bool(order.preferred_rack) and instance.rack != order.preferred_rack)
         same_rack_rank = -racks[instance.rack] if order.same_rack else 0
-        return (risk, outside_rack, same_rack_rank, disturbance, free.cpu * packing)
+        packed = (free.cpu * packing, disturbance)
+        return (risk, outside_rack, same_rack_rank, *(packed[::-1] if order.fills else packed))
 
 
 def _candidates(
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -62,6 +62,7 @@
         self._queues = queues or KnownQueues(manifest)
         self.workload = Workload()
         self.interference = Interference()
+        self._short_services: set[str] = set()
         self.fleet = Fleet(clock, max_lease_s, heartbeat_s)
         self.commands = CommandSender(clock, token, self._is_capacity_known)
 
@@ -143,13 +144,16 @@
         ]
         instances = [each for each in self.instances.values() if self._is_capacity_known(each, now)]
         self._evict(pending, instances, now)
-        placement_round = PlacementRound(instances, now, self.interference.costs)
+        placement_round = PlacementRound(
+            instances, now, self.interference.costs, self._short_services
+        )
         assigned_jobs: dict[str, Job] = {}
         for pending_step in sorted(pending, key=lambda each: urgency(each, now, wall_ms)):
             placed = placement_round.place(pending_step)
             if placed:
                 self._assign(pending_step, placed)
                 assigned_jobs[pending_step.job.id] = pending_step.job
+        self._short_services = placement_round.short_services()
         self.workload.update_job_states(assigned_jobs.values(), now)
 
     def _pending_steps(self, job: Job, now: float, wall_ms: float) -> list[PendingStep]:
--- a/tests/coordination/job/colocation.py
+++ b/tests/coordination/job/colocation.py
@@ -83,6 +83,9 @@
         need = Resources(1000, memory_mb)
         self.submit(StepDefinition(tasks, need, int(run_s * 1000), image=image, fills=True))
 
+    def batch(self, image, tasks, cpu, run_s):
+        self.submit(StepDefinition(tasks, Resources(cpu, 500), int(run_s * 1000), image=image))
+
     def tail_ms(self, instance, serving):
         speeds: Counter[str] = Counter()
         for task in instance.tasks.values():
@@ -126,12 +129,15 @@
             task.finish(TaskPhase.DONE)
         running = []
         for task in instance.tasks.values():
-            load = 0
+            load, percent = 0, 100
+            if not task.step.order.lasting:
+                # Without progress, the run would be stopped as stalled and its worker avoided.
+                percent = min(99, int(100_000 * (now - task.sent_at) / task.step.order.estimate_ms))
             if task.step.order.tail_target_ms:
                 load = self.tail_ms(instance, task)
                 self.served += 1
                 self.over_target += load > TARGET_MS
-            running.append(RunningTask(task.name, task.run, "", 100, load))
+            running.append(RunningTask(task.name, task.run, "", percent, load))
         report = WorkerReport(1, int(now * 1000), tuple(running), ())
         self.scheduler.handle_report(instance, ReceivedReport(report, now - 0.01, now))
 
