--- a/gypsumplank/coordination/job/readiness.py
+++ b/gypsumplank/coordination/job/readiness.py
@@ -121,12 +121,14 @@
     """Keep the ready steps of one service with one label, sorted by urgency.
 
     `_least` is at most the least amount of each resource that any step needs; None if not known.
+    `has_skipped` tells that the last call of `that_may_fit` has skipped a step.
     """
 
     def __init__(self) -> None:
         self._sorted: list[SortedStep] = []
         self._least: Resources | None = None
         self._removed = 0
+        self.has_skipped = False
 
     def __bool__(self) -> bool:
         return bool(self._sorted)
@@ -158,7 +160,8 @@
     def that_may_fit(self, most_free: Callable[[], Resources]) -> Iterator[SortedStep]:
         """Yield the steps that need no more than is free, until no step may fit any more."""
         least, free = self._least_need(), most_free()
-        if not free.can_fit(least):
+        self.has_skipped = not free.can_fit(least)
+        if self.has_skipped:
             return
         for item in self._sorted:
             need = item[-1].need
@@ -170,7 +173,10 @@
                 yield item
                 free = most_free()
                 if not free.can_fit(least):
+                    self.has_skipped = True
                     return
+            else:
+                self.has_skipped = True
 
 
 @dataclass
@@ -301,6 +307,10 @@
         )
         return (ready.pending for _, _, ready in heapq.merge(*groups))
 
+    def skipped_services(self) -> set[str]:
+        """Return the services with steps that the last call of `that_may_fit` has skipped."""
+        return {service for (service, _), group in self._groups.items() if group.has_skipped}
+
     def lasting(self) -> list[PendingStep]:
         """Return the ready steps of long-running tasks, in the order of their jobs."""
         return _in_place(self._lasting)
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -17,6 +17,7 @@
     SUSPECT_PERIOD_S,
     WorkerInstance,
 )
+from gypsumplank.coordination.job.interference import Interference
 from gypsumplank.coordination.job.knownqueue import KnownQueues
 from gypsumplank.coordination.job.model import Job, Task
 from gypsumplank.coordination.job.observation import ReceivedReport
@@ -68,6 +69,8 @@
         self._load_changes: JobChanges | None = None
         self._loads = LoadTracker()
         self._queues_seen = self._queues.generation
+        self.interference = Interference()
+        self._short_services: set[str] = set()
         self.fleet = Fleet(clock, max_lease_s, heartbeat_s)
         self.accounts = Accounts(manifest).begin_term()
         self.commands = CommandSender(clock, token, self._is_capacity_known, self.accounts)
@@ -165,6 +168,7 @@
         if self.accounts.is_active:
             found = (known.get(run.name) or self.workload.task(run.name) for run in unassigned_runs)
             instance.unassigned_tasks = tuple(task for task in found if task)
+        self.interference.observe(instance, received)
         for unassigned in unassigned_runs:
             self.commands.stop_unassigned(instance, unassigned)
 
@@ -188,7 +192,9 @@
         instances = [each for each in self.instances.values() if self._is_capacity_known(each, now)]
         self.accounts.begin_round(self.instances.values(), self.workload, now)
         self._evict(self._ready.lasting(), instances, now)
-        placement_round = PlacementRound(instances, now)
+        placement_round = PlacementRound(
+            instances, now, self.interference.costs, self._short_services
+        )
         assigned_jobs: dict[str, Job] = {}
         ordered = self.accounts.order(
             self._ready.that_may_fit(placement_round.most_free),
@@ -205,6 +211,7 @@
                 self._assign(pending_step, placed)
                 self.accounts.record_start(pending_step, len(placed))
                 assigned_jobs[pending_step.job.id] = pending_step.job
+        self._short_services = placement_round.short_services() | self._ready.skipped_services()
         self.workload.update_job_states(assigned_jobs.values(), now)
         if self._load_changes is not None:
             self._loads.update_changed(self._load_changes.take(), now, wall_ms)
