job: let a measurement from the future reject nothing

A row ahead of the store's clock, or a daemon that does not know this clock, gave a negative age, and the row then rejected excess until it was replaced. A negative age now counts as stale.

--- a/gypsumplank/coordination/job/rejection.py
+++ b/gypsumplank/coordination/job/rejection.py
@@ -33,9 +33,12 @@
     age_ms: float,
     rng: random.Random,
 ) -> AccountLimitError | None:
-    """Return the error that rejects a job before it is stored, or None if it is to be stored."""
+    """Return the error that rejects a job before it is stored, or None if it is to be stored.
+
+    A measurement from the future rejects nothing, as it would for as long as it is ahead.
+    """
     load = pressure.services.get(service)
-    if account is None or load is None or age_ms > MAX_AGE_MS:
+    if account is None or load is None or not 0 <= age_ms <= MAX_AGE_MS:
         return None
     if _may_wait(order) or not _is_excess(account, load, rng):
         return None
