job: do not count scheduled jobs that are not due as waiting excess

An account's excess jobs that are scheduled for later counted as waiting, so that its other jobs were rejected with 429 while capacity was free. Only jobs that are due count now.

--- a/gypsumplank/coordination/job/pressure.py
+++ b/gypsumplank/coordination/job/pressure.py
@@ -95,7 +95,8 @@
         self._work_ms += sum(map(self._step_ms, job.steps.values()))
         if account := job.stored.account:
             self._arrivals[account] += wall_ms - job.stored.accepted_ms <= ARRIVALS_WINDOW_MS
-            self._excess_jobs[account] += job.is_excess and not job.started
+            is_due = job.due_ms(0) <= wall_ms
+            self._excess_jobs[account] += job.is_excess and is_due and not job.started
 
     def _step_ms(self, step: Step) -> float:
         order = step.order
--- a/tests/coordination/job/test_rejection.py
+++ b/tests/coordination/job/test_rejection.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from gypsumplank.coordination.job.model import Job
 from gypsumplank.coordination.job.pressure import (
     AccountPressure,
     MeasureTimes,
@@ -16,7 +17,13 @@
 from gypsumplank.coordination.job.rejection import EXCESS_QUEUE_S, MAX_AGE_MS, find_rejection
 from gypsumplank.errors import AccountLimitError
 from gypsumplank.protocol.account import Account
-from gypsumplank.protocol.job import JobDefinition, Resources, Schedule, StepDefinition
+from gypsumplank.protocol.job import (
+    JobDefinition,
+    Resources,
+    Schedule,
+    StepDefinition,
+    StoredJob,
+)
 from gypsumplank.state.clock import ClockRange
 from gypsumplank.state.feed import Changes
 from gypsumplank.state.table import MemoryTable
@@ -142,6 +149,15 @@
     assert len(accepted) >= HOT.weight * BURST.length_s
 
 
+def test_excess_jobs_that_are_not_due_yet_do_not_count_as_waiting():
+    # They wait for their time while capacity may be free; nothing else is rejected for them.
+    order = JobDefinition("", (STEP,), Schedule(1, 10_000, 0))
+    stored = StoredJob("a" * 16, QUEUE.name, SERVICE, 0, order, "hot")
+    job = Job(stored, SERVICE, is_excess=True)
+    assert not measure_pressure([job], (), MeasureTimes(0.0, 9_999, 0)).is_high
+    assert measure_pressure([job], (), MeasureTimes(0.0, 10_000, 0)).is_high
+
+
 class RowFeed:
     def __init__(self, table):
         self.table = table
