job: run rounds at once only while they can add postponed jobs

While jobs were postponed the scheduler's thread did not wait between rounds. Without the lease, or while its renewal failed, such rounds end before they add jobs, so that the thread ran at full speed and called the store without a pause in an outage. It now waits as usual then.

--- a/gypsumplank/coordination/job/leader.py
+++ b/gypsumplank/coordination/job/leader.py
@@ -152,7 +152,10 @@
         """Return how long to wait for a call before the next round, in seconds."""
         if self._term is None:
             return LEASE_CHECK_INTERVAL_S
-        return 0.0 if self._term.scheduler.workload.postponed else MAX_ROUND_INTERVAL_S
+        # Without the lease, or while it has to be renewed first, a round may add no jobs.
+        may_add = not self._must_renew and self._ports.leases.fence(SCHEDULER_LEASE) is not None
+        has_postponed = bool(self._term.scheduler.workload.postponed)
+        return 0.0 if has_postponed and may_add else MAX_ROUND_INTERVAL_S
 
     def run_once(self, wait_s: float) -> None:
         """Run the queued calls, renew the lease if due, and run one scheduling round."""
--- a/tests/coordination/job/test_long_queue.py
+++ b/tests/coordination/job/test_long_queue.py
@@ -8,7 +8,7 @@
 
 from gypsumplank.coordination.job.inbox import MAX_CALLS_PER_ROUND, Inbox
 from gypsumplank.coordination.job.intake import MAX_READS_PER_SNAPSHOT
-from gypsumplank.coordination.job.leader import LEASE_DURATION_S
+from gypsumplank.coordination.job.leader import LEASE_DURATION_S, MAX_ROUND_INTERVAL_S
 from gypsumplank.coordination.job.placement import PlacementRound
 from gypsumplank.coordination.job.scheduler import Scheduler
 from gypsumplank.coordination.job.workload import POSTPONED_CHUNK_JOBS
@@ -271,6 +271,18 @@
     assert cluster.state(bad) == "queued"
 
 
+def test_rounds_follow_at_once_only_while_they_can_add_postponed_jobs(cluster):
+    """Guard against a loop at full speed, with a renewal in each turn, while the store is lost."""
+    run_to_take_over(cluster)
+    leader = cluster.leader().scheduler_leader
+    assert leader._wait_s() == 0.0
+    leader._must_renew = True
+    assert leader._wait_s() == MAX_ROUND_INTERVAL_S
+    leader._must_renew = False
+    cluster.clock.advance(LEASE_DURATION_S)
+    assert leader._wait_s() == MAX_ROUND_INTERVAL_S
+
+
 def test_unknown_jobs_are_read_in_turn_although_some_stay_unknown():
     """Guard against LOST: jobs that the feed missed are behind others that cannot be decoded."""
     cluster = SimulatedCluster(1)
