job: let a held job ask for machines again once its cap allows it

A job held because of its cap asks for no machines. Steps that fit on no worker are not tried, so that the mark stayed after the cap had room again, and no machines were added for the job. Steps that are not tried any more are judged once a second by the cap alone.

--- a/gypsumplank/coordination/job/accounts.py
+++ b/gypsumplank/coordination/job/accounts.py
@@ -23,7 +23,7 @@
 )
 from gypsumplank.coordination.job.accountstatus import AccountStatus, make_statuses
 from gypsumplank.coordination.job.instance import WorkerInstance
-from gypsumplank.coordination.job.model import Job, Task
+from gypsumplank.coordination.job.model import Task
 from gypsumplank.coordination.job.placement import PendingStep
 from gypsumplank.coordination.job.usage import (
     KnownAccounts,
@@ -34,7 +34,7 @@
 )
 from gypsumplank.coordination.job.workload import Workload
 from gypsumplank.log import Event, event
-from gypsumplank.protocol.job import Resources
+from gypsumplank.protocol.job import FINAL_JOB_STATES, Resources
 from gypsumplank.protocol.queue import Manifest
 
 # Time for which a step is passed over because of its account's cap before it has the turn: until it
@@ -104,6 +104,8 @@
         self._begun: dict[str, Usage] | None = None
         self._gang_decisions: dict[tuple[str, int], bool] = {}
         self._held: defaultdict[str, dict[tuple[str, int], HeldStep]] = defaultdict(dict)
+        # Held steps that are not tried any more, as they fit on no worker.
+        self._untried: dict[tuple[str, int], PendingStep] = {}
         self._turns: dict[str, HeldStep | None] = {}
         self._buckets = TokenBuckets()
         self._excess_turns = ExcessTurns()
@@ -135,12 +137,13 @@
         self._turns.clear()
         for account, held in list(self._held.items()):
             for key in [key for key, each in held.items() if now - each.tried_at > FORGET_AFTER_S]:
-                del held[key]
+                self._untried[key] = held.pop(key).pending
             if not held:
                 del self._held[account]
         if now >= self._next_status_at:
             self._next_status_at = now + STATUS_INTERVAL_S
             self._update_status()
+            self._release_untried()
 
     def order(
         self,
@@ -191,7 +194,8 @@
             return pending
         cause, count = self._judge(pending, cap)
         key = _held_key(pending)
-        _set_held(pending.job, cause is not None and cause is not HoldCause.UNCONFIRMED)
+        self._untried.pop(key, None)
+        pending.job.set_held(cause is not None and cause is not HoldCause.UNCONFIRMED)
         if cause is None:
             self._held[account].pop(key, None)
             tasks = pending.tasks[:count]
@@ -263,6 +267,15 @@
     def _fits(self, pending: PendingStep, used: Resources, cap: Resources) -> bool:
         return count_startable(used, pending.step.order, 1, cap, self._limits.overage) > 0
 
+    def _release_untried(self) -> None:
+        """Let jobs ask for machines again once their caps allow their untried steps."""
+        for key, pending in list(self._untried.items()):
+            job, account = pending.job, pending.job.stored.account
+            cap = None if job.state in FINAL_JOB_STATES else self._known.cap(account)
+            if cap is None or self._fits(pending, self.usage(account).total, cap):
+                job.set_held(False)
+                del self._untried[key]
+
     def _has_other_turn(self, pending: PendingStep, usage: Usage, cap: Resources) -> bool:
         """Return whether another step of the account has the turn, and may still delay this one."""
         account = pending.job.stored.account
@@ -356,12 +369,6 @@
         return may_send
 
 
-def _set_held(job: Job, is_held: bool) -> None:
-    if job.is_held is not is_held:
-        job.is_held = is_held
-        job.note_change()
-
-
 def _has_begun(task: Task) -> bool:
     """Return whether a run may be at work; members of a gang that is done may be too."""
     return task.may_have_begun or task.is_final
--- a/gypsumplank/coordination/job/model.py
+++ b/gypsumplank/coordination/job/model.py
@@ -320,6 +320,12 @@
         if self.on_change is not None:
             self.on_change(self)
 
+    def set_held(self, is_held: bool) -> None:
+        """Set whether the job's account holds it back because of its cap."""
+        if self.is_held is not is_held:
+            self.is_held = is_held
+            self.note_change()
+
     @property
     def id(self) -> str:
         """Return the identifier that the caller chose."""
--- a/tests/coordination/job/test_usage.py
+++ b/tests/coordination/job/test_usage.py
@@ -81,6 +81,21 @@
     assert loads["desk"].batch.cpu == 4000
 
 
+def test_a_job_that_its_cap_allows_again_asks_for_machines_while_none_is_free():
+    # Its step is not tried without free capacity; nobody would add machines for it.
+    site = AccountSite(capped(4000))
+    for accounts in ("aa", "bbbbbbb"):
+        for account in accounts:
+            site.submit(account, StepDefinition(4, Resources(1000, 100), 60_000))
+        site.round()
+    for caps, cpu in ((4000, 32_000), (8000, 36_000)):
+        site.set_caps(a=Resources(caps))
+        site.run(2.0)
+        jobs = site.scheduler.workload.jobs.values()
+        loads = estimate_loads(jobs, site.clock.monotonic(), 0.0)
+        assert loads["desk"].batch.cpu == cpu
+
+
 def test_a_run_counts_until_its_worker_has_reported_its_end():
     site = AccountSite(capped(1000))
     first, second = site.submit("a"), site.submit("a")
