job: note the final state that a conflict has shown as a change

A job whose final state was found in the store after a conflict kept its ready steps and its load, as only changed jobs are examined. Its steps could be assigned in vain in each round.

--- a/gypsumplank/coordination/job/intake.py
+++ b/gypsumplank/coordination/job/intake.py
@@ -102,3 +102,4 @@
                 # Also where another final state was to be stored: the first one is in force.
                 job.state = value.state
                 job.state_dirty = job.unstored = False
+                job.note_change()
--- a/tests/coordination/job/test_workload.py
+++ b/tests/coordination/job/test_workload.py
@@ -1,3 +1,4 @@
+from gypsumplank.coordination.job.intake import JobIntake
 from gypsumplank.coordination.job.workload import Workload
 from gypsumplank.protocol.job import (
     JobDefinition,
@@ -7,7 +8,16 @@
     StoredJob,
     TaskPhase,
 )
-from gypsumplank.state.job import MAX_TXN_ENTRIES, TABLE_ORDERS, TABLE_STEPS, LoadedJob
+from gypsumplank.state.clock import ManualClock
+from gypsumplank.state.job import (
+    MAX_TXN_ENTRIES,
+    TABLE_ORDERS,
+    TABLE_STEPS,
+    JobStore,
+    LoadedJob,
+    state_write,
+)
+from gypsumplank.state.table import MemoryTable, Txn
 
 JOB = "a" * 16
 
@@ -50,3 +60,16 @@
             workload.mark_stored(job, update, 2, 1.0)
     assert sorted(removed) == sorted(f"{JOB}.0.{position}" for position in range(steps))
     assert removed_keys(update, TABLE_ORDERS) == [JOB]
+
+
+def test_final_state_found_in_the_store_is_noted_as_a_change():
+    # Else the job's ready steps would be started, and its load asked for, until it changes again.
+    workload, table = Workload(), MemoryTable()
+    table.commit(Txn((), (state_write(JOB, JobState.FAILED, "proofs"),)))
+    order = JobDefinition("", (StepDefinition(2, Resources(1000, 100), 500),))
+    stored = StoredJob(JOB, "proofs", "desk", 0, order)
+    job = workload.add(LoadedJob(stored, JobState.QUEUED, 0, False, {}), 0.0)
+    job.unstored = True
+    changes = workload.follow()
+    JobIntake(JobStore(table), ManualClock()).recheck_states(workload, [job])
+    assert (job.state, changes.take()) == (JobState.FAILED, [job])
