job: mark excess jobs of a take-over in the order of their times

A take-over adds waiting jobs in chunks by the priority of their queues, and new ones in between. New jobs are marked once no job is postponed any more.

--- a/gypsumplank/coordination/job/accounts.py
+++ b/gypsumplank/coordination/job/accounts.py
@@ -128,8 +128,9 @@
     ) -> None:
         """Begin a scheduling round with the worker instances, whose tasks count, and the jobs."""
         self._known.update(workload.jobs.values())
-        new_jobs = workload.take_new_jobs()
         self._order = None
+        # Jobs are marked in the order of their times, so a take-over has to know all of them.
+        new_jobs = () if workload.postponed else workload.take_new_jobs()
         if not self.is_active:
             return
         mark_excess(new_jobs, self._known, self._buckets)
--- a/tests/coordination/job/test_accountshare.py
+++ b/tests/coordination/job/test_accountshare.py
@@ -1,6 +1,7 @@
 import random
 import statistics
 from collections import Counter
+from types import SimpleNamespace
 
 import pytest
 
@@ -13,8 +14,15 @@
     dominant_share,
 )
 from gypsumplank.protocol.account import Account
-from gypsumplank.protocol.job import Resources, StepDefinition
-from tests.coordination.job.accountsite import ROUND_S, AccountSite
+from gypsumplank.protocol.job import (
+    JobDefinition,
+    JobState,
+    Resources,
+    StepDefinition,
+    StoredJob,
+)
+from gypsumplank.state.job import LoadedJob
+from tests.coordination.job.accountsite import QUEUE, ROUND_S, SERVICE, AccountSite
 
 ROOM = Resources(10_000, 100_000)
 # Of the accounts in the replay, the first three send HOT_FACTOR times their weights.
@@ -44,6 +52,26 @@
     ]
 
 
+def test_jobs_of_a_take_over_are_marked_in_the_order_in_which_they_were_accepted():
+    # A take-over adds them by their queues' priority, in chunks; new ones come in between.
+    site = AccountSite(weighted(a=2), 1, ROOM)
+    workload, steps = site.scheduler.workload, (StepDefinition(1, Resources(100, 10), 500),)
+
+    def rows(number):
+        order = JobDefinition("1", steps)
+        stored = StoredJob(f"b{number:015x}", QUEUE.name, SERVICE, number * 500, order, "a")
+        loaded = LoadedJob(stored, JobState.QUEUED, 1, False, {})
+        return SimpleNamespace(id=stored.id, decode=lambda: loaded)
+
+    workload.postpone(map(rows, reversed(range(150))), site.clock.monotonic())
+    site.submit("a", *steps)
+    while workload.postponed:
+        workload.add_postponed(lambda: None)
+        site.round()
+    assert len(workload.jobs) == 151
+    assert not any(job.is_excess for job in workload.jobs.values())
+
+
 def test_a_dominant_share_is_that_of_the_scarcest_resource():
     total = Resources(100, 100, 0)
     assert dominant_share(Resources(10, 40, 5), total, 2.0) == pytest.approx(0.2)
