job: bound the times of token buckets by the leader's clock

One job accepted by a daemon whose clock was ahead, or a leader's clock that was set back, stopped an account's tokens until that time had come, so that all its jobs counted as excess. Later times now count as the leader's present.

--- a/gypsumplank/coordination/job/accounts.py
+++ b/gypsumplank/coordination/job/accounts.py
@@ -124,7 +124,7 @@
     # Rounds
 
     def begin_round(
-        self, instances: Collection[WorkerInstance], workload: Workload, now: float
+        self, instances: Collection[WorkerInstance], workload: Workload, now: float, wall_ms: float
     ) -> None:
         """Begin a scheduling round with the worker instances, whose tasks count, and the jobs."""
         self._known.update(workload.jobs.values())
@@ -133,7 +133,7 @@
         new_jobs = () if workload.postponed else workload.take_new_jobs()
         if not self.is_active:
             return
-        mark_excess(new_jobs, self._known, self._buckets)
+        mark_excess(new_jobs, self._known, self._buckets, wall_ms)
         self._now, self._instances, self._usage = now, instances, None
         self._turns.clear()
         for account, held in list(self._held.items()):
--- a/gypsumplank/coordination/job/accountshare.py
+++ b/gypsumplank/coordination/job/accountshare.py
@@ -55,13 +55,18 @@
     def __init__(self) -> None:
         self._buckets: dict[str, tuple[float, float]] = {}
 
-    def take(self, account: str, weight: float, accepted_ms: float) -> bool:
+    def take(
+        self, account: str, weight: float, accepted_ms: float, now_ms: float = math.inf
+    ) -> bool:
         """Return whether an account is owed a job; jobs come about in the order of their times.
 
-        Daemons' clocks differ, so a time before the last one counts as that.
+        Daemons' clocks differ, so a time before the last one counts as that, and one after
+        `now_ms` as that; else a clock that was ahead for one job would stop the account's tokens.
         """
         capacity = max(1.0, weight)
+        accepted_ms = min(accepted_ms, now_ms)
         tokens, last_ms = self._buckets.get(account, (capacity, accepted_ms))
+        last_ms = min(last_ms, now_ms)
         elapsed_s = max(0.0, accepted_ms - last_ms) / MS_PER_S
         tokens = min(capacity, tokens + elapsed_s * weight)
         is_owed = weight > 0 and tokens >= 1
@@ -79,12 +84,15 @@
             self._buckets[account] = max(tokens - 1, -MAX_DEBT), last_ms
 
 
-def mark_excess(jobs: Iterable[Job], known: KnownAccounts, buckets: TokenBuckets) -> None:
-    """Mark the new jobs that their accounts are not owed."""
+def mark_excess(
+    jobs: Iterable[Job], known: KnownAccounts, buckets: TokenBuckets, now_ms: float
+) -> None:
+    """Mark the new jobs that their accounts are not owed; `now_ms` is since 1970."""
     for job in sorted(jobs, key=lambda each: (each.stored.accepted_ms, each.id)):
         account = known.find(job.stored.account)
         if account is not None:
-            job.is_excess = not buckets.take(account.name, account.weight, job.stored.accepted_ms)
+            accepted_ms = job.stored.accepted_ms
+            job.is_excess = not buckets.take(account.name, account.weight, accepted_ms, now_ms)
 
 
 def dominant_share(used: Resources, total: Resources, weight: float) -> float:
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -186,7 +186,7 @@
         self._update_ready(changed, now, wall_ms)
         permits = self._request_permits()
         instances = [each for each in self.instances.values() if self._is_capacity_known(each, now)]
-        self.accounts.begin_round(self.instances.values(), self.workload, now)
+        self.accounts.begin_round(self.instances.values(), self.workload, now, wall_ms)
         self._evict(self._ready.lasting(), instances, now)
         placement_round = PlacementRound(instances, now)
         assigned_jobs: dict[str, Job] = {}
--- a/tests/coordination/job/accountsite.py
+++ b/tests/coordination/job/accountsite.py
@@ -57,12 +57,12 @@
         version = self.manifest.version + 1
         self.manifest = replace(self.manifest, version=version, accounts=accounts)
 
-    def submit(self, account, *steps):
+    def submit(self, account, *steps, accepted_ms=None):
         """Add a job; its state is not stored, so that it stays after its end."""
         now = self.clock.monotonic()
         job_id = f"{next(self.numbers):016x}"
         steps = steps or (StepDefinition(1, Resources(1000, 100), 500),)
-        accepted_ms = int(now * 1000)
+        accepted_ms = int(now * 1000 if accepted_ms is None else accepted_ms)
         order = JobDefinition("1", steps)
         stored = StoredJob(job_id, QUEUE.name, SERVICE, accepted_ms, order, account)
         self.arrived_at[job_id] = now
--- a/tests/coordination/job/test_accountshare.py
+++ b/tests/coordination/job/test_accountshare.py
@@ -52,6 +52,21 @@
     ]
 
 
+@pytest.mark.parametrize(("ahead_ms", "set_back_s"), [(3_600_000, 0), (0, 3600)])
+def test_a_clock_that_is_ahead_does_not_make_later_jobs_excess(ahead_ms, set_back_s):
+    # The clock of the daemon that accepted one job, or of all until they were set right.
+    site = AccountSite(weighted(a=2), 1, ROOM)
+    site.clock.wall = lambda: site.clock.now + ahead_s
+    ahead_s = set_back_s
+    jobs = [site.submit("a", accepted_ms=site.clock.wall() * 1000 + ahead_ms)]
+    site.round()
+    ahead_s = 0
+    for _ in range(5):
+        jobs.append(site.submit("a"))
+        site.run(0.6)
+    assert not any(job.is_excess for job in jobs)
+
+
 def test_jobs_of_a_take_over_are_marked_in_the_order_in_which_they_were_accepted():
     # A take-over adds them by their queues' priority, in chunks; new ones come in between.
     site = AccountSite(weighted(a=2), 1, ROOM)
