job: judge starts by the caps in force when they are sent

Before a start is sent it is judged again, but by the caps as known when the round began. A commit may take seconds, in which the manifest thread confirms a newer manifest. The known accounts now follow it before starts are sent.

--- a/gypsumplank/coordination/job/accounts.py
+++ b/gypsumplank/coordination/job/accounts.py
@@ -23,12 +23,13 @@
 )
 from gypsumplank.coordination.job.accountstatus import AccountStatus, make_statuses
 from gypsumplank.coordination.job.instance import WorkerInstance
-from gypsumplank.coordination.job.model import Task
+from gypsumplank.coordination.job.model import Job, Task
 from gypsumplank.coordination.job.placement import PendingStep
 from gypsumplank.coordination.job.usage import (
     KnownAccounts,
     Usage,
     count_startable,
+    has_begun,
     is_under_half,
     sum_usage,
 )
@@ -99,6 +100,7 @@
         self._known = known
         self._limits = limits
         self._now = 0.0
+        self._jobs: Mapping[str, Job] = {}
         self._instances: Collection[WorkerInstance] = ()
         self._usage: dict[str, Usage] | None = None
         self._begun: dict[str, Usage] | None = None
@@ -127,7 +129,8 @@
         self, instances: Collection[WorkerInstance], workload: Workload, now: float, wall_ms: float
     ) -> None:
         """Begin a scheduling round with the worker instances, whose tasks count, and the jobs."""
-        self._known.update(workload.jobs.values())
+        self._jobs = workload.jobs
+        self._known.update(self._jobs.values())
         self._order = None
         # Jobs are marked in the order of their times, so a take-over has to know all of them.
         new_jobs = () if workload.postponed else workload.take_new_jobs()
@@ -341,6 +344,7 @@
 
     def begin_sending(self, instances: Iterable[WorkerInstance]) -> None:
         """Begin to send starts to these worker instances."""
+        self._known.update(self._jobs.values())
         self._instances, self._begun = list(instances), None
         self._gang_decisions.clear()
 
@@ -359,7 +363,7 @@
         if order.gang and gang in self._gang_decisions:
             return self._gang_decisions[gang]
         if self._begun is None:
-            self._begun = sum_usage(self._instances, _has_begun)
+            self._begun = sum_usage(self._instances, has_begun)
         used = self._begun.get(account, Usage())
         members = order.tasks if order.gang else 1
         may_send = count_startable(used.total, order, members, cap, self._limits.overage) > 0
@@ -370,11 +374,6 @@
         return may_send
 
 
-def _has_begun(task: Task) -> bool:
-    """Return whether a run may be at work; members of a gang that is done may be too."""
-    return task.may_have_begun or task.is_final
-
-
 def _held_key(pending: PendingStep) -> tuple[str, int]:
     """Return what identifies a step, and its group of tasks, from round to round."""
     return pending.step.key, int(pending.has_suspects)
--- a/gypsumplank/coordination/job/usage.py
+++ b/gypsumplank/coordination/job/usage.py
@@ -109,6 +109,11 @@
         yield from instance.unassigned_tasks
 
 
+def has_begun(task: Task) -> bool:
+    """Return whether a run may be at work; members of a gang that is done may be too."""
+    return task.may_have_begun or task.is_final
+
+
 def _limited(cap: Resources, *amounts: Resources) -> Iterator[tuple[int, ...]]:
     """Yield each limit of a cap that is not 0, with the amounts of its resource."""
     for field in ("cpu", "memory_mb", "accelerators"):
--- a/tests/coordination/job/test_usage.py
+++ b/tests/coordination/job/test_usage.py
@@ -158,6 +158,21 @@
     assert (site.used("a"), len(site.started_at)) == (2000, 2)
 
 
+def test_a_cap_that_was_lowered_during_the_commit_binds():
+    # The commit of a round may take seconds; the manifest is confirmed by another thread meanwhile.
+    site = AccountSite(capped(8000))
+    site.stores = False
+    for _ in range(8):
+        site.submit("a")
+    site.round()
+    for job in site.scheduler.workload.jobs.values():
+        for step in job.steps.values():
+            step.dirty = False
+    site.set_caps(a=Resources(2000))
+    site.scheduler.commands.send(site.instances, lambda: True)
+    assert (site.used("a"), len(site.started_at)) == (2000, 2)
+
+
 def test_an_account_that_the_manifest_drops_keeps_its_cap():
     manifests = [Manifest(1, accounts=capped(4000)), Manifest(2, accounts=()), Manifest(3)]
     manifests.append(Manifest(4, accounts=capped(0)))
