job: count the look before a rejection towards the caller's time

The look for a stored job may take seconds at a slow store. If it failed, the job was submitted with the caller's full time left, and answered after the caller had stopped waiting.

--- a/gypsumplank/coordination/job/submission.py
+++ b/gypsumplank/coordination/job/submission.py
@@ -101,7 +101,9 @@
         An attempt with an unknown outcome may be retried, as the job's row is inserted only once.
         `remaining_s` is the time that the caller still waits, in seconds.
         """
+        arrived_at = self._clock.monotonic()
         self._check_load(queue, job_id, order, account)
+        remaining_s = max(0.0, remaining_s - (self._clock.monotonic() - arrived_at))
         accepted_ms = int(self._clock.wall() * 1000)
         job = StoredJob(job_id, queue.name, queue.service, accepted_ms, order, account)
         if self._intake is not None and self._intake.is_writing:
--- a/tests/coordination/job/test_submission.py
+++ b/tests/coordination/job/test_submission.py
@@ -1,10 +1,16 @@
 from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 
 from gypsumplank.coordination.job import submission
 from gypsumplank.coordination.job.submission import JobService
-from gypsumplank.errors import StateTooLargeError, StateUnknownError
+from gypsumplank.errors import (
+    AccountLimitError,
+    StateTooLargeError,
+    StateUnavailableError,
+    StateUnknownError,
+)
 from gypsumplank.protocol.job import (
     JobDefinition,
     Resources,
@@ -88,6 +94,24 @@
     assert job_service._clock.now - 100.0 <= submission.ANSWER_SHARE * remaining_s + 0.01
 
 
+def test_look_before_a_rejection_counts_towards_the_time_of_the_caller(job_service, table):
+    # Else a job whose look failed is answered after its caller has stopped waiting.
+    def fail_slowly(*args):
+        job_service._clock.advance(1.2)
+        raise StateUnavailableError("timed out")
+
+    def wait_for_response(txn):
+        job_service._clock.advance(min(1.2, txn.timeout_s or 1.2))
+        raise StateUnknownError("timed out")
+
+    table.get, table.commit = fail_slowly, wait_for_response
+    rejecting = SimpleNamespace(find_rejection=lambda *args: AccountLimitError("excess"))
+    job_service._load = rejecting
+    with pytest.raises(StateUnknownError):
+        job_service.submit(QUEUE, JOB, ORDER, 1.5)
+    assert job_service._clock.now - 100.0 <= 1.5
+
+
 def test_counts_of_queues_that_are_gone_are_forgotten(job_service):
     for number in range(100):
         queue = Queue(f"q{number}", "h.example", "/p/", "desk")
