--- a/gypsumplank/coordination/job/accounts.py
+++ b/gypsumplank/coordination/job/accounts.py
@@ -29,12 +29,13 @@
     KnownAccounts,
     Usage,
     count_startable,
+    has_begun,
     is_under_half,
     sum_usage,
 )
 from gypsumplank.coordination.job.workload import Workload
 from gypsumplank.log import Event, event
-from gypsumplank.protocol.job import Resources
+from gypsumplank.protocol.job import FINAL_JOB_STATES, Resources
 from gypsumplank.protocol.queue import Manifest
 
 # Time for which a step is passed over because of its account's cap before it has the turn: until it
@@ -99,11 +100,14 @@
         self._known = known
         self._limits = limits
         self._now = 0.0
+        self._jobs: Mapping[str, Job] = {}
         self._instances: Collection[WorkerInstance] = ()
         self._usage: dict[str, Usage] | None = None
         self._begun: dict[str, Usage] | None = None
         self._gang_decisions: dict[tuple[str, int], bool] = {}
         self._held: defaultdict[str, dict[tuple[str, int], HeldStep]] = defaultdict(dict)
+        # Held steps that are not tried any more, as they fit on no worker.
+        self._untried: dict[tuple[str, int], PendingStep] = {}
         self._turns: dict[str, HeldStep | None] = {}
         self._buckets = TokenBuckets()
         self._excess_turns = ExcessTurns()
@@ -122,25 +126,28 @@
     # Rounds
 
     def begin_round(
-        self, instances: Collection[WorkerInstance], workload: Workload, now: float
+        self, instances: Collection[WorkerInstance], workload: Workload, now: float, wall_ms: float
     ) -> None:
         """Begin a scheduling round with the worker instances, whose tasks count, and the jobs."""
-        self._known.update(workload.jobs.values())
-        new_jobs = workload.take_new_jobs()
+        self._jobs = workload.jobs
+        self._known.update(self._jobs.values())
         self._order = None
+        # Jobs are marked in the order of their times, so a take-over has to know all of them.
+        new_jobs = () if workload.postponed else workload.take_new_jobs()
         if not self.is_active:
             return
-        mark_excess(new_jobs, self._known, self._buckets)
+        mark_excess(new_jobs, self._known, self._buckets, wall_ms)
         self._now, self._instances, self._usage = now, instances, None
         self._turns.clear()
         for account, held in list(self._held.items()):
             for key in [key for key, each in held.items() if now - each.tried_at > FORGET_AFTER_S]:
-                del held[key]
+                self._untried[key] = held.pop(key).pending
             if not held:
                 del self._held[account]
         if now >= self._next_status_at:
             self._next_status_at = now + STATUS_INTERVAL_S
             self._update_status()
+            self._release_untried()
 
     def order(
         self,
@@ -191,7 +198,8 @@
             return pending
         cause, count = self._judge(pending, cap)
         key = _held_key(pending)
-        _set_held(pending.job, cause is not None and cause is not HoldCause.UNCONFIRMED)
+        self._untried.pop(key, None)
+        pending.job.set_held(cause is not None and cause is not HoldCause.UNCONFIRMED)
         if cause is None:
             self._held[account].pop(key, None)
             tasks = pending.tasks[:count]
@@ -263,6 +271,15 @@
     def _fits(self, pending: PendingStep, used: Resources, cap: Resources) -> bool:
         return count_startable(used, pending.step.order, 1, cap, self._limits.overage) > 0
 
+    def _release_untried(self) -> None:
+        """Let jobs ask for machines again once their caps allow their untried steps."""
+        for key, pending in list(self._untried.items()):
+            job, account = pending.job, pending.job.stored.account
+            cap = None if job.state in FINAL_JOB_STATES else self._known.cap(account)
+            if cap is None or self._fits(pending, self.usage(account).total, cap):
+                job.set_held(False)
+                del self._untried[key]
+
     def _has_other_turn(self, pending: PendingStep, usage: Usage, cap: Resources) -> bool:
         """Return whether another step of the account has the turn, and may still delay this one."""
         account = pending.job.stored.account
@@ -327,6 +344,7 @@
 
     def begin_sending(self, instances: Iterable[WorkerInstance]) -> None:
         """Begin to send starts to these worker instances."""
+        self._known.update(self._jobs.values())
         self._instances, self._begun = list(instances), None
         self._gang_decisions.clear()
 
@@ -345,7 +363,7 @@
         if order.gang and gang in self._gang_decisions:
             return self._gang_decisions[gang]
         if self._begun is None:
-            self._begun = sum_usage(self._instances, _has_begun)
+            self._begun = sum_usage(self._instances, has_begun)
         used = self._begun.get(account, Usage())
         members = order.tasks if order.gang else 1
         may_send = count_startable(used.total, order, members, cap, self._limits.overage) > 0
@@ -356,17 +374,6 @@
         return may_send
 
 
-def _set_held(job: Job, is_held: bool) -> None:
-    if job.is_held is not is_held:
-        job.is_held = is_held
-        job.note_change()
-
-
-def _has_begun(task: Task) -> bool:
-    """Return whether a run may be at work; members of a gang that is done may be too."""
-    return task.may_have_begun or task.is_final
-
-
 def _held_key(pending: PendingStep) -> tuple[str, int]:
     """Return what identifies a step, and its group of tasks, from round to round."""
     return pending.step.key, int(pending.has_suspects)
--- a/tests/coordination/job/test_usage.py
+++ b/tests/coordination/job/test_usage.py
@@ -81,6 +81,21 @@
     assert loads["desk"].batch.cpu == 4000
 
 
+def test_a_job_that_its_cap_allows_again_asks_for_machines_while_none_is_free():
+    # Its step is not tried without free capacity; nobody would add machines for it.
+    site = AccountSite(capped(4000))
+    for accounts in ("aa", "bbbbbbb"):
+        for account in accounts:
+            site.submit(account, StepDefinition(4, Resources(1000, 100), 60_000))
+        site.round()
+    for caps, cpu in ((4000, 32_000), (8000, 36_000)):
+        site.set_caps(a=Resources(caps))
+        site.run(2.0)
+        jobs = site.scheduler.workload.jobs.values()
+        loads = estimate_loads(jobs, site.clock.monotonic(), 0.0)
+        assert loads["desk"].batch.cpu == cpu
+
+
 def test_a_run_counts_until_its_worker_has_reported_its_end():
     site = AccountSite(capped(1000))
     first, second = site.submit("a"), site.submit("a")
@@ -143,6 +158,21 @@
     assert (site.used("a"), len(site.started_at)) == (2000, 2)
 
 
+def test_a_cap_that_was_lowered_during_the_commit_binds():
+    # The commit of a round may take seconds; the manifest is confirmed by another thread meanwhile.
+    site = AccountSite(capped(8000))
+    site.stores = False
+    for _ in range(8):
+        site.submit("a")
+    site.round()
+    for job in site.scheduler.workload.jobs.values():
+        for step in job.steps.values():
+            step.dirty = False
+    site.set_caps(a=Resources(2000))
+    site.scheduler.commands.send(site.instances, lambda: True)
+    assert (site.used("a"), len(site.started_at)) == (2000, 2)
+
+
 def test_an_account_that_the_manifest_drops_keeps_its_cap():
     manifests = [Manifest(1, accounts=capped(4000)), Manifest(2, accounts=()), Manifest(3)]
     manifests.append(Manifest(4, accounts=capped(0)))
