soak: change client accounts, keys and caps in every other newer seed

Odd seeds from 5001 now write manifests that withdraw, add and move keys and change caps, some in outages of the store.

--- a/soak/jobs.py
+++ b/soak/jobs.py
@@ -4,38 +4,51 @@
     python -m soak.jobs --failed              # all seeds that have ever failed
 
 Exit 1 on a violated guarantee. A seed determines the faults; timing depends on the machine.
+Odd seeds from 5001 also have client accounts whose keys and caps change (soak/accounts.py).
 """
 
 import argparse
 import random
-import signal
 import sys
 import tempfile
 import threading
 import time
 from collections import Counter
 from collections.abc import Iterator
-from dataclasses import dataclass, field, replace
-from enum import StrEnum
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 import msgspec
 from urllib3.exceptions import HTTPError
 
-from demo.cluster import free_addresses
 from demo.job import PREFIX, JobCluster, call
 from gypsumplank.platform.app import decode_job
-from gypsumplank.protocol.job import JobDefinition, Resources
+from gypsumplank.protocol.job import JobDefinition
+from soak.accounts import (
+    BOUNDS,
+    CAP_AFTER_CPU,
+    PERMANENT_KEY,
+    STORE_RATES,
+    KeyedCall,
+    KeyedClient,
+    KeyProbe,
+    ManifestStep,
+    check_caps,
+    check_keys,
+    choose_key,
+    count_statuses,
+    find_accounts,
+    generate_steps,
+    has_accounts,
+    summarize,
+)
 from soak.calllog import Breach
-from soak.proxy import Mode, Proxy
-from standins.users_platform import MANIFEST, UsersPlatform, make_users_platform
+from soak.jobfleet import DAEMONS, JobFault, JobFleet, ScheduledFault
+from standins.users_platform import UsersPlatform
 from standins.violations import find_violations
 
-DAEMONS = 3
-WORKERS = 6
 CALLERS = 3
-HEARTBEAT_INTERVAL_S = 0.2
 CALL_INTERVAL_S = 0.15
 PAUSE_BETWEEN_PHASES_S = 1.0
 # Limits the wait for accepted jobs to end once all faults are over. Covers a leader failover, the
@@ -43,37 +56,12 @@
 COMPLETION_TIMEOUT_S = 45.0
 # No task of a job may start later than this after its cancellation was confirmed.
 CANCEL_GRACE_S = 3.0
-REFUSAL_STATUSES = (404, 429, 503)
+REFUSAL_STATUSES = (401, 404, 429, 503)
 # (seed, phase count) of runs that have ever failed; causes are in docs/measurements/soak.md.
 FAILED_SEEDS = ((126, 4),)
 ACCEPTED_STATUS = 200
 
 
-class JobFault(StrEnum):
-    """List the kinds of fault; values shared with `Mode` select a proxy mode."""
-
-    KILL = "kill"
-    STOP = "stop"
-    PAUSE = "pause"
-    RESET = "reset"
-    SILENT = "silent"
-    ONE_WAY = "one-way"
-    DELAY = "delay"
-    OUTAGE = "outage"
-    ANSWERS_LOST = "answers-lost"
-    WORKER_LOST = "worker-lost"
-    WORKER_CUT = "worker-cut"
-
-
-@dataclass(frozen=True)
-class ScheduledFault:
-    """Represent one fault; `number` modulo the count of daemons or workers selects the target."""
-
-    kind: JobFault
-    number: int
-    seconds: float
-
-
 def generate_phases(seed: int, phases: int) -> list[tuple[ScheduledFault, ...]]:
     """Return the phases of a seed, each with one to three concurrent faults."""
     rng = random.Random(seed)
@@ -101,102 +89,6 @@
         return ACCEPTED_STATUS in self.statuses
 
 
-class JobFleet:
-    """Run the simulated platform, the daemons, and a proxy between each daemon and the platform."""
-
-    def __init__(self, cluster: JobCluster, seed: int) -> None:
-        self._cluster = cluster
-        (address,) = free_addresses(1, cluster.host)
-        self._server, self.users = make_users_platform(address, seed)
-        self._platform_address = address
-        self._proxies: list[Proxy] = []
-        self._stopped = threading.Event()
-        self._threads = [
-            threading.Thread(target=self._server.serve_forever, daemon=True),
-            threading.Thread(target=self._write_heartbeats, daemon=True),
-        ]
-
-    def start(self) -> None:
-        """Start all parts and wait until the daemons are ready."""
-        self.users.put("op", "config", msgspec.json.encode(MANIFEST))
-        for number in range(WORKERS):
-            worker = self.users.simulated_workers.add(f"w{number}", "desk", Resources(8000, 8000))
-            worker.entry = replace(worker.entry, address=self._platform_address)
-        for thread in self._threads:
-            thread.start()
-        for number in range(DAEMONS):
-            (address,) = free_addresses(1, self._cluster.host)
-            proxy = Proxy(address, self._platform_address)
-            proxy.start()
-            self._proxies.append(proxy)
-            self._cluster.platform = address
-            self._cluster.start_entry(number)
-
-    def close(self) -> None:
-        """Stop the platform and the proxies, which run in this process."""
-        self._stopped.set()
-        for proxy in self._proxies:
-            proxy.close()
-        self._server.shutdown()
-
-    def _write_heartbeats(self) -> None:
-        while not self._stopped.wait(HEARTBEAT_INTERVAL_S):
-            self.users.advance()
-            self.users.write_heartbeats()
-
-    def caller_addresses(self) -> list[str]:
-        """Return the addresses at which the daemons accept callers."""
-        return [self._cluster.callers_of[f"entry-{number}"] for number in range(DAEMONS)]
-
-    def inject_fault(self, fault: ScheduledFault) -> None:
-        """Inject a fault, wait for its duration and end it."""
-        number = fault.number % DAEMONS
-        name = f"entry-{number}"
-        match fault.kind:
-            case JobFault.KILL:
-                self._cluster.kill(name)
-                time.sleep(fault.seconds / 4)
-                self._cluster.restart_entry(name)
-            case JobFault.STOP:
-                self._cluster.stop(name)
-                self._cluster.restart_entry(name)
-            case JobFault.PAUSE:
-                self._cluster.signal(name, signal.SIGSTOP)
-                time.sleep(fault.seconds)
-                self._cluster.signal(name, signal.SIGCONT)
-            case JobFault.OUTAGE:
-                self._set_proxy_mode(Mode.RESET, self._proxies, fault.seconds)
-            case JobFault.ANSWERS_LOST:
-                self.users.simulated_workers.response_loss_share = 0.3
-                time.sleep(fault.seconds)
-                self.users.simulated_workers.response_loss_share = 0.0
-            case JobFault.WORKER_LOST | JobFault.WORKER_CUT:
-                self._inject_worker_fault(fault)
-            case _:
-                self._set_proxy_mode(Mode(fault.kind.value), [self._proxies[number]], fault.seconds)
-
-    @staticmethod
-    def _set_proxy_mode(mode: Mode, proxies: list[Proxy], seconds: float) -> None:
-        for proxy in proxies:
-            proxy.mode = mode
-        time.sleep(seconds)
-        for proxy in proxies:
-            proxy.mode = Mode.PASS
-
-    def _inject_worker_fault(self, fault: ScheduledFault) -> None:
-        users, name = self.users, f"w{fault.number % WORKERS}"
-        if fault.kind is JobFault.WORKER_CUT:
-            users.simulated_workers.workers[name].reachable = False
-            time.sleep(fault.seconds)
-            users.simulated_workers.workers[name].reachable = True
-            return
-        with users.lock:
-            users.simulated_workers.crash(name)
-        time.sleep(fault.seconds)
-        with users.lock:
-            users.simulated_workers.restart(name)
-
-
 class JobCallers:
     """Submit and cancel jobs from several threads and record the responses."""
 
@@ -243,13 +135,37 @@
             return 0
 
 
+class KeyedCallers(JobCallers):
+    """Submit jobs with keys that may be valid, over connections that stay open."""
+
+    def __init__(self, fleet: JobFleet, seed: int) -> None:
+        super().__init__(fleet, seed)
+        self._keys: dict[str, tuple[str | None, bool]] = {}
+        self._local = threading.local()
+        self.clients: list[KeyedClient] = []
+
+    def _call(self, rng: random.Random, method: str, job: str, body: Any = None) -> int:
+        if not hasattr(self._local, "client"):
+            self._local.client = KeyedClient([])
+            self.clients.append(self._local.client)
+        if job not in self._keys:
+            self._keys[job] = choose_key(rng)
+        client: KeyedClient = self._local.client
+        daemon = rng.randrange(DAEMONS)
+        return client.call(
+            self._fleet.caller_addresses(), daemon, method, job, *self._keys[job], body
+        )
+
+
 def _random_job(rng: random.Random) -> dict[str, Any]:
     first = {"replicas": rng.randint(1, 3), "cpu": 500, "estimate-ms": 200}
     steps = [first, {"replicas": 1, "cpu": 500, "after": [0]}] if rng.random() < 0.5 else [first]
     return {"spec": str(round(rng.uniform(0.1, 0.8), 2)), "steps": steps}
 
 
-def check_completion(fleet: JobFleet, jobs: dict[str, SubmittedJob]) -> Iterator[Breach]:
+def check_completion(
+    fleet: JobFleet, jobs: dict[str, SubmittedJob], key: str | None = None
+) -> Iterator[Breach]:
     """Yield accepted jobs that do not end in time, and jobs cancelled without a request."""
     deadline = time.monotonic() + COMPLETION_TIMEOUT_S
     unfinished = {job for job, submitted in jobs.items() if submitted.accepted}
@@ -257,7 +173,7 @@
     while unfinished and time.monotonic() < deadline:
         for job in sorted(unfinished):
             try:
-                status, body = call(fleet.caller_addresses()[0], "GET", f"{PREFIX}{job}")
+                status, body = call(fleet.caller_addresses()[0], "GET", f"{PREFIX}{job}", key=key)
             except (HTTPError, ValueError):
                 continue
             states[job] = body.get("state", status)
@@ -294,29 +210,86 @@
 
 def run_seed(seed: int, phases: int, folder: Path) -> tuple[list[Breach], str]:
     """Run the phases of a seed; return the breaches and the summary that is printed."""
+    if has_accounts(seed):
+        return run_seed_with_accounts(seed, phases, folder)
     with JobCluster(folder) as cluster:
         fleet = JobFleet(cluster, seed)
         fleet.start()
         callers = JobCallers(fleet, seed)
         callers.start()
         for faults in generate_phases(seed, phases):
-            threads = [
-                threading.Thread(target=fleet.inject_fault, args=(fault,))
-                for fault in _limit_signals(faults)
-            ]
-            for thread in threads:
-                thread.start()
-            for thread in threads:
-                thread.join()
-            time.sleep(PAUSE_BETWEEN_PHASES_S)
+            _run_phase(fleet, faults)
         callers.stop()
         found = [*check_completion(fleet, callers.jobs), *check_history(fleet.users, callers.jobs)]
-        statuses = Counter(
-            status for submitted in callers.jobs.values() for status in submitted.statuses
-        )
         fleet.close()
+    return found, _summarize(seed, fleet, callers, found)
+
+
+def run_seed_with_accounts(seed: int, phases: int, folder: Path) -> tuple[list[Breach], str]:
+    """Run a seed whose manifests change keys and caps; return what `run_seed` returns."""
+    (first,), *steps = generate_steps(seed, phases, DAEMONS)
+    with JobCluster(folder, STORE_RATES) as cluster:
+        cluster.bounds = BOUNDS
+        fleet = JobFleet(cluster, seed)
+        fleet.start(first)
+        callers = KeyedCallers(fleet, seed)
+        callers.start()
+        probe = KeyProbe(fleet.caller_addresses(), seed)
+        probe.start()
+        for faults, phase_steps in zip(generate_phases(seed, phases), steps, strict=True):
+            _run_phase(fleet, faults, phase_steps)
+        callers.stop()
+        probe.stop()
+        written = fleet.manifests.written
+        # What waits behind a low cap has to end in time.
+        fleet.manifests.write(written[-1].keys, dict.fromkeys(first.caps, CAP_AFTER_CPU))
+        found = [
+            *check_completion(fleet, callers.jobs, PERMANENT_KEY),
+            *check_history(fleet.users, callers.jobs),
+            *_check_accounts(fleet, callers, probe),
+        ]
+        fleet.close()
+    clients = [*callers.clients, probe.client]
+    text = f"{summarize(clients, written)}, probes {count_statuses(probe.client.calls)}"
+    return found, f"{_summarize(seed, fleet, callers, found)}, {text}"
+
+
+def _check_accounts(fleet: JobFleet, callers: KeyedCallers, probe: KeyProbe) -> Iterator[Breach]:
+    written = fleet.manifests.written
+    calls: list[KeyedCall] = [call for client in callers.clients for call in client.calls]
+    yield from check_keys([*calls, *probe.client.calls], written)
+    orders = {job: submitted.order for job, submitted in callers.jobs.items()}
+    history = [
+        start
+        for start in fleet.users.simulated_workers.history
+        if start.name.partition(".")[0] in orders
+    ]
+    yield from check_caps(
+        history, orders, find_accounts(calls, written), fleet.manifests.cap_changes
+    )
+
+
+def _run_phase(
+    fleet: JobFleet, faults: tuple[ScheduledFault, ...], steps: list[ManifestStep] | None = None
+) -> None:
+    threads = [
+        threading.Thread(target=fleet.inject_fault, args=(fault,))
+        for fault in _limit_signals(faults)
+    ]
+    threads.append(threading.Thread(target=fleet.apply_steps, args=(steps or [],)))
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    time.sleep(PAUSE_BETWEEN_PHASES_S)
+
+
+def _summarize(seed: int, fleet: JobFleet, callers: JobCallers, found: list[Breach]) -> str:
+    statuses = Counter(
+        status for submitted in callers.jobs.values() for status in submitted.statuses
+    )
     starts = len(fleet.users.simulated_workers.history)
-    return found, f"seed {seed}: answers {dict(statuses)}, {starts} starts, {len(found)} breaches"
+    return f"seed {seed}: answers {dict(statuses)}, {starts} starts, {len(found)} breaches"
 
 
 def _limit_signals(faults: tuple[ScheduledFault, ...]) -> list[ScheduledFault]:
