--- a/soak/accounts.py
+++ b/soak/accounts.py
@@ -176,10 +176,10 @@
 
 @dataclass
 class KeyedClient:
-    """Call the daemons with keys over connections that stay open; used by one thread each."""
+    """Call the daemons over a connection per key that stays open; used by one thread each."""
 
-    calls: list[KeyedCall]
-    pools: dict[str, urllib3.HTTPConnectionPool] = field(default_factory=dict)
+    calls: list[KeyedCall] = field(default_factory=list)
+    pools: dict[tuple[str, str | None], urllib3.HTTPConnectionPool] = field(default_factory=dict)
 
     def call(
         self, addresses: Sequence[str], daemon: int, method: str, job: str, key: str | None,
@@ -187,8 +187,11 @@
     ) -> int:  # fmt: skip
         """Send a request, record it and return its status, 0 without a response."""
         address = addresses[daemon]
-        if address not in self.pools:
-            self.pools[address] = urllib3.connection_from_url(f"http://{address}", maxsize=1)
+        pool = self.pools.get((address, key))
+        if pool is None:
+            pool = self.pools[address, key] = urllib3.connection_from_url(
+                f"http://{address}", maxsize=1
+            )
         headers = {"Host": HOST_HEADER, "Content-Type": "application/json"}
         if key is not None:
             headers["Authorization"] = f"Bearer {key}"
@@ -196,9 +199,9 @@
         content = msgspec.json.encode(body) if body is not None else None
         sent_at = time.monotonic()
         try:
-            status = self.pools[address].urlopen(
+            status = pool.urlopen(
                 method, path, content, headers, retries=False, timeout=CALL_TIMEOUT_S
-            ).status  # fmt: skip
+            ).status
         except urllib3.exceptions.HTTPError:
             status = 0
         answered_at = time.monotonic()
@@ -212,7 +215,7 @@
     def __init__(self, addresses: Sequence[str], seed: int) -> None:
         self._addresses = addresses
         self._stopped = threading.Event()
-        self.client = KeyedClient([])
+        self.client = KeyedClient()
         self._thread = threading.Thread(target=self._run, args=(random.Random(seed),))
 
     def start(self) -> None:
@@ -305,14 +308,6 @@
         yield Breach("an account stays within its cap", violation)
 
 
-def summarize(clients: Iterable[KeyedClient], written: Sequence[WrittenManifest]) -> str:
-    """Return the counts that show that the run reached what it is to check."""
-    pools = [pool for client in clients for pool in client.pools.values()]
-    requests = sum(pool.num_requests for pool in pools)
-    connections = sum(pool.num_connections for pool in pools)
-    return f"{len(written)} manifests, {requests} requests on {connections} connections"
-
-
 def count_statuses(calls: Iterable[KeyedCall]) -> dict[int, int]:
     """Return how many calls were answered with each status."""
     return dict(Counter(call.status for call in calls))
--- a/soak/jobs.py
+++ b/soak/jobs.py
@@ -41,7 +41,6 @@
     find_accounts,
     generate_steps,
     has_accounts,
-    summarize,
 )
 from soak.calllog import Breach
 from soak.jobfleet import DAEMONS, JobFault, JobFleet, ScheduledFault
@@ -146,7 +145,7 @@
 
     def _call(self, rng: random.Random, method: str, job: str, body: Any = None) -> int:
         if not hasattr(self._local, "client"):
-            self._local.client = KeyedClient([])
+            self._local.client = KeyedClient()
             self.clients.append(self._local.client)
         if job not in self._keys:
             self._keys[job] = choose_key(rng)
@@ -249,8 +248,7 @@
             *_check_accounts(fleet, callers, probe),
         ]
         fleet.close()
-    clients = [*callers.clients, probe.client]
-    text = f"{summarize(clients, written)}, probes {count_statuses(probe.client.calls)}"
+    text = f"{len(written)} manifests, probes {count_statuses(probe.client.calls)}"
     return found, f"{_summarize(seed, fleet, callers, found)}, {text}"
 
 
