--- a/soak/accounts.py
+++ b/soak/accounts.py
@@ -55,6 +55,8 @@
 PROBED_ORDER = {"spec": "1", "steps": [{"replicas": 1, "cpu": 500, "requires": "none"}]}
 FIRST_ERROR_STATUS = 400
 DENIED_STATUSES = (401, 403)
+MISSING_STATUSES = (404, 410)
+ACCEPTED_STATUS = 200
 
 
 @dataclass(frozen=True)
@@ -274,6 +276,16 @@
             yield Breach("a valid key is not denied", str(call))
 
 
+def check_found(calls: Iterable[KeyedCall]) -> Iterator[Breach]:
+    """Yield queries, sent after a job was accepted, that were told that it does not exist."""
+    accepted: set[str] = set()
+    for call in sorted(calls, key=lambda each: each.answered_at):
+        if call.method == "POST" and call.status == ACCEPTED_STATUS:
+            accepted.add(call.job)
+        elif call.method == "GET" and call.job in accepted and call.status in MISSING_STATUSES:
+            yield Breach("an accepted job is found", str(call))
+
+
 def find_accounts(calls: Iterable[KeyedCall], written: Sequence[WrittenManifest]) -> dict[str, str]:
     """Return the accounts of jobs, without jobs that may belong to either of several accounts.
 
--- a/soak/jobs.py
+++ b/soak/jobs.py
@@ -35,6 +35,7 @@
     KeyProbe,
     ManifestStep,
     check_caps,
+    check_found,
     check_keys,
     choose_key,
     count_statuses,
@@ -256,6 +257,7 @@
     written = fleet.manifests.written
     calls: list[KeyedCall] = [call for client in callers.clients for call in client.calls]
     yield from check_keys([*calls, *probe.client.calls], written)
+    yield from check_found(probe.client.calls)
     orders = {job: submitted.order for job, submitted in callers.jobs.items()}
     history = [
         start
