--- a/soak/accounts.py
+++ b/soak/accounts.py
@@ -48,6 +48,8 @@
 # Caps in thousandths of a core: the callers of one account need about 4000.
 CAPS_CPU = (1500, 2000, 3000, 4000)
 CAP_AFTER_CPU = 16_000
+# Longest time from a write to the end of its outage: past both time limits.
+MAX_OUTAGE_S = 5.0
 CALL_TIMEOUT_S = 5.0
 PROBE_INTERVAL_S = 0.02
 PROBED_JOB = "f" * 16
@@ -114,17 +116,23 @@
 def _generate_phase(rng: random.Random, keys: dict[str, str], daemons: int) -> list[ManifestStep]:
     for key in rng.sample(sorted(keys), min(len(keys) - 1, rng.randint(1, 3))):
         del keys[key]
-    cut_off = tuple(rng.sample(range(daemons), rng.choice((0, 1, 2, daemons, daemons))))
-    mode = rng.choice((Mode.RESET, Mode.SILENT, Mode.ONE_WAY))
-    times = (round(rng.uniform(0.0, 1.5), 2), round(rng.uniform(0.5, 2.5 * REVOKE_S), 2))
-    withdrawal = ManifestStep(dict(keys), _random_caps(rng), mode, cut_off, *times)
+    withdrawal = _make_step(rng, keys, rng.choice((0, 1, 2, daemons, daemons)), daemons)
     absent = [key for key in KEYS if key not in keys]
     keys.update((key, rng.choice(ACCOUNTS)) for key in rng.sample(absent, rng.randint(1, 3)))
     keys[rng.choice(sorted(keys))] = rng.choice(ACCOUNTS)
-    addition = ManifestStep(dict(keys), _random_caps(rng), after_s=round(rng.uniform(0.5, 4.0), 2))
+    addition = _make_step(rng, keys, rng.choice((0, 0, 1, 2)), daemons)
     return [withdrawal, addition]
 
 
+def _make_step(
+    rng: random.Random, keys: dict[str, str], cut_off: int, daemons: int
+) -> ManifestStep:
+    mode = rng.choice((Mode.RESET, Mode.SILENT, Mode.ONE_WAY))
+    before_s, after_s = round(rng.uniform(0.0, 1.5), 2), round(rng.uniform(0.5, MAX_OUTAGE_S), 2)
+    numbers = tuple(rng.sample(range(daemons), cut_off))
+    return ManifestStep(dict(keys), _random_caps(rng), mode, numbers, before_s, after_s)
+
+
 def _random_caps(rng: random.Random) -> dict[str, int]:
     return {account: rng.choice(CAPS_CPU) for account in ACCOUNTS}
 
