--- a/soak/accounts.py
+++ b/soak/accounts.py
@@ -118,7 +118,8 @@
         del keys[key]
     withdrawal = _make_step(rng, keys, rng.choice((0, 1, 2, daemons, daemons)), daemons)
     absent = [key for key in KEYS if key not in keys]
-    keys.update((key, rng.choice(ACCOUNTS)) for key in rng.sample(absent, rng.randint(1, 3)))
+    added = rng.sample(absent, min(len(absent), rng.randint(1, 3)))
+    keys.update((key, rng.choice(ACCOUNTS)) for key in added)
     keys[rng.choice(sorted(keys))] = rng.choice(ACCOUNTS)
     addition = _make_step(rng, keys, rng.choice((0, 0, 1, 2)), daemons)
     return [withdrawal, addition]
