--- a/soak/accounts.py
+++ b/soak/accounts.py
@@ -230,7 +230,13 @@
         self._thread = threading.Thread(target=self._run, args=(random.Random(seed),))
 
     def start(self) -> None:
-        """Start the thread."""
+        """Submit the job that is queried, before any fault, and start the thread."""
+        # Nothing but an accepted job is answered with success; this one never starts.
+        status = self.client.call(
+            self._addresses, 0, "POST", PROBED_JOB, PERMANENT_KEY, False, PROBED_ORDER
+        )
+        if status != ACCEPTED_STATUS:
+            raise RuntimeError(f"the job that is queried was answered with {status}")
         self._thread.start()
 
     def stop(self) -> None:
@@ -239,8 +245,6 @@
         self._thread.join()
 
     def _run(self, rng: random.Random) -> None:
-        # Nothing but an accepted job is answered with success; this one never ends.
-        self.client.call(self._addresses, 0, "POST", PROBED_JOB, PERMANENT_KEY, False, PROBED_ORDER)
         while not self._stopped.wait(PROBE_INTERVAL_S):
             key = rng.choice((*KEYS, *UNKNOWN_KEYS))
             public = rng.random() < PUBLIC_SHARE
--- a/soak/jobs.py
+++ b/soak/jobs.py
@@ -233,9 +233,9 @@
         fleet = JobFleet(cluster, seed)
         fleet.start(first)
         callers = KeyedCallers(fleet, seed)
-        callers.start()
         probe = KeyProbe(fleet.caller_addresses(), seed)
         probe.start()
+        callers.start()
         for faults, phase_steps in zip(generate_phases(seed, phases), steps, strict=True):
             _run_phase(fleet, faults, phase_steps)
         callers.stop()
