job: name the jobs with uncommitted changes apart from jobs without stored rows

Cause: Workload._unstored held jobs with changes to commit, Job.unstored marks a job that has no rows yet; both names stood in one method.

Change: the set is called _uncommitted. No change of behaviour.

--- a/gypsumplank/coordination/job/workload.py
+++ b/gypsumplank/coordination/job/workload.py
@@ -86,7 +86,7 @@
         self.postponed: dict[str, JobRows] = {}
         self._postponed_at = 0.0
         self._numbers = count()
-        self._unstored: set[Job] = set()
+        self._uncommitted: set[Job] = set()
         self._followers: list[JobChanges] = []
         # Version of the store up to which this leader knows the cancellations of submissions; None
         # if there are no submissions.
@@ -101,7 +101,7 @@
         return changes
 
     def _note_change(self, job: Job) -> None:
-        self._unstored.add(job)
+        self._uncommitted.add(job)
         for changes in self._followers:
             changes.add(job)
 
@@ -236,7 +236,7 @@
 
     def updates(self, held_back: Collection[str] = ()) -> Iterator[JobUpdate]:
         """Yield the changes to commit, one update per job; none for jobs that are held back."""
-        for job in in_order(self._unstored):
+        for job in in_order(self._uncommitted):
             if job.id in held_back or self._may_be_cancelled(job):
                 continue
             update = (
@@ -245,11 +245,11 @@
             if update is not None:
                 yield update
             else:
-                self._unstored.discard(job)
+                self._uncommitted.discard(job)
 
     def are_steps_stored(self) -> bool:
         """Return whether the changes of all steps are stored."""
-        return not any(step.dirty for job in self._unstored for step in job.steps.values())
+        return not any(step.dirty for job in self._uncommitted for step in job.steps.values())
 
     def _may_be_cancelled(self, job: Job) -> bool:
         """Return whether a job that ended may have been cancelled before it was first stored.
@@ -279,7 +279,7 @@
                 step.record_removed = written[step.key].value is None
         if any(write.table == TABLE_ORDERS and write.value is None for write in update.writes):
             self.jobs.pop(job.id, None)
-            self._unstored.discard(job)
+            self._uncommitted.discard(job)
             self.ended_at[job.id] = now
 
     def expired(self, before: float, limit: int = MAX_TXN_ENTRIES) -> Sequence[str]:
