--- a/gypsumplank/coordination/job/accountshare.py
+++ b/gypsumplank/coordination/job/accountshare.py
@@ -1,7 +1,7 @@
 """Order the pending steps of client accounts, like coordination/fairness.py orders teams.
 
-Answers an account that submits many times what it is owed while capacity is short: what lies beyond
-its weight comes after what the others are owed, and may use what these leave free.
+Answers an account that submits many times its weight while capacity is short: what lies beyond its
+weight comes after what the others are guaranteed, and may use what these leave free.
 """
 
 import heapq
@@ -33,7 +33,7 @@
 STARTS_PER_EXCESS_START = 100
 # Jobs that an account may have had in advance, as excess jobs that came first.
 MAX_DEBT = 10.0
-# Time for which the starts that are owed find free capacity, seconds, as excess jobs leave it to
+# Time for which the guaranteed starts find free capacity, seconds, as excess jobs leave it to
 # them, and the time over which their rate is measured.
 RESERVE_S = 0.15
 RATE_WINDOW_S = 1.0
@@ -58,7 +58,7 @@
     def take(
         self, account: str, weight: float, accepted_ms: float, now_ms: float = math.inf
     ) -> bool:
-        """Return whether an account is owed a job; jobs come about in the order of their times.
+        """Return whether a job lies within an account's weight; jobs come about in time order.
 
         Daemons' clocks differ, so a time before the last one counts as that, and one after
         `now_ms` as that; else a clock that was ahead for one job would stop the account's tokens.
@@ -69,13 +69,13 @@
         last_ms = min(last_ms, now_ms)
         elapsed_s = max(0.0, accepted_ms - last_ms) / MS_PER_S
         tokens = min(capacity, tokens + elapsed_s * weight)
-        is_owed = weight > 0 and tokens >= 1
-        tokens -= 1 if is_owed else 0
+        is_guaranteed = weight > 0 and tokens >= 1
+        tokens -= 1 if is_guaranteed else 0
         self._buckets[account] = tokens, max(last_ms, accepted_ms)
-        return is_owed
+        return is_guaranteed
 
     def charge(self, account: str) -> None:
-        """Take a token for an excess job that starts before owed ones of others.
+        """Take a token for an excess job that starts before guaranteed ones of others.
 
         One of the account's next jobs is excess in its place, so that the others lose nothing.
         """
@@ -87,7 +87,7 @@
 def mark_excess(
     jobs: Iterable[Job], known: KnownAccounts, buckets: TokenBuckets, now_ms: float
 ) -> None:
-    """Mark the new jobs that their accounts are not owed; `now_ms` is since 1970."""
+    """Mark the new jobs that their accounts are not guaranteed; `now_ms` is since 1970."""
     for job in sorted(jobs, key=lambda each: (each.stored.accepted_ms, each.id)):
         account = known.find(job.stored.account)
         if account is not None:
@@ -146,7 +146,7 @@
 
 
 class StartReserve:
-    """Measure what owed starts take a second, so that excess jobs leave it free for the next ones.
+    """Measure what guaranteed starts take a second, so that excess jobs leave it to the next ones.
 
     What an account starts itself does not count for its own excess jobs.
     """
@@ -155,7 +155,7 @@
         self._sums: dict[Party, tuple[float, list[float]]] = {}
 
     def record_start(self, service: str, account: str, need: Resources, now: float) -> None:
-        """Count tasks that were started and are owed."""
+        """Count tasks that were started within their accounts' weights."""
         amounts = (need.cpu, need.memory_mb, need.accelerators)
         for party in ((service, ALL_ACCOUNTS), (service, account)):
             sums = zip(self._decayed(party, now), amounts, strict=True)
@@ -255,7 +255,7 @@
         return (False, band, queue_priority, share, priority, 0, deadline)
 
     def _is_passed_over(self, pending: PendingStep, deadline: float) -> bool:
-        """Return whether a step that is owed has waited for as long as its share may delay it."""
+        """Return whether a guaranteed step has waited for as long as its share may delay it."""
         since = min(task.queued_since for task in pending.tasks)
         limit_s = min(MAX_PASSED_OVER_S, MAX_SLACK_SHARE * (deadline - since))
         return not pending.job.is_excess and self._now - since > limit_s
--- a/gypsumplank/coordination/job/model.py
+++ b/gypsumplank/coordination/job/model.py
@@ -272,7 +272,7 @@
     store at which it got them. `number` is the job's place in the order in which this leader read
     all jobs, and `on_change` is called after each change of its state or of its tasks.
     `hold_causes` are the causes logged for which its account held it back, `is_held` is set while
-    it does because of its cap. `is_excess` marks a job beyond what its account is owed.
+    it does because of its cap. `is_excess` marks a job beyond its account's weight.
     """
 
     stored: StoredJob
