--- a/gypsumplank/composition/platform.py
+++ b/gypsumplank/composition/platform.py
@@ -175,58 +175,17 @@
 
     def _make_scheduler(self) -> None:
         settings = self._settings
+        store_clock = self._fleet_rows.clock_range
         leases = LeaseManager(
             LeaseStore(self._fleet_rows),
             self._clock,
             settings.daemon,
             LEASE_DURATION_S,
             LEASE_MARGIN_SHARE,
-            self._fleet_rows.clock_range,
-        )
-        advisor = (
-            HttpAdvisor(Client(settings.advisor_address, ADVICE_TIMEOUT_S, 1))
-            if settings.advisor_address
-            else None
-        )
-        job_store = JobStore(self._fleet_rows, settings.max_row_bytes)
-        store_clock = self._fleet_rows.clock_range
-        ports = PlatformPorts(
-            job_store,
-            self._fleet_rows,
-            self._directory,
-            HttpWorkers(self._clock, int(settings.max_descriptors * WORKER_DESCRIPTOR_SHARE)),
-            leases,
-            advisor,
             store_clock,
-            LeaseStore(self._peer_table),
-            (
-                IntakePorts(IntakeStore(self._partitions, settings.max_row_bytes), self._partitions)
-                if self._has_intake
-                else None
-            ),
-        )
-        machine_client = HttpMachines(
-            Client(
-                settings.machine_api_address, MACHINE_SERVICE_TIMEOUT_S, MACHINE_SERVICE_CONNECTIONS
-            )
-        )
-        machine_controller = MachineController(
-            machine_client,
-            settings.daemon,
-            lambda: self._settings.lease_handover_s,
-            lambda: leases.fence(SCHEDULER_LEASE) is not None,
-            lambda work: self._leader.post(work),  # noqa: PLW0108
-            MachineOrderLog(self._independent_rows, store_clock),
-        )
-        maintenance = MachineManager(
-            machine_controller,
-            MaintenancePlanner(self._directory, machine_controller),
-            PoolScaler(machine_controller, JobStore(self._independent_rows)),
         )
         limits = AccountLimits(
-            self._manifest_watch.age_s,
-            settings.config_apply_s,
-            settings.quota_overage,
+            self._manifest_watch.age_s, settings.config_apply_s, settings.quota_overage
         )
         accounts = Accounts(lambda: self._manifest_watch.current, limits)
         self._pressure_publisher = PressurePublisher(self._independent_rows, store_clock)
@@ -238,11 +197,11 @@
             random.Random(),
         )
         self._leader = SchedulerLeader(
-            ports,
+            self._make_ports(leases),
             self._clock,
             lambda: self._manifest_watch.current,
             lambda: min(MAX_TASK_LEASE_S, self._settings.max_lease_s),
-            maintenance,
+            self._make_machine_manager(leases),
             heartbeat_s=settings.heartbeat_s,
             candidates=self._daemon_registry,
             status_s=settings.status_s,
@@ -254,6 +213,49 @@
             self._metrics, lambda: accounts.statuses() if self._leader.is_leader else ()
         )
 
+    def _make_ports(self, leases: LeaseManager) -> PlatformPorts:
+        settings = self._settings
+        advisor = (
+            HttpAdvisor(Client(settings.advisor_address, ADVICE_TIMEOUT_S, 1))
+            if settings.advisor_address
+            else None
+        )
+        intake = IntakePorts(
+            IntakeStore(self._partitions, settings.max_row_bytes), self._partitions
+        )
+        return PlatformPorts(
+            JobStore(self._fleet_rows, settings.max_row_bytes),
+            self._fleet_rows,
+            self._directory,
+            HttpWorkers(self._clock, int(settings.max_descriptors * WORKER_DESCRIPTOR_SHARE)),
+            leases,
+            advisor,
+            self._fleet_rows.clock_range,
+            LeaseStore(self._peer_table),
+            intake if self._has_intake else None,
+        )
+
+    def _make_machine_manager(self, leases: LeaseManager) -> MachineManager:
+        settings = self._settings
+        machine_client = HttpMachines(
+            Client(
+                settings.machine_api_address, MACHINE_SERVICE_TIMEOUT_S, MACHINE_SERVICE_CONNECTIONS
+            )
+        )
+        controller = MachineController(
+            machine_client,
+            settings.daemon,
+            lambda: self._settings.lease_handover_s,
+            lambda: leases.fence(SCHEDULER_LEASE) is not None,
+            lambda work: self._leader.post(work),  # noqa: PLW0108
+            MachineOrderLog(self._independent_rows, self._fleet_rows.clock_range),
+        )
+        return MachineManager(
+            controller,
+            MaintenancePlanner(self._directory, controller),
+            PoolScaler(controller, JobStore(self._independent_rows)),
+        )
+
     def _make_listeners(self) -> None:
         settings = self._settings
         job_store = JobStore(self._relay_table, settings.max_row_bytes)
