job: move the hand-over of the lease out of the leader

Change: LeaseHandover holds when the lease is left or handed over to another daemon; three tests set its candidates there. No change of behaviour.

--- a/gypsumplank/coordination/job/leader.py
+++ b/gypsumplank/coordination/job/leader.py
@@ -6,9 +6,10 @@
 
 from gypsumplank.coordination.job.accounts import Accounts
 from gypsumplank.coordination.job.commit import JobCommitter
-from gypsumplank.coordination.job.contact import HOLDER_RENEWAL_GRACE_S, StoreContact
+from gypsumplank.coordination.job.contact import StoreContact
 from gypsumplank.coordination.job.cutoff import CutOffDetector
 from gypsumplank.coordination.job.fleet import EXTENSION_GRACE_S
+from gypsumplank.coordination.job.handover import LeaseHandover
 from gypsumplank.coordination.job.inbox import Inbox
 from gypsumplank.coordination.job.intake import JobIntake
 from gypsumplank.coordination.job.knownqueue import KnownQueues
@@ -54,9 +55,6 @@
 # Longest wait for the hand-over at a stop, seconds; if it takes longer, another daemon takes the
 # lease once it has expired.
 CLOSE_TIMEOUT_S = 0.5
-# Minimum time between hand-overs of the lease to a faster daemon, seconds; equals
-# LIVENESS_TIMEOUT_S in registry.py, for which a daemon that exited may still count as live.
-MIN_YIELD_INTERVAL_S = 10.0
 # Longest time between rounds, seconds; bounds the delay of timers.
 MAX_ROUND_INTERVAL_S = 0.2
 
@@ -86,7 +84,6 @@
     ) -> None:
         self._measure_load = measure_load
         self._timings = timings or LeaderTimings()
-        self._candidates = candidates or NoCandidates()
         self._heartbeat_s = heartbeat_s
         self._ports = ports
         self._term_factory = term_factory or ThreadedTermFactory(ports, clock, max_lease_s)
@@ -115,7 +112,7 @@
         self._next_lease_check_at = 0.0
         self._must_renew = False
         self._contact = StoreContact(clock)
-        self._next_yield_at = 0.0
+        self._handover = LeaseHandover(clock, candidates or NoCandidates(), self._contact)
         self._round_ended_at: float | None = None
 
     @property
@@ -183,7 +180,7 @@
         self._next_lease_check_at = self._clock.monotonic() + LEASE_CHECK_INTERVAL_S
         self._suspension_log.check()
         if self._term is not None and leases.fence(SCHEDULER_LEASE) is not None:
-            if self._should_yield():
+            if self._handover.should_yield():
                 self._resign("yield")
                 leases.close()
                 return
@@ -191,7 +188,7 @@
                 return
             self._next_lease_check_at = self._clock.monotonic() + LEASE_CHECK_INTERVAL_S
         try:
-            leases.tick([SCHEDULER_LEASE], (), self._takeover_delay_s())
+            leases.tick([SCHEDULER_LEASE], (), self._handover.takeover_delay_s())
         except StateError as exc:
             self._contact.record(exc)
             return
@@ -202,21 +199,6 @@
         if self._term is None and epoch is not None and leases.fence(SCHEDULER_LEASE) is not None:
             self._take_over(epoch)
 
-    def _should_yield(self) -> bool:
-        """Return whether to hand the lease over to a faster daemon now."""
-        now = self._clock.monotonic()
-        may_yield = now >= self._next_yield_at and not self._contact.is_lost
-        if not (may_yield and self._candidates.any_faster()):
-            return False
-        self._next_yield_at = now + MIN_YIELD_INTERVAL_S
-        return True
-
-    def _takeover_delay_s(self) -> float:
-        """Return for how long a free lease is left to others, in seconds; may be infinite."""
-        grace_s = HOLDER_RENEWAL_GRACE_S if self._contact.is_renewal_expected else 0.0
-        # The delays add up, so that after an outage faster daemons still come first.
-        return self._candidates.takeover_delay_s() + grace_s
-
     def _take_over(self, epoch: int) -> None:
         if self._manifest() is None:
             return
@@ -252,7 +234,7 @@
         term.follow_submissions(self._ports.intake, self._clock, fence.version, post)
         self._term, now = term, self._clock.monotonic()
         self._round_ended_at = None
-        self._next_yield_at = max(self._next_yield_at, now + LEASE_CHECK_INTERVAL_S)
+        self._handover.begin_term(now + LEASE_CHECK_INTERVAL_S)
         self._machine_manager.start_term(epoch, now)
         event(
             logger,
--- a/tests/coordination/job/test_leader.py
+++ b/tests/coordination/job/test_leader.py
@@ -371,7 +371,7 @@
     cluster.run(1.0)
     slow = cluster.leader()
     (fast,) = (daemon for daemon in cluster.daemons if daemon is not slow)
-    slow.scheduler_leader._candidates = FasterCandidates()
+    slow.scheduler_leader._handover._candidates = FasterCandidates()
     cluster.run(2.0)
     assert cluster.leader() is fast
     assert not slow.scheduler_leader.is_leader
@@ -383,7 +383,7 @@
     old_leader = cluster.leader()
     slow, fast = (daemon for daemon in cluster.daemons if daemon is not old_leader)
     cluster.daemons.sort(key=lambda daemon: daemon is fast)
-    slow.scheduler_leader._candidates = FasterCandidates()
+    slow.scheduler_leader._handover._candidates = FasterCandidates()
     run_outage(cluster, 1.0)
     old_leader.suspended = True
     run_outage(cluster, 3.0)
@@ -400,7 +400,7 @@
     slow = cluster.leader()
     for daemon in cluster.daemons:
         daemon.suspended = daemon is not slow
-    slow.scheduler_leader._candidates = FasterCandidates()
+    slow.scheduler_leader._handover._candidates = FasterCandidates()
     cluster.run(4.0)
     assert slow.scheduler_leader.is_leader
     epoch = slow.leases.epoch("scheduler")
