job: ignore changes of a job that was removed

The change that this noted put the job back among those with uncommitted changes, so that a round wrote rows for it again.

Change: a removed job reports no changes.

--- a/gypsumplank/coordination/job/workload.py
+++ b/gypsumplank/coordination/job/workload.py
@@ -279,6 +279,8 @@
                 step.record_removed = written[step.key].value is None
         if any(write.table == TABLE_ORDERS and write.value is None for write in update.writes):
             self.jobs.pop(job.id, None)
+            # Others may still hold the job; what they change must not be committed any more.
+            job.on_change = None
             self._uncommitted.discard(job)
             self.ended_at[job.id] = now
 
--- a/tests/coordination/job/test_workload.py
+++ b/tests/coordination/job/test_workload.py
@@ -73,3 +73,14 @@
     changes = workload.follow()
     JobIntake(JobStore(table), ManualClock()).recheck_states(workload, [job])
     assert (job.state, changes.take()) == (JobState.FAILED, [job])
+
+
+def test_changes_of_a_job_that_was_removed_are_not_committed():
+    """Guard against rows that are written again for a job that is over, which others still hold."""
+    workload = completed_workload(1)
+    (job,) = workload.jobs.values()
+    (update,) = workload.updates()
+    workload.mark_stored(job, update, 2, 0.0)
+    assert not workload.jobs
+    job.note_change()
+    assert not list(workload.updates())
