--- a/gypsumplank/coordination/job/disturbance.py
+++ b/gypsumplank/coordination/job/disturbance.py
@@ -33,8 +33,8 @@
 MIN_PAIRED_TASKS = 2
 # Tasks on either side, below which different tasks are not compared.
 MIN_SIDE_TASKS = 4
-# Margin of an estimate above MIN_EFFECT, in standard errors. With 3, pairs were recognised minutes
-# later; the wait for a second estimate (CONFIRMATIONS) makes up for the smaller margin.
+# Margin of an estimate above MIN_EFFECT, in standard errors. The wait for a second estimate
+# (CONFIRMATIONS) makes up for a margin this small.
 MARGIN_ERRORS = 2.0
 # Ratio of the standard deviation to the median absolute deviation of normally distributed values.
 MAD_TO_DEVIATION = 1.4826
--- a/gypsumplank/state/intake.py
+++ b/gypsumplank/state/intake.py
@@ -24,7 +24,7 @@
 
 TABLE_INTAKE = "intake"
 # Of 600 submissions in 2 s at 88 times the usual 6 ms, 64 partitions can finish at most 82% in the
-# callers' 3 s; the replay accepts 0.675 with 64, 0.863 with 96 and 0.940 with 128.
+# callers' 3 s.
 PARTITION_COUNT = 128
 # Partitions that are read concurrently; at a store where a call takes 0.5 s all take 4 s.
 READ_THREADS = 16
