--- a/gypsumplank/coordination/job/manifestcheck.py
+++ b/gypsumplank/coordination/job/manifestcheck.py
@@ -11,7 +11,7 @@
 from gypsumplank.coordination.job.identity import build_key_table
 from gypsumplank.protocol.account import Account, hash_key
 from gypsumplank.protocol.job import Resources
-from gypsumplank.protocol.manifestdraft import DraftEntry, ManifestDraft
+from gypsumplank.protocol.manifestdraft import DocumentNames, DraftEntry, ManifestDraft
 from gypsumplank.protocol.queue import Manifest, Queue
 
 # What a cap is compared with: a job of one second on one core. Jobs state their memory and
@@ -103,7 +103,7 @@
     by_target = {(entry.value.host, entry.value.prefix): entry.value for entry in draft.routes}
     for entry in draft.routes:
         queue = entry.value
-        if queue.service not in listed and _is_whole(draft, "services"):
+        if queue.service not in listed and _is_whole(draft, draft.names.services):
             text = f"service {queue.service} is not listed"
             yield _error("service-unlisted", f"{entry.path}.service", text)
         earlier = first.setdefault((queue.host, queue.prefix), queue)
@@ -112,7 +112,7 @@
             yield _error("route-unreachable", f"{entry.path}.prefix", text)
         else:
             yield from _check_match(entry, by_target)
-        yield from _check_objective(entry)
+        yield from _check_objective(entry, draft.names)
 
 
 def _check_match(
@@ -136,12 +136,12 @@
         yield _warning("route-shadowed", path, text)
 
 
-def _check_objective(entry: DraftEntry[Queue]) -> Iterator[Finding]:
+def _check_objective(entry: DraftEntry[Queue], names: DocumentNames) -> Iterator[Finding]:
     queue = entry.value
     if queue.max_attempts is not None and queue.max_attempts < 1:
         text = f"{queue.max_attempts} is below 1, which the daemons use instead"
-        yield _error("value-contradictory", f"{entry.path}.max-attempts", text)
-    for name, value in (("stretch", queue.stretch), ("slo-ms", queue.objective_ms)):
+        yield _error("value-contradictory", f"{entry.path}.{names.max_attempts}", text)
+    for name, value in (("stretch", queue.stretch), (names.objective, queue.objective_ms)):
         if value < 0:
             text = "is below 0: jobs would be late when they are accepted"
             yield _error("value-contradictory", f"{entry.path}.{name}", text)
@@ -162,20 +162,20 @@
 def _check_accounts(draft: ManifestDraft) -> Iterator[Finding]:
     if draft.accounts is None:
         return
-    if not draft.accounts and _is_whole(draft, "tenants"):
-        yield _warning("accounts-empty", "tenants", "an empty list: no key is valid")
+    if not draft.accounts and _is_whole(draft, draft.names.accounts):
+        yield _warning("accounts-empty", draft.names.accounts, "an empty list: no key is valid")
     elif (
         draft.routes
-        and _is_whole(draft, "routes")
+        and _is_whole(draft, draft.names.routes)
         and all(entry.value.public for entry in draft.routes)
     ):
         text = "all routes are public: no call needs a key, though accounts are listed"
-        yield _warning("routes-all-public", "routes", text)
+        yield _warning("routes-all-public", draft.names.routes, text)
     for entry in draft.accounts:
         account = entry.value
         if not account.key_digests:
             text = f"account {account.name} has no keys: no call can use it"
-            yield _warning("account-without-keys", f"{entry.path}.api-keys", text)
+            yield _warning("account-without-keys", f"{entry.path}.{draft.names.keys}", text)
         elif not account.weight:
             text = f"account {account.name} has keys and weight 0: all of its jobs are excess"
             yield _warning("weight-zero", f"{entry.path}.weight", text)
@@ -204,13 +204,13 @@
     for entry in draft.accounts or ():
         if EMPTY_KEY in entry.value.key_digests:
             text = f"account {entry.value.name} lists an empty key"
-            yield _error("key-empty", f"{entry.path}.api-keys", text)
+            yield _error("key-empty", f"{entry.path}.{draft.names.keys}", text)
     for shared in build_key_table(Manifest(0, accounts=accounts)).shared:
         text = (
             f"accounts {shared.account} and {shared.other} list {shared.keys} of the same keys, "
             f"which belong to {shared.account}"
         )
-        yield _error("key-shared", f"{paths[shared.other]}.api-keys", text)
+        yield _error("key-shared", f"{paths[shared.other]}.{draft.names.keys}", text)
 
 
 def _check_limits(draft: ManifestDraft) -> Iterator[Finding]:
@@ -222,8 +222,8 @@
     body = DEFAULT_BODY_BYTES if limits.max_body_bytes is None else limits.max_body_bytes
     if header > body:
         text = f"{header} is above {body}, the limit of the body"
-        yield _error("value-contradictory", f"{path}.max-header-bytes", text)
+        yield _error("value-contradictory", f"{path}.{draft.names.max_header_bytes}", text)
     header_ms, idle_ms = limits.header_timeout_ms, limits.idle_timeout_ms
     if header_ms is not None and idle_ms is not None and header_ms > idle_ms:
         text = f"{header_ms} is above {idle_ms}, after which an idle connection is closed"
-        yield _warning("value-contradictory", f"{path}.header-timeout-ms", text)
+        yield _warning("value-contradictory", f"{path}.{draft.names.header_timeout}", text)
--- a/gypsumplank/coordination/job/manifestdiff.py
+++ b/gypsumplank/coordination/job/manifestdiff.py
@@ -11,7 +11,6 @@
 from gypsumplank.protocol.manifestdraft import DraftEntry, ManifestDraft
 
 ABSENT = "-"
-FIELD_KEYS = "api-keys"
 
 
 @dataclass(frozen=True)
@@ -67,7 +66,7 @@
         had, has = old.get(name, frozenset()), new.get(name, frozenset())
         if had != has:
             text = f"{len(has)} ({len(has - had)} added, {len(had - has)} removed)"
-            yield FieldChange(f"account/{name}", FIELD_KEYS, len(had), text)
+            yield FieldChange(f"account/{name}", after.names.keys, len(had), text)
 
 
 def _keys(draft: ManifestDraft) -> dict[str, frozenset[bytes]]:
--- a/gypsumplank/platform/manifestdraft.py
+++ b/gypsumplank/platform/manifestdraft.py
@@ -23,7 +23,13 @@
     decode_queue,
 )
 from gypsumplank.protocol.decoder import Int, convert, decode_any_json
-from gypsumplank.protocol.manifestdraft import DraftEntry, DraftFault, DraftLimits, ManifestDraft
+from gypsumplank.protocol.manifestdraft import (
+    DocumentNames,
+    DraftEntry,
+    DraftFault,
+    DraftLimits,
+    ManifestDraft,
+)
 from gypsumplank.protocol.queue import Queue, ServicePolicy
 
 LIMITS = "limits"
@@ -31,6 +37,16 @@
 SERVICES = "services"
 TENANTS = "tenants"
 API_KEYS = "api-keys"
+NAMES = DocumentNames(
+    ROUTES,
+    SERVICES,
+    TENANTS,
+    API_KEYS,
+    max_attempts="max-attempts",
+    objective="slo-ms",
+    max_header_bytes="max-header-bytes",
+    header_timeout="header-timeout-ms",
+)
 # Separates the text of a fault from its place in the document, in the decoder's messages.
 PLACE_MARK = " - at `$"
 
@@ -76,6 +92,7 @@
             else reader.entries(TENANTS, WireTenant, decode_account)
         ),
         reader.limits(),
+        names=NAMES,
     )
     if all(fault.is_unknown for fault in reader.faults):
         # The daemons' own decoder has the last word.
--- a/gypsumplank/protocol/manifestdraft.py
+++ b/gypsumplank/protocol/manifestdraft.py
@@ -42,6 +42,20 @@
     idle_timeout_ms: int | None = None
 
 
+@dataclass(frozen=True)
+class DocumentNames:
+    """Store the names of the document's sections and fields that findings refer to."""
+
+    routes: str = "routes"
+    services: str = "services"
+    accounts: str = "accounts"
+    keys: str = "keys"
+    max_attempts: str = "max_attempts"
+    objective: str = "objective_ms"
+    max_header_bytes: str = "max_header_bytes"
+    header_timeout: str = "header_timeout_ms"
+
+
 @dataclass(frozen=True)
 class ManifestDraft:
     """Represent a document; `version` is None and entries are missing where they are faulty."""
@@ -52,3 +66,4 @@
     accounts: tuple[DraftEntry[Account], ...] | None = None
     limits: DraftEntry[DraftLimits] = DraftEntry("limits", DraftLimits(), {})
     faults: tuple[DraftFault, ...] = field(default=())
+    names: DocumentNames = DocumentNames()
