tests, soak: no figures on standard output, and a typed error

Cause: a replay printed its figures, and the soak raised a bare RuntimeError.

Change: the prints are gone, the checks stay as they were; the soak raises CallError.

--- a/soak/accounts.py
+++ b/soak/accounts.py
@@ -16,6 +16,7 @@
 import urllib3
 
 from demo.job import HOST_HEADER, PREFIX
+from gypsumplank.errors import CallError
 from gypsumplank.protocol.job import JobDefinition, Resources
 from soak.calllog import Breach
 from soak.proxy import Mode
@@ -236,7 +237,7 @@
             self._addresses, 0, "POST", PROBED_JOB, PERMANENT_KEY, False, PROBED_ORDER
         )
         if status != ACCEPTED_STATUS:
-            raise RuntimeError(f"the job that is queried was answered with {status}")
+            raise CallError(f"the job that is queried was answered with {status}", sent=True)
         self._thread.start()
 
     def stop(self) -> None:
--- a/tests/coordination/job/test_intake_replay.py
+++ b/tests/coordination/job/test_intake_replay.py
@@ -144,7 +144,6 @@
 @pytest.mark.parametrize(("rate", "duration_s", "slowness"), LOADS)
 def test_nine_of_ten_submissions_are_accepted_in_time(rate, duration_s, slowness):
     share, store = replay(rate, duration_s, slowness, with_intake=True)
-    print(f"{rate}/s x{slowness}: accepted {share:.3f}, calls {sum(store.calls.values())}")
     assert FLEET not in store.calls
     assert share >= 0.9
 
@@ -153,6 +152,5 @@
 def test_one_partition_does_not_accept_them(rate, duration_s, slowness):
     """Check that the replay tells the two ways apart."""
     share, store = replay(rate, duration_s, slowness, with_intake=False)
-    print(f"{rate}/s x{slowness}: accepted {share:.3f}, calls {sum(store.calls.values())}")
     assert store.calls[FLEET] >= rate
     assert share < 0.5
