tests: play three seeds at each load of the hot accounts

Cause: the replay of accounts that submit 7.5 times their weight played four of nine combinations of load and seed.

Change: it plays all nine; checks and bounds stay as they were.

--- a/tests/coordination/job/test_accountshare.py
+++ b/tests/coordination/job/test_accountshare.py
@@ -205,12 +205,13 @@
         at += (0.7 + 0.6 * rng.random()) / (WEIGHT * factor)
 
 
-@pytest.mark.parametrize(("load", "seed"), [(0.9, 1), (0.9, 2), (1.0, 1), (1.1, 2)])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("load", [0.9, 1.0, 1.1])
 def test_hot_accounts_leave_the_others_their_time_to_start(load, seed):
-    calm, hot = HotReplay(load, seed, False), HotReplay(load, seed, True)
-    assert len(hot.jobs) > 1.4 * len(calm.jobs)
-    assert len(hot.waits()) >= 0.98 * len(calm.waits())
-    assert statistics.mean(hot.waits()) <= 1.1 * statistics.mean(calm.waits())
+    without, hot = HotReplay(load, seed, False), HotReplay(load, seed, True)
+    assert len(hot.jobs) > 1.4 * len(without.jobs)
+    assert len(hot.waits()) >= 0.98 * len(without.waits())
+    assert statistics.mean(hot.waits()) <= 1.1 * statistics.mean(without.waits())
     served = hot.served()
     assert statistics.mean(served[: ACCOUNTS // 10]) >= 0.8 * statistics.mean(served)
 
