state: move the rows of jobs out of the store of jobs

Change: jobrow.py encodes and decodes rows and groups them into transactions, job.py makes the calls. One test replaces the decoder where it stands now. No change of behaviour.

--- a/bench/days.py
+++ b/bench/days.py
@@ -20,11 +20,11 @@
 from gypsumplank.errors import JobMissingError, StateError
 from gypsumplank.protocol.job import Resources, StepDefinition
 from gypsumplank.protocol.queue import MaintenanceWave
-from gypsumplank.state.job import (
+from gypsumplank.state.job import TABLE_SILENCES
+from gypsumplank.state.jobrow import (
     TABLE_CANCELS,
     TABLE_ORDERS,
     TABLE_PENDING,
-    TABLE_SILENCES,
     TABLE_STATES,
     TABLE_STEPS,
 )
--- a/gypsumplank/coordination/job/adoption.py
+++ b/gypsumplank/coordination/job/adoption.py
@@ -21,7 +21,7 @@
     decode_submission,
     partition_of,
 )
-from gypsumplank.state.job import LoadedJob
+from gypsumplank.state.jobrow import LoadedJob
 from gypsumplank.state.table import Row
 
 # Version that is lower than any in the store: not all submissions are known.
--- a/gypsumplank/coordination/job/commit.py
+++ b/gypsumplank/coordination/job/commit.py
@@ -10,7 +10,8 @@
 from gypsumplank.errors import StateConflictError, StateTooLargeError
 from gypsumplank.log import Event, event
 from gypsumplank.state.clock import Clock
-from gypsumplank.state.job import JobStore, JobUpdate, group_into_txns
+from gypsumplank.state.job import JobStore
+from gypsumplank.state.jobrow import JobUpdate, group_into_txns
 from gypsumplank.state.table import Check
 
 # Refusals of a job's changes after which the job is given up.
--- a/gypsumplank/coordination/job/intake.py
+++ b/gypsumplank/coordination/job/intake.py
@@ -12,7 +12,8 @@
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.job import FINAL_JOB_STATES, JobState
 from gypsumplank.state.clock import Clock
-from gypsumplank.state.job import JobStore, LoadedJob, StateValue, decode_order
+from gypsumplank.state.job import JobStore
+from gypsumplank.state.jobrow import LoadedJob, StateValue, decode_order
 from gypsumplank.state.table import Row
 
 # Unknown jobs that are read one by one after a snapshot; the next snapshot finds the others.
--- a/gypsumplank/coordination/job/model.py
+++ b/gypsumplank/coordination/job/model.py
@@ -14,7 +14,7 @@
     TaskRecord,
 )
 from gypsumplank.protocol.worker import TaskName
-from gypsumplank.state.job import step_key
+from gypsumplank.state.jobrow import step_key
 
 # Time after which a run that goes on counts as started without harm to its worker, seconds.
 SETTLED_RUN_S = 0.25
--- a/gypsumplank/coordination/job/registry.py
+++ b/gypsumplank/coordination/job/registry.py
@@ -13,7 +13,7 @@
 from gypsumplank.protocol.decoder import Count
 from gypsumplank.settings import check_host_address
 from gypsumplank.state.clock import Clock
-from gypsumplank.state.job import decode
+from gypsumplank.state.jobrow import decode
 from gypsumplank.state.row import RowDecoder
 from gypsumplank.state.table import Row, Table, Txn, Write, scan_all
 
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -38,7 +38,7 @@
     WorkerEntry,
 )
 from gypsumplank.state.clock import Clock
-from gypsumplank.state.job import JobRows, LoadedJob, in_chunks
+from gypsumplank.state.jobrow import JobRows, LoadedJob, in_chunks
 
 # Age of a worker's entry up to which its capacity is relied on if the worker does not check it, in
 # heartbeats; the platform allows three.
--- a/gypsumplank/coordination/job/watch.py
+++ b/gypsumplank/coordination/job/watch.py
@@ -11,7 +11,8 @@
 from gypsumplank.protocol.worker import WorkerEntry
 from gypsumplank.state.clock import Clock
 from gypsumplank.state.feed import ChangeFeed
-from gypsumplank.state.job import TABLE_ORDERS, JobStore
+from gypsumplank.state.job import JobStore
+from gypsumplank.state.jobrow import TABLE_ORDERS
 from gypsumplank.state.table import Row
 
 # Interval between full reads of worker entries, pending jobs and cancellations, seconds.
--- a/gypsumplank/coordination/job/workload.py
+++ b/gypsumplank/coordination/job/workload.py
@@ -15,7 +15,7 @@
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.job import FINAL_JOB_STATES, JobState, TaskPhase
 from gypsumplank.protocol.worker import TaskName
-from gypsumplank.state.job import (
+from gypsumplank.state.jobrow import (
     MAX_TXN_ENTRIES,
     TABLE_CANCELS,
     TABLE_ORDERS,
--- a/gypsumplank/platform/settings.py
+++ b/gypsumplank/platform/settings.py
@@ -11,7 +11,7 @@
 from gypsumplank.errors import EntryInvalidError, Fault, SettingsError
 from gypsumplank.protocol.decoder import Count, NonNegativeFloat, PositiveInt, decode_json
 from gypsumplank.settings import check_address
-from gypsumplank.state.job import DEFAULT_MAX_ROW_BYTES
+from gypsumplank.state.jobrow import DEFAULT_MAX_ROW_BYTES
 
 ENV_SETTINGS_PATH = "GYPSUMPLANK_BOOT"
 MS_PER_S = 1000.0
--- a/gypsumplank/state/intake.py
+++ b/gypsumplank/state/intake.py
@@ -13,11 +13,7 @@
 
 from gypsumplank.errors import EntryInvalidError, StateConflictError, StateError
 from gypsumplank.protocol.job import StoredJob
-from gypsumplank.state.job import (
-    DEFAULT_MAX_ROW_BYTES,
-    MAX_TXN_ENTRIES,
-    decode,
-)
+from gypsumplank.state.jobrow import DEFAULT_MAX_ROW_BYTES, MAX_TXN_ENTRIES, decode
 from gypsumplank.state.jobsize import check_job_size, check_row_size
 from gypsumplank.state.partition import Partitions
 from gypsumplank.state.table import ABSENT, Check, Row, Txn, Write, scan_all
--- a/tests/coordination/job/colocation.py
+++ b/tests/coordination/job/colocation.py
@@ -17,7 +17,7 @@
 )
 from gypsumplank.protocol.worker import RunningTask, WorkerEntry, WorkerReport, WorkerState
 from gypsumplank.state.clock import ManualClock
-from gypsumplank.state.job import LoadedJob
+from gypsumplank.state.jobrow import LoadedJob
 from tests.coordination.job.replay import MANIFEST, QUEUE, SERVICE
 
 STEP_S = 0.25
--- a/tests/coordination/job/replay.py
+++ b/tests/coordination/job/replay.py
@@ -17,7 +17,7 @@
 from gypsumplank.protocol.queue import Manifest, Queue, ServicePolicy
 from gypsumplank.protocol.worker import WorkerEntry, WorkerState
 from gypsumplank.state.clock import ManualClock
-from gypsumplank.state.job import LoadedJob
+from gypsumplank.state.jobrow import LoadedJob
 
 ROUND_S = 0.04
 SERVICE = "proofing"
--- a/tests/coordination/job/test_accountshare.py
+++ b/tests/coordination/job/test_accountshare.py
@@ -21,7 +21,7 @@
     StepDefinition,
     StoredJob,
 )
-from gypsumplank.state.job import LoadedJob
+from gypsumplank.state.jobrow import LoadedJob
 from tests.coordination.job.accountsite import QUEUE, ROUND_S, SERVICE, AccountSite
 
 ROOM = Resources(10_000, 100_000)
--- a/tests/coordination/job/test_commit.py
+++ b/tests/coordination/job/test_commit.py
@@ -12,7 +12,8 @@
     StoredJob,
 )
 from gypsumplank.state.clock import ManualClock
-from gypsumplank.state.job import DEFAULT_MAX_ROW_BYTES, TABLE_STEPS, JobStore, LoadedJob
+from gypsumplank.state.job import JobStore
+from gypsumplank.state.jobrow import DEFAULT_MAX_ROW_BYTES, TABLE_STEPS, LoadedJob
 from gypsumplank.state.table import ABSENT, Check
 from standins.cluster import SERVICE, SimulatedCluster, long_running_step
 from standins.limit import LimitedFeedTable
--- a/tests/coordination/job/test_dispatcher.py
+++ b/tests/coordination/job/test_dispatcher.py
@@ -19,7 +19,7 @@
     WorkerState,
 )
 from gypsumplank.state.clock import ManualClock, SystemClock
-from gypsumplank.state.job import LoadedJob
+from gypsumplank.state.jobrow import LoadedJob
 from standins.cluster import CHAIN_ORDER, LEASE_S, MANIFEST, ROOM, SERVICE
 
 ENTRY = WorkerEntry("w", SERVICE, "w:80", "z", WorkerState.READY, ROOM, born=1, machine="m")
--- a/tests/coordination/job/test_evidence.py
+++ b/tests/coordination/job/test_evidence.py
@@ -25,7 +25,7 @@
     WorkerReport,
     WorkerState,
 )
-from gypsumplank.state.job import TABLE_STEPS, decode
+from gypsumplank.state.jobrow import TABLE_STEPS, decode
 from standins.cluster import (
     CHAIN_ORDER,
     QUEUE,
--- a/tests/coordination/job/test_fleet.py
+++ b/tests/coordination/job/test_fleet.py
@@ -20,7 +20,7 @@
     WorkerState,
 )
 from gypsumplank.state.clock import ManualClock
-from gypsumplank.state.job import LoadedJob
+from gypsumplank.state.jobrow import LoadedJob
 from tests.coordination.job.replay import MANIFEST, QUEUE, SERVICE, WORKER_ROOM
 
 LEASE_S = 6.0
--- a/tests/coordination/job/test_gang_machine.py
+++ b/tests/coordination/job/test_gang_machine.py
@@ -8,7 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from gypsumplank.protocol.job import Resources, StepDefinition, StepRecord, TaskPhase
-from gypsumplank.state.job import TABLE_STEPS, decode
+from gypsumplank.state.jobrow import TABLE_STEPS, decode
 from standins.cluster import MANIFEST, QUEUE, SimulatedCluster
 
 WORKERS = 3
--- a/tests/coordination/job/test_leader.py
+++ b/tests/coordination/job/test_leader.py
@@ -7,7 +7,8 @@
 from gypsumplank.coordination.job.workload import Workload
 from gypsumplank.errors import StateError, WorkerUnknownError
 from gypsumplank.protocol.job import JobState, StoredJob, TaskPhase
-from gypsumplank.state.job import TABLE_STEPS, JobStore, LoadedJob, StateValue, decode
+from gypsumplank.state.job import JobStore
+from gypsumplank.state.jobrow import TABLE_STEPS, LoadedJob, StateValue, decode
 from gypsumplank.state.table import Txn, Write
 from standins.cluster import (
     CHAIN,
@@ -281,7 +282,7 @@
             other.leases.tick(["scheduler"], ())
         return decode(raw, kind)
 
-    monkeypatch.setattr("gypsumplank.state.job.decode", slow_decode)
+    monkeypatch.setattr("gypsumplank.state.jobrow.decode", slow_decode)
     cluster.run(4.0)
     assert slow.scheduler_leader.is_leader
     assert slow.leases.epoch("scheduler") == 2
--- a/tests/coordination/job/test_long_queue.py
+++ b/tests/coordination/job/test_long_queue.py
@@ -22,7 +22,7 @@
 )
 from gypsumplank.protocol.worker import WorkerEntry, WorkerState
 from gypsumplank.state.clock import ManualClock
-from gypsumplank.state.job import TABLE_ORDERS, JobRows, LoadedJob
+from gypsumplank.state.jobrow import TABLE_ORDERS, JobRows, LoadedJob
 from gypsumplank.state.table import Txn, Write
 from standins.cluster import MANIFEST, QUEUE, SERVICE, SimulatedCluster
 
--- a/tests/coordination/job/test_malformed.py
+++ b/tests/coordination/job/test_malformed.py
@@ -6,7 +6,7 @@
 from gypsumplank.coordination.job.workload import Workload
 from gypsumplank.protocol.job import JobDefinition, Schedule, StepDefinition, StoredJob
 from gypsumplank.state.feed import MemoryFeedTable
-from gypsumplank.state.job import TABLE_ORDERS, TABLE_STATES, pending_key, state_write
+from gypsumplank.state.jobrow import TABLE_ORDERS, TABLE_STATES, pending_key, state_write
 from gypsumplank.state.table import Txn, Write
 from standins.cluster import CHAIN, SimulatedCluster
 from tests.malformed import MALFORMED_JSON
--- a/tests/coordination/job/test_readiness.py
+++ b/tests/coordination/job/test_readiness.py
@@ -25,7 +25,7 @@
 from gypsumplank.protocol.queue import AdvicePolicy, Manifest, Queue, ServicePolicy
 from gypsumplank.protocol.worker import WorkerEntry, WorkerState
 from gypsumplank.state.clock import ManualClock
-from gypsumplank.state.job import LoadedJob
+from gypsumplank.state.jobrow import LoadedJob
 
 SERVICES = ("desk", "press")
 ROOM = Resources(5000, 8000)
--- a/tests/coordination/job/test_run_machine.py
+++ b/tests/coordination/job/test_run_machine.py
@@ -19,7 +19,7 @@
 
 from gypsumplank.protocol.job import JobState, Resources, StepDefinition, StepRecord, TaskPhase
 from gypsumplank.protocol.queue import MaintenanceWave
-from gypsumplank.state.job import TABLE_STEPS, decode
+from gypsumplank.state.jobrow import TABLE_STEPS, decode
 from standins.cluster import (
     CONFIG_APPLY_S,
     QUOTA_OVERAGE,
--- a/tests/coordination/job/test_submission.py
+++ b/tests/coordination/job/test_submission.py
@@ -21,7 +21,8 @@
 )
 from gypsumplank.protocol.queue import Queue
 from gypsumplank.state.clock import ManualClock
-from gypsumplank.state.job import JobStore, step_write
+from gypsumplank.state.job import JobStore
+from gypsumplank.state.jobrow import step_write
 from standins.faulty import ScriptedFaultTable
 from standins.limit import MAX_ROW_BYTES, LimitedFeedTable
 
--- a/tests/coordination/job/test_workload.py
+++ b/tests/coordination/job/test_workload.py
@@ -9,11 +9,11 @@
     TaskPhase,
 )
 from gypsumplank.state.clock import ManualClock
-from gypsumplank.state.job import (
+from gypsumplank.state.job import JobStore
+from gypsumplank.state.jobrow import (
     MAX_TXN_ENTRIES,
     TABLE_ORDERS,
     TABLE_STEPS,
-    JobStore,
     LoadedJob,
     state_write,
 )
--- a/tests/state/test_malformed_rows.py
+++ b/tests/state/test_malformed_rows.py
@@ -20,15 +20,8 @@
 from gypsumplank.state.claim import TABLE_CLAIMS, Claim, ClaimStore, open_change
 from gypsumplank.state.clock import ClockRange, ManualClock
 from gypsumplank.state.config import ConfigStore
-from gypsumplank.state.job import (
-    TABLE_ORDERS,
-    TABLE_POOLS,
-    TABLE_SILENCES,
-    TABLE_STATES,
-    TABLE_STEPS,
-    JobStore,
-    step_key,
-)
+from gypsumplank.state.job import TABLE_POOLS, TABLE_SILENCES, JobStore
+from gypsumplank.state.jobrow import TABLE_ORDERS, TABLE_STATES, TABLE_STEPS, step_key
 from gypsumplank.state.lease import TABLE_LEASES, Lease, LeaseStore
 from gypsumplank.state.machine import TABLE_MACHINES, MachineOrderLog
 from gypsumplank.state.machine import TABLE_WAVES as TABLE_WAVE_STARTS
--- a/tests/test_malformed_inputs.py
+++ b/tests/test_malformed_inputs.py
@@ -54,7 +54,8 @@
 from gypsumplank.state.claim import Claim, ClaimStore, StoredReply
 from gypsumplank.state.clock import ClockRange, ManualClock
 from gypsumplank.state.config import ConfigStore
-from gypsumplank.state.job import JobStore, StateValue, step_key
+from gypsumplank.state.job import JobStore
+from gypsumplank.state.jobrow import StateValue, step_key
 from gypsumplank.state.lease import Lease, LeaseStore
 from gypsumplank.state.machine import MachineOrderLog
 from gypsumplank.state.objects import MemoryObjectStore
