job: find an account by name in the manifest itself

Cause: pressurefeed.py had a look-up of accounts of its own.

Change: Manifest.find_account, beside Manifest.find.

Conclusion: tests of the rejection pass.

--- a/gypsumplank/coordination/job/pressurefeed.py
+++ b/gypsumplank/coordination/job/pressurefeed.py
@@ -13,7 +13,6 @@
 from gypsumplank.coordination.job.watch import PeriodicThread
 from gypsumplank.errors import EntryInvalidError, GypsumplankError, StateHistoryLostError
 from gypsumplank.log import Event, event
-from gypsumplank.protocol.account import Account
 from gypsumplank.protocol.decoder import decode_json
 from gypsumplank.protocol.job import JobDefinition
 from gypsumplank.protocol.queue import Manifest, Queue
@@ -136,11 +135,6 @@
         if manifest is None or manifest.accounts is None or not pressure.is_high:
             return None
         age_ms = self._store_clock().latest_ms - pressure.at_ms
-        found = find_account(manifest, account)
+        found = manifest.find_account(account)
         with self._lock:
             return find_rejection(queue.service, order, found, pressure, age_ms, self._rng)
-
-
-def find_account(manifest: Manifest, name: str) -> Account | None:
-    """Return the account of this name, if the manifest lists it."""
-    return next((each for each in manifest.accounts or () if each.name == name), None)
--- a/gypsumplank/protocol/queue.py
+++ b/gypsumplank/protocol/queue.py
@@ -65,6 +65,10 @@
         matching = (q for q in self.queues if q.host == host and path.startswith(q.prefix))
         return max(matching, key=lambda queue: len(queue.prefix), default=None)
 
+    def find_account(self, name: str) -> Account | None:
+        """Return the account of this name, if any."""
+        return next((each for each in self.accounts or () if each.name == name), None)
+
 
 @dataclass(frozen=True)
 class MaintenanceWave:
