job: mark excess only once all submissions of a take-over are read

Cause: a full read adds submissions partition by partition, newer ones before older ones. A job that was accepted before the last marked one earns its account no token, so that guaranteed jobs were marked as excess, came last and counted towards 429 (found by the review, by reading).

Change: new jobs wait for their mark while submissions are not all known, as they do while jobs of a take-over are postponed.

Figures: the new test marks 8 jobs of which none lies beyond the weight; it fails without the change. Conclusion: tests of usage, rejection, the intake model and the run machine pass.

--- a/gypsumplank/coordination/job/accounts.py
+++ b/gypsumplank/coordination/job/accounts.py
@@ -133,7 +133,7 @@
         self._known.update(self._jobs.values())
         self._order = None
         # Jobs are marked in the order of their times, so a take-over has to know all of them.
-        new_jobs = () if workload.postponed else workload.take_new_jobs()
+        new_jobs = workload.take_new_jobs() if workload.is_complete else ()
         if not self.is_active:
             return
         mark_excess(new_jobs, self._known, self._buckets, wall_ms)
--- a/gypsumplank/coordination/job/adoption.py
+++ b/gypsumplank/coordination/job/adoption.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from itertools import islice
 
-from gypsumplank.coordination.job.workload import Workload
+from gypsumplank.coordination.job.workload import UNKNOWN_VERSION, Workload
 from gypsumplank.errors import EntryInvalidError
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.job import JobState
@@ -24,9 +24,6 @@
 from gypsumplank.state.jobrow import LoadedJob
 from gypsumplank.state.table import Row
 
-# Version that is lower than any in the store: not all submissions are known.
-UNKNOWN_VERSION = -1
-
 logger = logging.getLogger(__name__)
 
 
--- a/gypsumplank/coordination/job/intakewatch.py
+++ b/gypsumplank/coordination/job/intakewatch.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
-from gypsumplank.coordination.job.adoption import UNKNOWN_VERSION, Adoption, Removal
+from gypsumplank.coordination.job.adoption import Adoption, Removal
 from gypsumplank.coordination.job.watch import FEED_LONG_POLL_S, PeriodicThread
-from gypsumplank.coordination.job.workload import Workload
+from gypsumplank.coordination.job.workload import UNKNOWN_VERSION, Workload
 from gypsumplank.errors import StateConflictError, StateError, StateHistoryLostError
 from gypsumplank.state.clock import Clock
 from gypsumplank.state.feed import ChangeFeed
--- a/gypsumplank/coordination/job/workload.py
+++ b/gypsumplank/coordination/job/workload.py
@@ -38,6 +38,8 @@
 # Jobs that have not begun and that are added before one round; they take less time than a round.
 POSTPONED_CHUNK_JOBS = 50
 
+# Version that is lower than any in the store: not all submissions are known.
+UNKNOWN_VERSION = -1
 NUMBER = re.compile(r"[0-9]{1,9}")
 
 logger = logging.getLogger(__name__)
@@ -131,6 +133,11 @@
         self.new_jobs.append(job)
         return job
 
+    @property
+    def is_complete(self) -> bool:
+        """Return whether all jobs are added that were stored or submitted before the take-over."""
+        return not self.postponed and self.intake_version != UNKNOWN_VERSION
+
     def take_new_jobs(self) -> list[Job]:
         """Return the jobs that were added since the last call."""
         new_jobs, self.new_jobs = self.new_jobs, []
--- a/tests/coordination/job/test_accountshare.py
+++ b/tests/coordination/job/test_accountshare.py
@@ -13,6 +13,7 @@
     TokenBuckets,
     dominant_share,
 )
+from gypsumplank.coordination.job.workload import UNKNOWN_VERSION
 from gypsumplank.protocol.account import Account
 from gypsumplank.protocol.job import (
     JobDefinition,
@@ -87,6 +88,19 @@
     assert not any(job.is_excess for job in workload.jobs.values())
 
 
+def test_submissions_of_a_take_over_are_marked_once_all_of_them_are_read():
+    """Guard against guaranteed jobs that come last, as a full read adds newer ones first."""
+    site = AccountSite(weighted(a=2), 1, ROOM)
+    site.scheduler.workload.intake_version = UNKNOWN_VERSION
+    jobs = []
+    for accepted_ms in (9000, 6000, 3000, 0):
+        jobs += [site.submit("a", accepted_ms=accepted_ms) for _ in range(2)]
+        site.round()
+    site.scheduler.workload.intake_version = 7
+    site.round()
+    assert not any(job.is_excess for job in jobs)
+
+
 def test_a_dominant_share_is_that_of_the_scarcest_resource():
     total = Resources(100, 100, 0)
     assert dominant_share(Resources(10, 40, 5), total, 2.0) == pytest.approx(0.2)
