daemon: report ready only once a session is open

Cause: configuration and session are read by two threads. A daemon whose configuration came first reported ready, and refused requests with an idempotency key for the moment until its session was open. Change: while the store answers, ready asks for an open session too.

--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -39,6 +39,7 @@
 from gypsumplank.coordination.share import DemandTable
 from gypsumplank.coordination.signals import HostSignals
 from gypsumplank.coordination.slot import SlotTracker
+from gypsumplank.coordination.startup import has_started
 from gypsumplank.coordination.supervisor import PeriodicAction, Supervisor, make_periodic_action
 from gypsumplank.coordination.usage import ServingHostClient
 from gypsumplank.errors import ListenError, SettingsError
@@ -412,7 +413,8 @@
         return EXIT_OK if all_finished else EXIT_REQUESTS_CUT_OFF
 
     def _ready(self) -> bool:
-        return self._distribution.follower.caught_up and not self._stop_requested.is_set()
+        is_started = has_started(self._distribution.follower, self._heartbeat)
+        return is_started and not self._stop_requested.is_set()
 
 
 def make_parser() -> argparse.ArgumentParser:
