--- a/tests/coordination/test_startup.py
+++ b/tests/coordination/test_startup.py
@@ -1,4 +1,4 @@
-"""Guard against a daemon that reports ready before its session is open and refuses keyed requests."""
+"""Guard against a daemon that reports ready before its session is open."""
 
 from types import SimpleNamespace
 
