job: let pools follow work that can still be in time

Cause: a service whose turn begins got its machines late. A pool kept machines for jobs that could only be late, counted as busy for 1.5 s after its turn, and the load offered lags behind a rising rate of arrivals by the length of the jobs. Change: while a service lacks machines for work that can be in time, pools keep none for late work. The rate of arrivals of the last 0.8 s counts as load too. A cancelled move is taken off the size expected of its target pool; before, machines on their way back to a pool were lent by it a second time.

--- a/gypsumplank/coordination/job/demand.py
+++ b/gypsumplank/coordination/job/demand.py
@@ -2,16 +2,17 @@
 
 Answers queues that take turns: for a few seconds one asks for more than its pool holds, and
 machines that are moved there arrive when part of the turn is over. So a service asks for the load
-that its arriving jobs offer, and not for all that waits.
+that its arriving jobs offer, and not for all that waits. While another service lacks machines for
+jobs that can still be in time, it asks for none for jobs that can only be late.
 """
 
 import heapq
 import math
 from collections import Counter, defaultdict, deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
-from gypsumplank.coordination.job.model import Job
+from gypsumplank.coordination.job.model import Job, Step
 from gypsumplank.protocol.job import FINAL_JOB_STATES, Resources, TaskPhase
 
 # Share of a machine's resources that planning counts on; the rest is lost to fragmentation.
@@ -24,6 +25,12 @@
 # Share of its initial size that an idle pool keeps; reserved for sudden bursts of demand.
 IDLE_RESERVE_SHARE = 0.5
 
+# Window over which the peak of the firm demand is measured, seconds. While another service lacks
+# machines, a pool gives up those beyond it.
+FIRM_PEAK_WINDOW_S = 0.5
+# Window over which the rate of arrivals is measured, milliseconds. What is offered lags behind a
+# rising rate by half the length of the jobs; a shorter window would ask for chance arrivals.
+ARRIVAL_WINDOW_MS = 800
 # Time in which overdue work should be done, milliseconds.
 BACKLOG_CLEARANCE_MS = 2000
 # Duration that is assumed for tasks without an estimate, milliseconds.
@@ -35,6 +42,9 @@
 # Margin for the rounding of times, seconds.
 ROUNDING_S = 1e-6
 
+# Returns the time from its arrival in which a job is done in time, milliseconds.
+ObjectiveMs = Callable[[Job], float]
+
 OPEN_PHASES = (TaskPhase.WAITING, TaskPhase.ASSIGNED)
 
 
@@ -42,8 +52,9 @@
     """Track how many machines one service's jobs demand.
 
     `initial_size` is how many machines the pool had when the fleet was first seen, `current` the
-    present demand and `peak` its maximum over the window. `last_busy_at` is in monotonic seconds,
-    None if the service was never busy.
+    present demand and `peak` its maximum over the window. `firm` and `firm_peak` leave out work
+    that can only be late. `last_busy_at` is in monotonic seconds, None if the service was never
+    busy.
     """
 
     def __init__(self, initial_size: int) -> None:
@@ -51,11 +62,19 @@
         self.current = 0
         self.peak = 0
         self.last_busy_at: float | None = None
+        self.firm = 0
+        self.firm_peak = 0
         self._samples: deque[tuple[float, int]] = deque()
+        self._firm_samples: deque[tuple[float, int]] = deque()
 
-    def update(self, machines: int, batch: int, now: float) -> None:
+    def update(self, machines: int, batch: int, now: float, firm: int | None = None) -> None:
         """Record the machines that all tasks demand now, and those that batch tasks demand."""
         self.current = machines
+        self.firm = machines if firm is None else firm
+        self._firm_samples.append((now, self.firm))
+        while self._firm_samples[0][0] < now - FIRM_PEAK_WINDOW_S:
+            self._firm_samples.popleft()
+        self.firm_peak = max(count for _, count in self._firm_samples)
         self._samples.append((now, machines))
         while self._samples[0][0] < now - PEAK_WINDOW_S:
             self._samples.popleft()
@@ -96,15 +115,24 @@
 
 @dataclass(frozen=True)
 class Load:
-    """Store the resources that a service's open tasks keep busy: long-running and batch tasks."""
+    """Store the resources that a service's open tasks keep busy: long-running and batch tasks.
+
+    `late` is for batch tasks that cannot be done in time any more.
+    """
 
     long_running: Resources = Resources()
     batch: Resources = Resources()
+    late: Resources = Resources()
+
+    @property
+    def firm(self) -> Resources:
+        """Return the resources of the tasks that can still be done in time."""
+        return self.long_running + self.batch
 
     @property
     def total(self) -> Resources:
         """Return the resources of all tasks."""
-        return self.long_running + self.batch
+        return self.firm + self.late
 
 
 @dataclass(frozen=True)
@@ -112,14 +140,21 @@
     """Store what one job adds to the load of its service, or the sum of these.
 
     `offered` is what batch jobs would keep busy if none had to wait: the work of each job, spread
-    evenly over its critical path from its arrival on. `running` is what is assigned.
-    `overdue_work`, in resources times ms, waits although its job would have ended by now.
+    evenly over its critical path from its arrival on. `running` is what is assigned,
+    and `late_running` what is assigned of jobs that cannot be in time any more. `overdue_work`, in
+    resources times ms, waits although its job would have ended by now, and `late_work` although its
+    job cannot be in time any more. `arriving` is the work of the `arrivals` of the last
+    ARRIVAL_WINDOW_MS, divided by it.
     """
 
     long_running: Resources = Resources()
     offered: Resources = Resources()
     running: Resources = Resources()
     overdue_work: Resources = Resources()
+    arriving: Resources = Resources()
+    late_running: Resources = Resources()
+    late_work: Resources = Resources()
+    arrivals: int = 0
 
     def __add__(self, other: "LoadShare") -> "LoadShare":
         return LoadShare(
@@ -127,6 +162,10 @@
             self.offered + other.offered,
             self.running + other.running,
             self.overdue_work + other.overdue_work,
+            self.arriving + other.arriving,
+            self.late_running + other.late_running,
+            self.late_work + other.late_work,
+            self.arrivals + other.arrivals,
         )
 
     def __sub__(self, other: "LoadShare") -> "LoadShare":
@@ -135,24 +174,36 @@
             self.offered - other.offered,
             self.running - other.running,
             self.overdue_work - other.overdue_work,
+            self.arriving - other.arriving,
+            self.late_running - other.late_running,
+            self.late_work - other.late_work,
+            self.arrivals - other.arrivals,
         )
 
     def load(self) -> Load:
         """Return the load, with the overdue work spread over BACKLOG_CLEARANCE_MS."""
         batch = self.offered.at_least(self.running)
-        return Load(self.long_running, batch + self.overdue_work.divided(BACKLOG_CLEARANCE_MS))
+        if self.arrivals > 1:
+            # A window that is measured from an arrival on holds one more than the rate tells.
+            rate = self.arriving.scaled(self.arrivals - 1).divided(self.arrivals)
+            batch = batch.at_least(rate)
+        return Load(
+            self.long_running,
+            batch + self.overdue_work.divided(BACKLOG_CLEARANCE_MS),
+            self.late_running + self.late_work.divided(BACKLOG_CLEARANCE_MS),
+        )
 
 
-def load_share(job: Job, now: float, wall_ms: float) -> tuple[LoadShare, float]:
+def load_share(
+    job: Job, now: float, wall_ms: float, objective_ms: float = math.inf
+) -> tuple[LoadShare, float]:
     """Return what an open job adds to the load, and how long that holds if it does not change.
 
     `now` is in monotonic seconds, `wall_ms` since 1970, and the result in ms; infinite if the share
-    holds for ever. Of a job that waits for its queue or its account's cap, only what is assigned
-    counts.
+    holds for ever. `objective_ms` is the time from its arrival in which the job is in time. Of a
+    job that waits for its queue or its account's cap, only what is assigned counts.
     """
-    long_running = offered = running = overdue_work = Resources()
-    holds_ms = math.inf
-    path_ms = job.longest_path_ms or DEFAULT_ESTIMATE_MS
+    total, holds_ms = LoadShare(), math.inf
     is_waiting = job.waits_for_queue or job.is_held
     phases = (TaskPhase.ASSIGNED,) if is_waiting else OPEN_PHASES
     for step in job.steps.values():
@@ -161,7 +212,7 @@
             continue
         open_tasks = [task for task in step.tasks if task.phase in phases]
         if order.lasting:
-            long_running += order.need.scaled(len(open_tasks))
+            total += LoadShare(long_running=order.need.scaled(len(open_tasks)))
             continue
         age_ms = (now - job.arrived_at) * 1000
         if job.has_schedule:
@@ -169,26 +220,66 @@
         if age_ms < 0:
             holds_ms = min(holds_ms, -age_ms)
             continue
-        estimate_ms = order.estimate_ms or DEFAULT_ESTIMATE_MS
-        if assigned := sum(1 for task in open_tasks if task.phase is TaskPhase.ASSIGNED):
-            running += order.need.scaled(assigned)
-        if is_waiting:
-            continue
-        if age_ms < path_ms:
-            holds_ms = min(holds_ms, path_ms - age_ms)
-            work = order.need.scaled(len(step.tasks) * estimate_ms)
-            offered += work.divided(path_ms)
-        elif waiting := len(open_tasks) - assigned:
-            overdue_work += order.need.scaled(waiting * estimate_ms)
-    return LoadShare(long_running, offered, running, overdue_work), holds_ms
-
-
-def estimate_loads(jobs: Iterable[Job], now: float, wall_ms: float) -> dict[str, Load]:
+        assigned = sum(1 for task in open_tasks if task.phase is TaskPhase.ASSIGNED)
+        waiting = len(open_tasks) - assigned
+        slack_ms = objective_ms - step.remaining_path_ms() - age_ms
+        parts = [_assigned_share(step, assigned, slack_ms)]
+        if not is_waiting:
+            parts.append(_waiting_share(step, waiting, age_ms, slack_ms))
+        total = sum((share for share, _ in parts), total)
+        holds_ms = min(holds_ms, *(part_holds_ms for _, part_holds_ms in parts))
+    return total, holds_ms
+
+
+def _assigned_share(step: Step, assigned: int, slack_ms: float) -> tuple[LoadShare, float]:
+    """Return what the assigned tasks of a batch step add, and how long that holds, in ms."""
+    if not assigned:
+        return LoadShare(), math.inf
+    need = step.order.need.scaled(assigned)
+    # The remaining path counts a task in full until it ends, so that its run adds to the slack.
+    slack_ms += step.order.estimate_ms or DEFAULT_ESTIMATE_MS
+    if slack_ms < 0:
+        return LoadShare(late_running=need), math.inf
+    return LoadShare(running=need), slack_ms
+
+
+def _waiting_share(
+    step: Step, waiting: int, age_ms: float, slack_ms: float
+) -> tuple[LoadShare, float]:
+    """Return what a batch step adds besides what is assigned, and how long that holds, in ms.
+
+    Jobs whose critical path is shorter than ARRIVAL_WINDOW_MS do not count for the rate of
+    arrivals, as the load that they offer shows as much.
+    """
+    order, path_ms = step.order, step.job.longest_path_ms or DEFAULT_ESTIMATE_MS
+    estimate_ms = order.estimate_ms or DEFAULT_ESTIMATE_MS
+    if age_ms < path_ms:
+        work = order.need.scaled(len(step.tasks) * estimate_ms)
+        offered = work.divided(path_ms)
+        if not age_ms < ARRIVAL_WINDOW_MS < path_ms:
+            return LoadShare(offered=offered), path_ms - age_ms
+        arriving = work.divided(ARRIVAL_WINDOW_MS)
+        share = LoadShare(offered=offered, arriving=arriving, arrivals=int(step.position == 0))
+        return share, ARRIVAL_WINDOW_MS - age_ms
+    if not waiting:
+        return LoadShare(), math.inf
+    work = order.need.scaled(waiting * estimate_ms)
+    if slack_ms < 0:
+        return LoadShare(late_work=work), math.inf
+    return LoadShare(overdue_work=work), slack_ms
+
+
+def estimate_loads(
+    jobs: Iterable[Job],
+    now: float,
+    wall_ms: float,
+    objective_ms: ObjectiveMs = lambda _job: math.inf,
+) -> dict[str, Load]:
     """Return the load of each service that has open jobs."""
     shares: defaultdict[str, LoadShare] = defaultdict(LoadShare)
     for job in jobs:
         if job.state not in FINAL_JOB_STATES:
-            shares[job.service] += load_share(job, now, wall_ms)[0]
+            shares[job.service] += load_share(job, now, wall_ms, objective_ms(job))[0]
     return {service: share.load() for service, share in shares.items()}
 
 
@@ -199,7 +290,8 @@
     age at which their share changes, are computed again.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, objective_ms: ObjectiveMs) -> None:
+        self._objective_ms = objective_ms
         self._shares: dict[Job, LoadShare] = {}
         self._sums: dict[str, LoadShare] = {}
         self._open: Counter[str] = Counter()
@@ -234,7 +326,7 @@
         self._scheduled.discard(job)
         if job.state in FINAL_JOB_STATES:
             return
-        share, holds_ms = load_share(job, now, wall_ms)
+        share, holds_ms = load_share(job, now, wall_ms, self._objective_ms(job))
         self._shares[job] = share
         self._sums[job.service] = self._sums.get(job.service, LoadShare()) + share
         self._open[job.service] += 1
--- a/gypsumplank/coordination/job/scaling.py
+++ b/gypsumplank/coordination/job/scaling.py
@@ -34,6 +34,9 @@
 ARRIVAL_TIMEOUT_S = 4.0
 # Interval between planning rounds, seconds.
 PLAN_INTERVAL_S = 0.2
+# Time for which pools go without machines for late work after a service lacked machines for work
+# that can still be in time, seconds; keeps planned moves from being cancelled and planned in turn.
+CONTENTION_HOLD_S = 1.5
 # Delay before a machine is moved again after a move that was refused or not sent, seconds.
 MOVE_RETRY_S = 3.0
 # Delay before a move that got no answer is ordered again, seconds.
@@ -59,6 +62,7 @@
         self._unanswered: dict[str, float] = {}
         self._retry_at: dict[str, float] = {}
         self._next_plan_at = 0.0
+        self._contended_until = 0.0
         self._next_sizes_request_at = 0.0
         self._machines_seen_with_worker: set[str] = set()
         self._logged_sizes: dict[str, PoolSize] = {}
@@ -70,6 +74,7 @@
         self._moves_in_flight.clear()
         self._planned_moves.clear()
         self._unanswered.clear()
+        self._contended_until = 0.0
         self._machines_seen_with_worker.clear()
         self._next_sizes_request_at = 0.0
 
@@ -132,7 +137,10 @@
             size = smallest_capacity(capacities)
             load = loads.get(service, Load())
             self._demands[service].update(
-                machines_needed(load.total, size), machines_needed(load.batch, size), now
+                machines_needed(load.total, size),
+                machines_needed(load.batch, size),
+                now,
+                machines_needed(load.firm, size),
             )
 
     def _remove_arrived(self, instances: MachineWorkers, now: float) -> None:
@@ -168,10 +176,13 @@
     def _plan_moves(
         self, members: PoolMembers, standby: str, instances: MachineWorkers, now: float
     ) -> None:
-        balance = self._balance(members, instances, now)
-        for name, pool_members in members.items():
-            balance.adjust(name, self._cancel_moves(pool_members, balance.shortfall[name]))
         available = self._available_standby(standby, now)
+        balance = self._balance(members, instances, len(available), now)
+        for name, pool_members in members.items():
+            for target in self._cancel_moves(pool_members, balance.shortfall[name]):
+                balance.adjust(name, 1)
+                if target in members:
+                    balance.adjust(target, -1)
         for name in sorted(members, key=lambda pool: (-balance.unmet[pool], pool)):
             while balance.shortfall[name] > 0:
                 if available:
@@ -185,19 +196,34 @@
             ]:
                 self._plan_move(machine, standby)
 
-    def _balance(self, members: PoolMembers, instances: MachineWorkers, now: float) -> Balance:
+    def _balance(
+        self, members: PoolMembers, instances: MachineWorkers, available: int, now: float
+    ) -> Balance:
         minimums = minimum_sizes(self._demands, now)
         balance = Balance()
-        for name, pool_members in members.items():
+        counts = {
+            name: self._projected_size(name, pool_members, instances)
+            for name, pool_members in members.items()
+        }
+        is_contended = self._is_contended(counts, available, now)
+        for name, count in counts.items():
             demand = self._demands[name]
-            count = self._projected_size(name, pool_members, instances)
-            balance.unmet[name] = demand.current - count
-            balance.shortfall[name] = max(minimums[name], demand.current) - count
-            balance.surplus[name] = count - max(minimums[name], demand.peak)
+            current = demand.firm if is_contended else demand.current
+            peak = demand.firm_peak if is_contended else demand.peak
+            balance.unmet[name] = current - count
+            balance.shortfall[name] = max(minimums[name], current) - count
+            balance.surplus[name] = count - max(minimums[name], peak)
             balance.lendable[name] = 0 if demand.is_busy(now) else count - demand.idle_size
         self._log_sizes(balance, minimums, now)
         return balance
 
+    def _is_contended(self, counts: Mapping[str, int], available: int, now: float) -> bool:
+        """Return whether pools lack more machines for work that can be in time than are free."""
+        lacking = sum(max(0, self._demands[name].firm - count) for name, count in counts.items())
+        if lacking > available:
+            self._contended_until = now + CONTENTION_HOLD_S
+        return now < self._contended_until
+
     def _log_sizes(self, balance: Balance, minimums: Mapping[str, int], now: float) -> None:
         """Log the pools whose sizes have changed, at most once per LOG_INTERVAL_S."""
         if now < self._next_log_at:
@@ -222,14 +248,15 @@
         self._controller.reserved.discard(instance.entry.machine)
         instance.cordoned = False
 
-    def _cancel_moves(self, members: list[WorkerInstance], limit: int) -> int:
-        """Cancel up to `limit` planned moves away from a pool; return how many were cancelled."""
+    def _cancel_moves(self, members: list[WorkerInstance], limit: int) -> list[str]:
+        """Cancel up to `limit` planned moves away from a pool; return the target of each."""
         planned = self._planned_moves.keys() - self._unanswered.keys()
         leaving = [member for member in members if member.entry.machine in planned]
         kept = leaving[: max(0, limit)]
+        targets = [self._planned_moves[instance.entry.machine] for instance in kept]
         for instance in kept:
             self._cancel_move(instance)
-        return len(kept)
+        return targets
 
     def _take_from_donor(
         self, members: PoolMembers, balance: Balance, recipient: str, now: float
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -67,8 +67,8 @@
         self._ready = ReadySteps()
         # Followed from when the loads are first asked for, as not all deployments do.
         self._load_changes: JobChanges | None = None
-        self._loads = LoadTracker()
-        self._queues_seen = self._queues.generation
+        self._loads = LoadTracker(self.objective_ms)
+        self._queues_seen = self._loads_seen = self._queues.generation
         self.interference = Interference()
         self._short_services: set[str] = set()
         self.fleet = Fleet(clock, max_lease_s, heartbeat_s)
@@ -320,11 +320,19 @@
         changed: Collection[Job] = self.workload.jobs.values()
         if self._load_changes is None:
             self._load_changes = self.workload.follow()
-        else:
+        elif self._loads_seen == self._queues.generation:
             changed = self._load_changes.take()
+        self._loads_seen = self._queues.generation
         self._loads.update(changed, self.now(), self.wall_ms())
         return self._loads.loads()
 
+    def objective_ms(self, job: Job) -> float:
+        """Return the time from its arrival in which a job is done in time, infinite if unknown."""
+        queue = self._queues.find_for_start(job)
+        if queue is None:
+            return math.inf
+        return queue.stretch * job.longest_path_ms + queue.objective_ms
+
     def request_stop(self, tasks: Collection[Task]) -> None:
         """Mark runs to be stopped; their tasks keep their checkpoints."""
         now = self._clock.monotonic()
--- a/tests/coordination/job/scratch.py
+++ b/tests/coordination/job/scratch.py
@@ -71,7 +71,8 @@
 
 def check_loads(scheduler, now, wall_ms):
     jobs = scheduler.workload.jobs.values()
-    assert scheduler.estimate_loads() == estimate_loads(jobs, now, wall_ms)
+    expected = estimate_loads(jobs, now, wall_ms, scheduler.objective_ms)
+    assert scheduler.estimate_loads() == expected
 
 
 class CheckedRounds:
--- a/tests/coordination/job/test_demand.py
+++ b/tests/coordination/job/test_demand.py
@@ -1,6 +1,9 @@
+from dataclasses import replace
+
 import pytest
 
 from gypsumplank.coordination.job.demand import (
+    ARRIVAL_WINDOW_MS,
     BACKLOG_CLEARANCE_MS,
     PEAK_WINDOW_S,
     USABLE_SHARE,
@@ -120,6 +123,39 @@
     assert load_of(make_job((StepDefinition(2, Resources(1000, 100)),)), 0.5).batch.cpu == 2000
 
 
+def test_work_that_can_only_be_late_is_no_firm_load():
+    job = make_job((STEP,))
+    in_time, late = (
+        estimate_loads([job], age_s, 0.0, lambda _job: 1600.0)[SERVICE] for age_s in (1.0, 1.2)
+    )
+    assert (in_time.firm.cpu, in_time.late.cpu) == (1000, 0)
+    assert (late.firm.cpu, late.late.cpu) == (0, 1000)
+    assert late.total == in_time.total
+
+
+def test_run_of_a_job_that_can_only_be_late_is_no_firm_load():
+    job = make_job((STEP,))
+    for task in job.tasks():
+        task.phase = TaskPhase.ASSIGNED
+    loads = [estimate_loads([job], age_s, 0.0, lambda _job: 800.0)[SERVICE] for age_s in (0.7, 0.9)]
+    assert [(load.firm.cpu, load.late.cpu) for load in loads] == [(4000, 0), (0, 4000)]
+
+
+def arrived(jobs):
+    """Return the load of jobs that arrived half a second ago."""
+    found = [make_job((replace(STEP, estimate_ms=2000),)) for _ in range(jobs)]
+    return estimate_loads(found, 0.5, 0.0)[SERVICE].batch.cpu
+
+
+def test_rate_of_arrivals_shows_a_rising_load_before_it_is_offered():
+    offered_cpu = 20 * 4 * 1000
+    assert arrived(20) == offered_cpu * 2000 // ARRIVAL_WINDOW_MS * 19 // 20
+
+
+def test_single_arrival_shows_no_rate():
+    assert arrived(1) == 4 * 1000
+
+
 # A queue's turn as logged on the large site, beyond what its pool of 60 has room for. Machines that
 # are asked for arrive after the turn is half over; asking for all that waits at once empties the
 # pools whose turn comes next.
--- a/tests/coordination/job/test_machines.py
+++ b/tests/coordination/job/test_machines.py
@@ -2,6 +2,7 @@
 import queue
 import threading
 from collections import Counter
+from dataclasses import replace
 
 import pytest
 
@@ -330,6 +331,21 @@
     assert not cluster.violations()
 
 
+def test_late_work_keeps_no_machines_that_another_service_lacks(cluster):
+    add_second_service(cluster)
+    step = StepDefinition(4, Resources(4000, 100), 1000)
+    for number in range(90):
+        cluster.submit(f"{number:016x}", (step,), spec="1")
+    cluster.run(8.0)
+    assert pool_sizes(cluster) == {SERVICE: 9, SECOND_SERVICE: 3}
+    for number in range(100, 112):
+        cluster.submit(f"{number:016x}", (replace(step, estimate_ms=2000),), "2", 0, SECOND_QUEUE)
+    cluster.run(3.5)
+    assert pool_sizes(cluster) == {SERVICE: 6, SECOND_SERVICE: 6}
+    cluster.run(60.0)
+    assert not cluster.violations()
+
+
 def test_new_leader_knows_initial_pool_sizes(cluster):
     add_second_service(cluster)
     submit_burst(cluster)
