platform: call services over http.client, with timeouts in the kernel

Cause: a call through urllib3's pool took 135 us of processor time, more than half of it in the pool, its timeout and retry objects and its second copy of the headers. It released the interpreter lock nine times: to check for a dropped connection, to set two timeouts, to send the head and the body, and, before each send and receive, to poll the socket. Beside a busy thread each release can cost the switch interval of 5 ms.

Change: Client uses http.client and a queue of idle connections. A request is sent in one operation. The socket is blocking, with SO_SNDTIMEO and SO_RCVTIMEO, which apply per operation as before. Whether a kept connection was dropped is still checked before each request, by TCP_INFO and SO_MEMINFO, as getting a socket option keeps the lock; the poll remains for kernels without them. So no failure of a dropped connection becomes an unknown outcome that was none before. An idle connection is passed over if it was dropped, and the next one is tried.

A call whose limit is zero or less raises CallError with sent=False instead of ValueError. The User-Agent header of urllib3 is no longer sent. A body with a Content-Encoding, which requests rule out, is no longer decoded.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -19,6 +19,7 @@
     "planner",
     "identity",
     "leader",
+    "calls",
     "entry_memory",
 )
 # Measurements of ten minutes or more, which run only if they are named.
--- a/gypsumplank/platform/client.py
+++ b/gypsumplank/platform/client.py
@@ -1,41 +1,27 @@
 """Call the platform's HTTP services over connections that detect an unreachable peer."""
 
-import socket
+import http.client
 import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
 import msgspec
-import urllib3
-from urllib3.exceptions import (
-    ConnectTimeoutError,
-    HTTPError,
-    NewConnectionError,
-    ReadTimeoutError,
-)
+from urllib3.exceptions import HTTPError
 
 from gypsumplank.errors import CallError, EntryInvalidError
+from gypsumplank.platform.connection import (
+    Connection,
+    ConnectionPool,
+    ResponseTimeoutError,
+)
 from gypsumplank.protocol.decoder import Count, convert, decode_any_json
 from gypsumplank.state.timeout import AdaptiveTimeout
 
 # Allows several round trips between availability zones; the TCP handshake needs one.
 CONNECT_TIMEOUT_S = 0.5
-# The kernel closes a connection whose sent data stays unacknowledged this long.
-TCP_USER_TIMEOUT_MS = 1500
-# Idle time before the first keep-alive probe, and the time between probes.
-KEEPALIVE_INTERVAL_S = 1
 JSON_HEADERS = {"Content-Type": "application/json"}
 
-SOCKET_OPTIONS = [
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL_S),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS),
-]
-
 
 @dataclass(frozen=True)
 class Response:
@@ -43,7 +29,7 @@
 
     status: int
     body: Any
-    headers: Mapping[str, str]
+    headers: Mapping[str, str] | http.client.HTTPMessage
 
 
 class Client:
@@ -57,13 +43,7 @@
         self._timeout = AdaptiveTimeout(
             timeout_s if min_timeout_s is None else min_timeout_s, timeout_s
         )
-        self._pool = urllib3.HTTPConnectionPool(
-            host,
-            int(port),
-            maxsize=connections,
-            retries=False,
-            socket_options=SOCKET_OPTIONS,
-        )
+        self._pool = ConnectionPool(host, int(port), connections)
 
     def call(
         self,
@@ -80,35 +60,56 @@
         """
         read_timeout_s = self._timeout.current_s + extra_timeout_s
         is_shortened = max_timeout_s is not None and max_timeout_s < read_timeout_s
-        timeout = urllib3.Timeout(
-            total=max_timeout_s, connect=CONNECT_TIMEOUT_S, read=read_timeout_s
-        )
         started_at = time.monotonic()
         raw = None if body is None else msgspec.json.encode(body)
+        conn = self._connect(max_timeout_s)
         try:
-            resp = self._pool.request(
-                method,
-                path,
-                body=raw,
-                headers={**JSON_HEADERS, **(headers or {})},
-                timeout=timeout,
-                redirect=False,
-            )
-        except (NewConnectionError, ConnectTimeoutError) as exc:
-            raise CallError(str(exc), sent=False) from exc
-        except HTTPError as exc:
-            if isinstance(exc, ReadTimeoutError) and not extra_timeout_s and not is_shortened:
+            conn.send_request(method, path, raw, {**JSON_HEADERS, **(headers or {})})
+            if max_timeout_s is not None:
+                elapsed_s = time.monotonic() - started_at
+                read_timeout_s = min(read_timeout_s, max_timeout_s - elapsed_s)
+            resp = _receive(conn, read_timeout_s)
+        except (OSError, http.client.HTTPException) as exc:
+            conn.close()
+            if isinstance(exc, ResponseTimeoutError) and not extra_timeout_s and not is_shortened:
                 self._timeout.record_timeout()
             raise CallError(str(exc), sent=True) from exc
+        except BaseException:
+            conn.close()
+            raise
+        self._pool.give_back(conn)
         if not extra_timeout_s:
             self._timeout.record_response(time.monotonic() - started_at)
-        return Response(resp.status, _decode_body(resp.data), resp.headers)
+        return resp
+
+    def _connect(self, max_timeout_s: float | None) -> Connection:
+        """Return a connection whose send timeout is set; raise CallError."""
+        timeout_s = CONNECT_TIMEOUT_S
+        if max_timeout_s is not None:
+            timeout_s = min(timeout_s, max_timeout_s)
+        if timeout_s <= 0:
+            raise CallError("no time is left for the call", sent=False)
+        try:
+            conn = self._pool.take(timeout_s)
+        except (OSError, HTTPError) as exc:
+            raise CallError(str(exc), sent=False) from exc
+        conn.limit_send(timeout_s)
+        return conn
 
     def close(self) -> None:
         """Close all idle connections."""
         self._pool.close()
 
 
+def _receive(conn: Connection, timeout_s: float) -> Response:
+    if timeout_s <= 0:
+        raise ResponseTimeoutError("no time is left for the response")
+    conn.limit_receive(timeout_s)
+    with conn.getresponse() as resp:
+        raw = resp.read()
+    return Response(resp.status, _decode_body(raw), resp.headers)
+
+
 def _decode_body(raw: bytes) -> Any:
     try:
         return decode_any_json(raw) if raw else None
