scheduler: send at most two orders to one worker at once

Cause: the starts of a burst for one worker are sent by as many of the 24 sender threads, each over a connection of its own. Most of these are opened for the burst, and beyond the kept number closed after it.

Change: further orders for a worker wait for the two that are being sent, and are sent by the same threads over the same connections. After an order that fails, or takes 0.1 s or longer, all that wait for this worker are passed to the sender threads, so that an order waits for at most one timeout of another one; previously it waited for none.

--- a/bench/calls.py
+++ b/bench/calls.py
@@ -1,8 +1,9 @@
-"""Measure the processor time of calls to a worker, and their delay beside a busy thread."""
+"""Measure the processor time of calls to a worker, and bursts of them beside a busy thread."""
 
 import http.server
 import json
 import multiprocessing
+import random
 import resource
 import sys
 import threading
@@ -10,6 +11,7 @@
 from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import asdict
+from functools import partial
 from statistics import median
 from typing import Any
 
@@ -18,11 +20,13 @@
 
 from bench.load import quantile
 from demo.cluster import ROOT
+from gypsumplank.coordination.job.orderqueue import OrderQueue
 from gypsumplank.errors import WorkerError
 from gypsumplank.platform.worker import HttpWorkers
 from gypsumplank.porcelain import format_table
 from gypsumplank.protocol.job import Resources
 from gypsumplank.protocol.worker import StartCommand, WorkerEntry, WorkerState
+from gypsumplank.state.clock import SystemClock
 
 ROUNDS = 3
 ALONE_CALLS = 4000
@@ -30,8 +34,13 @@
 # As many as the dispatcher has sender threads.
 SENDERS = 24
 STARTS_PER_S = 575
-BUSY_S = 5.0
-WORKERS = 20
+BUSY_S = 3.0
+# The thread beside the senders computes and pauses in turn.
+COMPUTE_S = 0.02
+PAUSE_S = 0.015
+BURST_SIZES = (1, 3, 8)
+WORKERS = 40
+SEED = 1
 START = StartCommand("job-0123456789abcdef-0-1", 1, "1.25", 1_700_000_000_000, 7)
 RUNNING = [[f"job-{number:016x}-0", 1, "", 100, 40] for number in range(8)]
 REPORT = {"born": 3, "clock-ms": 1_700_000_000_000, "running": RUNNING, "finished": []}
@@ -128,36 +137,84 @@
         }
 
 
-def busy_row(workers: HttpWorkers, entries: list[WorkerEntry]) -> dict[str, Any]:
-    """Measure starts in sender threads while the main thread computes."""
-    durations_ms: list[float] = []
-    failures: list[str] = []
+class Burst:
+    """Send orders in sender threads while the main thread computes for most of the time."""
 
-    def send(number: int) -> None:
-        started = time.monotonic()
+    def __init__(self, entries: list[WorkerEntry], is_queued: bool) -> None:
+        self.entries = entries
+        self.is_queued = is_queued
+        self.workers = HttpWorkers()
+        self.durations_ms: list[float] = []
+        self.failed = 0
+        self.senders = ThreadPoolExecutor(SENDERS)
+        self.orders = OrderQueue(self._submit, SystemClock())
+
+    def add(self, target: WorkerEntry) -> None:
+        """Start a task on a worker."""
+        send = partial(self._send, target, time.monotonic())
+        if self.is_queued:
+            self.orders.add(target.id, send)
+        else:
+            self.senders.submit(send)
+
+    def _submit(self, work: Callable[[], object]) -> None:
+        self.senders.submit(work)
+
+    def _send(self, target: WorkerEntry, added_at: float) -> bool:
         try:
-            workers.start(entries[number % len(entries)], START)
-        except WorkerError as exc:
-            failures.append(exc.detail)
-        durations_ms.append((time.monotonic() - started) * 1000)
-
-    connections = workers._client(entries[0].address).call("GET", "/").body["connections"]
-    with ThreadPoolExecutor(SENDERS) as senders:
-        started, sent = time.monotonic(), 0
-        while (now := time.monotonic()) - started < BUSY_S:
-            while sent < (now - started) * STARTS_PER_S:
-                senders.submit(send, sent)
-                sent += 1
-            sum(range(2000))
-    after = workers._client(entries[0].address).call("GET", "/").body["connections"]
-    return {
-        "starts": len(durations_ms),
-        "failed": len(failures),
-        "p50 ms": round(quantile(durations_ms, 0.5), 1),
-        "p99 ms": round(quantile(durations_ms, 0.99), 1),
-        "sender s": round(sum(durations_ms) / 1000, 1),
-        "connections": after - connections,
-    }
+            self.workers.start(target, START)
+        except WorkerError:
+            self.failed += 1
+        self.durations_ms.append((time.monotonic() - added_at) * 1000)
+        return True
+
+    def run(self, size: int) -> dict[str, Any]:
+        """Add bursts of `size` starts, each for one worker; return the table's row."""
+        rng = random.Random(SEED)
+        before = accepted_connections(self.entries)
+        started, added = time.monotonic(), 0
+        while (elapsed_s := time.monotonic() - started) < BUSY_S:
+            while added < elapsed_s * STARTS_PER_S:
+                target = rng.choice(self.entries)
+                for _ in range(size):
+                    self.add(target)
+                added += size
+            compute(COMPUTE_S)
+            time.sleep(PAUSE_S)
+        while len(self.durations_ms) < added:
+            time.sleep(PAUSE_S)
+        self.senders.shutdown()
+        return {
+            "burst": size,
+            "order queue": "yes" if self.is_queued else "no",
+            "starts": added,
+            "failed": self.failed,
+            "p50 ms": round(quantile(self.durations_ms, 0.5), 1),
+            "p99 ms": round(quantile(self.durations_ms, 0.99), 1),
+            "connections": accepted_connections(self.entries) - before,
+        }
+
+
+def accepted_connections(entries: list[WorkerEntry]) -> int:
+    """Return how many connections the stand-ins have accepted, without this one."""
+    url = f"http://{entries[0].address}/"
+    found: dict[str, int] = urllib3.request("GET", url, retries=False).json()
+    return found["connections"] - 1
+
+
+def compute(duration_s: float) -> None:
+    """Hold the interpreter lock, as far as other threads do not ask for it."""
+    ends_at = time.monotonic() + duration_s
+    while time.monotonic() < ends_at:
+        sum(range(2000))
+
+
+def burst_rows(entries: list[WorkerEntry]) -> Iterator[dict[str, Any]]:
+    """Yield a row per size of burst, with and without the order queue; rounds are interleaved."""
+    for size in BURST_SIZES:
+        for _ in range(ROUNDS):
+            for is_queued in (False, True):
+                yield Burst(entries, is_queued).run(size)
 
 
 def make_report(ports: list[int]) -> str:
@@ -165,7 +222,7 @@
     entries = [entry(port) for port in ports]
     workers = HttpWorkers()
     alone = format_table(alone_rows(workers, entries[0]))
-    busy = format_table(iter([busy_row(workers, entries) for _ in range(ROUNDS)]))
+    busy = format_table(burst_rows(entries))
     return f"{alone}\n\n{SENDERS} senders, {WORKERS} workers, beside a busy thread\n{busy}\n"
 
 
--- a/gypsumplank/coordination/job/dispatcher.py
+++ b/gypsumplank/coordination/job/dispatcher.py
@@ -9,6 +9,7 @@
 
 from gypsumplank.coordination.job.instance import VERIFIED_FOR_S, WorkerInstance
 from gypsumplank.coordination.job.observation import ReceivedReport
+from gypsumplank.coordination.job.orderqueue import OrderQueue
 from gypsumplank.coordination.job.port import WorkerControl
 from gypsumplank.errors import WorkerError, WorkerRefusedError, WorkerUnknownError
 from gypsumplank.log import Event, event
@@ -71,6 +72,7 @@
         self._closed = threading.Event()
         self._first_poll_slots = threading.Semaphore(0)
         self._senders = ThreadPoolExecutor(SENDER_THREADS, "sender")
+        self._orders = OrderQueue(self._submit, clock)
         self._verifications: dict[WorkerInstance, Future[ReceivedReport]] = {}
         self._verifications_lock = threading.Lock()
 
@@ -197,9 +199,9 @@
     def _send(
         self, instance: WorkerInstance, work: Callable[[], None], on_result: ResultCallback
     ) -> None:
-        def run() -> None:
+        def run() -> bool:
             if self._closed.is_set() or instance.detached:
-                return
+                return True
             failure: WorkerError | None = None
             try:
                 work()
@@ -210,10 +212,11 @@
                 failure = WorkerUnknownError(str(exc))
             at = self._clock.monotonic()
             self._post(lambda: on_result(failure, at))
+            return failure is None
 
-        self._submit(run)
+        self._orders.add(instance, run)
 
-    def _submit(self, work: Callable[[], None]) -> None:
+    def _submit(self, work: Callable[[], object]) -> None:
         if not self._closed.is_set():
             self._senders.submit(work)
 
