pressure: do not count excess jobs held by their caps as waiting

Cause: the measurement counted all excess jobs that had not started, also those that only their account's cap held back.

What callers saw: an account at its cap got 429 for its next jobs while most of its service's capacity was free. The new test measured 36 of 40 jobs as waiting on a worker with 12 of 16 cores free, and failed.

Change: excess jobs held by a cap are counted apart. As they do not start once capacity is free, they would be stored without a bound; so they count once there are more than 600 of them in all services, half of the 1,200 waiting jobs for which the rounds are specified.

Result: no 429 below that bound while capacity is free. The row's fields are unchanged.

--- a/gypsumplank/coordination/job/pressure.py
+++ b/gypsumplank/coordination/job/pressure.py
@@ -17,6 +17,9 @@
 
 # Time over which an account's arrivals are counted, milliseconds.
 ARRIVALS_WINDOW_MS = 1000
+# Excess jobs held by their accounts' caps that may be stored in addition to those that wait for
+# capacity; half of the 1,200 waiting jobs that the scheduler's rounds are specified for.
+MAX_HELD_JOBS = 600
 
 
 @dataclass(frozen=True)
@@ -32,7 +35,8 @@
     """Store how long a service's workers would take for all work that waits, in milliseconds.
 
     `accounts` are those that have excess jobs waiting. Where capacity is free, excess jobs start at
-    once, so that none of them wait.
+    once, so that none of them wait. Those held by their account's cap do not count as waiting,
+    unless there are more than MAX_HELD_JOBS.
     """
 
     backlog_ms: Count = 0
@@ -73,7 +77,8 @@
         is_over = job.state in FINAL_JOB_STATES or job.cancelled
         if not is_over and not job.waits_for_queue:
             backlogs[job.service].add(job, times.wall_ms)
-    pressures = {name: backlog.pressure() for name, backlog in backlogs.items()}
+    has_many_held = sum(each.held_jobs for each in backlogs.values()) > MAX_HELD_JOBS
+    pressures = {name: backlog.pressure(has_many_held) for name, backlog in backlogs.items()}
     return Pressure(times.store_ms, {name: each for name, each in pressures.items() if each})
 
 
@@ -85,6 +90,12 @@
         self._work_ms = 0.0
         self._arrivals: Counter[str] = Counter()
         self._excess_jobs: Counter[str] = Counter()
+        self._held_jobs: Counter[str] = Counter()
+
+    @property
+    def held_jobs(self) -> int:
+        """Return how many excess jobs wait since their accounts have reached their caps."""
+        return self._held_jobs.total()
 
     def add_worker(self, capacity: Resources) -> None:
         """Add the capacity of a worker."""
@@ -96,7 +107,8 @@
         if account := job.stored.account:
             self._arrivals[account] += wall_ms - job.stored.accepted_ms <= ARRIVALS_WINDOW_MS
             is_due = job.due_ms(0) <= wall_ms
-            self._excess_jobs[account] += job.is_excess and is_due and not job.started
+            jobs = self._held_jobs if job.is_held else self._excess_jobs
+            jobs[account] += job.is_excess and is_due and not job.started
 
     def _step_ms(self, step: Step) -> float:
         order = step.order
@@ -115,11 +127,12 @@
         )
         return max((n / (USABLE_SHARE * total) for n, total in pairs if total), default=0.0)
 
-    def pressure(self) -> ServicePressure | None:
+    def pressure(self, with_held: bool) -> ServicePressure | None:
         """Return the sum of what was added, None if no excess job waits."""
+        waiting = self._excess_jobs + self._held_jobs if with_held else self._excess_jobs
         accounts = {
             name: AccountPressure(count, self._arrivals[name] * 1000 / ARRIVALS_WINDOW_MS)
-            for name, count in self._excess_jobs.items()
+            for name, count in waiting.items()
             if count
         }
         return ServicePressure(round(self._work_ms), accounts) if accounts else None
--- a/tests/coordination/job/test_rejection.py
+++ b/tests/coordination/job/test_rejection.py
@@ -7,6 +7,7 @@
 
 from gypsumplank.coordination.job.model import Job
 from gypsumplank.coordination.job.pressure import (
+    MAX_HELD_JOBS,
     AccountPressure,
     MeasureTimes,
     Pressure,
@@ -27,6 +28,7 @@
 from gypsumplank.state.clock import ClockRange
 from gypsumplank.state.feed import Changes
 from gypsumplank.state.table import MemoryTable
+from tests.coordination.job.accountsite import AccountSite
 from tests.coordination.job.replay import MANIFEST, QUEUE, SERVICE, LoadReplay, Turn
 
 STEP = StepDefinition(8, Resources(6000, 12_000), 800)
@@ -158,6 +160,37 @@
     assert measure_pressure([job], (), MeasureTimes(0.0, 10_000, 0)).is_high
 
 
+@pytest.mark.parametrize(("count", "is_high"), [(40, False), (MAX_HELD_JOBS + 30, True)])
+def test_excess_held_by_its_cap_is_rejected_from_a_bound_on_only(count, is_high):
+    """Guard against 429 for an account at its cap while three quarters of the service are free."""
+    site = AccountSite((Account("hot", weight=10.0, cap=Resources(4000)),), workers=1)
+    for _ in range(count):
+        site.submit("hot", StepDefinition(1, Resources(1000, 100), 60_000))
+    site.round()
+    assert site.used("hot") == 4000
+    jobs = site.scheduler.workload.jobs.values()
+    pressure = measure_pressure(jobs, site.instances, MeasureTimes(site.clock.now, 1e5, 0))
+    assert pressure.is_high is is_high
+    service = site.manifest.queues[0].service
+    found = find_rejection(service, JOB, HOT, pressure, 0.0, LastRandom(1))
+    assert (found is not None) is is_high
+
+
+def test_excess_that_waits_for_capacity_counts_although_its_cap_held_it_before():
+    """Guard against a flood that is stored without a bound as its first jobs were held."""
+    caps = {"hot": Resources(4000), "other": Resources()}
+    site = AccountSite(tuple(Account(name, weight=10.0, cap=caps[name]) for name in caps), 1)
+    for _ in range(40):
+        site.submit("hot", StepDefinition(1, Resources(1000, 100), 60_000))
+    site.round()
+    site.submit("other", StepDefinition(1, Resources(12_000, 100), 60_000))
+    site.round()
+    site.set_caps(hot=Resources(8000))
+    site.run(2.0)
+    jobs = site.scheduler.workload.jobs.values()
+    assert measure_pressure(jobs, site.instances, MeasureTimes(site.clock.now, 1e5, 0)).is_high
+
+
 class RowFeed:
     def __init__(self, table):
         self.table = table
