intakewatch: adopt the submissions of a read at intervals together

Cause: a full read had the submissions of each partition adopted at once, in the order of the partitions. While a take-over's read is not complete no job is judged by its account's rate; at intervals jobs are judged meanwhile. If the feed lags behind by more than a second, as it does at a slow store or while its calls fail, a newer job is judged first, and all older ones count as accepted at its time.

What callers saw: jobs within their account's weight came after all other jobs, and counted towards rejection.

Take-overs and reads after a lost history adopt at once, as before.

Left: while the feed is out, submissions of the time that the read takes may come out of order.

--- a/gypsumplank/coordination/job/intakewatch.py
+++ b/gypsumplank/coordination/job/intakewatch.py
@@ -109,7 +109,12 @@
 
 
 class IntakeReader(PeriodicThread):
-    """Read all partitions in a take-over, after a lost history and at intervals."""
+    """Read all partitions in a take-over, after a lost history and at intervals.
+
+    In a read at intervals, submissions are adopted together, at its end: in the order of the
+    partitions newer jobs may come first, and older ones then count as beyond their account's rate.
+    Otherwise they are adopted at once, as no job is judged before the read is complete.
+    """
 
     def __init__(
         self,
@@ -123,6 +128,8 @@
         # Partitions of the present read that were not read yet; None if they are to be listed.
         self._left: set[str] | None = set()
         self._version = UNKNOWN_VERSION
+        self._begun_at = 0.0
+        self._read: list[Row] = []
         self._store = store
         self._progress = progress
         self._adoption = adoption
@@ -139,12 +146,13 @@
         self._progress.needs_read.set()
 
     def step(self) -> None:
-        """Read the partitions that are left, and have their submissions adopted one by one."""
+        """Read the partitions that are left, and have their submissions adopted."""
         if self._left == set():
             self.wait_until_due()
             if self.is_closed:
                 return
             self._version = self._progress.begin_read()
+            self._begun_at = self._clock.monotonic()
             self._left = None
         if self._left is None:
             self._left = set(self._store.partitions())
@@ -154,15 +162,21 @@
                 failure = result
             else:
                 self._left.discard(partition)
-                self._publish(result)
+                self._read.extend(result)
+                if self._progress.version == UNKNOWN_VERSION:
+                    self._publish()
         if failure is not None:
+            if self._clock.monotonic() - self._begun_at >= FULL_READ_INTERVAL_S:
+                self._publish()
             raise failure
+        self._publish()
         self._progress.end_read()
         if self._progress.version != UNKNOWN_VERSION:
             version = self._version
             self._post(lambda: self._adoption.update_version(version))
 
-    def _publish(self, rows: Sequence[Row]) -> None:
+    def _publish(self) -> None:
+        rows, self._read = self._read, []
         self._post(lambda: self._adoption.add(rows, self._clock.monotonic()))
 
 
