accounts: hold jobs of accounts that only a newer manifest may name

Cause: an account that the leader's manifest does not name has no cap. Another daemon may accept its jobs by a newer manifest, which the leader reads up to a second later.

What callers saw: a new account used more than its cap. In the new test all 10 tasks of an account with a cap of 2 cores started, and it failed.

Change: a job of an unknown account waits until a manifest is confirmed that was read after the job; it is at least as new as that of the daemon that accepted it. If it does not name the account either, the account was dropped before this daemon started, and the job starts as before.

The test of starts on an unconfirmed manifest used an account that no manifest names as the one without a cap; it is named without a cap now, as such an account waits since it may have one. It checks the same.

Result: the account stays within its cap, also where the leader's manifest has no accounts yet.

--- a/gypsumplank/coordination/job/accounts.py
+++ b/gypsumplank/coordination/job/accounts.py
@@ -100,6 +100,8 @@
         self._known = known
         self._limits = limits
         self._now = 0.0
+        # When the manifest in force was confirmed, in monotonic seconds; None without one.
+        self._confirmed_at: float | None = None
         self._jobs: Mapping[str, Job] = {}
         self._instances: Collection[WorkerInstance] = ()
         self._usage: dict[str, Usage] | None = None
@@ -129,6 +131,9 @@
         self, instances: Collection[WorkerInstance], workload: Workload, now: float, wall_ms: float
     ) -> None:
         """Begin a scheduling round with the worker instances, whose tasks count, and the jobs."""
+        # Taken before the manifest, which may be replaced meanwhile.
+        age_s = self._limits.manifest_age_s()
+        self._confirmed_at = None if age_s is None else now - age_s
         self._jobs = workload.jobs
         self._known.update(self._jobs.values())
         self._order = None
@@ -195,6 +200,9 @@
             pending = spare
         cap = self._known.cap(account) if account else None
         if cap is None:
+            if self._may_be_named(pending.job):
+                self._log_hold(pending, HoldCause.UNCONFIRMED)
+                return None
             return pending
         cause, count = self._judge(pending, cap)
         key = _held_key(pending)
@@ -249,7 +257,20 @@
         """Return whether a task of the step may start, without effect on later decisions."""
         account = pending.job.stored.account
         cap = self._known.cap(account) if account else None
-        return cap is None or self._judge(pending, cap)[0] is None
+        if cap is None:
+            return not self._may_be_named(pending.job)
+        return self._judge(pending, cap)[0] is None
+
+    def _may_be_named(self, job: Job) -> bool:
+        """Return whether the newest manifest may name the job's account, and the known ones not.
+
+        The daemon that accepted the job knew a manifest that names it. One confirmed since this
+        leader read the job is at least as new; an account that it does not name was dropped.
+        """
+        account = job.stored.account
+        if not account or self._known.find(account) is not None:
+            return False
+        return self._confirmed_at is None or self._confirmed_at < job.arrived_at
 
     def _judge(self, pending: PendingStep, cap: Resources) -> tuple[HoldCause | None, int]:
         """Return why the step waits, or None and how many of its tasks may start."""
--- a/tests/coordination/job/test_usage.py
+++ b/tests/coordination/job/test_usage.py
@@ -132,8 +132,36 @@
     assert waiting.assigned_tasks()
 
 
-def test_no_capped_task_starts_on_an_unconfirmed_manifest():
+@pytest.mark.parametrize("accounts", [None, capped(4000)])
+def test_no_task_of_an_account_starts_before_the_manifest_may_name_it(accounts):
+    """Guard against starts above a cap by a manifest that the leader reads later than others."""
+    site = AccountSite(accounts)
+    site.age_s = 0.4
+    for _ in range(10):
+        site.submit("new")
+    site.submit("")
+    site.round()
+    assert (site.used("new"), site.used("")) == (0, 1000)
+    site.age_s = 0.0
+    site.set_caps(a=Resources(4000), new=Resources(2000))
+    site.round()
+    assert site.used("new") == 2000
+
+
+def test_an_account_that_no_manifest_names_any_more_is_not_held():
+    # A daemon that was started after the account was dropped knows no cap of it.
     site = AccountSite(capped(4000))
+    site.age_s = 0.4
+    job = site.submit("dropped")
+    site.run(0.2)
+    assert not site.started_at
+    site.clock.advance(0.2)
+    site.round()
+    assert job.id in site.started_at
+
+
+def test_no_capped_task_starts_on_an_unconfirmed_manifest():
+    site = AccountSite(capped(4000, b=Resources()))
     site.age_s = 3.0
     held, free = site.submit("a"), site.submit("b")
     site.round()
