throttle: resume best-effort tasks whose speed limit is not certain

Cause: a successor assumes that best-effort tasks run at full speed, as limits are not stored. One that its predecessor had paused got no call any more. The same held after a call to pause whose answer was lost.

What callers saw: a best-effort task stood still until it counted as stalled, or was disturbed again. Both new tests got no call after 2 s without disturbance, and failed.

Change: a run that this leader did not start and to which it set no limit yet, and one whose last call may have been executed, count as paused: without disturbance they are set to 25, 50 and 100% at intervals of 2 s. A run that was not paused is slowed down for these 4 s.

Result: both tests get the call. This concerns all deployments with best-effort tasks, with or without client accounts.

--- a/gypsumplank/coordination/job/command.py
+++ b/gypsumplank/coordination/job/command.py
@@ -14,7 +14,7 @@
 from gypsumplank.coordination.job.refusal import STOP_RETRY_S, RefusedStarts
 from gypsumplank.coordination.job.report import requeue_task
 from gypsumplank.coordination.job.throttle import SpeedChange, speed_changes
-from gypsumplank.errors import WorkerError, WorkerRefusedError
+from gypsumplank.errors import WorkerError, WorkerRefusedError, WorkerUnknownError
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.job import FINAL_JOB_STATES, TaskPhase
 from gypsumplank.protocol.worker import RunningTask, StartCommand, StartRefusal
@@ -171,6 +171,7 @@
 
     def _send_speed_limit(self, change: SpeedChange, now: float) -> None:
         task, previous_percent = change.task, change.task.speed_limit_percent
+        run = task.run
         task.speed_limit_percent, task.speed_limit_set_at = change.percent, now
         event(
             logger,
@@ -182,8 +183,13 @@
         )
 
         def handle_result(failure: WorkerError | None, _at: float) -> None:
-            if failure is not None and task.speed_limit_percent == change.percent:
-                task.speed_limit_percent = previous_percent
+            if task.run != run or task.speed_limit_percent != change.percent:
+                return
+            if failure is None:
+                task.is_speed_limit_unsure = False
+                return
+            task.is_speed_limit_unsure |= isinstance(failure, WorkerUnknownError)
+            task.speed_limit_percent = previous_percent
 
         self._dispatcher.set_speed_limit(
             change.instance, task.name, task.run, change.percent, handle_result
--- a/gypsumplank/coordination/job/model.py
+++ b/gypsumplank/coordination/job/model.py
@@ -76,6 +76,7 @@
     load: int = 0
     speed_limit_percent: int = 100
     speed_limit_set_at: float = 0.0
+    is_speed_limit_unsure: bool = False
     permit: str = ""
     should_run: bool = True
     stop_requested_at: float = 0.0
@@ -199,6 +200,7 @@
         self.has_progressed = False
         self.speed_limit_percent = 100
         self.speed_limit_set_at = 0.0
+        self.is_speed_limit_unsure = False
         self.should_run = True
         self.stop_requested_at = 0.0
 
--- a/gypsumplank/coordination/job/throttle.py
+++ b/gypsumplank/coordination/job/throttle.py
@@ -39,7 +39,7 @@
         disturbed = any(_is_disturbed(task) for task in instance.tasks.values())
         for task in best_effort:
             percent = _next_speed_limit(task, disturbed, now)
-            if percent != task.speed_limit_percent:
+            if percent is not None:
                 yield SpeedChange(instance, task, percent)
 
 
@@ -48,12 +48,19 @@
     return target > 0 and not task.step.order.fills and task.load > TAIL_THRESHOLD_SHARE * target
 
 
-def _next_speed_limit(task: Task, disturbed: bool, now: float) -> int:
+def _is_unsure(task: Task) -> bool:
+    """Return whether the limit at the worker may differ: set by an earlier leader, or call lost."""
+    is_restored = task.start_confirmed_at and not task.sent_to and not task.speed_limit_set_at
+    return task.is_speed_limit_unsure or bool(is_restored)
+
+
+def _next_speed_limit(task: Task, disturbed: bool, now: float) -> int | None:
+    """Return the limit to set, None if that is not to change; an unsure one counts as a pause."""
+    is_unsure, lowest = _is_unsure(task), SPEED_LEVELS_PERCENT[0]
     if disturbed:
-        return SPEED_LEVELS_PERCENT[0]
-    if (
-        task.speed_limit_percent >= SPEED_LEVELS_PERCENT[-1]
-        or now - task.speed_limit_set_at < RAISE_INTERVAL_S
-    ):
-        return task.speed_limit_percent
-    return next(level for level in SPEED_LEVELS_PERCENT if level > task.speed_limit_percent)
+        return lowest if is_unsure or task.speed_limit_percent != lowest else None
+    percent = lowest if is_unsure else task.speed_limit_percent
+    since = task.speed_limit_set_at or task.start_confirmed_at
+    if percent >= SPEED_LEVELS_PERCENT[-1] or now - since < RAISE_INTERVAL_S:
+        return None
+    return next(level for level in SPEED_LEVELS_PERCENT if level > percent)
--- a/tests/coordination/job/test_throttle.py
+++ b/tests/coordination/job/test_throttle.py
@@ -7,12 +7,13 @@
 from gypsumplank.coordination.job.model import Job
 from gypsumplank.coordination.job.permit import PermitCache
 from gypsumplank.coordination.job.placement import PendingStep, PlacementRound
-from gypsumplank.coordination.job.throttle import speed_changes
-from gypsumplank.errors import AdviceError
+from gypsumplank.coordination.job.throttle import RAISE_INTERVAL_S, speed_changes
+from gypsumplank.errors import AdviceError, WorkerUnknownError
 from gypsumplank.protocol.job import JobDefinition, Resources, StepDefinition, StoredJob
 from gypsumplank.protocol.worker import WorkerEntry, WorkerState
 from gypsumplank.state.clock import ManualClock
 from standins.cluster import QUEUE, ROOM, SERVICE, long_running_step
+from tests.coordination.job.accountsite import AccountSite
 
 NOW = 100.0
 SERVING_STEP = replace(long_running_step(1), tail_target_ms=100)
@@ -59,6 +60,41 @@
     assert not list(speed_changes([instance], NOW + 2.0))
 
 
+def test_task_that_an_earlier_leader_may_have_paused_is_resumed(running_tasks):
+    """Guard against a best-effort task that stays paused after a takeover."""
+    instance, serving, best_effort = running_tasks
+    # As restored from rows: this leader sent no start, and its first report confirms the run.
+    best_effort.start_confirmed_at = NOW
+    assert not list(speed_changes([instance], NOW + 1.0))
+    instance.last_contact_at = NOW + 2.0
+    assert [change.percent for change in speed_changes([instance], NOW + 2.0)] == [25]
+    best_effort.sent_to = instance.incarnation
+    assert not list(speed_changes([instance], NOW + 2.0))
+
+
+@pytest.mark.parametrize("failure", [WorkerUnknownError("timed out"), None])
+def test_lost_answer_to_a_pause_does_not_leave_a_task_paused(running_tasks, failure):
+    """Guard against a pause that the worker executed although the call failed."""
+    instance, serving, best_effort = running_tasks
+    best_effort.sent_to = instance.incarnation
+    calls = []
+    site = AccountSite(())
+    site.set_speed_limit = lambda _instance, _name, _run, percent, on_result: calls.append(
+        (percent, on_result)
+    )
+    sender = site.scheduler.commands
+    serving.load = 200
+    sender.send([instance], lambda: False)
+    ((percent, on_result),) = calls
+    assert percent == 0
+    on_result(failure, NOW)
+    serving.load = 0
+    site.clock.advance(RAISE_INTERVAL_S)
+    instance.last_contact_at = site.clock.now
+    sender.send([instance], lambda: False)
+    assert [percent for percent, _ in calls] == [0, 25]
+
+
 class FakeAdvisor:
     def __init__(self, *answers):
         self.answers = list(answers)
