intake: export metrics of submissions

Cause: submissions apart from the scheduler had log lines only.

What operators saw: neither how far the leader's intake lags behind nor which partitions throttle. The new tests cannot run without the metrics.

Change: counters of submissions by outcome, of adoptions and of removals, gauges of the age of the oldest submission whose job is not stored yet (at the leader) and of the back-off by partition, where the settings activate submissions.

Result: tests of each metric pass.

--- a/gypsumplank/composition/platform.py
+++ b/gypsumplank/composition/platform.py
@@ -10,11 +10,13 @@
 from opentelemetry.metrics import Observation
 
 from gypsumplank.composition.accountgauge import add_account_gauges
+from gypsumplank.composition.intakemetrics import add_intake_metrics
 from gypsumplank.coordination.job.accounts import AccountLimits, Accounts
 from gypsumplank.coordination.job.backoff import PartitionBackoff
 from gypsumplank.coordination.job.freshness import KeyPolicy
 from gypsumplank.coordination.job.intakeclient import IntakeClient
 from gypsumplank.coordination.job.intakeindex import IntakeIndex
+from gypsumplank.coordination.job.intakestats import IntakeStats
 from gypsumplank.coordination.job.intakewatch import IntakePorts
 from gypsumplank.coordination.job.leader import LEASE_DURATION_S, SCHEDULER_LEASE, SchedulerLeader
 from gypsumplank.coordination.job.machine import ORDER_SENDERS, MachineController
@@ -133,6 +135,7 @@
             "Ratio by which the tail latency of tasks of an image is higher beside a neighbour's",
             self._observe_slowdowns,
         )
+        self._intake_stats = IntakeStats()
         self._wake = threading.Event()
         self._stop_requested = False
         self._stopping = False
@@ -221,7 +224,9 @@
             else None
         )
         intake = IntakePorts(
-            IntakeStore(self._partitions, settings.max_row_bytes), self._partitions
+            IntakeStore(self._partitions, settings.max_row_bytes),
+            self._partitions,
+            self._intake_stats,
         )
         return PlatformPorts(
             JobStore(self._fleet_rows, settings.max_row_bytes),
@@ -290,13 +295,22 @@
     def _make_intake_client(self, job_store: JobStore) -> IntakeClient:
         relayed = RelayPartitions(self._partitions, self._fleet_rows, self._peer_table)
         store = IntakeStore(relayed, self._settings.max_row_bytes)
+        backoff = PartitionBackoff(random.Random())
+        add_intake_metrics(
+            self._metrics,
+            self._intake_stats,
+            backoff,
+            lambda: self._leader.is_leader,
+            self._clock,
+        )
         return IntakeClient(
             store,
             job_store,
             IntakeIndex(store, self._partitions),
             self._clock,
-            PartitionBackoff(random.Random()),
+            backoff,
             self._daemon_registry.all_read_submissions,
+            self._intake_stats,
         )
 
     def _make_listener(
--- a/gypsumplank/coordination/job/adoption.py
+++ b/gypsumplank/coordination/job/adoption.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from itertools import islice
 
+from gypsumplank.coordination.job.intakestats import IntakeStats
 from gypsumplank.coordination.job.workload import UNKNOWN_VERSION, Workload
 from gypsumplank.errors import EntryInvalidError
 from gypsumplank.log import Event, event
@@ -38,9 +39,10 @@
 class Adoption:
     """Keep the submissions that exist, with their versions; used by the scheduler's thread only."""
 
-    def __init__(self, workload: Workload, version: int) -> None:
+    def __init__(self, workload: Workload, version: int, stats: IntakeStats) -> None:
         """Start with a workload whose jobs were all stored up to a version of the store."""
         self._workload = workload
+        self._stats = stats
         self._known: dict[str, tuple[int, bool]] = {}
         workload.intake_version = UNKNOWN_VERSION
         workload.loaded_version = version
@@ -78,6 +80,7 @@
         if not workload.knows(job_id):
             job = workload.add(LoadedJob(found.job, JobState.QUEUED, 0, False, {}), now)
             job.unstored = True
+            self._stats.count_adoption()
         if found.cancelled:
             workload.cancel_submission(job_id)
 
@@ -92,6 +95,14 @@
         if version == UNKNOWN_VERSION or known is None or version > known:
             self._workload.intake_version = version
 
+    def update_oldest(self) -> None:
+        """Update when the oldest submission was accepted whose job is not stored yet."""
+        found = (self._workload.jobs.get(job_id) for job_id in self._known)
+        self._stats.oldest_ms = min(
+            (job.stored.accepted_ms for job in found if job is not None and job.unstored),
+            default=None,
+        )
+
     def removals(self) -> Sequence[Removal]:
         """Return the submissions whose jobs are stored, or known to have ended, by partition."""
         found: defaultdict[str, list[tuple[str, int]]] = defaultdict(list)
--- a/gypsumplank/coordination/job/backoff.py
+++ b/gypsumplank/coordination/job/backoff.py
@@ -33,6 +33,11 @@
         self._spacing: dict[str, float] = {}
         self._next_at: dict[str, float] = {}
 
+    def spacings(self) -> dict[str, float]:
+        """Return the spacing of the calls to each throttling partition, in seconds."""
+        with self._lock:
+            return dict(self._spacing)
+
     def reserve(self, partition: str, now: float, deadline: float) -> float | None:
         """Return when to send a call, from `now` on; None if that is not before the deadline."""
         with self._lock:
--- a/gypsumplank/coordination/job/intakeclient.py
+++ b/gypsumplank/coordination/job/intakeclient.py
@@ -8,6 +8,7 @@
 
 from gypsumplank.coordination.job.backoff import PartitionBackoff
 from gypsumplank.coordination.job.intakeindex import IntakeIndex
+from gypsumplank.coordination.job.intakestats import IntakeStats, SubmitOutcome
 from gypsumplank.errors import (
     JobMissingError,
     StateConflictError,
@@ -46,6 +47,7 @@
         clock: Clock,
         backoff: PartitionBackoff,
         is_writing: Callable[[], bool],
+        stats: IntakeStats | None = None,
     ) -> None:
         self._store = store
         self._jobs = jobs
@@ -53,6 +55,7 @@
         self._clock = clock
         self._backoff = backoff
         self._is_writing = is_writing
+        self._stats = stats or IntakeStats()
         self._pause = threading.Event()
 
     @property
@@ -65,6 +68,22 @@
 
         Raises StateUnknownError if it may be stored, StateUnavailableError only if it can't be.
         """
+        outcome = SubmitOutcome.FAILED
+        try:
+            new, attempts = self._insert(job, remaining_s)
+            outcome = SubmitOutcome.NEW if new else SubmitOutcome.REPEATED
+        except StateUnavailableError:
+            outcome = SubmitOutcome.BUSY
+            raise
+        except StateUnknownError:
+            outcome = SubmitOutcome.UNKNOWN
+            raise
+        finally:
+            self._stats.count_submission(outcome)
+        return new, attempts
+
+    def _insert(self, job: StoredJob, remaining_s: float) -> tuple[bool, int]:
+        """Insert a submission, with retries until the caller stops waiting."""
         partition = partition_of(job.id)
         started_at = self._clock.monotonic()
         last_attempt_at = started_at + remaining_s * LAST_ATTEMPT_SHARE
--- a/gypsumplank/coordination/job/intakewatch.py
+++ b/gypsumplank/coordination/job/intakewatch.py
@@ -5,9 +5,10 @@
 
 import threading
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from gypsumplank.coordination.job.adoption import Adoption, Removal
+from gypsumplank.coordination.job.intakestats import IntakeStats
 from gypsumplank.coordination.job.watch import FEED_LONG_POLL_S, PeriodicThread
 from gypsumplank.coordination.job.workload import UNKNOWN_VERSION, Workload
 from gypsumplank.errors import StateConflictError, StateError, StateHistoryLostError
@@ -183,9 +184,10 @@
 class IntakeRemover(PeriodicThread):
     """Remove the submissions whose jobs are stored in the scheduler's partition."""
 
-    def __init__(self, store: IntakeStore, adoption: Adoption, clock: Clock, post: Post) -> None:
+    def __init__(self, ports: "IntakePorts", adoption: Adoption, clock: Clock, post: Post) -> None:
         super().__init__("removal", REMOVAL_INTERVAL_S)
-        self._store = store
+        self._store = ports.store
+        self._stats = ports.stats
         self._adoption = adoption
         self._clock = clock
         self._post = post
@@ -206,6 +208,7 @@
             self._post(self._choose)
 
     def _choose(self) -> None:
+        self._adoption.update_oldest()
         removals = self._adoption.removals()
         with self._lock:
             self._removals = removals
@@ -223,24 +226,26 @@
             self._post(lambda: adoption.drop(gone))
             self._post(lambda: adoption.add(rows, self._clock.monotonic()))
         else:
+            self._stats.count_removals(len(jobs))
             self._post(lambda: adoption.drop(jobs))
 
 
 @dataclass(frozen=True)
 class IntakePorts:
-    """Store the interfaces through which the leader reads and removes submissions."""
+    """Store the interfaces through which the leader reads, removes and counts submissions."""
 
     store: IntakeStore
     feed: ChangeFeed
+    stats: IntakeStats = field(default_factory=IntakeStats)
 
 
 def create_intake_threads(
     ports: IntakePorts, workload: Workload, clock: Clock, version: int, post: Post
 ) -> Sequence[PeriodicThread]:
     """Return the threads of a term whose workload was loaded up to a version of the store."""
-    adoption, progress = Adoption(workload, version), IntakeProgress(version)
+    adoption, progress = Adoption(workload, version, ports.stats), IntakeProgress(version)
     return (
         IntakeFeed(ports.feed, progress, adoption, clock, post),
         IntakeReader(ports.store, progress, adoption, clock, post),
-        IntakeRemover(ports.store, adoption, clock, post),
+        IntakeRemover(ports, adoption, clock, post),
     )
