--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -2,11 +2,14 @@
 
 import json
 import logging
+import math
 import sys
+import time
 from enum import StrEnum
 from typing import Any, TextIO
 
 from pythonjsonlogger.json import JsonFormatter
+from pythonjsonlogger.msgspec import MsgspecFormatter
 
 UNQUOTED_CHARACTERS = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/+@%,"
@@ -15,6 +18,12 @@
 # Longest text in one field of a log line.
 MAX_FIELD_CHARS = 500
 
+# Character that the json module escapes, but msgspec does not.
+DELETE = "\x7f"
+# Range of floats that both modules write without an exponent, apart from 0.
+MIN_PLAIN_FLOAT, MAX_PLAIN_FLOAT = 1e-4, 1e15
+INT64_LIMIT = 2**63
+
 
 class Event(StrEnum):
     """Enumerate the log events; `doc` is the description on the reference page."""
@@ -107,7 +116,53 @@
     WAVE_CHANGED = "wave-changed", "A wave started, paused, ended or was aborted."
 
 
-class LogfmtFormatter(JsonFormatter):
+class _CachedTimeFormatter(logging.Formatter):
+    """Format the time of a record, the part down to the second once per second."""
+
+    _second = -1
+    _time = ""
+
+    def formatTime(  # noqa: N802
+        self, record: logging.LogRecord, datefmt: str | None = None
+    ) -> str:
+        """Return the time as logging.Formatter does."""
+        if datefmt:
+            return super().formatTime(record, datefmt)
+        second = int(record.created)
+        cached = self._time
+        if second != self._second:
+            cached = time.strftime(self.default_time_format, self.converter(record.created))
+            self._time, self._second = cached, second
+        return f"{cached},{int(record.msecs):03d}"
+
+
+class FastJsonFormatter(_CachedTimeFormatter, MsgspecFormatter):
+    """Format a record as JSON with msgspec; where its text would differ, with the json module."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._json = JsonFormatter(*args, **kwargs)
+
+    def jsonify_log_record(self, log_data: dict[str, Any]) -> str:
+        """Return the record as JSON without spaces."""
+        if all(map(_is_plain, log_data.values())):
+            return str(super().jsonify_log_record(log_data))
+        return str(self._json.jsonify_log_record(log_data))
+
+
+def _is_plain(value: Any) -> bool:
+    """Return whether msgspec is known to write a value as the json module does."""
+    kind = type(value)
+    if kind is str:
+        return value.isascii() and DELETE not in value
+    if kind is bool or value is None:
+        return True
+    if kind is int:
+        return -INT64_LIMIT <= value < INT64_LIMIT
+    return kind is float and (value == 0 or MIN_PLAIN_FLOAT <= math.fabs(value) < MAX_PLAIN_FLOAT)
+
+
+class LogfmtFormatter(_CachedTimeFormatter, JsonFormatter):
     """Format a record as key=value pairs."""
 
     def serialize_log_record(self, log_data: dict[str, Any]) -> str:
@@ -125,13 +180,15 @@
 ) -> None:
     """Send all logs in this format to the handler, or else to the stream."""
     field_names = {"levelname": "level", "asctime": "time", "message": "event"}
-    formatter = (JsonFormatter if log_format == "json" else LogfmtFormatter)(
+    formatter = (FastJsonFormatter if log_format == "json" else LogfmtFormatter)(
         "%(asctime)s %(levelname)s %(name)s %(message)s", rename_fields=field_names
     )
     handler = handler or logging.StreamHandler(stream)
     handler.setFormatter(formatter)
     root = logging.getLogger()
     root.handlers[:] = [handler]
+    # No line contains what these collect for each record.
+    logging.logThreads = logging.logProcesses = logging.logMultiprocessing = False
     root.setLevel(level.upper())
     logging.getLogger("waitress.queue").setLevel(logging.ERROR)
     logging.getLogger("urllib3").setLevel(logging.ERROR)
@@ -141,8 +198,12 @@
     logger: logging.Logger, event_type: Event, level: int = logging.INFO, **fields: Any
 ) -> None:
     """Log one event with its fields; a longer text than MAX_FIELD_CHARS is cut."""
+    if not logger.isEnabledFor(level):
+        return
     bounded = {name: _cut(value) for name, value in fields.items()}
-    logger.log(level, event_type.value, extra=bounded)
+    # Logger.log would look for the caller in the stack, which no line contains.
+    record = logger.makeRecord(logger.name, level, "", 0, event_type.value, (), None, extra=bounded)
+    logger.handle(record)
 
 
 def _cut(value: Any) -> Any:
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -5,8 +5,9 @@
 import logging
 
 import pytest
+from pythonjsonlogger.json import JsonFormatter
 
-from gypsumplank.log import Event, configure_logging, event
+from gypsumplank.log import Event, FastJsonFormatter, configure_logging, event
 
 
 @pytest.fixture
@@ -44,3 +45,16 @@
     event(logging.getLogger("x"), Event.ENTRY_DROPPED, detail=detail, entry=detail)
     (line,) = stream.getvalue().splitlines()
     assert len(line) < 10_000
+
+
+def test_fast_json_lines_have_the_content_of_the_json_module():
+    """A value that msgspec writes differently, or not at all, would change or lose a line."""
+    values = (1, -5, 2**70, 0.25, 1e300, 1e-9, float("nan"), True, None, Event.READY, b"x", {1}, [])
+    texts = ("a", '"\\\b\x1f', "\x7f", "\u00e9", "\ud800", "\u2028")
+    for value in (*values, *texts, {"a": texts}):
+        record = logging.makeLogRecord({"name": "n", "msg": "m", "field": value})
+        options = {"fmt": "%(asctime)s %(message)s", "rename_fields": {"message": "event"}}
+        fast, standard = (
+            kind(**options).format(record) for kind in (FastJsonFormatter, JsonFormatter)
+        )
+        assert fast.replace(" ", "") == standard.replace(" ", "")
