protocol: make Resources a msgspec struct

The scheduler creates hundreds of thousands of Resources in 10 s, and a frozen data class sets each field through object.__setattr__.

--- a/gypsumplank/protocol/job.py
+++ b/gypsumplank/protocol/job.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+import msgspec
+
 from gypsumplank.protocol.decoder import Count
 
 # Limits of one job; a leader keeps the tasks of all occurrences in memory.
@@ -23,9 +25,11 @@
 FINAL_JOB_STATES = frozenset({JobState.COMPLETED, JobState.FAILED, JobState.CANCELLED})
 
 
-@dataclass(frozen=True)
-class Resources:
-    """Represent resources: CPU in thousandths of a core, memory in MB and accelerators."""
+class Resources(msgspec.Struct, frozen=True, gc=False):
+    """Represent resources: CPU in thousandths of a core, memory in MB and accelerators.
+
+    It is a struct as the scheduler creates very many; it is encoded like a frozen data class.
+    """
 
     cpu: Count = 0
     memory_mb: Count = 0
@@ -58,17 +62,17 @@
     def at_least(self, other: "Resources") -> "Resources":
         """Return the larger amount of each resource."""
         return Resources(
-            max(self.cpu, other.cpu),
-            max(self.memory_mb, other.memory_mb),
-            max(self.accelerators, other.accelerators),
+            self.cpu if self.cpu > other.cpu else other.cpu,
+            self.memory_mb if self.memory_mb > other.memory_mb else other.memory_mb,
+            self.accelerators if self.accelerators > other.accelerators else other.accelerators,
         )
 
     def at_most(self, other: "Resources") -> "Resources":
         """Return the smaller amount of each resource."""
         return Resources(
-            min(self.cpu, other.cpu),
-            min(self.memory_mb, other.memory_mb),
-            min(self.accelerators, other.accelerators),
+            self.cpu if self.cpu < other.cpu else other.cpu,
+            self.memory_mb if self.memory_mb < other.memory_mb else other.memory_mb,
+            self.accelerators if self.accelerators < other.accelerators else other.accelerators,
         )
 
     def can_fit(self, other: "Resources") -> bool:
