job: keep the usage of accounts up to date instead of summing it up

Each round summed up all running tasks three times (usage, use by service, runs that have begun), and yielded the limits of a cap by name for each pending step. UsageTracker now compares the tasks of the worker instances that changed with those that it counted. Caps are compared directly, the reserve of excess jobs is computed once for each account until a start changes it, and a pending step is ranked again only after a start of its account.

The checks of each round in tests/coordination/job compare usage with a sum over all tasks (moved there from the package) and the order with a full ranking. Without the count of starts by account, test_accountshare.py fails.

--- a/gypsumplank/coordination/job/accounts.py
+++ b/gypsumplank/coordination/job/accounts.py
@@ -19,7 +19,6 @@
     Urgency,
     find_short_services,
     mark_excess,
-    sum_service_use,
 )
 from gypsumplank.coordination.job.accountstatus import AccountStatus, make_statuses
 from gypsumplank.coordination.job.instance import WorkerInstance
@@ -29,10 +28,9 @@
     KnownAccounts,
     Usage,
     count_startable,
-    has_begun,
     is_under_half,
-    sum_usage,
 )
+from gypsumplank.coordination.job.usagetracker import UsageTracker
 from gypsumplank.coordination.job.workload import Workload
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.job import FINAL_JOB_STATES, Resources
@@ -102,8 +100,9 @@
         self._now = 0.0
         self._jobs: Mapping[str, Job] = {}
         self._instances: Collection[WorkerInstance] = ()
+        self._tracker = UsageTracker()
         self._usage: dict[str, Usage] | None = None
-        self._begun: dict[str, Usage] | None = None
+        self._begun: dict[str, Resources] | None = None
         self._gang_decisions: dict[tuple[str, int], bool] = {}
         self._held: defaultdict[str, dict[tuple[str, int], HeldStep]] = defaultdict(dict)
         # Held steps that are not tried any more, as they fit on no worker.
@@ -171,14 +170,14 @@
         if not short_services and not self._excess_waiting:
             return pending
         first = self._excess_turns.find_first(pending, self._now)
-        use = sum_service_use(self._instances)
+        use = self._tracker.service_use(self._instances)
         self._order = ShareOrder(self._known, use, short_services, first, self._now)
         return self._order.sorted(pending, urgency)
 
     def usage(self, account: str) -> Usage:
         """Return what an account uses, with the tasks that this round has assigned."""
         if self._usage is None:
-            self._usage = sum_usage(self._instances)
+            self._usage = self._tracker.usage(self._instances)
         return self._usage.get(account, Usage())
 
     def limit(self, pending: PendingStep) -> PendingStep | None:
@@ -223,6 +222,8 @@
             count += 1
         if not count or (order.gang and count < order.tasks):
             return None
+        if count == len(pending.tasks):
+            return pending
         return replace(pending, tasks=pending.tasks[:count])
 
     def record_start(self, pending: PendingStep, tasks: int) -> None:
@@ -331,13 +332,13 @@
         )
 
     def _update_status(self) -> None:
-        usage = sum_usage(self._instances)
+        usage = self._tracker.usage(self._instances)
         self._usage = dict(usage)
         held = {
             account: sum(len(each.pending.tasks) for each in steps.values())
             for account, steps in self._held.items()
         }
-        use = sum_service_use(self._instances)
+        use = self._tracker.service_use(self._instances)
         self.status = make_statuses(self._known, usage, use, held, self._excess_waiting)
 
     # Starts that wait for the store while caps may change
@@ -363,12 +364,12 @@
         if order.gang and gang in self._gang_decisions:
             return self._gang_decisions[gang]
         if self._begun is None:
-            self._begun = sum_usage(self._instances, has_begun)
-        used = self._begun.get(account, Usage())
+            self._begun = self._tracker.begun(self._instances)
+        used = self._begun.get(account, Resources())
         members = order.tasks if order.gang else 1
-        may_send = count_startable(used.total, order, members, cap, self._limits.overage) > 0
+        may_send = count_startable(used, order, members, cap, self._limits.overage) > 0
         if may_send:
-            self._begun[account] = used.plus(order.need.scaled(members))
+            self._begun[account] = used + order.need.scaled(members)
         if order.gang:
             self._gang_decisions[gang] = may_send
         return may_send
--- a/gypsumplank/coordination/job/accountshare.py
+++ b/gypsumplank/coordination/job/accountshare.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from dataclasses import dataclass
 
-from gypsumplank.coordination.job.instance import WorkerInstance
 from gypsumplank.coordination.job.model import Job
 from gypsumplank.coordination.job.placement import PendingStep
 from gypsumplank.coordination.job.usage import KnownAccounts
@@ -114,22 +113,6 @@
     used: dict[Party, Resources]
 
 
-def sum_service_use(instances: Iterable[WorkerInstance]) -> ServiceUse:
-    """Return the use of each service; runs that are being stopped count."""
-    totals: defaultdict[str, Resources] = defaultdict(Resources)
-    used: defaultdict[Party, list[int]] = defaultdict(lambda: [0, 0, 0])
-    for instance in instances:
-        service = instance.entry.service
-        if instance.registered:
-            totals[service] = totals[service] + instance.entry.room
-        for task in instance.tasks.values():
-            need, sums = task.step.order.need, used[service, task.step.job.stored.account]
-            sums[0] += need.cpu
-            sums[1] += need.memory_mb
-            sums[2] += need.accelerators
-    return ServiceUse(totals, {party: Resources(*sums) for party, sums in used.items()})
-
-
 def find_short_services(
     pending: Iterable[PendingStep], free: Mapping[str, Resources]
 ) -> frozenset[str]:
@@ -153,16 +136,28 @@
 
     def __init__(self) -> None:
         self._sums: dict[Party, tuple[float, list[float]]] = {}
+        # What `reserve` returned at a time, until a start changes it.
+        self._reserves: dict[Party, Resources] = {}
+        self._reserves_at = -math.inf
 
     def record_start(self, service: str, account: str, need: Resources, now: float) -> None:
         """Count tasks that were started within their accounts' weights."""
         amounts = (need.cpu, need.memory_mb, need.accelerators)
+        self._reserves.clear()
         for party in ((service, ALL_ACCOUNTS), (service, account)):
             sums = zip(self._decayed(party, now), amounts, strict=True)
             self._sums[party] = now, [old + new for old, new in sums]
 
     def reserve(self, service: str, account: str, now: float) -> Resources:
         """Return what excess jobs of an account have to leave free in a service."""
+        if now != self._reserves_at:
+            self._reserves.clear()
+            self._reserves_at = now
+        if (service, account) not in self._reserves:
+            self._reserves[service, account] = self._compute(service, account, now)
+        return self._reserves[service, account]
+
+    def _compute(self, service: str, account: str, now: float) -> Resources:
         every, own = (self._decayed((service, name), now) for name in (ALL_ACCOUNTS, account))
         rates = ((all_ - its) / RATE_WINDOW_S for all_, its in zip(every, own, strict=True))
         return Resources(*(int(rate * RESERVE_S) for rate in rates))
@@ -214,6 +209,8 @@
         self._first = first
         self._now = now
         self._shares: dict[Party, float] = {}
+        # Starts of each party in this round; a rank changes with these only.
+        self._starts: defaultdict[Party, int] = defaultdict(int)
 
     def is_short(self, service: str) -> bool:
         """Return whether more work waits in a service than capacity is free."""
@@ -254,6 +251,11 @@
             return (True, 0, queue_priority, share, priority, band, deadline)
         return (False, band, queue_priority, share, priority, 0, deadline)
 
+    def _party(self, pending: PendingStep) -> Party:
+        """Return whose share counts for a step."""
+        account = self._known.find(pending.job.stored.account) or NO_ACCOUNT
+        return pending.job.service, account.name
+
     def _is_passed_over(self, pending: PendingStep, deadline: float) -> bool:
         """Return whether a guaranteed step has waited for as long as its share may delay it."""
         since = min(task.queued_since for task in pending.tasks)
@@ -266,6 +268,7 @@
         used = self._use.used.get(party, Resources())
         self._use.used[party] = used + pending.step.order.need.scaled(tasks)
         self._shares.pop(party, None)
+        self._starts[party] += 1
 
     def sorted(self, pending: Sequence[PendingStep], urgency: Urgency) -> Iterator[PendingStep]:
         """Yield the steps in order, which follows the starts that are recorded meanwhile."""
@@ -274,11 +277,16 @@
             (self.rank(each, urgencies[index]), index, each) for index, each in enumerate(pending)
         ]
         heapq.heapify(heap)
+        parties = [self._party(each) for each in pending]
+        ranked_at = [0] * len(pending)
         while heap:
             rank, index, each = heap[0]
-            current = self.rank(each, urgencies[index])
-            if current > rank:
-                heapq.heapreplace(heap, (current, index, each))
-                continue
+            starts = self._starts.get(parties[index], 0)
+            if starts != ranked_at[index]:
+                ranked_at[index] = starts
+                current = self.rank(each, urgencies[index])
+                if current > rank:
+                    heapq.heapreplace(heap, (current, index, each))
+                    continue
             heapq.heappop(heap)
             yield each
--- a/gypsumplank/coordination/job/instance.py
+++ b/gypsumplank/coordination/job/instance.py
@@ -56,32 +56,40 @@
 
 
 class AssignedTasks(dict[str, Task]):
-    """Keep tasks by name, and what they use together, as that is asked for in each round."""
+    """Keep tasks by name, and what they use together, as that is asked for in each round.
+
+    `changes` counts the changes.
+    """
 
     _used: Resources | None = None
     _has_best_effort = False
+    changes = 0
 
-    def __setitem__(self, name: str, task: Task) -> None:
+    def _note_change(self) -> None:
         self._used = None
+        self.changes += 1
+
+    def __setitem__(self, name: str, task: Task) -> None:
+        self._note_change()
         super().__setitem__(name, task)
 
     def __delitem__(self, name: str) -> None:
-        self._used = None
+        self._note_change()
         super().__delitem__(name)
 
     def pop(self, name: str, *default: Any) -> Any:
         """Remove a task and return it."""
-        self._used = None
+        self._note_change()
         return super().pop(name, *default)
 
     def update(self, *others: Any, **tasks: Task) -> None:
         """Add tasks."""
-        self._used = None
+        self._note_change()
         super().update(*others, **tasks)
 
     def clear(self) -> None:
         """Remove all tasks."""
-        self._used = None
+        self._note_change()
         super().clear()
 
     def used(self) -> Resources:
--- a/gypsumplank/coordination/job/usage.py
+++ b/gypsumplank/coordination/job/usage.py
@@ -1,15 +1,13 @@
 """Sum up what client accounts use, and decide which starts their caps allow.
 
 Answers an account that submits more than it may use, and one whose cap is lowered below what runs.
-What may be running counts until evidence.py proves it over: usage is summed over the same runs
-from which placement takes the free resources of workers.
+What may be running counts until evidence.py proves it over: usagetracker.py sums usage over the
+same runs from which placement takes the free resources of workers.
 """
 
-from collections import defaultdict
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from gypsumplank.coordination.job.instance import WorkerInstance
 from gypsumplank.coordination.job.model import Job, Task
 from gypsumplank.protocol.account import Account
 from gypsumplank.protocol.job import Resources, StepDefinition
@@ -32,6 +30,7 @@
         self._in_force: Manifest | None = None
         self._accounts: dict[str, Account] = {}
         self._dropped: dict[str, Account] = {}
+        self._caps: dict[str, Resources] = {}
         self.has_any = False
 
     def update(self, jobs: Iterable[Job] = ()) -> None:
@@ -49,6 +48,11 @@
             for name in [name for name in dropped if name not in with_jobs][:excess]:
                 del dropped[name]
         self._dropped = dropped
+        self._caps = {
+            name: account.cap
+            for name, account in (dropped | self._accounts).items()
+            if account.cap != Resources()
+        }
         self.has_any = bool(self._accounts or self._dropped)
 
     def find(self, name: str) -> Account | None:
@@ -57,8 +61,7 @@
 
     def cap(self, name: str) -> Resources | None:
         """Return the cap of an account; None if nothing limits it."""
-        account = self.find(name)
-        return account.cap if account and account.cap != Resources() else None
+        return self._caps.get(name)
 
 
 @dataclass(frozen=True)
@@ -76,37 +79,9 @@
         return Usage(self.total + amount, self.lasting)
 
 
-def sum_usage(
-    instances: Iterable[WorkerInstance], is_counted: Callable[[Task], bool] = lambda _task: True
-) -> dict[str, Usage]:
-    """Return what each account uses on all workers; best-effort tasks count with their full need.
-
-    A task counts once for each of its runs that may be at work. Runs that a worker reports although
-    they are not assigned to it count in any case, others only if `is_counted`.
-    """
-    totals: defaultdict[str, list[int]] = defaultdict(lambda: [0] * 6)
-    for task in _counted_runs(instances, is_counted):
-        account = task.step.job.stored.account
-        if not account:
-            continue
-        need, sums = task.step.order.need, totals[account]
-        is_lasting = task.step.order.lasting and task.should_run and not task.step.job.cancelled
-        for start in (0, 3) if is_lasting else (0,):
-            sums[start] += need.cpu
-            sums[start + 1] += need.memory_mb
-            sums[start + 2] += need.accelerators
-    return {
-        account: Usage(Resources(*sums[:3]), Resources(*sums[3:]))
-        for account, sums in totals.items()
-    }
-
-
-def _counted_runs(
-    instances: Iterable[WorkerInstance], is_counted: Callable[[Task], bool]
-) -> Iterator[Task]:
-    for instance in instances:
-        yield from filter(is_counted, instance.tasks.values())
-        yield from instance.unassigned_tasks
+def is_lasting_use(task: Task) -> bool:
+    """Return whether a task is long-running and not being stopped."""
+    return task.step.order.lasting and task.should_run and not task.step.job.cancelled
 
 
 def has_begun(task: Task) -> bool:
@@ -114,16 +89,21 @@
     return task.may_have_begun or task.is_final
 
 
-def _limited(cap: Resources, *amounts: Resources) -> Iterator[tuple[int, ...]]:
-    """Yield each limit of a cap that is not 0, with the amounts of its resource."""
-    for field in ("cpu", "memory_mb", "accelerators"):
-        if limit := getattr(cap, field):
-            yield limit, *(getattr(amount, field) for amount in amounts)
+def _is_under_half(amount: int, limit: int) -> bool:
+    return not limit or 2 * amount < limit
+
+
+def _may_add(amount: int, more: int, limit: int) -> bool:
+    return not limit or amount + more <= limit or 2 * amount < limit
 
 
 def is_under_half(used: Resources, cap: Resources) -> bool:
     """Return whether an account uses less than half of its cap in each limited resource."""
-    return all(2 * amount < limit for limit, amount in _limited(cap, used))
+    return (
+        _is_under_half(used.cpu, cap.cpu)
+        and _is_under_half(used.memory_mb, cap.memory_mb)
+        and _is_under_half(used.accelerators, cap.accelerators)
+    )
 
 
 def may_add(used: Resources, need: Resources, cap: Resources) -> bool:
@@ -132,9 +112,10 @@
     Below half of the cap any task may start, as the platform allows one task above the cap and
     demands that accounts below half of it are served.
     """
-    return all(
-        amount + more <= limit or 2 * amount < limit
-        for limit, amount, more in _limited(cap, used, need)
+    return (
+        _may_add(used.cpu, need.cpu, cap.cpu)
+        and _may_add(used.memory_mb, need.memory_mb, cap.memory_mb)
+        and _may_add(used.accelerators, need.accelerators, cap.accelerators)
     )
 
 
@@ -147,9 +128,13 @@
     task: the cap, its overage and one task.
     """
     total = need.scaled(tasks)
+    amounts = (
+        (cap.cpu, used.cpu + total.cpu, need.cpu),
+        (cap.memory_mb, used.memory_mb + total.memory_mb, need.memory_mb),
+        (cap.accelerators, used.accelerators + total.accelerators, need.accelerators),
+    )
     is_bounded = all(
-        amount + whole <= limit * (1 + overage) + one
-        for limit, amount, whole, one in _limited(cap, used, total, need)
+        not limit or whole <= limit * (1 + overage) + one for limit, whole, one in amounts
     )
     return is_bounded and may_add(used, total, cap)
 
--- a/tests/coordination/job/scratch.py
+++ b/tests/coordination/job/scratch.py
@@ -1,14 +1,18 @@
 """Find from all jobs what the scheduler keeps up to date from those that changed."""
 
+from collections import defaultdict
 from itertools import count
 
 import pytest
 
+from gypsumplank.coordination.job.accounts import AccountControl
+from gypsumplank.coordination.job.accountshare import ServiceUse, ShareOrder
 from gypsumplank.coordination.job.attempt import find_exhausted, find_startable
 from gypsumplank.coordination.job.crash import is_withheld
 from gypsumplank.coordination.job.demand import estimate_loads
 from gypsumplank.coordination.job.placement import urgency
 from gypsumplank.coordination.job.scheduler import Scheduler
+from gypsumplank.coordination.job.usage import Usage, has_begun, is_lasting_use
 from gypsumplank.coordination.job.workload import Workload
 from gypsumplank.protocol.job import FINAL_JOB_STATES, Resources, TaskPhase
 
@@ -74,6 +78,61 @@
     assert scheduler.estimate_loads() == estimate_loads(jobs, now, wall_ms)
 
 
+def sum_usage(instances, is_counted=lambda _task: True):
+    """Return what each account uses on all workers; best-effort tasks count with their full need.
+
+    A task counts once for each of its runs that may be at work. Runs that a worker reports although
+    they are not assigned to it count in any case, others only if `is_counted`.
+    """
+    totals = defaultdict(lambda: [0] * 6)
+    for task in _counted_runs(instances, is_counted):
+        account = task.step.job.stored.account
+        if not account:
+            continue
+        need, sums = task.step.order.need, totals[account]
+        for start in (0, 3) if is_lasting_use(task) else (0,):
+            sums[start] += need.cpu
+            sums[start + 1] += need.memory_mb
+            sums[start + 2] += need.accelerators
+    return {
+        account: Usage(Resources(*sums[:3]), Resources(*sums[3:]))
+        for account, sums in totals.items()
+    }
+
+
+def _counted_runs(instances, is_counted):
+    for instance in instances:
+        yield from filter(is_counted, instance.tasks.values())
+        yield from instance.unassigned_tasks
+
+
+def sum_service_use(instances):
+    """Return the use of each service; runs that are being stopped count."""
+    totals = defaultdict(Resources)
+    used = defaultdict(lambda: [0, 0, 0])
+    for instance in instances:
+        service = instance.entry.service
+        if instance.registered:
+            totals[service] = totals[service] + instance.entry.room
+        for task in instance.tasks.values():
+            need, sums = task.step.order.need, used[service, task.step.job.stored.account]
+            sums[0] += need.cpu
+            sums[1] += need.memory_mb
+            sums[2] += need.accelerators
+    return ServiceUse(totals, {party: Resources(*sums) for party, sums in used.items()})
+
+
+def check_usage(tracker, instances):
+    assert tracker.usage(instances) == sum_usage(instances)
+    begun = sum_usage(instances, has_begun)
+    kept = tracker.begun(instances)
+    assert {name: amount for name, amount in kept.items() if amount != Resources()} == {
+        name: each.total for name, each in begun.items() if each.total != Resources()
+    }
+    use, expected = tracker.service_use(instances), sum_service_use(instances)
+    assert (use.totals, use.used) == (expected.totals, expected.used)
+
+
 class CheckedRounds:
     """Compare each round of each scheduler with what all jobs show, until `end` is called."""
 
@@ -87,6 +146,26 @@
             Workload.updates,
             Workload.are_steps_stored,
         )
+        begin_round, begin_sending = AccountControl.begin_round, AccountControl.begin_sending
+        in_order = ShareOrder.sorted
+
+        def begin_round_checked(control, instances, *args):
+            begin_round(control, instances, *args)
+            check_usage(control._tracker, instances)
+
+        def begin_sending_checked(control, instances):
+            begin_sending(control, instances)
+            check_usage(control._tracker, instances)
+
+        def in_order_checked(order, pending, urgency_of):
+            # The comparison with a full sort takes quadratic time.
+            is_checked = len(pending) <= JOBS_IN_EACH_ROUND
+            left = list(pending)
+            for each in in_order(order, pending, urgency_of):
+                if is_checked:
+                    assert each is min(left, key=lambda one: order.rank(one, urgency_of(one)))
+                    left = [one for one in left if one is not each]
+                yield each
 
         def update_ready_checked(scheduler, changed, now, wall_ms):
             # A check takes far longer than a round, so that it is seldom made on a long queue.
@@ -120,6 +199,9 @@
             return is_stored
 
         self.patch.setattr(Scheduler, "_update_ready", update_ready_checked)
+        self.patch.setattr(AccountControl, "begin_round", begin_round_checked)
+        self.patch.setattr(AccountControl, "begin_sending", begin_sending_checked)
+        self.patch.setattr(ShareOrder, "sorted", in_order_checked)
         self.patch.setattr(Workload, "updates", updates_checked)
         self.patch.setattr(Workload, "are_steps_stored", are_stored_checked)
 
--- a/tests/coordination/job/test_usage.py
+++ b/tests/coordination/job/test_usage.py
@@ -9,13 +9,13 @@
     KnownAccounts,
     count_startable,
     may_add,
-    sum_usage,
 )
 from gypsumplank.protocol.account import Account
 from gypsumplank.protocol.job import Resources, StepDefinition, TaskPhase
 from gypsumplank.protocol.queue import Manifest
 from gypsumplank.protocol.worker import RunningTask, WorkerReport
 from tests.coordination.job.accountsite import AccountSite
+from tests.coordination.job.scratch import sum_usage
 
 SMALL = StepDefinition(1, Resources(1000, 100), 500)
 GANG = StepDefinition(3, Resources(2000, 100), 500, gang=True)
