log: keep the spaces of JSON lines

msgspec writes JSON without spaces, so that a search for '"how": "stopped"' in a log no longer matched: three tests in test_platform_daemon.py failed since lines are encoded with msgspec, and operators' searches would have. msgspec.json.format adds the spaces that the json module writes; a test compares the lines exactly.

--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -8,6 +8,7 @@
 from enum import StrEnum
 from typing import Any, TextIO
 
+import msgspec
 from pythonjsonlogger.json import JsonFormatter
 from pythonjsonlogger.msgspec import MsgspecFormatter
 
@@ -144,9 +145,9 @@
         self._json = JsonFormatter(*args, **kwargs)
 
     def jsonify_log_record(self, log_data: dict[str, Any]) -> str:
-        """Return the record as JSON without spaces."""
+        """Return the record as JSON, with the spaces of the json module."""
         if all(map(_is_plain, log_data.values())):
-            return str(super().jsonify_log_record(log_data))
+            return str(msgspec.json.format(super().jsonify_log_record(log_data), indent=0))
         return str(self._json.jsonify_log_record(log_data))
 
 
--- a/tests/test_log.py
+++ b/tests/test_log.py
@@ -57,4 +57,4 @@
         fast, standard = (
             kind(**options).format(record) for kind in (FastJsonFormatter, JsonFormatter)
         )
-        assert fast.replace(" ", "") == standard.replace(" ", "")
+        assert fast == standard
