job: size pools in the balance, apart from the orders of moves

Change: Balance sizes each pool from its demand, and Contention remembers that machines were lacking. No decision changes. Result: both have tests without machines.

--- a/gypsumplank/coordination/job/balance.py
+++ b/gypsumplank/coordination/job/balance.py
@@ -3,10 +3,15 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
+from gypsumplank.coordination.job.demand import ServiceDemand
 from gypsumplank.coordination.job.instance import UNREACHABLE_AFTER_MISSED_POLLS, WorkerInstance
 from gypsumplank.protocol.job import Resources
 from gypsumplank.protocol.worker import WorkerState
 
+# Time for which pools go without machines for late work after a service lacked machines for work
+# that can still be in time, seconds; keeps planned moves from being cancelled and planned in turn.
+CONTENTION_HOLD_S = 1.5
+
 # The active workers of each pool, and all workers, keyed by machine.
 PoolMembers = dict[str, list[WorkerInstance]]
 MachineWorkers = dict[str, WorkerInstance]
@@ -47,6 +52,23 @@
     surplus: dict[str, int] = field(default_factory=dict)
     lendable: dict[str, int] = field(default_factory=dict)
 
+    def add_pool(
+        self,
+        pool: str,
+        count: int,
+        demand: ServiceDemand,
+        minimum: int,
+        firm_only: bool,
+        now: float,
+    ) -> None:
+        """Add a pool of `count` machines; with `firm_only`, late work asks for no machines."""
+        current = demand.firm if firm_only else demand.current
+        peak = demand.firm_peak if firm_only else demand.peak
+        self.unmet[pool] = current - count
+        self.shortfall[pool] = max(minimum, current) - count
+        self.surplus[pool] = count - max(minimum, peak)
+        self.lendable[pool] = 0 if demand.is_busy(now) else count - demand.idle_size
+
     def adjust(self, pool: str, count: int) -> None:
         """Add machines to a pool, or remove some if the count is below 0."""
         self.unmet[pool] -= count
@@ -64,6 +86,19 @@
         return surplus + lenders
 
 
+class Contention:
+    """Remember that services lacked machines for work that can still be in time."""
+
+    def __init__(self) -> None:
+        self._until = 0.0
+
+    def update(self, is_lacking: bool, now: float) -> bool:
+        """Return whether machines are lacking, or were within CONTENTION_HOLD_S."""
+        if is_lacking:
+            self._until = now + CONTENTION_HOLD_S
+        return now < self._until
+
+
 def smallest_capacity(capacities: Sequence[Resources]) -> Resources:
     """Return the smallest capacity, for each resource."""
     return Resources(
--- a/gypsumplank/coordination/job/demand.py
+++ b/gypsumplank/coordination/job/demand.py
@@ -68,7 +68,10 @@
         self._firm_samples: deque[tuple[float, int]] = deque()
 
     def update(self, machines: int, batch: int, now: float, firm: int | None = None) -> None:
-        """Record the machines that all tasks demand now, and those that batch tasks demand."""
+        """Record the machines that all tasks demand now, those that batch tasks do, and `firm`.
+
+        Without `firm`, no task is late.
+        """
         self.current = machines
         self.firm = machines if firm is None else firm
         self._firm_samples.append((now, self.firm))
--- a/gypsumplank/coordination/job/scaling.py
+++ b/gypsumplank/coordination/job/scaling.py
@@ -6,6 +6,7 @@
 
 from gypsumplank.coordination.job.balance import (
     Balance,
+    Contention,
     MachineWorkers,
     PendingMove,
     PoolMembers,
@@ -34,9 +35,6 @@
 ARRIVAL_TIMEOUT_S = 4.0
 # Interval between planning rounds, seconds.
 PLAN_INTERVAL_S = 0.2
-# Time for which pools go without machines for late work after a service lacked machines for work
-# that can still be in time, seconds; keeps planned moves from being cancelled and planned in turn.
-CONTENTION_HOLD_S = 1.5
 # Delay before a machine is moved again after a move that was refused or not sent, seconds.
 MOVE_RETRY_S = 3.0
 # Delay before a move that got no answer is ordered again, seconds.
@@ -62,7 +60,7 @@
         self._unanswered: dict[str, float] = {}
         self._retry_at: dict[str, float] = {}
         self._next_plan_at = 0.0
-        self._contended_until = 0.0
+        self._contention = Contention()
         self._next_sizes_request_at = 0.0
         self._machines_seen_with_worker: set[str] = set()
         self._logged_sizes: dict[str, PoolSize] = {}
@@ -74,7 +72,7 @@
         self._moves_in_flight.clear()
         self._planned_moves.clear()
         self._unanswered.clear()
-        self._contended_until = 0.0
+        self._contention = Contention()
         self._machines_seen_with_worker.clear()
         self._next_sizes_request_at = 0.0
 
@@ -205,25 +203,13 @@
             name: self._projected_size(name, pool_members, instances)
             for name, pool_members in members.items()
         }
-        is_contended = self._is_contended(counts, available, now)
+        lacking = sum(max(0, self._demands[name].firm - count) for name, count in counts.items())
+        firm_only = self._contention.update(lacking > available, now)
         for name, count in counts.items():
-            demand = self._demands[name]
-            current = demand.firm if is_contended else demand.current
-            peak = demand.firm_peak if is_contended else demand.peak
-            balance.unmet[name] = current - count
-            balance.shortfall[name] = max(minimums[name], current) - count
-            balance.surplus[name] = count - max(minimums[name], peak)
-            balance.lendable[name] = 0 if demand.is_busy(now) else count - demand.idle_size
+            balance.add_pool(name, count, self._demands[name], minimums[name], firm_only, now)
         self._log_sizes(balance, minimums, now)
         return balance
 
-    def _is_contended(self, counts: Mapping[str, int], available: int, now: float) -> bool:
-        """Return whether pools lack more machines for work that can be in time than are free."""
-        lacking = sum(max(0, self._demands[name].firm - count) for name, count in counts.items())
-        if lacking > available:
-            self._contended_until = now + CONTENTION_HOLD_S
-        return now < self._contended_until
-
     def _log_sizes(self, balance: Balance, minimums: Mapping[str, int], now: float) -> None:
         """Log the pools whose sizes have changed, at most once per LOG_INTERVAL_S."""
         if now < self._next_log_at:
--- a/tests/coordination/job/test_demand.py
+++ b/tests/coordination/job/test_demand.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from gypsumplank.coordination.job.balance import CONTENTION_HOLD_S, Balance, Contention
 from gypsumplank.coordination.job.demand import (
     ARRIVAL_WINDOW_MS,
     BACKLOG_CLEARANCE_MS,
@@ -174,3 +175,21 @@
     after_first_second = asked[len(asked) // 4 :]
     assert min(after_first_second) > POOL
     assert max(asked) <= needed / USABLE_SHARE
+
+
+def test_pool_asks_for_no_machines_for_late_work_while_others_lack_them():
+    demand = ServiceDemand(6)
+    demand.update(20, 2, 10.0, 2)
+    balance = Balance()
+    balance.add_pool("all", 9, demand, 6, firm_only=False, now=10.0)
+    balance.add_pool("firm", 9, demand, 6, firm_only=True, now=10.0)
+    assert balance.shortfall == {"all": 11, "firm": -3}
+    assert balance.surplus == {"all": -11, "firm": 3}
+
+
+def test_contention_lasts_for_a_while():
+    contention = Contention()
+    assert not contention.update(is_lacking=False, now=10.0)
+    assert contention.update(is_lacking=True, now=11.0)
+    assert contention.update(is_lacking=False, now=11.0 + CONTENTION_HOLD_S / 2)
+    assert not contention.update(is_lacking=False, now=11.0 + CONTENTION_HOLD_S)
