--- a/gypsumplank/coordination/job/accounts.py
+++ b/gypsumplank/coordination/job/accounts.py
@@ -8,7 +8,6 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, replace
-from enum import StrEnum
 
 from gypsumplank.coordination.job.accountshare import (
     MAX_PASSED_OVER_S,
@@ -21,6 +20,7 @@
     mark_excess,
 )
 from gypsumplank.coordination.job.accountstatus import AccountStatus, make_statuses
+from gypsumplank.coordination.job.heldstep import HeldStep, HoldCause, held_key
 from gypsumplank.coordination.job.instance import WorkerInstance
 from gypsumplank.coordination.job.model import Job, Task
 from gypsumplank.coordination.job.placement import PendingStep
@@ -51,29 +51,6 @@
 logger = logging.getLogger(__name__)
 
 
-class HoldCause(StrEnum):
-    """Enumerate why a job waits for its account; the value is logged."""
-
-    CAP = "cap"
-    TURN = "turn"
-    TOO_LARGE = "gang-above-cap"
-    UNCONFIRMED = "manifest-unconfirmed"
-    EXCESS = "excess"
-
-
-@dataclass
-class HeldStep:
-    """Represent a step none of whose tasks may start; times are monotonic seconds.
-
-    `turn_since` is when it got the turn among the steps of its account, 0 if it has not.
-    """
-
-    pending: PendingStep
-    since: float
-    tried_at: float
-    turn_since: float = 0.0
-
-
 @dataclass(frozen=True)
 class AccountLimits:
     """Store what bounds the caps in force.
@@ -204,7 +181,7 @@
                 return None
             return pending
         cause, count = self._judge(pending, cap)
-        key = _held_key(pending)
+        key = held_key(pending)
         self._untried.pop(key, None)
         pending.job.set_held(cause is not None and cause is not HoldCause.UNCONFIRMED)
         if cause is None:
@@ -311,7 +288,7 @@
         if account not in self._turns:
             self._turns[account] = self._next_turn(account, usage, cap)
         turn = self._turns[account]
-        if turn is None or _held_key(turn.pending) == _held_key(pending):
+        if turn is None or held_key(turn.pending) == held_key(pending):
             return False
         if not is_under_half(usage.total, cap):
             return True
@@ -399,11 +376,6 @@
         return may_send
 
 
-def _held_key(pending: PendingStep) -> tuple[str, int]:
-    """Return what identifies a step, and its group of tasks, from round to round."""
-    return pending.step.key, int(pending.has_suspects)
-
-
 class Accounts:
     """Keep what a daemon knows of accounts over its terms as the leader."""
 
--- a/gypsumplank/coordination/job/placement.py
+++ b/gypsumplank/coordination/job/placement.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
+from gypsumplank.coordination.job.candidategroup import CandidateGroup
 from gypsumplank.coordination.job.instance import WorkerInstance
 from gypsumplank.coordination.job.model import SETTLED_RUN_S, Job, Step, Task
 from gypsumplank.coordination.job.separation import disturbance_on, first_spare
@@ -66,6 +67,11 @@
     instance: WorkerInstance
 
 
+def objective_ms(job: Job, queue: Queue) -> float:
+    """Return the time from its arrival in which a job is done in time."""
+    return queue.stretch * job.longest_path_ms + queue.objective_ms
+
+
 def urgency(pending: PendingStep, now: float, wall_ms: float) -> tuple[int, int, float]:
     """Return a sort key: long-running steps first, then by the latest start that meets a deadline.
 
@@ -77,7 +83,7 @@
         return (-1, queue.priority, pending.tasks[0].queued_since)
     if pending.step.order.lasting:
         return (0, queue.priority, job.arrived_at)
-    objective_s = (queue.stretch * job.longest_path_ms + queue.objective_ms) / 1000
+    objective_s = objective_ms(job, queue) / 1000
     eligible_at = job.arrived_at
     if job.has_schedule:
         eligible_at = now - (wall_ms - job.due_ms(pending.step.occurrence)) / 1000
@@ -109,37 +115,6 @@
     return Resources(0, need.memory_mb, need.accelerators) if order.fills else need
 
 
-class CandidateGroup:
-    """Hold the workers of one service that have one label, for one round.
-
-    `unplaceable` lists needs that fit on none of them. Free resources only shrink while tasks are
-    placed, so equal or larger needs won't fit either. `unplaceable_gangs` likewise lists gangs:
-    their need, their size and their limit of tasks on one worker, 0 for none.
-    """
-
-    def __init__(self, instances: list[WorkerInstance], now: float) -> None:
-        self.instances = instances
-        self.not_suspect = [each for each in instances if not each.is_suspect(now)] or instances
-        self.not_suspect_by_id = {each.id: each for each in self.not_suspect}
-        self.unplaceable: list[Resources] = []
-        self.unplaceable_gangs: list[tuple[Resources, int, int]] = []
-        # The largest free amount of each resource on any worker; None if it has changed.
-        self.most_free: Resources | None = None
-
-    def is_unplaceable(self, need: Resources) -> bool:
-        """Return whether a need is known to fit on no worker."""
-        return any(need.can_fit(unplaceable) for unplaceable in self.unplaceable)
-
-    def is_gang_unplaceable(self, need: Resources, size: int, per_worker: int) -> bool:
-        """Return whether a gang is known not to fit, as one that asks for no more does not."""
-        return any(
-            need.can_fit(other_need)
-            and size >= other_size
-            and (not other_per_worker or 0 < per_worker <= other_per_worker)
-            for other_need, other_size, other_per_worker in self.unplaceable_gangs
-        )
-
-
 class PlacementRound:
     """Place tasks on workers and track the resources that remain free in this round."""
 
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -21,7 +21,13 @@
 from gypsumplank.coordination.job.knownqueue import KnownQueues
 from gypsumplank.coordination.job.model import Job, Task
 from gypsumplank.coordination.job.observation import ReceivedReport
-from gypsumplank.coordination.job.placement import PendingStep, Placement, PlacementRound, urgency
+from gypsumplank.coordination.job.placement import (
+    PendingStep,
+    Placement,
+    PlacementRound,
+    objective_ms,
+    urgency,
+)
 from gypsumplank.coordination.job.preemption import (
     PREEMPTION_WAIT_S,
     choose_preemptions,
@@ -328,9 +334,7 @@
     def objective_ms(self, job: Job) -> float:
         """Return the time from its arrival in which a job is done in time, infinite if unknown."""
         queue = self._queues.find_for_start(job)
-        if queue is None:
-            return math.inf
-        return queue.stretch * job.longest_path_ms + queue.objective_ms
+        return objective_ms(job, queue) if queue is not None else math.inf
 
     def request_stop(self, tasks: Collection[Task]) -> None:
         """Mark runs to be stopped; their tasks keep their checkpoints."""
