Remove an error that nothing raises, and split long functions

Cause: a read of the whole change as a newcomer. OverloadedError was left of a rejection that was weighed and not built, is_withheld served tests only, two functions did several things, and two comments told measurements. No decision changes.

--- a/gypsumplank/coordination/job/crash.py
+++ b/gypsumplank/coordination/job/crash.py
@@ -82,11 +82,6 @@
     return max(task.retry_at, proven_at)
 
 
-def is_withheld(task: Task, now: float) -> bool:
-    """Return whether a task must wait after a crash, or until its silent workers are known."""
-    return now < withheld_until(task)
-
-
 def give_up_if_deadly(task: Task) -> None:
     """Fail a queued task under which too many workers have crashed."""
     is_deadly = _is_deadly(task.crashes_at_start, task.crashes)
--- a/gypsumplank/coordination/job/orderqueue.py
+++ b/gypsumplank/coordination/job/orderqueue.py
@@ -10,8 +10,8 @@
 from gypsumplank.log import Event
 from gypsumplank.state.clock import Clock
 
-# Orders for one worker that are sent at once. Each needs a connection of its own; with more, starts
-# were not answered sooner, and bursts of 8 opened four times as many connections.
+# Orders for one worker that are sent at once. Each needs a connection of its own, and connecting
+# takes longer than waiting for an order before.
 MAX_PARALLEL_ORDERS = 2
 # Duration of an order from which the worker is slow, so that its other orders do not wait, seconds.
 SLOW_ORDER_S = 0.1
--- a/gypsumplank/coordination/job/placement.py
+++ b/gypsumplank/coordination/job/placement.py
@@ -258,7 +258,7 @@
         """Return the first worker with the lowest rank for a task that `_is_plain`.
 
         Of the parts of a rank only the risk and the free CPU time differ for it. Most tasks are
-        plain, and ranks of 100 workers for each were a fifth of the leader's processor time.
+        plain, and a full rank of each worker for each of them takes most of a round.
         """
         cpu, memory_mb, accelerators = need.cpu, need.memory_mb, need.accelerators
         free_by_id, with_suspects = self._free, self._with_suspects
--- a/gypsumplank/errors.py
+++ b/gypsumplank/errors.py
@@ -463,13 +463,6 @@
     status = 429
 
 
-class OverloadedError(GypsumplankError):
-    """A job cannot end in time on the capacity that there will be; it was not stored."""
-
-    code = "overloaded"
-    status = 503
-
-
 class ManifestMissingError(GypsumplankError):
     """This daemon has not loaded a manifest yet; nothing was stored."""
 
--- a/gypsumplank/platform/settings.py
+++ b/gypsumplank/platform/settings.py
@@ -2,6 +2,7 @@
 
 import os
 import re
+from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated
@@ -154,26 +155,35 @@
         raise SettingsError((Fault("unreadable", "$", str(exc), str(path)),)) from exc
     except EntryInvalidError as exc:
         raise SettingsError((Fault("value-invalid", "$", exc.detail, str(path)),)) from exc
-    peer_address = f"{wire.ip}:{wire.port_range[0]}"
+    if faults := list(_find_faults(wire, path)):
+        raise SettingsError(faults)
+    return _convert(wire)
+
+
+def _peer_address(wire: WireSettings) -> str:
+    return f"{wire.ip}:{wire.port_range[0]}"
+
+
+def _find_faults(wire: WireSettings, path: Path) -> Iterator[Fault]:
+    """Yield the values that are of the right type, but not valid."""
     addresses = {
         "listen.front": wire.listen.front,
         "listen.ready": wire.listen.ready,
         "platform.address": wire.platform.address,
-        "ip": peer_address,
+        "ip": _peer_address(wire),
     }
     if wire.cloud is not None:
         addresses["cloud.address"] = wire.cloud.address
     if wire.hint:
         addresses["hint"] = wire.hint
-    faults = [
-        Fault("value-invalid", key, problem, str(path))
-        for key, value in addresses.items()
-        if (problem := check_address(value))
-    ]
+    for key, value in addresses.items():
+        if problem := check_address(value):
+            yield Fault("value-invalid", key, problem, str(path))
     if not NODE_NAME.fullmatch(wire.node):
-        faults.append(Fault("value-invalid", "node", "must fit a header", str(path)))
-    if faults:
-        raise SettingsError(faults)
+        yield Fault("value-invalid", "node", "must fit a header", str(path))
+
+
+def _convert(wire: WireSettings) -> PlatformSettings:
     return PlatformSettings(
         wire.node,
         wire.ip,
@@ -189,7 +199,7 @@
         wire.bounds.lease_ms / MS_PER_S,
         wire.bounds.grace_s,
         wire.heartbeat_ms / MS_PER_S,
-        peer_address,
+        _peer_address(wire),
         wire.platform.row_bytes,
         wire.bounds.status_s,
         wire.bounds.strict_revoke,
--- a/gypsumplank/settings.py
+++ b/gypsumplank/settings.py
@@ -27,10 +27,10 @@
 
 
 def split_address(address: str) -> tuple[str, int]:
-    """Return the IP address and port of `ip:port`."""
+    """Return the IP address and port of `ip:port`; raise EntryInvalidError."""
     host, _, port = address.rpartition(":")
     if not PORT.fullmatch(port) or not address.isprintable():
-        raise ValueError("not printable, or the port is not 1 to 5 digits")
+        raise EntryInvalidError("not printable, or the port is not 1 to 5 digits")
     return host.strip("[]"), int(port)
 
 
@@ -39,7 +39,7 @@
     try:
         host, port = split_address(value)
         ipaddress.ip_address(host)
-    except ValueError:
+    except (ValueError, EntryInvalidError):
         shown = value[:MAX_ADDRESS_CHARS]
         return f"{shown!r} is not an IP address and port such as 10.0.0.1:8080"
     return None if 0 < port <= MAX_PORT else f"port {port} is not 1 to {MAX_PORT}"
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -429,8 +429,13 @@
         )
         self.directory = SimulatedDirectory(cluster.simulated_workers, cluster.waves)
         self.machine_orders = MachineOrderLog(self.table, cluster.store_clock)
+        self.scheduler_leader = self._make_leader(store)
+        self.store = store
+        self.job_service = JobService(store, cluster.clock, lambda: ConfirmedManifest(MANIFEST))
+
+    def _make_machine_manager(self, store: JobStore) -> MachineManager:
         controller = MachineController(
-            cluster.machines,
+            self.cluster.machines,
             self.name,
             lambda: 3.0,
             lambda: True,
@@ -438,11 +443,14 @@
             self.machine_orders,
             ImmediateRunner,
         )
-        machine_manager = MachineManager(
+        return MachineManager(
             controller,
             MaintenancePlanner(self.directory, controller),
             PoolScaler(controller, store),
         )
+
+    def _make_leader(self, store: JobStore) -> SchedulerLeader:
+        cluster = self.cluster
         ports = PlatformPorts(
             store,
             None,  # type: ignore[arg-type]
@@ -451,12 +459,12 @@
             self.leases,
             store_clock=cluster.store_clock,
         )
-        self.scheduler_leader = SchedulerLeader(
+        return SchedulerLeader(
             ports,
             cluster.clock,
             lambda: self.manifest,
             lambda: LEASE_S,
-            machine_manager,
+            self._make_machine_manager(store),
             self.term_factory,
             status_s=cluster.status_s,
             accounts=Accounts(
@@ -466,8 +474,6 @@
                 ),
             ),
         )
-        self.store = store
-        self.job_service = JobService(store, cluster.clock, lambda: ConfirmedManifest(MANIFEST))
 
     def read_manifest(self) -> None:
         """Read the manifest that is in force."""
--- a/tests/coordination/job/scratch.py
+++ b/tests/coordination/job/scratch.py
@@ -9,7 +9,7 @@
 from gypsumplank.coordination.job.accounts import AccountControl
 from gypsumplank.coordination.job.accountshare import ServiceUse, ShareOrder
 from gypsumplank.coordination.job.attempt import find_exhausted, find_startable
-from gypsumplank.coordination.job.crash import is_withheld
+from gypsumplank.coordination.job.crash import withheld_until
 from gypsumplank.coordination.job.demand import estimate_loads
 from gypsumplank.coordination.job.placement import PlacementRound, urgency
 from gypsumplank.coordination.job.scheduler import Scheduler
@@ -28,7 +28,7 @@
         waiting = [task for task in step.tasks if task.phase is TaskPhase.WAITING]
         assert not find_exhausted(waiting, queue.max_attempts)
         startable = find_startable(waiting, queue.max_attempts)
-        tasks = [task for task in startable if not is_withheld(task, now)]
+        tasks = [task for task in startable if now >= withheld_until(task)]
         is_incomplete = step.order.gang and len(tasks) < len(step.tasks)
         if not tasks or is_incomplete or not job.is_ready(step, wall_ms):
             continue
--- a/tests/platform/test_keys.py
+++ b/tests/platform/test_keys.py
@@ -10,7 +10,7 @@
 from gypsumplank.coordination.job.freshness import KeyPolicy
 from gypsumplank.coordination.job.manifest import ManifestWatch
 from gypsumplank.coordination.job.submission import JobService, log_error_response
-from gypsumplank.errors import AccountLimitError, OverloadedError
+from gypsumplank.errors import AccountLimitError, KeyUnverifiedError
 from gypsumplank.platform.app import JobApp
 from gypsumplank.platform.directory import PlatformDirectory
 from gypsumplank.protocol.account import hash_key
@@ -149,8 +149,8 @@
     ("error", "retry_after"),
     [
         (AccountLimitError("x", 2.1), "3"),
-        (OverloadedError("x", 0.2), "1"),
-        (OverloadedError("x"), "1"),
+        (KeyUnverifiedError("x", 0.2), "1"),
+        (KeyUnverifiedError("x"), "1"),
     ],
 )
 def test_error_states_after_how_many_whole_seconds_to_retry(error, retry_after):
