transport: hold the connection pool, apart from the platform adapter

Change: transport/keepalive.py, renamed without changes; counters of the intake in a function of their own.

--- a/gypsumplank/composition/intakemetrics.py
+++ b/gypsumplank/composition/intakemetrics.py
@@ -18,12 +18,31 @@
     clock: Clock,
 ) -> None:
     """Create the counters and gauges of a daemon that reads submissions."""
+    _add_counters(metrics, stats)
 
     def observe_oldest() -> Iterator[Observation]:
         if is_leader():
             now_ms, oldest_ms = clock.wall() * 1000, stats.oldest_ms
             yield Observation(0.0 if oldest_ms is None else max(0.0, now_ms - oldest_ms) / 1000)
 
+    metrics.gauge(
+        "gypsumplank.intake.oldest.age",
+        "s",
+        "Age of the oldest submission whose job the leader has not stored yet; 0 if there is none",
+        observe_oldest,
+    )
+    metrics.gauge(
+        "gypsumplank.intake.backoff",
+        "s",
+        "Time between this daemon's submissions to a partition that throttles",
+        lambda: [
+            Observation(spacing_s, {"partition": partition})
+            for partition, spacing_s in backoff.spacings().items()
+        ],
+    )
+
+
+def _add_counters(metrics: Metrics, stats: IntakeStats) -> None:
     metrics.observable_counter(
         "gypsumplank.intake.submissions",
         "Submissions that this daemon tried to store, by outcome",
@@ -42,18 +61,3 @@
         "Submissions that this daemon removed as the leader, as their jobs are stored",
         lambda: [Observation(stats.removals)],
     )
-    metrics.gauge(
-        "gypsumplank.intake.oldest.age",
-        "s",
-        "Age of the oldest submission whose job the leader has not stored yet; 0 if there is none",
-        observe_oldest,
-    )
-    metrics.gauge(
-        "gypsumplank.intake.backoff",
-        "s",
-        "Time between this daemon's submissions to a partition that throttles",
-        lambda: [
-            Observation(spacing_s, {"partition": partition})
-            for partition, spacing_s in backoff.spacings().items()
-        ],
-    )
--- a/gypsumplank/platform/client.py
+++ b/gypsumplank/platform/client.py
@@ -10,13 +10,13 @@
 from urllib3.exceptions import HTTPError
 
 from gypsumplank.errors import CallError, EntryInvalidError
-from gypsumplank.platform.connection import (
+from gypsumplank.protocol.decoder import Count, convert, decode_any_json
+from gypsumplank.state.timeout import AdaptiveTimeout
+from gypsumplank.transport.keepalive import (
     Connection,
     ConnectionPool,
     ResponseTimeoutError,
 )
-from gypsumplank.protocol.decoder import Count, convert, decode_any_json
-from gypsumplank.state.timeout import AdaptiveTimeout
 
 # Allows several round trips between availability zones; the TCP handshake needs one.
 CONNECT_TIMEOUT_S = 0.5
