transport: bound what the kernel holds for connections by the machine's memory

Callers saw: 1,900 connections with bodies in chunks of one byte left 225 MB unread in the kernel of a machine of 200 MB, while the process showed 55; the platform ends such a process.

Cause: the kernel enlarges a receive buffer as it likes, some 120 KB for a connection that is read slower than it sends, and the number of connections followed from the descriptors alone.

Change: 3/16 of the memory is for the kernel's buffers (socketbudget.py, pure). Listening sockets set a receive buffer, which accepted connections inherit and which also holds for those that wait to be accepted; the limits of connections and of the backlog follow from it. A large body of known length gets a buffer of 64 KiB while a sixteenth of that memory lasts, so that an upload in calm is not slower. gypsumplankd takes the same share of its two limits of requests.

--- a/gypsumplank/composition/platform.py
+++ b/gypsumplank/composition/platform.py
@@ -56,6 +56,7 @@
 from gypsumplank.transport.relay import PeerTable, RelayServer, RelayTable
 from gypsumplank.transport.requestledger import RequestLedger
 from gypsumplank.transport.requestparser import HeadCheck
+from gypsumplank.transport.socketbudget import SocketLimits, plan_sockets
 
 # Store partition of all rows that are committed together.
 FLEET_PARTITION = "fleet"
@@ -95,8 +96,8 @@
 # Share of the file descriptors for callers' connections; the rest is for files, workers, the store
 # and other daemons.
 CALLER_DESCRIPTOR_SHARE = 0.5
-# Connections of the load balancer, and as many of what reads the metrics.
-SERVICE_CONNECTIONS = 128
+# Listeners for the load balancer and for what reads the metrics.
+SERVICE_LISTENERS = 2
 # Share of the file descriptors for connections to workers that are kept while they are not in use.
 WORKER_DESCRIPTOR_SHARE = 0.4
 SETTINGS_POLL_S = 1.0
@@ -275,21 +276,25 @@
         app = JobApp(job_service, self._metrics.record_request, self._record_error)
         self._request_ledger = RequestLedger(limits_of_memory(settings.memory_bytes))
         self._request_ledger.add_metrics(self._metrics)
-        max_connections = int(settings.max_descriptors * CALLER_DESCRIPTOR_SHARE)
+        plan = plan_sockets(
+            self._request_ledger.limits.kernel_bytes,
+            int(settings.max_descriptors * CALLER_DESCRIPTOR_SHARE),
+            SERVICE_LISTENERS,
+        )
         self._caller_listener = self._make_listener(
             app,
             settings.caller_address,
             INTAKE_CALLER_THREADS if self._has_intake else CALLER_THREADS,
             "callers",
-            max_connections,
+            plan.callers,
             app.check_head,
         )
         self._balancer_listener = self._make_listener(
-            ReadyApp(self._is_ready), settings.readiness_address, 1, "balancer"
+            ReadyApp(self._is_ready), settings.readiness_address, 1, "balancer", plan.service
         )
         metrics_address = f"{settings.ip}:{METRICS_PORT}"
         self._metrics_listener = self._make_listener(
-            MetricsApp(self._metrics.render), metrics_address, 1, "metrics"
+            MetricsApp(self._metrics.render), metrics_address, 1, "metrics", plan.service
         )
 
     def _make_intake_client(self, job_store: JobStore) -> IntakeClient:
@@ -319,7 +324,7 @@
         address: str,
         threads: int,
         name: str,
-        connections: int = SERVICE_CONNECTIONS,
+        sockets: SocketLimits,
         head_check: HeadCheck | None = None,
     ) -> Listener:
         dispatcher = ClosingDispatcher(threads)
@@ -329,7 +334,7 @@
             dispatcher,
             MAX_BODY_BYTES,
             name,
-            connections,
+            sockets,
             self._request_ledger,
             head_check,
         )
--- a/gypsumplank/composition/requests.py
+++ b/gypsumplank/composition/requests.py
@@ -2,15 +2,22 @@
 
 from gypsumplank.metrics import Metrics
 from gypsumplank.settings import Settings
-from gypsumplank.transport.bodybudget import RequestLimits
+from gypsumplank.transport.bodybudget import KERNEL_SHARE, MEMORY_SHARE, RequestLimits
 from gypsumplank.transport.requestledger import RequestLedger
+from gypsumplank.transport.socketbudget import SocketPlan, plan_sockets
+
+MAX_CALLER_CONNECTIONS = 2000
+# The operators' listener.
+SERVICE_LISTENERS = 1
 
 
 def make_request_ledger(cfg: Settings, metrics: Metrics) -> RequestLedger:
     """Return the ledger that all listeners share, with its metrics registered."""
+    request_bytes = cfg.incomplete_bytes + cfg.complete_bytes
     limits = RequestLimits(
         cfg.incomplete_bytes,
         cfg.complete_bytes,
+        int(request_bytes * KERNEL_SHARE / (2 * MEMORY_SHARE)),
         cfg.max_header_bytes,
         cfg.header_timeout_s,
         cfg.body_timeout_s,
@@ -19,3 +26,8 @@
     ledger = RequestLedger(limits)
     ledger.add_metrics(metrics)
     return ledger
+
+
+def make_socket_plan(ledger: RequestLedger) -> SocketPlan:
+    """Return the limits of the listeners' sockets."""
+    return plan_sockets(ledger.limits.kernel_bytes, MAX_CALLER_CONNECTIONS, SERVICE_LISTENERS)
--- a/gypsumplank/daemon.py
+++ b/gypsumplank/daemon.py
@@ -15,7 +15,7 @@
 from gypsumplank.composition.claim import ClaimComponents
 from gypsumplank.composition.distribution import DistributionComponents, make_peers
 from gypsumplank.composition.report import ReportComponents
-from gypsumplank.composition.requests import make_request_ledger
+from gypsumplank.composition.requests import make_request_ledger, make_socket_plan
 from gypsumplank.composition.task import TaskComponents
 from gypsumplank.coordination.admission import Admission, AdmissionLimits
 from gypsumplank.coordination.allocation import SlotAllocator
@@ -131,6 +131,7 @@
         )
         self._current_view.subscribe(self._reports.counter.record_view)
         self._request_ledger = make_request_ledger(cfg, self._metrics)
+        self._socket_plan = make_socket_plan(self._request_ledger)
         self._caller_listener = self._make_caller_listener()
         self._operator_listener = self._make_operator_listener()
         self._add_periodic_steps()
@@ -302,7 +303,13 @@
         queue = QueueingDispatcher(cfg.threads, self._admission, lambda: self._view().services)
         tasks = TaskApp(self._tasks.submission, app)
         return Listener(
-            tasks, cfg.callers, queue, cfg.max_body_bytes, "callers", ledger=self._request_ledger
+            tasks,
+            cfg.callers,
+            queue,
+            cfg.max_body_bytes,
+            "callers",
+            self._socket_plan.callers,
+            self._request_ledger,
         )
 
     def _make_operator_listener(self) -> Listener:
@@ -325,7 +332,8 @@
             threads,
             cfg.max_body_bytes,
             "operators",
-            ledger=self._request_ledger,
+            self._socket_plan.service,
+            self._request_ledger,
         )
 
     def _add_periodic_steps(self) -> None:
--- a/gypsumplank/transport/bodybudget.py
+++ b/gypsumplank/transport/bodybudget.py
@@ -13,8 +13,10 @@
 
 MIB = 1 << 20
 # Share of a machine's memory for incomplete requests, and again for complete ones that wait or run.
-# Half of the memory is the process itself, a quarter is left for the allocator and other work.
+# Half of the memory is the process itself.
 MEMORY_SHARE = 1 / 8
+# Share of a machine's memory for what the kernel holds for the connections.
+KERNEL_SHARE = 3 / 16
 # Body time in seconds. Callers give up after 3 s, and the longest time limit in use is 10 s.
 BODY_TIMEOUT_S = 30.0
 # Shortest time over which the speed of an arrival is measured, seconds.
@@ -39,14 +41,16 @@
     """Store the limits of requests that are received; sizes in bytes, times in seconds.
 
     `incomplete_bytes` and `complete_bytes` hold for all listeners of a process together; complete
-    requests count until they are answered. A connection without a request may be closed after
-    `idle_s`, but only where no other connection could be accepted.
+    requests count until they are answered. `kernel_bytes` bounds what the kernel holds for their
+    connections. A connection without a request may be closed after `idle_s`, but only where no
+    other connection could be accepted.
     """
 
     incomplete_bytes: int = 64 * MIB
     complete_bytes: int = 256 * MIB
     header_bytes: int = 16_384
     header_s: float = 3.0
+    kernel_bytes: int = 240 * MIB
     body_s: float = BODY_TIMEOUT_S
     idle_s: float = 15.0
 
@@ -74,7 +78,7 @@
 def limits_of_memory(memory_bytes: int) -> RequestLimits:
     """Return the limits for a process whose machine has this much memory."""
     share = int(memory_bytes * MEMORY_SHARE)
-    return RequestLimits(incomplete_bytes=share, complete_bytes=share)
+    return RequestLimits(share, share, int(memory_bytes * KERNEL_SHARE))
 
 
 def excess_bytes(limits: RequestLimits, incomplete: int, complete: int) -> int:
--- a/gypsumplank/transport/channel.py
+++ b/gypsumplank/transport/channel.py
@@ -8,6 +8,7 @@
 import functools
 import time
 from typing import Any
+import socket
 
 from waitress.channel import ClientDisconnected, HTTPChannel
 from waitress.parser import HTTPRequestParser
@@ -25,6 +26,7 @@
 
 
 class BoundedChannel(HTTPChannel):
+from gypsumplank.transport.socketbudget import WIDE_BUFFER_BYTES
     """Receive requests, and refuse the incomplete one when told to."""
 
     request: BoundedParser | None
@@ -55,6 +57,7 @@
                 victim.refuse(RefusalCause.MEMORY)
             else:
                 refuse = functools.partial(victim.refuse, RefusalCause.MEMORY)
+        self._wide = False
                 victim.server.trigger.pull_trigger(refuse)
 
     def settle(self) -> None:
@@ -98,6 +101,7 @@
         if request is None or self._refused:
             return
         if self.requests or self.total_outbufs_len:
+        self._widen()
             # It is not read while earlier requests are answered, so its time starts anew.
             self._since_s = self.server.clock_s
             return
@@ -108,6 +112,22 @@
 
     def is_idle(self, limits: RequestLimits, now: float) -> bool:
         """Return whether the connection may make room for others."""
+    def _widen(self) -> None:
+        """Enlarge the receive buffer for a large body of known length, if the server has room."""
+        request = self.request
+        if request is None or self._wide or not request.headers_finished or request.chunked:
+            return
+        if request.content_length > self.server.sockets.receive_bytes and self.server.take_wide():
+            self._wide = True
+            # Without it the upload is only slower.
+            with contextlib.suppress(OSError):
+                self._set_receive_buffer(WIDE_BUFFER_BYTES)
+
+    def _set_receive_buffer(self, size: int) -> None:
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+        # The clamp was inherited with the smaller buffer and would keep the window small.
+        self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_WINDOW_CLAMP, size)
+
         busy = self.requests or self.request is not None or self.total_outbufs_len
         timeout_s = limits.idle_s if self._used else limits.header_s
         return not busy and now - self.last_activity > timeout_s
@@ -155,3 +175,6 @@
         """Close the connection."""
         super().handle_close()
         self.settle()
+        if self._wide:
+            self._wide = False
+            self.server.give_back_wide()
--- a/gypsumplank/transport/listener.py
+++ b/gypsumplank/transport/listener.py
@@ -15,13 +15,13 @@
 from gypsumplank.transport.requestledger import RequestLedger
 from gypsumplank.transport.requestparser import HeadCheck
 from gypsumplank.transport.server import BoundedServer
+from gypsumplank.transport.socketbudget import SocketLimits
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 Application = Callable[[dict[str, Any], StartResponse], Iterable[bytes]]
 
 REQUEST_LOOKAHEAD = 1
-ACCEPT_BACKLOG = 1024
-CONNECTION_LIMIT = 2000
+DEFAULT_SOCKETS = SocketLimits()
 CLOSE_POLL_INTERVAL_S = 0.02
 JOIN_TIMEOUT_S = 5.0
 # Longest wait at a close for the exit of threads that have no request, seconds.
@@ -58,7 +58,8 @@
 class Listener:
     """Serve a WSGI application on one address until closed; raise ListenError if it is taken.
 
-    The listeners of a process share `ledger`, which holds the limits of incomplete requests.
+    The listeners of a process share `ledger`, which holds the limits of incomplete requests, and
+    divide the memory for the kernel's buffers, `sockets` each.
     `head_check` decides on each request by its headers, in the server thread, before its body is
     read; a refusal is answered and the connection closed.
     """
@@ -70,7 +71,7 @@
         dispatcher: ClosingDispatcher,
         max_body_bytes: int,
         name: str,
-        connection_limit: int = CONNECTION_LIMIT,
+        sockets: SocketLimits = DEFAULT_SOCKETS,
         ledger: RequestLedger | None = None,
         head_check: HeadCheck | None = None,
     ) -> None:
@@ -85,13 +86,13 @@
             inbuf_overflow=max_body_bytes + 1,
             recv_bytes=RECV_BYTES,
             channel_request_lookahead=REQUEST_LOOKAHEAD,
-            connection_limit=connection_limit,
-            backlog=ACCEPT_BACKLOG,
+            connection_limit=sockets.connections,
+            backlog=sockets.backlog,
             ident=None,
             clear_untrusted_proxy_headers=True,
         )
         try:
-            self._server = BoundedServer(app, dispatcher, adj, ledger, head_check)
+            self._server = BoundedServer(app, dispatcher, adj, ledger, head_check, sockets)
         except OSError as exc:
             raise ListenError(f"{name} at {address}: {exc.strerror or exc}") from exc
         self._server.channel_class = dispatcher.channel_class
--- a/gypsumplank/transport/server.py
+++ b/gypsumplank/transport/server.py
@@ -5,6 +5,7 @@
 """
 
 import heapq
+import socket
 import time
 from typing import Any
 
@@ -15,6 +16,7 @@
 from gypsumplank.transport.bodybudget import RefusalCause
 from gypsumplank.transport.requestledger import RequestLedger
 from gypsumplank.transport.requestparser import HeadCheck, HeadPolicy
+from gypsumplank.transport.socketbudget import SocketLimits
 
 # Longest turn, seconds. A longer one counts as this, so that a process that was not scheduled finds
 # what its clients sent meanwhile before it refuses them.
@@ -38,8 +40,11 @@
         adj: Adjustments,
         ledger: RequestLedger,
         head_check: HeadCheck | None,
+        sockets: SocketLimits,
     ) -> None:
         self.ledger = ledger
+        self.sockets = sockets
+        self._wide_connections = 0
         self.policy = HeadPolicy(ledger.is_full, head_check)
         self.clock_s = 0.0
         self.turn_s = time.monotonic()
@@ -49,6 +54,11 @@
         self._next_cleanup_s = self.turn_s + CLEANUP_INTERVAL_S
         super().__init__(app, dispatcher=dispatcher, adj=adj, sockinfo=adj.listen[0])
 
+    def accept_connections(self) -> None:
+        """Listen with a receive buffer of a set size, which accepted connections inherit."""
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.sockets.receive_bytes)
+        super().accept_connections()
+
     def run(self) -> None:
         """Serve until no socket is left."""
         while self._map:
@@ -109,3 +119,14 @@
             super().handle_accept()
             if len(self._map) == before or self._is_full():
                 return
+    def take_wide(self) -> bool:
+        """Return whether one more connection may have a wide receive buffer, and count it."""
+        if self._wide_connections >= self.sockets.wide_connections:
+            return False
+        self._wide_connections += 1
+        return True
+
+    def give_back_wide(self) -> None:
+        """Count a connection with a wide receive buffer as closed."""
+        self._wide_connections -= 1
+
--- a/tests/transport/test_request_limits.py
+++ b/tests/transport/test_request_limits.py
@@ -2,92 +2,13 @@
 
 import contextlib
 import json
-import socket
 import threading
 
 import pytest
 
-from demo.cluster import free_addresses
-from gypsumplank.transport.bodybudget import RequestLimits
-from gypsumplank.transport.listener import ClosingDispatcher, Listener
-from gypsumplank.transport.requestledger import RequestLedger
 from gypsumplank.transport.requestparser import HeadRefusal
-
-MAX_BODY_BYTES = 100_000
-TIMEOUT_S = 20.0
-POST = b"POST /jobs HTTP/1.1\r\nHost: desk\r\n"
-CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
-
-
-class App:
-    """Answer with the length of the body; hold the path /wait until told."""
-
-    def __init__(self):
-        self.bodies = []
-        self.resume = threading.Event()
-
-    def __call__(self, environ, start_response):
-        if environ["PATH_INFO"] == "/wait":
-            self.resume.wait(TIMEOUT_S)
-        body = environ["wsgi.input"].read()
-        self.bodies.append(len(body))
-        answer = str(len(body)).encode()
-        start_response("200 OK", [("Content-Length", str(len(answer)))])
-        return [answer]
-
-
-class Served:
-    def __init__(self, head_check=None, connections=50, **limits):
-        (self.address,) = free_addresses(1)
-        self.app = App()
-        self.ledger = RequestLedger(RequestLimits(**limits))
-        self.listener = Listener(
-            self.app,
-            self.address,
-            ClosingDispatcher(2),
-            MAX_BODY_BYTES,
-            "limits-test",
-            connections,
-            self.ledger,
-            head_check,
-        )
-        self.listener.start()
-
-    def connect(self):
-        host, _, port = self.address.rpartition(":")
-        return socket.create_connection((host, int(port)), TIMEOUT_S)
-
-    def ask(self, *pieces):
-        """Send pieces and return all that the server sends until it closes or goes quiet."""
-        with self.connect() as sock:
-            for piece in pieces:
-                sock.sendall(piece)
-            return read(sock)
-
-
-@pytest.fixture
-def serve():
-    with contextlib.ExitStack() as stack:
-
-        def start(*args, **options):
-            served = Served(*args, **options)
-            stack.callback(served.listener.close, 0.0)
-            stack.callback(served.app.resume.set)
-            return served
-
-        yield start
-
-
-def read(sock, until=b""):
-    data = b""
-    with contextlib.suppress(ConnectionError):
-        while not (until and until in data) and (part := sock.recv(65_536)):
-            data += part
-    return data
-
-
-def close_header(body):
-    return POST + b"Connection: close\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+from gypsumplank.transport.socketbudget import SocketLimits
+from tests.transport.served import CHUNKED, MAX_BODY_BYTES, POST, close_header, read
 
 
 def test_requests_at_the_documented_limits_are_served(serve):
@@ -198,7 +119,7 @@
 
 def test_stalled_and_silent_connections_make_room(serve):
     """Guard against connections that hold every place while ordinary callers wait."""
-    served = serve(connections=12, header_s=0.3, body_s=60.0)
+    served = serve(sockets=SocketLimits(12), header_s=0.3, body_s=60.0)
     with contextlib.ExitStack() as stack:
         for number in range(30):
             sock = stack.enter_context(served.connect())
