transport: make room where every connection pipelines requests or reads no replies

Callers saw: with every place taken by connections that send request after request, or that never read a reply, no other connection was accepted; with the lower limit of connections that takes a crowd of some hundreds.

Cause: room was made by idle connections and by incomplete requests alone, and of these the slowest was refused however young it was.

Change: next after idle connections those go that have not read a reply for a second, then incomplete requests older than that, then the connections that hold the most unread bytes for their progress (choose_backlogged, pure). These are read no further, their complete requests are answered, and then they are closed.

--- a/gypsumplank/transport/bodybudget.py
+++ b/gypsumplank/transport/bodybudget.py
@@ -19,6 +19,8 @@
 KERNEL_SHARE = 3 / 16
 # Body time in seconds. Callers give up after 3 s, and the longest time limit in use is 10 s.
 BODY_TIMEOUT_S = 30.0
+# A connection makes room for others once it has made no progress for this long, seconds.
+STALLED_S = 1.0
 # Shortest time over which the speed of an arrival is measured, seconds.
 MIN_ARRIVAL_S = 0.001
 
@@ -48,9 +50,9 @@
 
     incomplete_bytes: int = 64 * MIB
     complete_bytes: int = 256 * MIB
+    kernel_bytes: int = 240 * MIB
     header_bytes: int = 16_384
     header_s: float = 3.0
-    kernel_bytes: int = 240 * MIB
     body_s: float = BODY_TIMEOUT_S
     idle_s: float = 15.0
 
@@ -75,6 +77,20 @@
         return self.held_bytes / max(now_s - self.since_s, MIN_ARRIVAL_S)
 
 
+@dataclass(frozen=True)
+class Backlog:
+    """Store what a connection was read, in bytes since it was accepted, and what waits unread."""
+
+    unread_bytes: int
+    read_bytes: int
+    age_s: float
+
+    @property
+    def drain_s(self) -> float:
+        """Return how long reading the rest would take at the speed so far."""
+        return self.unread_bytes * self.age_s / max(self.read_bytes, 1)
+
+
 def limits_of_memory(memory_bytes: int) -> RequestLimits:
     """Return the limits for a process whose machine has this much memory."""
     share = int(memory_bytes * MEMORY_SHARE)
@@ -98,6 +114,13 @@
     return chosen
 
 
+def choose_backlogged(backlogs: Iterable[tuple[K, Backlog]], count: int) -> list[K]:
+    """Return the connections that hold the most unread bytes for their progress."""
+    waiting = [pair for pair in backlogs if pair[1].unread_bytes]
+    waiting.sort(key=lambda pair: pair[1].drain_s, reverse=True)
+    return [key for key, _ in waiting[:count]]
+
+
 def overdue(
     limits: RequestLimits, since_s: float, in_body: bool, now_s: float
 ) -> RefusalCause | None:
--- a/gypsumplank/transport/channel.py
+++ b/gypsumplank/transport/channel.py
@@ -4,18 +4,29 @@
 after each read, and a connection whose bytes are costly to parse is read less often.
 """
 
+import array
 import contextlib
+import fcntl
 import functools
+import socket
+import termios
 import time
 from typing import Any
-import socket
 
 from waitress.channel import ClientDisconnected, HTTPChannel
 from waitress.parser import HTTPRequestParser
 from waitress.task import ErrorTask
 
-from gypsumplank.transport.bodybudget import Held, RefusalCause, RequestLimits, overdue
+from gypsumplank.transport.bodybudget import (
+    STALLED_S,
+    Backlog,
+    Held,
+    RefusalCause,
+    RequestLimits,
+    overdue,
+)
 from gypsumplank.transport.requestparser import BoundedParser, cause_of, make_refusal
+from gypsumplank.transport.socketbudget import WIDE_BUFFER_BYTES
 
 # Bytes read at once. Bodies of known length cost little. Less is read of heads and chunked bodies,
 # which may have a chunk in each six bytes, so that turns with hundreds of connections stay short.
@@ -26,7 +37,6 @@
 
 
 class BoundedChannel(HTTPChannel):
-from gypsumplank.transport.socketbudget import WIDE_BUFFER_BYTES
     """Receive requests, and refuse the incomplete one when told to."""
 
     request: BoundedParser | None
@@ -39,9 +49,15 @@
         self._ledger = server.ledger
         self._used = False
         self._refused = False
+        self._finishing = False
+        self._read_bytes = 0
+        self._unsent_bytes = 0
+        self._unsent_since_s = server.clock_s
+        self._accepted_s = server.clock_s
         self._arriving: BoundedParser | None = None
         self._since_s = server.clock_s
         self._resume_s = 0.0
+        self._wide = False
         super().__init__(server, sock, addr, adj, map=map)
 
     def held(self) -> Held:
@@ -57,7 +73,6 @@
                 victim.refuse(RefusalCause.MEMORY)
             else:
                 refuse = functools.partial(victim.refuse, RefusalCause.MEMORY)
-        self._wide = False
                 victim.server.trigger.pull_trigger(refuse)
 
     def settle(self) -> None:
@@ -66,7 +81,7 @@
 
     def readable(self) -> bool:
         """Return whether the next bytes are to be read."""
-        if self._refused or self._resume_s > self.server.turn_s:
+        if self._refused or self._finishing or self._resume_s > self.server.turn_s:
             return False
         return bool(super().readable())
 
@@ -75,6 +90,7 @@
         request = self.request
         plain_body = request is not None and request.headers_finished and not request.chunked
         data: bytes = super().recv(buffer_size if plain_body else HEAD_RECV_BYTES)
+        self._read_bytes += len(data)
         return data
 
     def received(self, data: bytes) -> bool:
@@ -85,6 +101,7 @@
         if self.request is not self._arriving:
             self._arriving = self.request
             self._since_s = self.server.clock_s
+        self._widen()
         for req in list(self.requests):
             if req.error is not None and not self._refused:
                 self._refused = True
@@ -95,23 +112,6 @@
             self._resume_s = self.server.reserve(cost_s)
         return used
 
-    def check_time(self) -> None:
-        """Refuse the incomplete request if it takes too long."""
-        request = self.request
-        if request is None or self._refused:
-            return
-        if self.requests or self.total_outbufs_len:
-        self._widen()
-            # It is not read while earlier requests are answered, so its time starts anew.
-            self._since_s = self.server.clock_s
-            return
-        in_body = request.headers_finished
-        cause = overdue(self._ledger.limits, self._since_s, in_body, self.server.clock_s)
-        if cause is not None:
-            self.refuse(cause)
-
-    def is_idle(self, limits: RequestLimits, now: float) -> bool:
-        """Return whether the connection may make room for others."""
     def _widen(self) -> None:
         """Enlarge the receive buffer for a large body of known length, if the server has room."""
         request = self.request
@@ -128,10 +128,61 @@
         # The clamp was inherited with the smaller buffer and would keep the window small.
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_WINDOW_CLAMP, size)
 
+    def check_time(self) -> None:
+        """Refuse the incomplete request if it takes too long; note whether replies are read."""
+        if self.total_outbufs_len != self._unsent_bytes:
+            self._unsent_bytes = self.total_outbufs_len
+            self._unsent_since_s = self.server.clock_s
+        request = self.request
+        if request is None or self._refused:
+            return
+        if self.requests or self.total_outbufs_len:
+            # It is not read while earlier requests are answered, so its time starts anew.
+            self._since_s = self.server.clock_s
+            return
+        in_body = request.headers_finished
+        cause = overdue(self._ledger.limits, self._since_s, in_body, self.server.clock_s)
+        if cause is not None:
+            self.refuse(cause)
+
+    def is_idle(self, limits: RequestLimits, now: float) -> bool:
+        """Return whether the connection may make room for others."""
         busy = self.requests or self.request is not None or self.total_outbufs_len
         timeout_s = limits.idle_s if self._used else limits.header_s
         return not busy and now - self.last_activity > timeout_s
 
+    def is_reply_stalled(self) -> bool:
+        """Return whether the client has long read nothing of a reply."""
+        return self._unsent_bytes > 0 and self.server.clock_s - self._unsent_since_s > STALLED_S
+
+    def is_finishing(self) -> bool:
+        """Return whether the connection is closed once its requests are answered."""
+        return self._finishing
+
+    def backlog(self) -> Backlog:
+        """Return what the connection was read, and what waits behind a request of it."""
+        unread = array.array("i", [0])
+        if self.requests:
+            fcntl.ioctl(self.socket.fileno(), termios.FIONREAD, unread)
+        return Backlog(unread[0], self._read_bytes, self.server.clock_s - self._accepted_s)
+
+    def finish(self) -> None:
+        """Read nothing more, answer what is complete and close; call it in the server thread."""
+        with self.requests_lock:
+            self._finishing = True
+            if self.request is not None:
+                self.request.close()
+                self.request = self._arriving = None
+            if self.requests:
+                self.requests[-1].headers["CONNECTION"] = "close"
+        self.settle()
+        self._close_if_finished()
+
+    def _close_if_finished(self) -> None:
+        if self._finishing and not self.requests:
+            self.close_when_flushed = True
+            self.server.pull_trigger()
+
     def refuse(self, cause: RefusalCause) -> None:
         """Refuse the incomplete request and close the connection; call it in the server thread."""
         with self.requests_lock:
@@ -165,6 +216,7 @@
             super().service()
         finally:
             self.settle()
+            self._close_if_finished()
 
     def cancel(self) -> None:
         """Drop all requests."""
@@ -174,7 +226,7 @@
     def handle_close(self) -> None:
         """Close the connection."""
         super().handle_close()
-        self.settle()
         if self._wide:
             self._wide = False
             self.server.give_back_wide()
+        self.settle()
--- a/gypsumplank/transport/requestledger.py
+++ b/gypsumplank/transport/requestledger.py
@@ -16,6 +16,7 @@
 from gypsumplank.log import Event, event
 from gypsumplank.metrics import Metrics
 from gypsumplank.transport.bodybudget import (
+    STALLED_S,
     Arrival,
     Held,
     RefusalCause,
@@ -89,10 +90,17 @@
             self._set(source, source.held(), self._monotonic())
 
     def slowest(self, sources: set[RequestSource], count: int) -> list[RequestSource]:
-        """Return those of these connections whose incomplete requests arrived slowest."""
+        """Return those of these connections whose incomplete requests arrived slowest.
+
+        A request that has only begun is not among them: it may be an ordinary one.
+        """
         now_s = self._monotonic()
         with self._lock:
-            arrivals = [pair for pair in self._arrivals.items() if pair[0] in sources]
+            arrivals = [
+                (source, arrival)
+                for source, arrival in self._arrivals.items()
+                if source in sources and now_s - arrival.since_s > STALLED_S
+            ]
         return choose_slowest(arrivals, sys.maxsize, now_s)[:count]
 
     def is_full(self) -> bool:
--- a/gypsumplank/transport/server.py
+++ b/gypsumplank/transport/server.py
@@ -13,7 +13,7 @@
 from waitress.adjustments import Adjustments
 from waitress.server import TcpWSGIServer
 
-from gypsumplank.transport.bodybudget import RefusalCause
+from gypsumplank.transport.bodybudget import RefusalCause, choose_backlogged
 from gypsumplank.transport.requestledger import RequestLedger
 from gypsumplank.transport.requestparser import HeadCheck, HeadPolicy
 from gypsumplank.transport.socketbudget import SocketLimits
@@ -89,15 +89,27 @@
         self.ledger.log_refusals()
 
     def _make_room(self) -> None:
-        """Close idle connections, or else refuse the slowest incomplete requests."""
+        """Close idle connections, or else those that make the least progress."""
         now, limits = time.time(), self.ledger.limits
         channels = sorted(self.active_channels.values(), key=lambda channel: channel.last_activity)
-        idle = [channel for channel in channels if channel.is_idle(limits, now)]
-        for channel in idle[:CLOSED_PER_TURN]:
+        unused = [channel for channel in channels if channel.is_idle(limits, now)]
+        unused = unused or [channel for channel in channels if channel.is_reply_stalled()]
+        for channel in unused[:CLOSED_PER_TURN]:
             channel.handle_close()
-        if not idle:
-            for channel in self.ledger.slowest(set(channels), CLOSED_PER_TURN):
-                channel.refuse(RefusalCause.CONNECTIONS)
+        if unused:
+            return
+        slowest = self.ledger.slowest(set(channels), CLOSED_PER_TURN)
+        for channel in slowest:
+            channel.refuse(RefusalCause.CONNECTIONS)
+        if not slowest:
+            self._finish_backlogged(channels)
+
+    def _finish_backlogged(self, channels: list[Any]) -> None:
+        """Let connections end whose requests wait behind others of the same connection."""
+        finishing = sum(channel.is_finishing() for channel in channels)
+        backlogs = ((each, each.backlog()) for each in channels if not each.is_finishing())
+        for channel in choose_backlogged(backlogs, max(0, CLOSED_PER_TURN - finishing)):
+            channel.finish()
 
     def _is_full(self) -> bool:
         return len(self._map) >= self.adj.connection_limit
@@ -108,17 +120,6 @@
         heapq.heappush(self._resumes, self._reserved_s)
         return self._reserved_s
 
-    def readable(self) -> bool:
-        """Return whether connections may be accepted."""
-        return self.accepting and not self._is_full()
-
-    def handle_accept(self) -> None:
-        """Accept the connections that wait, up to a bound."""
-        for _ in range(ACCEPTS_PER_TURN):
-            before = len(self._map)
-            super().handle_accept()
-            if len(self._map) == before or self._is_full():
-                return
     def take_wide(self) -> bool:
         """Return whether one more connection may have a wide receive buffer, and count it."""
         if self._wide_connections >= self.sockets.wide_connections:
@@ -130,3 +131,14 @@
         """Count a connection with a wide receive buffer as closed."""
         self._wide_connections -= 1
 
+    def readable(self) -> bool:
+        """Return whether connections may be accepted."""
+        return self.accepting and not self._is_full()
+
+    def handle_accept(self) -> None:
+        """Accept the connections that wait, up to a bound."""
+        for _ in range(ACCEPTS_PER_TURN):
+            before = len(self._map)
+            super().handle_accept()
+            if len(self._map) == before or self._is_full():
+                return
--- a/tests/transport/test_request_limits.py
+++ b/tests/transport/test_request_limits.py
@@ -2,13 +2,14 @@
 
 import contextlib
 import json
+import selectors
 import threading
 
 import pytest
 
 from gypsumplank.transport.requestparser import HeadRefusal
-from gypsumplank.transport.socketbudget import SocketLimits
-from tests.transport.served import CHUNKED, MAX_BODY_BYTES, POST, close_header, read
+from gypsumplank.transport.socketbudget import MIN_BUFFER_BYTES, SocketLimits
+from tests.transport.served import CHUNKED, MAX_BODY_BYTES, POST, close_header, read, wait_until
 
 
 def test_requests_at_the_documented_limits_are_served(serve):
@@ -126,3 +127,72 @@
             if number % 2:
                 sock.sendall(POST + b"Content-Length: 9\r\n\r\nx")
         assert served.ask(close_header(b"abc")).endswith(b"\r\n\r\n3")
+
+
+# 64 bytes, so that no read ends within a request and none of them is incomplete.
+GET = b"GET /jobs HTTP/1.1\r\nHost: desk\r\nX-Filler: " + b"x" * 18 + b"\r\n\r\n"
+
+
+@contextlib.contextmanager
+def pipelining(served, connections):
+    """Send requests without end on many connections, and read the answers."""
+    stopped = threading.Event()
+    with contextlib.ExitStack() as stack:
+        selector = stack.enter_context(selectors.DefaultSelector())
+        for _ in range(connections):
+            sock = stack.enter_context(served.connect())
+            sock.setblocking(False)
+            selector.register(sock, selectors.EVENT_READ | selectors.EVENT_WRITE)
+
+        def run():
+            while not stopped.is_set():
+                for key, events in selector.select(0.1):
+                    try:
+                        if events & selectors.EVENT_WRITE:
+                            key.fileobj.send(GET * 500)
+                        if events & selectors.EVENT_READ and not key.fileobj.recv(65_536):
+                            selector.unregister(key.fileobj)
+                    except BlockingIOError:
+                        continue
+                    except OSError:
+                        selector.unregister(key.fileobj)
+
+        thread = threading.Thread(target=run)
+        thread.start()
+        stack.callback(thread.join)
+        stack.callback(stopped.set)
+        yield
+
+
+def test_pipelining_connections_make_room(serve):
+    """Guard against connections that hold every place by sending requests without end."""
+    served = serve(sockets=SocketLimits(12, receive_bytes=MIN_BUFFER_BYTES))
+    with pipelining(served, 20):
+        assert served.ask(close_header(b"abc")).endswith(b"\r\n\r\n3")
+
+
+def test_connections_that_read_no_replies_make_room(serve):
+    """Guard against connections that hold every place as their replies are not read."""
+    served = serve(sockets=SocketLimits(12))
+    with contextlib.ExitStack() as stack:
+        for _ in range(20):
+            sock = stack.enter_context(served.connect())
+            sock.sendall(GET.replace(b"/jobs", b"/large"))
+        assert served.ask(close_header(b"abc")).endswith(b"\r\n\r\n3")
+
+
+def test_fresh_request_does_not_make_room(serve):
+    """Guard against the refusal of an ordinary request because no other one is incomplete."""
+    served = serve(sockets=SocketLimits(5))
+    with contextlib.ExitStack() as stack:
+        for _ in range(2):
+            sock = stack.enter_context(served.connect())
+            sock.sendall(POST.replace(b"/jobs", b"/wait") + b"Content-Length: 0\r\n\r\n")
+        last = stack.enter_context(served.connect())
+        last.sendall(POST + b"Connection: close\r\nContent-Length: 3\r\n\r\nx")
+        wait_until(lambda: served.ledger._arrivals)
+        # The server's next turns find every place taken.
+        threading.Event().wait(0.1)
+        last.sendall(b"yz")
+        served.app.resume.set()
+        assert read(last).endswith(b"\r\n\r\n3")
