transport: replies that clients do not read hold no threads and bounded memory

Callers saw: 100 connections that pipelined requests for metrics and read nothing held 67 MB in the kernel's send buffers; up to 16 MiB a connection could wait in the process, and beyond that a thread waited for the client and served nobody.

Cause: the kernel enlarges a send buffer as it likes; waitress runs the next request of a connection while the reply to the last one is not sent, and blocks the thread at its high watermark.

Change: listening sockets set the send buffer, too. The next request of a connection runs once the reply before it is sent. Replies of all connections have a sixteenth of the memory; beyond it those go, with their connections, of which nothing was read for a second, the longest stalled first (choose_stalled, pure), and after 30 s any. A counter and a log line of dropped replies tell the causes.

--- a/gypsumplank/composition/requests.py
+++ b/gypsumplank/composition/requests.py
@@ -2,7 +2,7 @@
 
 from gypsumplank.metrics import Metrics
 from gypsumplank.settings import Settings
-from gypsumplank.transport.bodybudget import KERNEL_SHARE, MEMORY_SHARE, RequestLimits
+from gypsumplank.transport.bodybudget import KERNEL_SHARE, MEMORY_SHARE, REPLY_SHARE, RequestLimits
 from gypsumplank.transport.requestledger import RequestLedger
 from gypsumplank.transport.socketbudget import SocketPlan, plan_sockets
 
@@ -18,10 +18,11 @@
         cfg.incomplete_bytes,
         cfg.complete_bytes,
         int(request_bytes * KERNEL_SHARE / (2 * MEMORY_SHARE)),
-        cfg.max_header_bytes,
-        cfg.header_timeout_s,
-        cfg.body_timeout_s,
-        cfg.idle_timeout_s,
+        int(request_bytes * REPLY_SHARE / (2 * MEMORY_SHARE)),
+        header_bytes=cfg.max_header_bytes,
+        header_s=cfg.header_timeout_s,
+        body_s=cfg.body_timeout_s,
+        idle_s=cfg.idle_timeout_s,
     )
     ledger = RequestLedger(limits)
     ledger.add_metrics(metrics)
--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -53,6 +53,7 @@
     SESSION_LAPSED = "session-lapsed", "The session expired in a pause or outage; a new one opens."
     PEER_DROPPED = "peer-dropped", "An invalid message from a peer was dropped."
     PEER_FAILED = "peer-failed", "Handling a peer's message failed because of a bug."
+    REPLIES_DROPPED = "replies-dropped", "Replies dropped as clients did not read them, by cause."
     REQUESTS_REFUSED = "requests-refused", "Requests refused before they were run, by cause."
     REQUEST_FAILED = "request-failed", "An attempt failed; another host may be tried."
     ACTOR_RESTARTED = "actor-restarted", "A periodic step failed because of a bug and restarts."
--- a/gypsumplank/transport/bodybudget.py
+++ b/gypsumplank/transport/bodybudget.py
@@ -4,6 +4,7 @@
 use up the memory of the machine.
 """
 
+import itertools
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import StrEnum
@@ -17,6 +18,10 @@
 MEMORY_SHARE = 1 / 8
 # Share of a machine's memory for what the kernel holds for the connections.
 KERNEL_SHARE = 3 / 16
+# Share of a machine's memory for replies that the kernel does not take, as clients do not read.
+REPLY_SHARE = 1 / 16
+# Time after which a reply is dropped of which nothing is read, seconds; as for a body.
+REPLY_TIMEOUT_S = 30.0
 # Body time in seconds. Callers give up after 3 s, and the longest time limit in use is 10 s.
 BODY_TIMEOUT_S = 30.0
 # A connection makes room for others once it has made no progress for this long, seconds.
@@ -38,31 +43,43 @@
     HEAD = "head"
 
 
+class DropCause(StrEnum):
+    """Enumerate why a reply that its client does not read is dropped, with its connection."""
+
+    TIME = "time"
+    MEMORY = "memory"
+    CONNECTIONS = "connections"
+
+
 @dataclass(frozen=True)
 class RequestLimits:
     """Store the limits of requests that are received; sizes in bytes, times in seconds.
 
     `incomplete_bytes` and `complete_bytes` hold for all listeners of a process together; complete
     requests count until they are answered. `kernel_bytes` bounds what the kernel holds for their
-    connections. A connection without a request may be closed after `idle_s`, but only where no
-    other connection could be accepted.
+    connections, `reply_bytes` the replies that wait in the process. A connection without a request
+    may be closed after `idle_s`, but only where no other connection could be accepted. A reply of
+    which nothing is read for `reply_s` is dropped.
     """
 
     incomplete_bytes: int = 64 * MIB
     complete_bytes: int = 256 * MIB
     kernel_bytes: int = 240 * MIB
+    reply_bytes: int = 80 * MIB
     header_bytes: int = 16_384
     header_s: float = 3.0
     body_s: float = BODY_TIMEOUT_S
     idle_s: float = 15.0
+    reply_s: float = REPLY_TIMEOUT_S
 
 
 @dataclass(frozen=True)
 class Held:
-    """Store the bytes that one connection's incomplete request and complete requests hold."""
+    """Store the bytes that a connection's requests, incomplete and complete, and replies hold."""
 
     incomplete: int = 0
     complete: int = 0
+    reply: int = 0
 
 
 @dataclass(frozen=True)
@@ -94,7 +111,8 @@
 def limits_of_memory(memory_bytes: int) -> RequestLimits:
     """Return the limits for a process whose machine has this much memory."""
     share = int(memory_bytes * MEMORY_SHARE)
-    return RequestLimits(share, share, int(memory_bytes * KERNEL_SHARE))
+    kernel, reply = int(memory_bytes * KERNEL_SHARE), int(memory_bytes * REPLY_SHARE)
+    return RequestLimits(share, share, kernel, reply)
 
 
 def excess_bytes(limits: RequestLimits, incomplete: int, complete: int) -> int:
@@ -114,6 +132,19 @@
     return chosen
 
 
+def choose_stalled(replies: Iterable[tuple[K, int, float]], excess: int) -> list[K]:
+    """Return the connections whose replies, given as bytes and stalled seconds, free `excess`.
+
+    The longest stalled are first; a client that reads now and then is not among them.
+    """
+    stalled = [reply for reply in replies if reply[2] > STALLED_S]
+    stalled.sort(key=lambda reply: reply[2], reverse=True)
+    held_before = itertools.accumulate((held for _, held, _ in stalled), initial=0)
+    return [
+        key for (key, _, _), before in zip(stalled, held_before, strict=False) if before < excess
+    ]
+
+
 def choose_backlogged(backlogs: Iterable[tuple[K, Backlog]], count: int) -> list[K]:
     """Return the connections that hold the most unread bytes for their progress."""
     waiting = [pair for pair in backlogs if pair[1].unread_bytes]
--- a/gypsumplank/transport/channel.py
+++ b/gypsumplank/transport/channel.py
@@ -18,8 +18,8 @@
 from waitress.task import ErrorTask
 
 from gypsumplank.transport.bodybudget import (
-    STALLED_S,
     Backlog,
+    DropCause,
     Held,
     RefusalCause,
     RequestLimits,
@@ -50,6 +50,7 @@
         self._used = False
         self._refused = False
         self._finishing = False
+        self._deferred = False
         self._read_bytes = 0
         self._unsent_bytes = 0
         self._unsent_since_s = server.clock_s
@@ -64,7 +65,8 @@
         """Return what the connection's requests hold."""
         request = self.request if self.connected else None
         incomplete = request.held_bytes if request is not None and not request.completed else 0
-        return Held(incomplete, sum(getattr(req, "held_bytes", 0) for req in list(self.requests)))
+        complete = sum(getattr(req, "held_bytes", 0) for req in list(self.requests))
+        return Held(incomplete, complete, self.total_outbufs_len)
 
     def account(self) -> None:
         """Report what is held; refuse the connections that the ledger chooses."""
@@ -133,6 +135,8 @@
         if self.total_outbufs_len != self._unsent_bytes:
             self._unsent_bytes = self.total_outbufs_len
             self._unsent_since_s = self.server.clock_s
+        if self._unsent_bytes and self.stalled_s > self._ledger.limits.reply_s:
+            self.drop_reply(DropCause.TIME)
         request = self.request
         if request is None or self._refused:
             return
@@ -151,9 +155,37 @@
         timeout_s = limits.idle_s if self._used else limits.header_s
         return not busy and now - self.last_activity > timeout_s
 
-    def is_reply_stalled(self) -> bool:
-        """Return whether the client has long read nothing of a reply."""
-        return self._unsent_bytes > 0 and self.server.clock_s - self._unsent_since_s > STALLED_S
+    @property
+    def stalled_s(self) -> float:
+        """Return for how long the client has read nothing of a reply."""
+        return float(self.server.clock_s - self._unsent_since_s) if self._unsent_bytes else 0.0
+
+    def drop_reply(self, cause: DropCause) -> None:
+        """Close a connection whose reply is not read; call it in the server thread."""
+        self._ledger.record_drop(cause)
+        self.handle_close()
+
+    def waits_for_flush(self) -> bool:
+        """Return whether the next request waits until the reply to the last one is sent."""
+        with self.outbuf_lock:
+            self._deferred = self.total_outbufs_len > 0
+            return self._deferred
+
+    def handle_write(self) -> None:
+        """Send what waits; when all is sent, continue with the request that was deferred."""
+        unsent = self.total_outbufs_len
+        super().handle_write()
+        if self.total_outbufs_len != unsent:
+            self.settle()
+        if not self._deferred or self.total_outbufs_len:
+            return
+        with self.requests_lock:
+            self._deferred = False
+            if self.connected and self.requests:
+                self.server.add_task(self)
+
+    def _flush_outbufs_below_high_watermark(self) -> None:
+        """Do nothing: a client that does not read must not hold a thread."""
 
     def is_finishing(self) -> bool:
         """Return whether the connection is closed once its requests are answered."""
--- a/gypsumplank/transport/requestledger.py
+++ b/gypsumplank/transport/requestledger.py
@@ -18,6 +18,7 @@
 from gypsumplank.transport.bodybudget import (
     STALLED_S,
     Arrival,
+    DropCause,
     Held,
     RefusalCause,
     RequestLimits,
@@ -52,8 +53,12 @@
         self._lock = threading.Lock()
         self._arrivals: dict[RequestSource, Arrival] = {}
         self._complete: dict[RequestSource, int] = {}
+        self._replies: dict[RequestSource, int] = {}
         self._incomplete_bytes = 0
         self._complete_bytes = 0
+        self._reply_bytes = 0
+        self._dropped: Counter[DropCause] = Counter()
+        self._unlogged_drops: Counter[DropCause] = Counter()
         self._refused: Counter[RefusalCause] = Counter()
         self._unlogged: Counter[RefusalCause] = Counter()
         self._logged_s = -LOG_PERIOD_S
@@ -83,6 +88,9 @@
         self._complete_bytes += held.complete - self._complete.pop(source, 0)
         if held.complete:
             self._complete[source] = held.complete
+        self._reply_bytes += held.reply - self._replies.pop(source, 0)
+        if held.reply:
+            self._replies[source] = held.reply
 
     def settle(self, source: RequestSource) -> None:
         """Account for a connection that holds less than before."""
@@ -107,6 +115,17 @@
         """Return whether complete requests hold so much that new ones are refused."""
         return self._complete_bytes >= self.limits.complete_bytes
 
+    def reply_excess(self) -> int:
+        """Return how many bytes of replies are to be freed; 0 or less if none."""
+        return self._reply_bytes - self.limits.reply_bytes
+
+    def record_drop(self, cause: DropCause) -> None:
+        """Count a reply that is dropped; log it with others at most once per period."""
+        with self._lock:
+            self._dropped[cause] += 1
+            self._unlogged_drops[cause] += 1
+        self.log_refusals()
+
     def record_refusal(self, cause: RefusalCause) -> None:
         """Count a refusal; log it with others at most once per period."""
         with self._lock:
@@ -115,26 +134,37 @@
         self.log_refusals()
 
     def log_refusals(self) -> None:
-        """Log the refusals since the last line, if the period is over."""
+        """Log the refusals and dropped replies since the last lines, if the period is over."""
         now_s = self._monotonic()
         with self._lock:
-            if not self._unlogged or now_s - self._logged_s < LOG_PERIOD_S:
+            if now_s - self._logged_s < LOG_PERIOD_S or not (
+                self._unlogged or self._unlogged_drops
+            ):
                 return
             self._logged_s = now_s
-            counts = {cause.value: count for cause, count in sorted(self._unlogged.items())}
+            refused = {cause.value: count for cause, count in sorted(self._unlogged.items())}
+            dropped = {cause.value: count for cause, count in sorted(self._unlogged_drops.items())}
             self._unlogged.clear()
+            self._unlogged_drops.clear()
             held_bytes = self._incomplete_bytes + self._complete_bytes
-        event(logger, Event.REQUESTS_REFUSED, logging.WARNING, causes=counts, held_bytes=held_bytes)
+            reply_bytes = self._reply_bytes
+        for kind, causes, held in (
+            (Event.REQUESTS_REFUSED, refused, held_bytes),
+            (Event.REPLIES_DROPPED, dropped, reply_bytes),
+        ):
+            if causes:
+                event(logger, kind, logging.WARNING, causes=causes, held_bytes=held)
 
     def add_metrics(self, metrics: Metrics) -> None:
         """Register the gauges of held bytes and of refusals."""
         metrics.gauge(
             "gypsumplank.requests.held",
             "By",
-            "Memory held for requests that are incomplete, or complete and not answered",
+            "Memory held for requests, incomplete or not answered, and for replies not sent",
             lambda: [
                 Observation(self._incomplete_bytes, {"state": "incomplete"}),
                 Observation(self._complete_bytes, {"state": "complete"}),
+                Observation(self._reply_bytes, {"state": "reply"}),
             ],
         )
         metrics.observable_counter(
@@ -144,3 +174,10 @@
                 Observation(self._refused[cause], {"cause": cause.value}) for cause in RefusalCause
             ],
         )
+        metrics.observable_counter(
+            "gypsumplank.replies.dropped",
+            "Replies dropped as their clients did not read them, by cause",
+            lambda: [
+                Observation(self._dropped[cause], {"cause": cause.value}) for cause in DropCause
+            ],
+        )
--- a/gypsumplank/transport/server.py
+++ b/gypsumplank/transport/server.py
@@ -13,7 +13,13 @@
 from waitress.adjustments import Adjustments
 from waitress.server import TcpWSGIServer
 
-from gypsumplank.transport.bodybudget import RefusalCause, choose_backlogged
+from gypsumplank.transport.bodybudget import (
+    STALLED_S,
+    DropCause,
+    RefusalCause,
+    choose_backlogged,
+    choose_stalled,
+)
 from gypsumplank.transport.requestledger import RequestLedger
 from gypsumplank.transport.requestparser import HeadCheck, HeadPolicy
 from gypsumplank.transport.socketbudget import SocketLimits
@@ -55,8 +61,9 @@
         super().__init__(app, dispatcher=dispatcher, adj=adj, sockinfo=adj.listen[0])
 
     def accept_connections(self) -> None:
-        """Listen with a receive buffer of a set size, which accepted connections inherit."""
+        """Listen with buffers of a set size, which accepted connections inherit."""
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.sockets.receive_bytes)
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, self.sockets.send_bytes)
         super().accept_connections()
 
     def run(self) -> None:
@@ -83,20 +90,40 @@
     def _sweep(self) -> None:
         for channel in list(self.active_channels.values()):
             channel.check_time()
+        self._drop_replies()
         if self.turn_s >= self._next_cleanup_s:
             self._next_cleanup_s = self.turn_s + CLEANUP_INTERVAL_S
             self.maintenance(time.time())
         self.ledger.log_refusals()
 
+    def _drop_replies(self) -> None:
+        """Drop the replies that are read least if all of them hold too much memory."""
+        excess = self.ledger.reply_excess()
+        if excess <= 0:
+            return
+        channels = list(self.active_channels.values())
+        replies = ((each, each.total_outbufs_len, each.stalled_s) for each in channels)
+        for channel in choose_stalled(replies, excess):
+            channel.drop_reply(DropCause.MEMORY)
+
+    def add_task(self, task: Any) -> None:
+        """Let a thread run a connection's next request, once the last reply is sent."""
+        if not task.waits_for_flush():
+            super().add_task(task)
+
     def _make_room(self) -> None:
         """Close idle connections, or else those that make the least progress."""
         now, limits = time.time(), self.ledger.limits
         channels = sorted(self.active_channels.values(), key=lambda channel: channel.last_activity)
-        unused = [channel for channel in channels if channel.is_idle(limits, now)]
-        unused = unused or [channel for channel in channels if channel.is_reply_stalled()]
-        for channel in unused[:CLOSED_PER_TURN]:
+        idle = [channel for channel in channels if channel.is_idle(limits, now)]
+        for channel in idle[:CLOSED_PER_TURN]:
             channel.handle_close()
-        if unused:
+        if idle:
+            return
+        stalled = [channel for channel in channels if channel.stalled_s > STALLED_S]
+        for channel in stalled[:CLOSED_PER_TURN]:
+            channel.drop_reply(DropCause.CONNECTIONS)
+        if stalled:
             return
         slowest = self.ledger.slowest(set(channels), CLOSED_PER_TURN)
         for channel in slowest:
--- a/tests/transport/served.py
+++ b/tests/transport/served.py
@@ -14,6 +14,8 @@
 MAX_BODY_BYTES = 100_000
 # More than the kernel holds for a client that reads nothing.
 LARGE_ANSWER_BYTES = 8 << 20
+# waitress lets a thread wait for the client beyond 16 MiB.
+ANSWER_BYTES = {"/large": LARGE_ANSWER_BYTES, "/huge": 20 << 20}
 TIMEOUT_S = 20.0
 POST = b"POST /jobs HTTP/1.1\r\nHost: desk\r\n"
 DEFAULT_SOCKETS = SocketLimits(connections=50)
@@ -33,8 +35,7 @@
         body = environ["wsgi.input"].read()
         self.bodies.append(len(body))
         answer = str(len(body)).encode()
-        if environ["PATH_INFO"] == "/large":
-            answer *= LARGE_ANSWER_BYTES
+        answer = answer.ljust(ANSWER_BYTES.get(environ["PATH_INFO"], 0))
         start_response("200 OK", [("Content-Length", str(len(answer)))])
         return [answer]
 
