transport: requests that were not pipelined get a thread first

Callers saw: beside 300 connections that pipelined requests an ordinary one waited up to 1.93 s.

Cause: threads take connections in turn, so that a request waits for one of each connection that always has a next one ready.

--- a/gypsumplank/transport/admission.py
+++ b/gypsumplank/transport/admission.py
@@ -86,6 +86,11 @@
         self._ticket = ticket
         self._admission = admission
 
+    @property
+    def is_pipelined(self) -> bool:
+        """Return whether the request was sent before the one ahead of it was answered."""
+        return self._channel.is_pipelined
+
     def service(self) -> None:
         """Run the request unless its caller has disconnected."""
         try:
--- a/gypsumplank/transport/channel.py
+++ b/gypsumplank/transport/channel.py
@@ -51,6 +51,7 @@
         self._refused = False
         self._finishing = False
         self._deferred = False
+        self.is_pipelined = False
         self._read_bytes = 0
         self._unsent_bytes = 0
         self._unsent_since_s = server.clock_s
@@ -98,6 +99,8 @@
     def received(self, data: bytes) -> bool:
         """Parse the next bytes, account for them, and yield to others if they were costly."""
         self._used = True
+        if not self.requests:
+            self.is_pipelined = False
         started_s = time.thread_time()
         used: bool = super().received(data)
         if self.request is not self._arriving:
@@ -244,6 +247,7 @@
 
     def service(self) -> None:
         """Execute one request in a thread."""
+        self.is_pipelined = True
         try:
             super().service()
         finally:
--- a/gypsumplank/transport/listener.py
+++ b/gypsumplank/transport/listener.py
@@ -14,6 +14,7 @@
 from gypsumplank.transport.channel import RECV_BYTES, BoundedChannel
 from gypsumplank.transport.requestledger import RequestLedger
 from gypsumplank.transport.requestparser import HeadCheck
+from gypsumplank.transport.requestqueue import RequestQueue
 from gypsumplank.transport.server import BoundedServer
 from gypsumplank.transport.socketbudget import SocketLimits
 
@@ -35,6 +36,7 @@
 
     def __init__(self, threads: int) -> None:
         super().__init__()
+        self.queue = RequestQueue()
         self.closing = False
         self.set_thread_count(threads)
 
--- a/tests/transport/served.py
+++ b/tests/transport/served.py
@@ -23,15 +23,21 @@
 
 
 class App:
-    """Answer with the length of the body, at length for /large; hold the path /wait until told."""
+    """Answer with the length of the body, at length for some paths.
+
+    Hold /wait until told, and let one request of /step pass for each permit.
+    """
 
     def __init__(self):
         self.bodies = []
         self.resume = threading.Event()
+        self.steps = threading.Semaphore(0)
 
     def __call__(self, environ, start_response):
         if environ["PATH_INFO"] == "/wait":
             self.resume.wait(TIMEOUT_S)
+        if environ["PATH_INFO"] == "/step":
+            self.steps.acquire(timeout=TIMEOUT_S)
         body = environ["wsgi.input"].read()
         self.bodies.append(len(body))
         answer = str(len(body)).encode()
