gypsumplankd: derive the limits of requests from the host's memory

Cause: platformd takes shares of memory-mb, gypsumplankd knew neither the host's memory nor its descriptors.

Change: limits.memory_mb, by default all of the host's memory, so that a host with 2 GiB or more keeps the limits that it had; the limits of incomplete and complete requests are at most an eighth of it each, and what the kernel may hold and the replies follow from these.

--- a/gypsumplank/settings.py
+++ b/gypsumplank/settings.py
@@ -164,6 +164,12 @@
     max_body_bytes: int = setting(
         "limits.max_body_bytes", "largest request body, bytes", 1 << 20, check_positive
     )
+    memory_mb: int = setting(
+        "limits.memory_mb",
+        "memory for this process, MiB, at most the host's; the next two are lowered to an eighth",
+        1 << 20,
+        check_positive,
+    )
     incomplete_bytes: int = setting(
         "limits.incomplete_bytes",
         "memory for incomplete requests of all connections; beyond it the slowest are refused",
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -150,3 +150,17 @@
 
     process = cluster.processes["entry-0"]
     check_crowd(process, addresses[listener], list(addresses.values()), load, ask_ordinary)
+
+
+def test_limits_of_daemon_follow_from_its_memory(cluster):
+    """Guard against default limits that a small host has no memory for."""
+    cluster.start_platform()
+    cluster.start_daemon("entry-0", "kochi-a", limits={"memory_mb": MEMORY_MB})
+    addresses = [cluster.callers("entry-0"), cluster.operators("entry-0")]
+
+    def ask_ordinary():
+        url = f"http://{addresses[0]}/nothing/here"
+        assert ask("POST", url, body=b"order").status == 404
+
+    load = Load(300, plain_body(MIB)[:-1])
+    check_crowd(cluster.processes["entry-0"], addresses[0], addresses, load, ask_ordinary)
