soak, tests: crowds as a stand-in, beside the callers of a soak and at the peers' addresses

standins/crowd.py holds the crowd of the tests, unchanged in what it sends, so that a soak can have one.

Four new cases send to the addresses at which daemons hear one another.

--- a/demo/job.py
+++ b/demo/job.py
@@ -55,6 +55,8 @@
         self.callers_of: dict[str, str] = {}
         # Added to the bounds in the settings of the daemons that start later.
         self.bounds: dict[str, Any] = {}
+        # Added to the limits, likewise.
+        self.limits: dict[str, Any] = {}
         self._reservation, network = reserve_network()
         self._free_ips = _free_ips(network)
 
@@ -104,7 +106,7 @@
             "platform": {"address": self.platform, **self._platform_settings},
             "cloud": {"address": self.platform},
             "bounds": {"max-hold-ms": 6000, "lease-ms": 3000, "grace-s": 1, **self.bounds},
-            "limits": {"max-fds": 1024},
+            "limits": {"max-fds": 1024, **self.limits},
             "heartbeat-ms": 500,
         }
 
--- a/soak/jobs.py
+++ b/soak/jobs.py
@@ -4,7 +4,8 @@
     python -m soak.jobs --failed              # all seeds that have ever failed
 
 Exit 1 on a violated guarantee. A seed determines the faults; timing depends on the machine.
-Odd seeds from 5001 also have client accounts whose keys and caps change (soak/accounts.py).
+Odd seeds from 5001 also have client accounts whose keys and caps change (soak/accounts.py), even
+ones from 7001 a crowd of clients that don't behave (soak/crowds.py).
 """
 
 import argparse
@@ -44,6 +45,7 @@
     has_accounts,
 )
 from soak.calllog import Breach
+from soak.crowds import LIMITS, crowd_beside, has_crowd
 from soak.jobfleet import DAEMONS, JobFault, JobFleet, ScheduledFault
 from standins.users_platform import UsersPlatform
 from standins.violations import find_violations
@@ -213,13 +215,16 @@
     if has_accounts(seed):
         return run_seed_with_accounts(seed, phases, folder)
     with JobCluster(folder) as cluster:
+        if has_crowd(seed):
+            cluster.limits = LIMITS
         fleet = JobFleet(cluster, seed)
         fleet.start()
         callers = JobCallers(fleet, seed)
-        callers.start()
-        for faults in generate_phases(seed, phases):
-            _run_phase(fleet, faults)
-        callers.stop()
+        with crowd_beside(seed, fleet.caller_addresses()):
+            callers.start()
+            for faults in generate_phases(seed, phases):
+                _run_phase(fleet, faults)
+            callers.stop()
         found = [*check_completion(fleet, callers.jobs), *check_history(fleet.users, callers.jobs)]
         fleet.close()
     return found, _summarize(seed, fleet, callers, found)
--- a/tests/test_client_crowds.py
+++ b/tests/test_client_crowds.py
@@ -6,14 +6,14 @@
 
 import contextlib
 import json
-from dataclasses import dataclass
 
 import pytest
 
 from demo.job import PREFIX, JobCluster
 from gypsumplank.composition.platform import METRICS_PORT
 from gypsumplank.protocol.operator import PATH_METRICS
-from tests.crowd import KIB, MIB, Crowd, Meter, ask, chunked_body, head, plain_body
+from standins.crowd import Crowd, Load, chunked_body, head, peer_message, plain_body
+from tests.crowd import MIB, Meter, ask, run_crowd
 
 pytestmark = pytest.mark.process
 
@@ -34,15 +34,6 @@
 PIPELINED_GETS = head(method="GET") * 20_000
 
 
-@dataclass(frozen=True)
-class Load:
-    """Store a crowd: its connections and what each sends, in pieces that take turns."""
-
-    connections: int
-    wire: bytes
-    piece_bytes: int = 64 * KIB
-
-
 CALLERS = [
     pytest.param(Load(600, TINY_CHUNKS), id="chunks-of-one-byte"),
     pytest.param(Load(600, LARGE_CHUNKS), id="large-chunks"),
@@ -63,14 +54,25 @@
     meter = Meter(process, addresses)
     ask_ordinary()
     with contextlib.ExitStack() as stack:
-        crowd = Crowd(stack, crowd_address, load.connections, load.wire, load.piece_bytes)
-        crowd.run(meter)
+        crowd = Crowd(crowd_address, load)
+        stack.callback(crowd.close)
+        run_crowd(crowd, meter)
         ask_ordinary()
         meter.sample()
         meter.check(MEMORY_MB * MIB, MAX_FDS - FILE_DESCRIPTORS)
     ask_ordinary()
 
 
+# Protocols of the sockets that send requests to platformd's relay and messages to gypsumplankd.
+REQUEST_PROTOCOL = 0x30
+PUSH_PROTOCOL = 0x50
+
+
+def peer_load(protocol):
+    """Return a crowd that sends messages between daemons without their end."""
+    return Load(200, peer_message(protocol, MIB)[:-1])
+
+
 @contextlib.contextmanager
 def small_platform_daemon(folder):
     """Start platformd with the limits of a small machine; yield its process and addresses."""
@@ -86,7 +88,8 @@
         ready = settings["listen"]["ready"]
         cluster.wait_http(f"http://{ready}/api/readyz")
         metrics = f"{settings['ip']}:{METRICS_PORT}"
-        yield cluster.processes["entry-0"], [callers, ready, metrics]
+        peers = f"{settings['ip']}:{settings['port-range'][0]}"
+        yield cluster.processes["entry-0"], [callers, ready, metrics, peers]
 
 
 @pytest.mark.parametrize("load", CALLERS)
@@ -107,12 +110,14 @@
         pytest.param(1, Load(300, TINY_CHUNKS), id="balancer-chunks-of-one-byte"),
         pytest.param(2, service_load("/metrics"), id="metrics-replies-not-read"),
         pytest.param(2, Load(300, TINY_CHUNKS), id="metrics-chunks-of-one-byte"),
+        pytest.param(3, peer_load(REQUEST_PROTOCOL), id="relay-messages-without-end"),
+        pytest.param(3, Load(2200, b"\0"), id="relay-one-byte"),
     ],
 )
 def test_platform_daemon_survives_clients_of_its_services(tmp_path, number, load):
-    """Guard against the same at the addresses of the readiness check and of the metrics."""
+    """Guard against the same at the addresses of the readiness check, metrics and other daemons."""
     with small_platform_daemon(tmp_path) as (process, addresses):
-        callers, ready, metrics = addresses
+        callers, ready, metrics, _ = addresses
 
         def ask_ordinary():
             assert ask("GET", f"http://{callers}{PREFIX}").status == 200
@@ -130,10 +135,12 @@
         pytest.param("callers", Load(600, PIPELINED_GETS), id="replies-not-read"),
         pytest.param("operators", Load(600, TINY_CHUNKS), id="operators-chunks-of-one-byte"),
         pytest.param("operators", service_load(PATH_METRICS), id="operators-replies-not-read"),
+        pytest.param("peers", peer_load(PUSH_PROTOCOL), id="peers-messages-without-end"),
+        pytest.param("peers", Load(2200, b"\0"), id="peers-one-byte"),
     ],
 )
 def test_daemon_survives_clients(cluster, listener, load):
-    """Guard against the same with callers and operators of gypsumplankd."""
+    """Guard against the same with callers, operators and peers of gypsumplankd."""
     cluster.start_platform()
     limits = {
         "max_body_bytes": MAX_BODY_BYTES,
@@ -141,7 +148,11 @@
         "complete_bytes": BUDGET_BYTES,
     }
     cluster.start_daemon("entry-0", "kochi-a", limits=limits)
-    addresses = {"callers": cluster.callers("entry-0"), "operators": cluster.operators("entry-0")}
+    addresses = {
+        "callers": cluster.callers("entry-0"),
+        "operators": cluster.operators("entry-0"),
+        "peers": cluster.settings["entry-0"]["listen"]["peers"],
+    }
 
     def ask_ordinary():
         url = f"http://{addresses['callers']}/nothing/here"
