--- a/gypsumplank/transport/requestledger.py
+++ b/gypsumplank/transport/requestledger.py
@@ -148,12 +148,22 @@
             self._unlogged_drops.clear()
             held_bytes = self._incomplete_bytes + self._complete_bytes
             reply_bytes = self._reply_bytes
-        for kind, causes, held in (
-            (Event.REQUESTS_REFUSED, refused, held_bytes),
-            (Event.REPLIES_DROPPED, dropped, reply_bytes),
-        ):
-            if causes:
-                event(logger, kind, logging.WARNING, causes=causes, held_bytes=held)
+        if refused:
+            event(
+                logger,
+                Event.REQUESTS_REFUSED,
+                logging.WARNING,
+                causes=refused,
+                held_bytes=held_bytes,
+            )
+        if dropped:
+            event(
+                logger,
+                Event.REPLIES_DROPPED,
+                logging.WARNING,
+                causes=dropped,
+                held_bytes=reply_bytes,
+            )
 
     def add_metrics(self, metrics: Metrics) -> None:
         """Register the gauges of held bytes and of refusals."""
--- a/tests/soak/test_jobs.py
+++ b/tests/soak/test_jobs.py
@@ -1,6 +1,7 @@
 import pytest
 
 from gypsumplank.platform.app import decode_job
+from soak.crowds import LOADS, choose_load, has_crowd
 from soak.jobs import (
     JobFault,
     ScheduledFault,
@@ -64,3 +65,22 @@
     found, text = run_seed(1, 2, tmp_path)
     assert found == []
     assert "0 breaches" in text
+
+
+def test_seeds_with_a_crowd_cover_every_load():
+    seeds = [seed for seed in range(6990, 7101) if has_crowd(seed)]
+    assert seeds[0] == 7002
+    assert {choose_load(seed) for seed in seeds} == set(LOADS)
+
+
+@pytest.mark.process
+def test_short_run_beside_a_crowd_has_no_breaches(tmp_path, monkeypatch):
+    """Guard against promises that hold only while all clients behave."""
+    phases = [
+        (ScheduledFault(JobFault.STOP, 0, 0.5), ScheduledFault(JobFault.ANSWERS_LOST, 0, 0.5)),
+        (ScheduledFault(JobFault.KILL, 1, 0.5), ScheduledFault(JobFault.RESET, 2, 1.0)),
+    ]
+    monkeypatch.setattr("soak.jobs.generate_phases", lambda _seed, _phases: phases)
+    found, text = run_seed(7004, 2, tmp_path)
+    assert found == []
+    assert "0 breaches" in text
