--- a/gypsumplank/transport/channel.py
+++ b/gypsumplank/transport/channel.py
@@ -138,8 +138,9 @@
         if self.total_outbufs_len != self._unsent_bytes:
             self._unsent_bytes = self.total_outbufs_len
             self._unsent_since_s = self.server.clock_s
-        if self._unsent_bytes and self.stalled_s > self._ledger.limits.reply_s:
+        if self.stalled_s > self._ledger.limits.reply_s:
             self.drop_reply(DropCause.TIME)
+            return
         request = self.request
         if request is None or self._refused:
             return
@@ -161,7 +162,10 @@
     @property
     def stalled_s(self) -> float:
         """Return for how long the client has read nothing of a reply."""
-        return float(self.server.clock_s - self._unsent_since_s) if self._unsent_bytes else 0.0
+        unsent = self.total_outbufs_len
+        if not unsent or unsent != self._unsent_bytes:
+            return 0.0
+        return float(self.server.clock_s - self._unsent_since_s)
 
     def drop_reply(self, cause: DropCause) -> None:
         """Close a connection whose reply is not read; call it in the server thread."""
@@ -198,7 +202,9 @@
         """Return what the connection was read, and what waits behind a request of it."""
         unread = array.array("i", [0])
         if self.requests:
-            fcntl.ioctl(self.socket.fileno(), termios.FIONREAD, unread)
+            # Without the count the connection is not chosen.
+            with contextlib.suppress(OSError):
+                fcntl.ioctl(self.socket.fileno(), termios.FIONREAD, unread)
         return Backlog(unread[0], self._read_bytes, self.server.clock_s - self._accepted_s)
 
     def finish(self) -> None:
