tests: wait for every connection of the crowd before its requests get turns

test_ordinary_request_does_not_wait_for_every_pipelining_connection failed once, beside load 15: the permits were given before all connections had been accepted, so that the first ones used them up and the premise of the check (each connection has had its first request) did not hold.

--- a/tests/transport/test_requestqueue.py
+++ b/tests/transport/test_requestqueue.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from gypsumplank.transport.requestqueue import TURNS, RequestQueue
+from gypsumplank.transport.requestqueue import PIPELINED_INTERVAL, RequestQueue
 from gypsumplank.transport.socketbudget import SocketLimits
 from tests.transport.served import POST, wait_until
 
@@ -24,13 +24,13 @@
     queue = RequestQueue()
     for number in range(3):
         queue.append(Request(f"pipelined-{number}", True))
-    for number in range(2 * TURNS):
+    for number in range(2 * PIPELINED_INTERVAL):
         queue.append(Request(f"first-{number}"))
     order = drain(queue)
-    assert order.index("pipelined-0") == TURNS - 1
-    assert order.index("pipelined-1") == 2 * TURNS - 1
+    assert order.index("pipelined-0") == PIPELINED_INTERVAL - 1
+    assert order.index("pipelined-1") == 2 * PIPELINED_INTERVAL - 1
     assert [name for name in order if name.startswith("first")] == [
-        f"first-{number}" for number in range(2 * TURNS)
+        f"first-{number}" for number in range(2 * PIPELINED_INTERVAL)
     ]
 
 
@@ -41,9 +41,11 @@
     sockets = [served.connect() for _ in range(CONNECTIONS)]
     for sock in sockets:
         sock.sendall(STEP * 8)
+    # The first one is with the thread.
+    wait_until(lambda: len(queue) == CONNECTIONS - 1)
     with served.connect() as ordinary:
         for body in (b"abc", b"wxyz"):
-            # After two requests for each, no first request is left; one is with the thread.
+            # After two requests for each, no first request is left.
             seen = len(bodies)
             steps.release(2 * CONNECTIONS)
             wait_until(lambda: len(bodies) == seen + 2 * CONNECTIONS)  # noqa: B023
@@ -52,7 +54,7 @@
             wait_until(lambda: len(queue) == CONNECTIONS)
             steps.release(CONNECTIONS)
             wait_until(lambda: len(body) in bodies)  # noqa: B023
-            assert bodies.index(len(body)) <= seen + 2 * CONNECTIONS + TURNS
+            assert bodies.index(len(body)) <= seen + 2 * CONNECTIONS + PIPELINED_INTERVAL
             wait_until(lambda: len(bodies) == seen + 3 * CONNECTIONS + 1)  # noqa: B023
     for sock in sockets:
         sock.close()
