--- a/gypsumplank/composition/requests.py
+++ b/gypsumplank/composition/requests.py
@@ -30,10 +30,10 @@
     complete_bytes = min(cfg.complete_bytes, share.complete_bytes)
     request_bytes = incomplete_bytes + complete_bytes
     limits = RequestLimits(
-        incomplete_bytes,
-        complete_bytes,
-        int(request_bytes * KERNEL_SHARE / (2 * MEMORY_SHARE)),
-        int(request_bytes * REPLY_SHARE / (2 * MEMORY_SHARE)),
+        incomplete_bytes=incomplete_bytes,
+        complete_bytes=complete_bytes,
+        kernel_bytes=int(request_bytes * KERNEL_SHARE / (2 * MEMORY_SHARE)),
+        reply_bytes=int(request_bytes * REPLY_SHARE / (2 * MEMORY_SHARE)),
         header_bytes=cfg.max_header_bytes,
         header_s=cfg.header_timeout_s,
         body_s=cfg.body_timeout_s,
--- a/gypsumplank/transport/bodybudget.py
+++ b/gypsumplank/transport/bodybudget.py
@@ -1,7 +1,7 @@
-"""Decide which incomplete requests are refused when they hold too much memory or take too long.
+"""Decide which requests are refused, and which replies dropped, as they hold too much or too long.
 
-Answers clients that keep many large requests open just short of their end, which would otherwise
-use up the memory of the machine.
+Answers clients that keep many large requests open just short of their end, that send faster than
+they are read, or that do not read their replies, and so would use up the memory of the machine.
 """
 
 import itertools
@@ -95,8 +95,8 @@
 
 
 @dataclass(frozen=True)
-class Backlog:
-    """Store what a connection was read, in bytes since it was accepted, and what waits unread."""
+class UnreadInput:
+    """Store what of a connection waits unread, and what was read since it was accepted."""
 
     unread_bytes: int
     read_bytes: int
@@ -111,8 +111,12 @@
 def limits_of_memory(memory_bytes: int) -> RequestLimits:
     """Return the limits for a process whose machine has this much memory."""
     share = int(memory_bytes * MEMORY_SHARE)
-    kernel, reply = int(memory_bytes * KERNEL_SHARE), int(memory_bytes * REPLY_SHARE)
-    return RequestLimits(share, share, kernel, reply)
+    return RequestLimits(
+        incomplete_bytes=share,
+        complete_bytes=share,
+        kernel_bytes=int(memory_bytes * KERNEL_SHARE),
+        reply_bytes=int(memory_bytes * REPLY_SHARE),
+    )
 
 
 def excess_bytes(limits: RequestLimits, incomplete: int, complete: int) -> int:
@@ -145,9 +149,9 @@
     ]
 
 
-def choose_backlogged(backlogs: Iterable[tuple[K, Backlog]], count: int) -> list[K]:
+def choose_backlogged(inputs: Iterable[tuple[K, UnreadInput]], count: int) -> list[K]:
     """Return the connections that hold the most unread bytes for their progress."""
-    waiting = [pair for pair in backlogs if pair[1].unread_bytes]
+    waiting = [pair for pair in inputs if pair[1].unread_bytes]
     waiting.sort(key=lambda pair: pair[1].drain_s, reverse=True)
     return [key for key, _ in waiting[:count]]
 
--- a/gypsumplank/transport/channel.py
+++ b/gypsumplank/transport/channel.py
@@ -1,7 +1,8 @@
 """Receive the requests of one connection within the limits of the process.
 
-Answers clients that hold memory or the server thread: what a connection holds is accounted for
-after each read, and a connection whose bytes are costly to parse is read less often.
+Answers clients that hold memory, a thread or the server thread: what a connection holds is
+accounted for after each read, a connection whose bytes are costly to parse is read less often, and
+its next request waits until the reply before it is sent.
 """
 
 import array
@@ -18,11 +19,11 @@
 from waitress.task import ErrorTask
 
 from gypsumplank.transport.bodybudget import (
-    Backlog,
     DropCause,
     Held,
     RefusalCause,
     RequestLimits,
+    UnreadInput,
     overdue,
 )
 from gypsumplank.transport.requestparser import BoundedParser, cause_of, make_refusal
@@ -37,7 +38,10 @@
 
 
 class BoundedChannel(HTTPChannel):
-    """Receive requests, and refuse the incomplete one when told to."""
+    """Receive requests, refuse the incomplete one when told to, and send replies.
+
+    `is_pipelined` tells whether the next request was sent before the one ahead of it was answered.
+    """
 
     request: BoundedParser | None
     requests: list[HTTPRequestParser]
@@ -198,14 +202,14 @@
         """Return whether the connection is closed once its requests are answered."""
         return self._finishing
 
-    def backlog(self) -> Backlog:
-        """Return what the connection was read, and what waits behind a request of it."""
+    def unread_input(self) -> UnreadInput:
+        """Return what waits unread behind a request of the connection."""
         unread = array.array("i", [0])
         if self.requests:
             # Without the count the connection is not chosen.
             with contextlib.suppress(OSError):
                 fcntl.ioctl(self.socket.fileno(), termios.FIONREAD, unread)
-        return Backlog(unread[0], self._read_bytes, self.server.clock_s - self._accepted_s)
+        return UnreadInput(unread[0], self._read_bytes, self.server.clock_s - self._accepted_s)
 
     def finish(self) -> None:
         """Read nothing more, answer what is complete and close; call it in the server thread."""
--- a/gypsumplank/transport/requestqueue.py
+++ b/gypsumplank/transport/requestqueue.py
@@ -7,12 +7,12 @@
 from collections import deque
 from typing import Protocol
 
-# Of this many requests in a row, one is pipelined if any waits, so that none waits forever.
-TURNS = 4
+# One request in this many is a pipelined one if any waits, so that none waits forever.
+PIPELINED_INTERVAL = 4
 
 
 class Waiting(Protocol):
-    """Wait for a thread; a connection, or what runs its next request."""
+    """Wait for a thread: a connection, or what runs its next request."""
 
     @property
     def is_pipelined(self) -> bool:
@@ -42,6 +42,6 @@
         if not self._pipelined:
             return self._first.popleft()
         self._turn += 1
-        if self._first and self._turn % TURNS:
+        if self._first and self._turn % PIPELINED_INTERVAL:
             return self._first.popleft()
         return self._pipelined.popleft()
--- a/gypsumplank/transport/server.py
+++ b/gypsumplank/transport/server.py
@@ -134,8 +134,8 @@
     def _finish_backlogged(self, channels: list[Any]) -> None:
         """Let connections end whose requests wait behind others of the same connection."""
         finishing = sum(channel.is_finishing() for channel in channels)
-        backlogs = ((each, each.backlog()) for each in channels if not each.is_finishing())
-        for channel in choose_backlogged(backlogs, max(0, CLOSED_PER_TURN - finishing)):
+        inputs = ((each, each.unread_input()) for each in channels if not each.is_finishing())
+        for channel in choose_backlogged(inputs, max(0, CLOSED_PER_TURN - finishing)):
             channel.finish()
 
     def _is_full(self) -> bool:
--- a/tests/transport/test_bodybudget.py
+++ b/tests/transport/test_bodybudget.py
@@ -2,10 +2,10 @@
 
 from gypsumplank.transport.bodybudget import (
     Arrival,
-    Backlog,
     Held,
     RefusalCause,
     RequestLimits,
+    UnreadInput,
     choose_backlogged,
     choose_slowest,
     overdue,
@@ -88,11 +88,11 @@
 
 
 def test_connection_with_the_most_unread_bytes_for_its_progress_is_chosen_first():
-    backlogs = [
-        ("busy", Backlog(unread_bytes=8000, read_bytes=800_000, age_s=10.0)),
-        ("stuck", Backlog(unread_bytes=8000, read_bytes=8000, age_s=10.0)),
-        ("new", Backlog(unread_bytes=8000, read_bytes=2000, age_s=0.1)),
-        ("read", Backlog(unread_bytes=0, read_bytes=1, age_s=100.0)),
+    inputs = [
+        ("busy", UnreadInput(unread_bytes=8000, read_bytes=800_000, age_s=10.0)),
+        ("stuck", UnreadInput(unread_bytes=8000, read_bytes=8000, age_s=10.0)),
+        ("new", UnreadInput(unread_bytes=8000, read_bytes=2000, age_s=0.1)),
+        ("read", UnreadInput(unread_bytes=0, read_bytes=1, age_s=100.0)),
     ]
-    assert choose_backlogged(backlogs, 9) == ["stuck", "new", "busy"]
-    assert choose_backlogged(backlogs, 1) == ["stuck"]
+    assert choose_backlogged(inputs, 9) == ["stuck", "new", "busy"]
+    assert choose_backlogged(inputs, 1) == ["stuck"]
