--- a/gypsumplank/composition/requests.py
+++ b/gypsumplank/composition/requests.py
@@ -47,7 +47,9 @@
 def make_socket_plan(ledger: RequestLedger) -> SocketPlan:
     """Return the limits of the listeners' sockets."""
     max_descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    max_callers = min(MAX_CALLER_CONNECTIONS, int(max_descriptors * CALLER_DESCRIPTOR_SHARE))
+    max_callers = MAX_CALLER_CONNECTIONS
+    if max_descriptors != resource.RLIM_INFINITY:
+        max_callers = min(max_callers, int(max_descriptors * CALLER_DESCRIPTOR_SHARE))
     return plan_sockets(ledger.limits.kernel_bytes, max_callers, SERVICE_LISTENERS)
 
 
