--- a/gypsumplank/settings.py
+++ b/gypsumplank/settings.py
@@ -166,7 +166,7 @@
     )
     memory_mb: int = setting(
         "limits.memory_mb",
-        "memory for this process, MiB, at most the host's; the next two are lowered to an eighth",
+        "memory for this process, MiB, at most the host's; bounds the two limits of requests",
         1 << 20,
         check_positive,
     )
