scheduler: log why a worker's leases count as over, and measure unread reports

Three causes are possible: the end of the leases is computed wrong, the scheduler's thread works through its calls too slowly, or it judges workers by contact times that are old because it was blocked itself. No log line tells these apart: task-missing says "lease-over" in each of them.

worker-leases-over has how long ago the leases ended, the time since the worker's last report that was read, the misses, and how old the oldest report is that was not read. gypsumplank.scheduler.unread measures the last at each round. The inbox notes when each call was queued for it. No decision changes.

--- a/gypsumplank/coordination/job/fleet.py
+++ b/gypsumplank/coordination/job/fleet.py
@@ -2,7 +2,7 @@
 
 import logging
 from collections import defaultdict
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 
 from gypsumplank.coordination.job.crash import UndecidedLosses, record_crash, record_loss
 from gypsumplank.coordination.job.dispatcher import WorkerDispatcher
@@ -35,11 +35,19 @@
     """Track the worker instances that are registered or have tasks.
 
     Used by the scheduler's thread only. `instances` is keyed by the worker's identifier, or by the
-    instance's for a placeholder of an instance that is not registered.
+    instance's for a placeholder of an instance that is not registered. `read_until` returns the
+    monotonic time up to which all reports were handled.
     """
 
-    def __init__(self, clock: Clock, max_lease_s: float, heartbeat_s: float) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        max_lease_s: float,
+        heartbeat_s: float,
+        read_until: Callable[[], float] | None = None,
+    ) -> None:
         self._clock = clock
+        self.read_until = read_until or clock.monotonic
         self.heartbeat_s = heartbeat_s
         self._ended_instance_ids: set[str] = set()
         self.max_lease_s = max_lease_s
@@ -269,11 +277,26 @@
             for task in instance.tasks.values()
             if (proof := find_proof_in_lease(task, instance, self.max_lease_s, now))
         }
+        if proofs:
+            self._log_leases_over(instance, len(proofs), now)
         for task in record_loss(proofs, instance.id):
             self.undecided_losses.add(task)
         for task, proof in proofs.items():
             requeue_task(instance, task, now, proof)
 
+    def _log_leases_over(self, instance: WorkerInstance, tasks: int, now: float) -> None:
+        heard_at = instance.last_contact_at
+        event(
+            logger,
+            Event.WORKER_LEASES_OVER,
+            worker=instance.id,
+            tasks=tasks,
+            over_s=round(now - instance.leased_until, 2),
+            silent_s=round(now - heard_at, 2) if heard_at else -1,
+            unread_s=round(now - self.read_until(), 2),
+            misses=instance.missed_polls,
+        )
+
     def remove_if_idle(self, key: str, instance: WorkerInstance) -> None:
         """Remove an instance that is not registered and has no tasks.
 
--- a/gypsumplank/coordination/job/leader.py
+++ b/gypsumplank/coordination/job/leader.py
@@ -93,7 +93,7 @@
         self._accounts = accounts or Accounts(manifest)
         self._max_lease_s = max_lease_s
         self._machine_manager = machine_manager
-        self._inbox = Inbox()
+        self._inbox = Inbox(clock)
         self._stop = threading.Event()
         self._thread = threading.Thread(target=self._run, name="chief", daemon=True)
         self._term: Term | None = None
@@ -256,7 +256,13 @@
         renew_if_due()
         lease_s = self._max_lease_s()
         scheduler = Scheduler(
-            self._clock, self._manifest, epoch, lease_s, self._heartbeat_s, self._queues
+            self._clock,
+            self._manifest,
+            epoch,
+            lease_s,
+            self._heartbeat_s,
+            self._queues,
+            self._inbox.read_until,
         )
         scheduler.use_accounts(self._accounts.begin_term())
         scheduler.load_rows(rows, entries, renew_if_due)
@@ -314,6 +320,7 @@
         started = now()
         if self._round_ended_at is not None:
             self._timings.round_gap_s(started - self._round_ended_at)
+        self._timings.unread_s(started - self._inbox.read_until())
         scheduler.workload.add_postponed(self._renewed_fence)
         self._machine_manager.maintenance.plan(scheduler, now())
         scheduler.plan()
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -64,7 +64,12 @@
         max_lease_s: float,
         heartbeat_s: float = 1.5,
         queues: KnownQueues | None = None,
+        read_until: Callable[[], float] | None = None,
     ) -> None:
+        """Create the scheduler of one term.
+
+        `read_until` returns the monotonic time up to which all reports were handled; now, if None.
+        """
         self._clock = clock
         self._manifest = manifest
         self._queues = queues or KnownQueues(manifest)
@@ -77,7 +82,7 @@
         self._queues_seen = self._loads_seen = self._queues.generation
         self.interference = Interference()
         self._short_services: set[str] = set()
-        self.fleet = Fleet(clock, max_lease_s, heartbeat_s)
+        self.fleet = Fleet(clock, max_lease_s, heartbeat_s, read_until)
         self.accounts = Accounts(manifest).begin_term()
         self.commands = CommandSender(clock, token, self._is_capacity_known, self.accounts)
 
--- a/gypsumplank/coordination/job/timing.py
+++ b/gypsumplank/coordination/job/timing.py
@@ -18,11 +18,13 @@
 
     `round_s` is the duration of a round, `round_gap_s` the time from the end of one to the start of
     the next, and `renewal_gap_s` the time between two renewals of the scheduler's lease.
+    `unread_s` is for how long the oldest queued call has waited when a round begins.
     """
 
     round_s: RecordSeconds = _ignore
     round_gap_s: RecordSeconds = _ignore
     renewal_gap_s: RecordSeconds = _ignore
+    unread_s: RecordSeconds = _ignore
 
 
 def create_leader_timings(metrics: Metrics) -> LeaderTimings:
@@ -38,4 +40,8 @@
         create(
             "gypsumplank.lease.renewal.gap", "Time between two renewals of the scheduler's lease"
         ),
+        create(
+            "gypsumplank.scheduler.unread",
+            "Time for which the oldest report or result waits as a round of the scheduler begins",
+        ),
     )
--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -88,6 +88,11 @@
     WORKER_LOST = "worker-lost", "A worker instance ended or is no longer registered."
     WORKER_CRASHED = "worker-crashed", "A later life, or the list of machines, shows its crash."
     WORKER_SILENT = "worker-silent", "A worker did not respond; no lease is extended meanwhile."
+    WORKER_LEASES_OVER = (
+        "worker-leases-over",
+        "The leases of a worker ended `over_s` ago; `silent_s` since its last report that was read,"
+        " up to `unread_s` ago.",
+    )
     WORKER_RESPONDED = "worker-heard", "A worker that had stopped responding responds again."
     ENTRY_DROPPED = "entry-dropped", "A malformed row or name was ignored."
     MANIFEST_IN_FORCE = "manifest-in-force", "A newer manifest is in force on this daemon."
--- a/tests/coordination/job/test_long_queue.py
+++ b/tests/coordination/job/test_long_queue.py
@@ -182,7 +182,7 @@
 
 def test_burst_of_calls_waits_for_a_round():
     """Guard against a round that waits for all calls that were queued."""
-    inbox, ran = Inbox(), []
+    inbox, ran = Inbox(ManualClock()), []
     for number in range(2 * MAX_CALLS_PER_ROUND):
         inbox.put(lambda number=number: ran.append(number))
     for call in inbox.take(0.0):
