instance: keep the leases of earlier leaders apart from those granted since

Cause: at a worker's first report in a term handle_report set leased_until anew, counted from when the report was answered, as the worker rejects the earlier leader's token from then on. The report may be handled late: the scheduler's thread waits for a timeout of the store after each call. The polling threads had extended the leases meanwhile, which was overwritten, and the next round declared the runs over by leases that the workers still held.

What this leader grants is kept in granted_until, which only grows; what earlier leaders granted in inherited_until, which the first answer bounds. leased_until is the later of the two. extend_leases takes the lock that try_extend_leases took: an assignment in the scheduler's thread could overwrite an extension of a polling thread.

--- a/gypsumplank/coordination/job/fleet.py
+++ b/gypsumplank/coordination/job/fleet.py
@@ -92,7 +92,7 @@
             placeholder = WorkerInstance(
                 entry, task.incarnation, WorkerClock(0, now), registered=False, detached=True
             )
-            placeholder.extend_leases(now, EXTENSION_GRACE_S + self.max_lease_s)
+            placeholder.inherit_leases(now, EXTENSION_GRACE_S + self.max_lease_s)
             self.instances[key] = placeholder
         return self.instances[key]
 
@@ -175,9 +175,7 @@
         self.instances[entry.id] = instance
         placeholder = self.instances.pop(format_instance_id(entry.id, entry.born), None)
         if placeholder is not None:
-            instance.tasks.update(placeholder.tasks)
-            instance.leased_until = placeholder.leased_until
-            instance.extension_suspended = placeholder.extension_suspended
+            instance.inherit_from(placeholder)
         event(
             logger,
             Event.WORKER_FOUND,
--- a/gypsumplank/coordination/job/instance.py
+++ b/gypsumplank/coordination/job/instance.py
@@ -123,8 +123,9 @@
     an entry, and `entry_changed_after` when it was last known not to have changed yet. A worker
     that `has_deregistered` removed its entry on leaving, or that expired. `verified_at` is when
     this instance last answered, `last_contact_at` when that was processed, and `last_request_at`
-    when the report was requested. All leases that were
-    granted end by `leased_until`; while `extension_suspended` is set, none is extended.
+    when the report was requested. All leases that this
+    leader has granted end by `granted_until`, those of earlier leaders by `inherited_until`; while
+    `extension_suspended` is set, none is extended.
     `last_seen_end`, `last_acked_end` and `last_forgotten_end` number the task ends that were
     processed, acknowledged (at `acked_at`) and are gone. A `cordoned` worker gets no new tasks, one
     with `maintenance_due` gets long-running tasks last, and a `detached` one is no longer polled.
@@ -144,7 +145,8 @@
     last_request_at: float = 0.0
     verified_at: float = 0.0
     missed_polls: int = 0
-    leased_until: float = 0.0
+    granted_until: float = 0.0
+    inherited_until: float = 0.0
     refused_until: float = 0.0
     suspect_until: float = 0.0
     consecutive_failed_jobs: int = 0
@@ -201,18 +203,46 @@
         if received.sent_at > self.acked_at and are_gone:
             self.last_forgotten_end = self.last_acked_end
 
+    @property
+    def leased_until(self) -> float:
+        """Return when all leases have ended that any leader has granted."""
+        return max(self.granted_until, self.inherited_until)
+
+    def inherit_leases(self, now: float, lease_s: float) -> None:
+        """Note that the leases which earlier leaders granted end within `lease_s` from now."""
+        self.inherited_until = now + lease_s / MIN_CLOCK_RATE
+
+    def limit_inherited_leases(self, answered_at: float, max_lease_s: float) -> None:
+        """Note that the worker rejects the fencing tokens of earlier leaders since `answered_at`.
+
+        That bounds what those have granted, and nothing that was granted under this leader's token.
+        """
+        limit = answered_at + max_lease_s / MIN_CLOCK_RATE
+        self.inherited_until = min(self.inherited_until, limit)
+
+    def inherit_from(self, placeholder: "WorkerInstance") -> None:
+        """Take over the tasks and leases of a placeholder for this instance."""
+        self.tasks.update(placeholder.tasks)
+        self.granted_until = placeholder.granted_until
+        self.inherited_until = placeholder.inherited_until
+        self.extension_suspended = placeholder.extension_suspended
+
     def extend_leases(self, now: float, lease_s: float) -> int:
         """Extend the leases to `lease_s` from now; return their end in ms of the worker's clock."""
-        self.leased_until = max(self.leased_until, now + lease_s / MIN_CLOCK_RATE)
-        return self.clock.lower_bound_ms(now) + int(lease_s * 1000)
+        with self._lease_lock:
+            return self._extend_leases(now, lease_s)
 
     def try_extend_leases(self, now: float, lease_s: float) -> int | None:
         """Extend the leases as `extend_leases` does; return None if that is suspended."""
         with self._lease_lock:
-            return None if self.extension_suspended else self.extend_leases(now, lease_s)
+            return None if self.extension_suspended else self._extend_leases(now, lease_s)
+
+    def _extend_leases(self, now: float, lease_s: float) -> int:
+        self.granted_until = max(self.granted_until, now + lease_s / MIN_CLOCK_RATE)
+        return self.clock.lower_bound_ms(now) + int(lease_s * 1000)
 
     def suspend_extension(self) -> None:
-        """Stop the extension of leases; `leased_until` does not change from then on."""
+        """Stop the extension of leases; `granted_until` does not change from then on."""
         with self._lease_lock:
             self.extension_suspended = True
 
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -144,7 +144,7 @@
             for task in job.tasks():
                 self.fleet.undecided_losses.add(task)
         for instance in self.instances.values():
-            instance.extend_leases(now, EXTENSION_GRACE_S + self.fleet.max_lease_s)
+            instance.inherit_leases(now, EXTENSION_GRACE_S + self.fleet.max_lease_s)
 
     def handle_report(self, instance: WorkerInstance, received: ReceivedReport) -> None:
         """Apply a worker's report."""
@@ -165,9 +165,7 @@
         if instance.missed_polls:
             event(logger, Event.WORKER_RESPONDED, worker=instance.id, misses=instance.missed_polls)
         if not instance.last_contact_at:
-            # From now on the worker rejects the fencing tokens of earlier leaders.
-            instance.leased_until = 0.0
-            instance.extend_leases(received.answered_at, self.fleet.max_lease_s)
+            instance.limit_inherited_leases(received.answered_at, self.fleet.max_lease_s)
         instance.last_contact_at, instance.last_request_at = received.answered_at, received.sent_at
         instance.missed_polls = 0
         instance.record_forgotten_ends(received)
--- a/gypsumplank/coordination/job/silence.py
+++ b/gypsumplank/coordination/job/silence.py
@@ -70,8 +70,7 @@
             instance.suspend_extension()
             if store_ms:
                 age_s = max(0.0, (store_ms - record.since_ms) / MS_PER_S)
-                instance.leased_until = now
-                instance.extend_leases(now, max_remaining_lease_s - age_s)
+                instance.inherit_leases(now, max_remaining_lease_s - age_s)
 
     def update(self, fence: Check, instances: Iterable[WorkerInstance], now: float) -> None:
         """Record silent instances, and remove those that answered or ended; raise StateError."""
--- a/tests/coordination/job/test_silence.py
+++ b/tests/coordination/job/test_silence.py
@@ -40,7 +40,7 @@
         now = self.clock.now
         self.worker = WorkerInstance(make_entry(), 1, WorkerClock(0, now))
         self.worker.tasks["task"] = object()
-        self.worker.extend_leases(now, MAX_REMAINING_LEASE_S)
+        self.worker.inherit_leases(now, MAX_REMAINING_LEASE_S)
         self.silent_workers = SilentWorkers(self.store, self.store_clock)
         self.silent_workers.load([self.worker], MAX_REMAINING_LEASE_S, now)
 
@@ -51,7 +51,7 @@
     def answer(self):
         now = self.clock.now
         if not self.worker.last_contact_at:
-            self.worker.leased_until = 0.0
+            self.worker.limit_inherited_leases(now, LEASE_S)
         self.worker.last_contact_at, self.worker.missed_polls = now, 0
         self.worker.try_extend_leases(now, LEASE_S)
 
