scheduler: conclude nothing from a silence in which reports waited to be read

A leader that waits for a store judged workers by the reports that it had read: workers that answered all the while counted as out of contact, were recorded as silent, and got no extension of their leases after one missed poll, so that long-running tasks lapsed in an outage of the store of 6.5 s.

The simulated dispatcher notes answers as the real one does.

--- a/gypsumplank/coordination/job/contact.py
+++ b/gypsumplank/coordination/job/contact.py
@@ -41,8 +41,6 @@
         has_recovered = self._clock.monotonic() < self._recovered_at + 2 * HOLDER_RENEWAL_GRACE_S
         return has_recovered or self.is_lost
 
-    @property
-    def are_entries_complete(self) -> bool:
-        """Return whether the workers' entries have had time to come back after an outage."""
-        are_back = self._clock.monotonic() >= self._recovered_at + ENTRY_RECOVERY_S
-        return are_back and not self.is_lost
+    def are_entries_complete(self, requested_at: float) -> bool:
+        """Return whether the workers' entries had time to come back before they were requested."""
+        return requested_at >= self._recovered_at + ENTRY_RECOVERY_S and not self.is_lost
--- a/gypsumplank/coordination/job/dispatcher.py
+++ b/gypsumplank/coordination/job/dispatcher.py
@@ -274,7 +274,8 @@
         answered_at = self._clock.monotonic()
         if report.born == instance.incarnation:
             instance.clock.observe(report.clock_ms, answered_at)
-            instance.verified_at = answered_at
+            if misses := instance.record_answer(answered_at):
+                event(logger, Event.WORKER_RESPONDED, worker=instance.id, misses=misses)
         return ReceivedReport(report, sent_at, answered_at)
 
     def _record_missed_poll(self, instance: WorkerInstance, exc: WorkerError) -> None:
--- a/gypsumplank/coordination/job/evidence.py
+++ b/gypsumplank/coordination/job/evidence.py
@@ -85,17 +85,18 @@
 
 
 def find_proof_of_replacement(
-    instance: WorkerInstance, latest: WorkerInstance | None, now: float
+    instance: WorkerInstance, latest: WorkerInstance | None, read_until: float
 ) -> Proof | None:
     """Judge the runs of an instance by the latest worker on its machine that has answered.
 
     A worker that answers is never taken for replaced, whatever the order of the start times is.
+    Its reports are known up to `read_until`.
     """
     if latest is None:
         return None
     is_later = latest.id != instance.id and latest.incarnation > instance.incarnation
     has_answered_since = latest.last_contact_at > instance.last_contact_at
-    is_replaced = is_later and has_answered_since and not instance.is_in_contact(now)
+    is_replaced = is_later and has_answered_since and not instance.is_in_contact(read_until)
     return Proof.REPLACED if is_replaced else None
 
 
@@ -134,9 +135,12 @@
     return Proof.LEFT if has_left else None
 
 
-def are_leases_over(instance: WorkerInstance, now: float) -> bool:
-    """Return whether all leases that a silent instance was granted have expired."""
-    return not instance.is_in_contact(now) and instance.leases_have_expired(now)
+def are_leases_over(instance: WorkerInstance, now: float, read_until: float) -> bool:
+    """Return whether all leases that a silent instance was granted have expired.
+
+    Reports that came after `read_until` are not known yet, so that its silence counts up to then.
+    """
+    return not instance.is_in_contact(read_until) and instance.leases_have_expired(now)
 
 
 def find_proof_in_lease(
--- a/gypsumplank/coordination/job/fleet.py
+++ b/gypsumplank/coordination/job/fleet.py
@@ -106,7 +106,7 @@
 
         If the entries are not `complete`, a worker that responds is kept although it has no entry.
         """
-        now = self._clock.monotonic()
+        now, read_until = self._clock.monotonic(), self.read_until()
         if complete:
             # An ended instance whose entry is gone cannot be taken up again.
             self._ended_instance_ids.intersection_update(
@@ -122,14 +122,14 @@
         for key, instance in list(self.instances.items()):
             entry = entries_by_id.get(instance.id)
             latest = latest_by_machine.get(instance.entry.machine)
-            proof = find_proof_of_replacement(instance, latest, now)
+            proof = find_proof_of_replacement(instance, latest, read_until)
             if proof is not None and latest is not None:
                 self._end_replaced(key, instance, latest.entry, proof, now)
                 continue
             if entry is not None and not instance.detached and entry.born == instance.incarnation:
                 self._update_entry(instance, entry, now)
                 continue
-            if entry is None and not complete and instance.is_in_contact(now):
+            if entry is None and not complete and instance.is_in_contact(read_until):
                 continue
             if complete and has_deregistered(instance, self.heartbeat_s, now):
                 instance.has_deregistered = True
--- a/gypsumplank/coordination/job/instance.py
+++ b/gypsumplank/coordination/job/instance.py
@@ -196,6 +196,12 @@
         is_known = not self.missed_polls and now - answered_at <= VERIFIED_FOR_S
         return self.ack_cursor if is_known else 0
 
+    def record_answer(self, answered_at: float) -> int:
+        """Note that this instance has answered a poll; return how many it had missed before."""
+        misses, self.missed_polls = self.missed_polls, 0
+        self.verified_at = answered_at
+        return misses
+
     def record_forgotten_ends(self, received: ReceivedReport) -> None:
         """Note that the worker has forgotten the acknowledged ends, if a report proves it."""
         ended = received.report.ended
--- a/gypsumplank/coordination/job/leader.py
+++ b/gypsumplank/coordination/job/leader.py
@@ -163,7 +163,9 @@
         """Run the queued calls, renew the lease if due, and run one scheduling round."""
         for call in self._inbox.take(wait_s):
             call()
-            self._check_lease_if_due()
+            # While the store does not answer, each check waits for its timeout.
+            if not self._contact.is_lost:
+                self._check_lease_if_due()
         self._check_lease_if_due()
         if self._term is None:
             self._queues.update()
@@ -309,7 +311,9 @@
             event(logger, Event.SCHEDULER_STOPPED, epoch=term.epoch, why=reason)
 
     def _apply_snapshot(self, term: Term, snapshot: StoreSnapshot) -> None:
-        self._intake.apply_snapshot(term.scheduler, snapshot, self._contact.are_entries_complete)
+        self._intake.apply_snapshot(
+            term.scheduler, snapshot, self._contact.are_entries_complete(snapshot.requested_at)
+        )
 
     def _run_round(self, term: Term) -> None:
         fence = self._ports.leases.fence(SCHEDULER_LEASE)
@@ -326,7 +330,9 @@
         scheduler.plan()
         instances = scheduler.instances.values()
         if self._commit(term) and self._try_write(
-            lambda fence: self._silent_workers.update(fence, instances, now())
+            lambda fence: self._silent_workers.update(
+                fence, instances, now(), self._inbox.read_until()
+            )
         ):
             scheduler.dispatch()
             self._machine_manager.run(scheduler, self._manifest(), now())
--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -162,12 +162,9 @@
                 instance.id, instance, entry, received.answered_at, received.report.running
             )
             return
-        if instance.missed_polls:
-            event(logger, Event.WORKER_RESPONDED, worker=instance.id, misses=instance.missed_polls)
         if not instance.last_contact_at:
             instance.limit_inherited_leases(received.answered_at, self.fleet.max_lease_s)
         instance.last_contact_at, instance.last_request_at = received.answered_at, received.sent_at
-        instance.missed_polls = 0
         instance.record_forgotten_ends(received)
         # A worker removes its entry when it has left.
         instance.has_deregistered = False
@@ -306,8 +303,9 @@
             self.commands.unsent_starts.append(PendingStart(task, instance, run))
 
     def _expire_leases(self, now: float) -> None:
+        read_until = self.fleet.read_until()
         for key, instance in list(self.instances.items()):
-            if instance.tasks and are_leases_over(instance, now):
+            if instance.tasks and are_leases_over(instance, now, read_until):
                 self.fleet.requeue_expired(instance, now)
             self.fleet.remove_if_idle(key, instance)
 
--- a/gypsumplank/coordination/job/silence.py
+++ b/gypsumplank/coordination/job/silence.py
@@ -72,8 +72,13 @@
                 age_s = max(0.0, (store_ms - record.since_ms) / MS_PER_S)
                 instance.inherit_leases(now, max_remaining_lease_s - age_s)
 
-    def update(self, fence: Check, instances: Iterable[WorkerInstance], now: float) -> None:
-        """Record silent instances, and remove those that answered or ended; raise StateError."""
+    def update(
+        self, fence: Check, instances: Iterable[WorkerInstance], now: float, read_until: float
+    ) -> None:
+        """Record silent instances, and remove those that answered or ended; raise StateError.
+
+        Reports were handled if they came before `read_until`, in monotonic seconds.
+        """
         store_ms = self._store_clock().latest_ms
         if not store_ms:
             return
@@ -84,7 +89,7 @@
         self._records.update(
             (instance.instance_id, self._record(instance, store_ms, now))
             for instance in with_tasks.values()
-            if instance.instance_id not in self._records and self._is_silent(instance, now)
+            if instance.instance_id not in self._records and self._is_silent(instance, read_until)
         )
         ended = [
             instance_id
@@ -105,10 +110,10 @@
             if instance_id in by_id:
                 by_id[instance_id].extension_suspended = False
 
-    def _is_silent(self, instance: WorkerInstance, now: float) -> bool:
+    def _is_silent(self, instance: WorkerInstance, read_until: float) -> bool:
         is_unanswered = bool(instance.missed_polls) or not instance.last_contact_at
         silent_since = max(self._started_at, instance.last_contact_at)
-        return is_unanswered and now >= silent_since + SILENCE_TIMEOUT_S
+        return is_unanswered and read_until >= silent_since + SILENCE_TIMEOUT_S
 
     def _record(self, instance: WorkerInstance, store_ms: int, now: float) -> SilenceRecord:
         instance.suspend_extension()
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -182,7 +182,9 @@
             except WorkerError:
                 instance.missed_polls += 1
                 continue
-            instance.clock.observe(report.clock_ms, now)
+            if report.born == instance.incarnation:
+                instance.clock.observe(report.clock_ms, now)
+                instance.record_answer(now)
             received = ReceivedReport(report, now, now)
             self.post(
                 lambda instance=instance, received=received: self.on_report(  # type: ignore[misc]
