model: keep the occurrences of a job that are due, not those of its whole life

Callers hand in jobs that run every minute for a month; all are accepted, and from then on each daemon that takes the lead exceeds its memory and is killed.

Cause: Job created the steps and tasks of all occurrences when it was read, 2.1 KB a step of one task; decoding a job's rows listed the keys of all of them. Only the size of one job was bounded, not the sum over jobs.

Occurrences are opened when they are due, and dropped once their steps are done and stored; their numbers are kept (88 bytes each). While 1,000 tasks of a job wait, no further occurrence is opened. A new leader opens what has begun and keeps no record of what has ended. The load of a service no longer counts future occurrences, nor does the time that callers are told to wait.

--- a/gypsumplank/coordination/job/demand.py
+++ b/gypsumplank/coordination/job/demand.py
@@ -209,6 +209,9 @@
     total, holds_ms = LoadShare(), math.inf
     is_waiting = job.waits_for_queue or job.is_held
     phases = (TaskPhase.ASSIGNED,) if is_waiting else OPEN_PHASES
+    if job.has_schedule:
+        job.open_due_occurrences(wall_ms)
+        holds_ms = max(0.0, job.next_due_ms - wall_ms)
     for step in job.steps.values():
         order = step.order
         if order.fills:
--- a/gypsumplank/coordination/job/readiness.py
+++ b/gypsumplank/coordination/job/readiness.py
@@ -54,7 +54,11 @@
     if queue is None:
         return Examination()
     pending: list[PendingStep] = []
-    retry_at = due_ms = math.inf
+    job.open_due_occurrences(wall_ms)
+    retry_at, due_ms = math.inf, job.next_due_ms
+    if due_ms <= wall_ms:
+        # It is opened once tasks that wait have started, which changes the job.
+        due_ms = math.inf
     for step in job.steps.values():
         waiting = [task for task in step.tasks if task.phase is TaskPhase.WAITING]
         if exhausted := find_exhausted(waiting, queue.max_attempts):
--- a/gypsumplank/coordination/job/workload.py
+++ b/gypsumplank/coordination/job/workload.py
@@ -119,12 +119,7 @@
             cancelled,
             arrived_at=now,
         )
-        for step in job.steps.values():
-            record = loaded.steps.get(step.key)
-            if record is not None:
-                step.restore(record, now)
-            for task in step.tasks:
-                task.queued_since = now
+        job.restore(loaded.steps, loaded.ended)
         job.started = loaded.state is not JobState.QUEUED
         job.number = next(self._numbers)
         self.jobs[job.id] = job
@@ -216,7 +211,7 @@
             phases = {task.phase for task in job.tasks()}
             if TaskPhase.FAILED in phases:
                 self._set_state(job, JobState.FAILED, now)
-            elif phases == {TaskPhase.DONE}:
+            elif not job.has_unopened and phases <= {TaskPhase.DONE} and (phases or job.ended):
                 self._set_state(job, JobState.COMPLETED, now)
             elif not job.started and any(task.run for task in job.tasks()):
                 job.started = True
@@ -284,6 +279,9 @@
             if step.key in written:
                 step.dirty = False
                 step.record_removed = written[step.key].value is None
+        open_keys = {step.key for step in job.steps.values()}
+        job.ended_rows_removed += sum(1 for key in written if key not in open_keys)
+        job.close_ended_occurrences()
         if any(write.table == TABLE_ORDERS and write.value is None for write in update.writes):
             self.jobs.pop(job.id, None)
             # Others may still hold the job; what they change must not be committed any more.
@@ -325,9 +323,11 @@
 
     def _cleanup_update(self, job: Job) -> JobUpdate:
         checks, writes = self._state_writes(job)
-        stored = [step for step in job.steps.values() if step.has_record]
-        writes.extend(Write(TABLE_STEPS, step.key, None) for step in stored[: MAX_TXN_ENTRIES // 2])
-        if len(stored) <= MAX_TXN_ENTRIES // 2:
+        limit = MAX_TXN_ENTRIES // 2
+        stored = [step.key for step in job.steps.values() if step.has_record][: limit + 1]
+        stored.extend(job.ended_row_keys(limit + 1 - len(stored)))
+        writes.extend(Write(TABLE_STEPS, key, None) for key in stored[:limit])
+        if len(stored) <= limit:
             writes.append(Write(TABLE_ORDERS, job.id, None))
             if job.cancelled:
                 writes.append(Write(TABLE_CANCELS, job.id, None))
--- a/gypsumplank/protocol/job.py
+++ b/gypsumplank/protocol/job.py
@@ -7,7 +7,7 @@
 
 from gypsumplank.protocol.decoder import Count
 
-# Limits of one job; a leader keeps the tasks of all occurrences in memory.
+# Limits of one job; MAX_JOB_TASKS counts those of all occurrences.
 MAX_JOB_STEPS = 1000
 MAX_JOB_TASKS = 100_000
 
--- a/gypsumplank/state/jobrow.py
+++ b/gypsumplank/state/jobrow.py
@@ -1,6 +1,8 @@
 """Encode and decode the rows of jobs, and group them into transactions that the store accepts."""
 
 import logging
+import re
+from collections import Counter
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, replace
 from functools import cached_property
@@ -12,7 +14,7 @@
 from gypsumplank.errors import EntryInvalidError
 from gypsumplank.log import Event, event
 from gypsumplank.protocol.decoder import decode_json
-from gypsumplank.protocol.job import JobState, StepRecord, StoredJob
+from gypsumplank.protocol.job import JobState, StepRecord, StoredJob, TaskPhase
 from gypsumplank.state.table import Check, Row, Write
 
 TABLE_ORDERS = "orders"
@@ -34,6 +36,9 @@
 # than passes between two renewals.
 LOAD_CHUNK_JOBS = 10
 
+# Occurrence and position in the key of a step's row, after the job's identifier.
+STEP_PLACE = re.compile(r"\.([0-9]{1,9})\.([0-9]{1,9})")
+
 T = TypeVar("T")
 
 logger = logging.getLogger(__name__)
@@ -68,13 +73,18 @@
 
 @dataclass(frozen=True)
 class LoadedJob:
-    """Represent a loaded job: its state, the version of the state's row and its steps by key."""
+    """Represent a loaded job: its state, the version of the state's row, and its stored steps.
+
+    `steps` are by occurrence and position, without those of the `ended` occurrences, all of whose
+    tasks are done.
+    """
 
     job: StoredJob
     state: JobState
     version: int
     cancelled: bool
-    steps: dict[str, StepRecord]
+    steps: dict[tuple[int, int], StepRecord]
+    ended: tuple[int, ...] = ()
 
 
 def decode(raw: bytes, kind: type[T]) -> T:
@@ -217,27 +227,50 @@
 def _decode_job(row: Row, state: Row | None, cancelled: bool, steps: Iterable[Row]) -> LoadedJob:
     value = decode(state.value, StateValue) if state else None
     job = decode_order(row)
-    task_counts = _task_counts(job)
+    records, ended = _decode_steps(job, steps)
     return LoadedJob(
         job,
         value.state if value else JobState.QUEUED,
         state.version if state else row.version,
         cancelled,
-        {
-            step.key: _decode_step(step, task_counts[step.key])
-            for step in steps
-            if step.key in task_counts
-        },
+        records,
+        ended,
     )
 
 
-def _task_counts(job: StoredJob) -> dict[str, int]:
-    """Return the number of tasks of each occurrence of a step, by the key of its row."""
-    return {
-        step_key(job.id, occurrence, position): step.tasks
-        for occurrence in range(max(1, job.order.schedule.count))
-        for position, step in enumerate(job.order.steps)
-    }
+def _decode_steps(
+    job: StoredJob, rows: Iterable[Row]
+) -> tuple[dict[tuple[int, int], StepRecord], tuple[int, ...]]:
+    """Return the records of the steps by occurrence and position, and the occurrences that ended.
+
+    Of the latter no record is kept, as a job may have very many.
+    """
+    definitions = job.order.steps
+    records: dict[tuple[int, int], StepRecord] = {}
+    done: Counter[int] = Counter()
+    for row in rows:
+        place = _parse_place(job, row.key)
+        if place is None:
+            continue
+        record = _decode_step(row, definitions[place[1]].tasks)
+        if job.order.schedule.count and all(t.phase is TaskPhase.DONE for t in record.tasks):
+            done[place[0]] += 1
+            if done[place[0]] == len(definitions):
+                for position in range(len(definitions)):
+                    records.pop((place[0], position), None)
+                continue
+        records[place] = record
+    return records, tuple(each for each, count in done.items() if count == len(definitions))
+
+
+def _parse_place(job: StoredJob, key: str) -> tuple[int, int] | None:
+    """Return the occurrence and the position of a step's row; None if the job has no such step."""
+    match = STEP_PLACE.fullmatch(key.removeprefix(job.id))
+    if match is None:
+        return None
+    occurrence, position = int(match[1]), int(match[2])
+    is_known = occurrence < max(1, job.order.schedule.count) and position < len(job.order.steps)
+    return (occurrence, position) if is_known else None
 
 
 def _decode_step(row: Row, tasks: int) -> StepRecord:
