--- a/gypsumplank/coordination/job/scheduler.py
+++ b/gypsumplank/coordination/job/scheduler.py
@@ -258,7 +258,7 @@
                 ]
             if advice is not None:
                 key = pending.step.key
-                permits[key] = cache.get(key, candidates[service], advice.valid_ms / 1000)
+                permits[key] = cache.get(key, candidates[service], advice)
         return permits
 
     def _evict(
