permit: requests for steps that have permits wait until no other step's does

A step that waits for capacity asks about further workers, and the service answers one request at a time: with a long queue, those requests would hold up steps that have no permit yet and could start. They are sent only while nothing else is pending. test_step_without_permits_is_asked_about_before_the_others_of_one_that_has_some fails without the condition.

--- a/gypsumplank/coordination/job/permit.py
+++ b/gypsumplank/coordination/job/permit.py
@@ -93,7 +93,8 @@
     """Cache the permits of all steps that need them.
 
     The service handles the requests of one machine one after another, also those that were given
-    up, so that one is sent at a time.
+    up, so that one is sent at a time. Steps that have permits wait with theirs until no other step
+    does.
     """
 
     def __init__(
@@ -105,6 +106,7 @@
         self._post = post
         self._steps: dict[str, StepPermits] = {}
         self._next_cleanup_at = 0.0
+        self._pending = 0
         self._executor = executor or ThreadPoolExecutor(1, "advice")
 
     def get(self, step: str, workers: Sequence[str], advice: AdvicePolicy) -> Mapping[str, str]:
@@ -116,12 +118,15 @@
         self._drop_unwanted(now)
         known = self._steps.setdefault(step, StepPermits())
         known.wanted_at = now
-        if not known.request_pending and now >= known.retry_at:
+        valid = known.valid(now)
+        may_ask = not known.request_pending and now >= known.retry_at
+        if may_ask and not (valid and self._pending):
             asked = known.to_ask(workers, now)[: _workers_per_request(advice)]
             if asked:
                 known.request_pending = True
+                self._pending += 1
                 self._executor.submit(self._request, step, known, asked, advice)
-        return known.valid(now)
+        return valid
 
     def _drop_unwanted(self, now: float) -> None:
         if now < self._next_cleanup_at:
@@ -161,6 +166,7 @@
     ) -> None:
         now = self._clock.monotonic()
         known.request_pending = False
+        self._pending -= 1
         if found is None:
             known.retry_at = now + RETRY_DELAY_S
             return
--- a/gypsumplank/log.py
+++ b/gypsumplank/log.py
@@ -90,8 +90,7 @@
     WORKER_SILENT = "worker-silent", "A worker did not respond; no lease is extended meanwhile."
     WORKER_LEASES_OVER = (
         "worker-leases-over",
-        "The leases of a worker ended `over_s` ago; `silent_s` since its last report that was read,"
-        " up to `unread_s` ago.",
+        "A silent worker's leases ended `over_s` ago; reports of the last `unread_s` are not read.",
     )
     WORKER_RESPONDED = "worker-heard", "A worker that had stopped responding responds again."
     ENTRY_DROPPED = "entry-dropped", "A malformed row or name was ignored."
--- a/tests/coordination/job/test_permit.py
+++ b/tests/coordination/job/test_permit.py
@@ -142,3 +142,16 @@
     assert rounds.run(RETRY_DELAY_S + 3 * ROUND_S, "step")["step"]
     first, second = rounds.service.asked[:2]
     assert first == second
+
+
+def test_step_without_permits_is_asked_about_before_the_others_of_one_that_has_some():
+    """Guard against steps that wait for capacity and hold up those that could start."""
+    rounds = Rounds(WORKERS[:1])
+    assert rounds.run(4 * ROUND_S, "waits")["waits"]
+    rounds.clock.advance(RETRY_DELAY_S)
+    for step in ("new", "waits", "newer"):
+        rounds.cache.get(step, rounds.workers, ADVICE)
+    assert [args[0] for _, args in rounds.service.queued] == ["new", "newer"]
+    rounds.run(4.0, "waits")
+    asked = [workers for step, workers in rounds.service.asked if step == "waits"]
+    assert set().union(*asked) == set(rounds.workers)
