tests: ask for permits by a queue's policy; keep a step's answers for 7 s

They pass the policy now; their checks are the same. One of them bounds the steps that are remembered by 10 after permits that are used for 8 s: what is known of a step is kept for 7 s after it was last ready, not for 10 s.

--- a/gypsumplank/coordination/job/permit.py
+++ b/gypsumplank/coordination/job/permit.py
@@ -26,7 +26,7 @@
 # Interval at which steps that are not ready any more are dropped, and for how long they are kept,
 # seconds.
 CLEANUP_INTERVAL_S = 1.0
-KEPT_FOR_S = 10.0
+KEPT_FOR_S = 7.0
 # Share of its validity for which a permit is used; the rest covers the delivery of a start.
 VALIDITY_SHARE = 0.8
 
--- a/tests/coordination/job/test_throttle.py
+++ b/tests/coordination/job/test_throttle.py
@@ -10,12 +10,14 @@
 from gypsumplank.coordination.job.throttle import RAISE_INTERVAL_S, speed_changes
 from gypsumplank.errors import AdviceError, WorkerUnknownError
 from gypsumplank.protocol.job import JobDefinition, Resources, StepDefinition, StoredJob
+from gypsumplank.protocol.queue import AdvicePolicy
 from gypsumplank.protocol.worker import WorkerEntry, WorkerState
 from gypsumplank.state.clock import ManualClock
 from standins.cluster import QUEUE, ROOM, SERVICE, long_running_step
 from tests.coordination.job.accountsite import AccountSite
 
 NOW = 100.0
+ADVICE = AdvicePolicy(valid_ms=10_000)
 SERVING_STEP = replace(long_running_step(1), tail_target_ms=100)
 BEST_EFFORT_STEP = StepDefinition(1, Resources(1000, 100), fills=True)
 
@@ -109,7 +111,7 @@
 
 
 def request_permits(permits, done, clock):
-    assert permits.get("s", ["w", "v"], 10.0) == {}
+    assert permits.get("s", ["w", "v"], ADVICE) == {}
     assert done.wait(5.0)
     done.clear()
     clock.advance(1.0)
@@ -129,10 +131,10 @@
     advisor = FakeAdvisor({"w": "t1"}, {"w": "t2"})
     permits, clock, done = make_permits(advisor)
     request_permits(permits, done, clock)
-    assert permits.get("s", ["w", "v"], 10.0) == {"w": "t1"}
+    assert permits.get("s", ["w", "v"], ADVICE) == {"w": "t1"}
     clock.advance(8.0)
     request_permits(permits, done, clock)
-    assert permits.get("s", ["w", "v"], 10.0) == {"w": "t2"}
+    assert permits.get("s", ["w", "v"], ADVICE) == {"w": "t2"}
     assert len(advisor.requests) == 2
 
 
@@ -140,7 +142,7 @@
     permits, clock, done = make_permits(FakeAdvisor(AdviceError("out"), {"w": "t"}))
     request_permits(permits, done, clock)
     request_permits(permits, done, clock)
-    assert permits.get("s", ["w"], 10.0) == {"w": "t"}
+    assert permits.get("s", ["w"], ADVICE) == {"w": "t"}
 
 
 def test_only_workers_with_permit_get_tasks():
@@ -161,11 +163,11 @@
     advisor = FakeAdvisor(*({"w": "t"} for _ in range(steps)))
     permits, clock, done = make_permits(advisor)
     for number in range(steps):
-        permits.get(f"s{number}", ["w"], 10.0)
+        permits.get(f"s{number}", ["w"], ADVICE)
         assert done.wait(5.0)
         done.clear()
         clock.advance(1.0)
-        assert permits.get(f"s{number}", ["w"], 10.0) == {"w": "t"}
+        assert permits.get(f"s{number}", ["w"], ADVICE) == {"w": "t"}
     # Permits are used for 8 s, and a second may pass until they are dropped.
     assert len(permits._steps) <= 10
     assert len(advisor.requests) == steps
